Call discovery where the list is automatic, so drains and new caches are heard of

In the logs no line of discovery appeared, only health marks that came late; from outside, a router held sockets to clients and caches and none to port 8500 of its discovery.

The settings say "discovery": "automatic". In the simulator changes then come by themselves, so the module asks only where MustWatch is set (decide.list), and loop.perform was the only caller of loop.watch. On real sockets nobody called: the router lived on the list it was started with. The loop now watches by itself where the list is automatic, and starts the watch again 100 ms after a failed call; the module, which never asked, is not told of such failures.

Ruled out: the module's use of a list (it drops what is not Up at once), attempts that wait for a connection while a drain is told (upstream.update ends them), and the process's death (SIGHUP is another matter: the log goes on to 33 s).

--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -126,6 +126,27 @@
 	}
 }
 
+// TestAutomaticListIsWatched: where changes come to the module by themselves, the router calls for
+// them unasked, goes on after a failed call, and a drain that it hears of ends new work there.
+func TestAutomaticListIsWatched(t *testing.T) {
+	cache := newFakeCache(t)
+	addr, calls := newFakeDiscovery(t)
+	r := start(t, testConfig(t, addr, func(in map[string]any) {
+		in["settings"].(map[string]any)["discovery"] = "automatic"
+	}, host("c1", cache.addr(), "in_service")))
+	c := dial(t, r.addr)
+	c.send(get("r1"))
+	receive(t, cache.commands, "command").reply(t, served)
+	c.want("value")
+	receive(t, calls, "call").reply <- "" // fails
+	receive(t, calls, "call after a failure").reply <- hosts(2, false, host("c1", cache.addr(), "terminating"))
+	receive(t, calls, "next call") // so the router has heard of the drain
+	c.send(get("r2"))
+	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
+		t.Errorf("answer %q", got)
+	}
+}
+
 func TestParseHosts(t *testing.T) {
 	h, err := parseHosts([]byte(`{"index":43,"snapshot":false,"endpoints":[
 		{"name":"s1","address":"127.0.0.1:6379","zone":"z","group":3,"status":"terminating","weight":2.5,"since_ms":17},
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -62,6 +62,7 @@
 	busyReply     = "-BUSY\r\n"
 	failedReply   = "-ERR failed\r\n"
 	sweepInterval = 1_000_000 // microseconds between looks for idle connections
+	watchPause    = 100_000   // ... before another watch where the list has to come by itself
 )
 
 func newLoop(cfg *Config, s *sockets) (*loop, error) {
@@ -120,6 +121,9 @@
 	known.full = true
 	l.learn(known, decide.ListStale)
 	l.tell()
+	if !l.cfg.Settings.MustWatch {
+		l.watch() // "changes come by themselves" to the module: on real sockets somebody has to call
+	}
 	l.after(sweepInterval, l.sweep)
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
@@ -325,7 +329,11 @@
 		l.post(func() {
 			l.watching = false
 			l.log("discovery: " + err.Error())
-			l.backlog = append(l.backlog, &decide.List{Kind: decide.ListFailed})
+			if l.cfg.Settings.MustWatch {
+				l.backlog = append(l.backlog, &decide.List{Kind: decide.ListFailed})
+			} else {
+				l.after(watchPause, l.watch) // the module never asked, so it is not told of failures
+			}
 		})
 	}(l.index)
 }
