Move discovery to the address in the configuration on SIGHUP

SIGHUP now reads the file again and takes its discovery address: the watch on the old address is broken off, its late answers are dropped, and the new one goes on from the version that is known. A file that can't be read changes nothing but the log.

--- a/cmd/starlingwinch/main_test.go
+++ b/cmd/starlingwinch/main_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,7 +20,7 @@
 
 const patience = 30 * time.Second
 
-const config = `{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"1f",
+const config = `{"name":"n0","listen":%q,"discovery":%q,"seed":"1f",
  "limits":{"cores":1,"memory_mb":192,"sockets":1024},
  "known":{"index":1,"snapshot":true,"endpoints":[
   {"name":"c1","address":"127.0.0.1:1","zone":"a","group":1,"status":"in_service","weight":1,"since_ms":0}]},
@@ -42,8 +44,9 @@
 	return cmd
 }
 
-func TestStartServeAndEnd(t *testing.T) {
-	cmd := program(t, fmt.Sprintf(config, "127.0.0.1:0"))
+// serving starts a program and returns its address and its log once it serves.
+func serving(t *testing.T, cmd *exec.Cmd) (addr string, log *bufio.Reader) {
+	t.Helper()
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -52,13 +55,18 @@
 		t.Fatal(err)
 	}
 	kill := time.AfterFunc(patience, func() { cmd.Process.Kill() }) // a program that hangs must not hang the test
-	defer kill.Stop()
-	log := bufio.NewReader(stderr)
+	t.Cleanup(func() { kill.Stop(); cmd.Process.Kill() })
+	log = bufio.NewReader(stderr)
 	line, err := log.ReadString('\n')
 	_, addr, ok := strings.Cut(strings.TrimSpace(line), "serving on ")
 	if !ok {
 		t.Fatalf("the program said %q, %v", line, err)
 	}
+	return addr, log
+}
+
+func ping(t *testing.T, addr string) {
+	t.Helper()
 	nc, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
@@ -69,6 +77,11 @@
 	if line, err := bufio.NewReader(nc).ReadString('\n'); line != "+PONG\r\n" {
 		t.Fatalf("PING: %q, %v", line, err)
 	}
+}
+
+// terminate sends SIGTERM and waits for a good end.
+func terminate(t *testing.T, cmd *exec.Cmd, log *bufio.Reader) {
+	t.Helper()
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -78,8 +91,57 @@
 	}
 }
 
+func TestStartServeAndEnd(t *testing.T) {
+	cmd := program(t, fmt.Sprintf(config, "127.0.0.1:0", "127.0.0.1:1"))
+	addr, log := serving(t, cmd)
+	ping(t, addr)
+	terminate(t, cmd, log)
+}
+
+// TestHangupMovesDiscovery: SIGHUP ends nothing, a bad file changes nothing, and a good one has
+// the router ask at the address that it names.
+func TestHangupMovesDiscovery(t *testing.T) {
+	called := make(chan struct{}, 100)
+	moved := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		called <- struct{}{}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer moved.Close()
+	cmd := program(t, fmt.Sprintf(config, "127.0.0.1:0", "127.0.0.1:1"))
+	addr, log := serving(t, cmd)
+	for _, discovery := range []string{"nowhere", moved.Listener.Addr().String()} {
+		if err := os.WriteFile(configPath(cmd), fmt.Appendf(nil, config, "127.0.0.1:0", discovery), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		for { // the file must not change again before it was read
+			line, err := log.ReadString('\n')
+			if err != nil {
+				t.Fatalf("the program ended: %v", err)
+			}
+			if strings.Contains(line, "SIGHUP: ") || strings.Contains(line, "moves to") {
+				break
+			}
+		}
+	}
+	select {
+	case <-called:
+	case <-time.After(patience):
+		t.Error("nobody called at the new address")
+	}
+	ping(t, addr)
+	terminate(t, cmd, log)
+}
+
+func configPath(cmd *exec.Cmd) string {
+	_, path, _ := strings.Cut(cmd.Env[len(cmd.Env)-1], "=")
+	return path
+}
+
 func TestBadConfigurationEndsWithOneLine(t *testing.T) {
-	cmd := program(t, fmt.Sprintf(config, "nowhere"))
+	cmd := program(t, fmt.Sprintf(config, "nowhere", "127.0.0.1:1"))
 	var stderr bytes.Buffer
 	cmd.Stderr = &stderr
 	err := cmd.Run()
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -176,6 +176,11 @@
 	return nil
 }
 
+// MoveDiscovery has the router ask at another address from now on. What it knows stays.
+func (s *Server) MoveDiscovery(addr string) {
+	s.loop.post(func() { s.loop.moveDiscovery(addr) })
+}
+
 // acceptAll takes connections until the listener is closed.
 func (s *Server) acceptAll() error {
 	for {
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -147,6 +147,30 @@
 	}
 }
 
+// TestMovedDiscovery: the watch goes on at the new address from the version known, and what the
+// old one still has to say is not taken.
+func TestMovedDiscovery(t *testing.T) {
+	cache := newFakeCache(t)
+	old, oldCalls := newFakeDiscovery(t)
+	moved, calls := newFakeDiscovery(t)
+	r := start(t, testConfig(t, old, nil, host("c1", cache.addr(), "in_service")))
+	last := receive(t, oldCalls, "call")
+	r.srv.MoveDiscovery(moved)
+	first := receive(t, calls, "call at the new address")
+	if !strings.Contains(first.query, "after=1&") {
+		t.Errorf("call %s", first.query)
+	}
+	last.reply <- hosts(5, true)
+	first.reply <- hosts(2, false, host("c2", "127.0.0.1:1", "terminating"))
+	if c := receive(t, calls, "next call"); !strings.Contains(c.query, "after=2&") {
+		t.Errorf("call %s", c.query)
+	}
+	c := dial(t, r.addr)
+	c.send(get("r1"))
+	receive(t, cache.commands, "command").reply(t, served)
+	c.want("value")
+}
+
 func TestParseHosts(t *testing.T) {
 	h, err := parseHosts([]byte(`{"index":43,"snapshot":false,"endpoints":[
 		{"name":"s1","address":"127.0.0.1:6379","zone":"z","group":3,"status":"terminating","weight":2.5,"since_ms":17},
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -35,8 +35,9 @@
 	discovery *discovery
 	index     int64 // version of the list
 	watching  bool
-	serving   atomic.Bool     // a cache is known that takes work
-	ctx       context.Context // ends the watch
+	endWatch  context.CancelFunc // of the watch that is on
+	serving   atomic.Bool        // a cache is known that takes work
+	ctx       context.Context    // ends the watch
 }
 
 // module makes the decisions: *decide.Router, or a script in tests.
@@ -322,11 +323,19 @@
 		return
 	}
 	l.watching = true
-	go func(after int64) {
-		err := l.discovery.watch(l.ctx, after, func(h hostList) {
-			l.post(func() { l.learn(h, h.kind()) })
-		})
-		l.post(func() {
+	ctx, end := context.WithCancel(l.ctx)
+	l.endWatch = end
+	go func(d *discovery, after int64) {
+		defer end()
+		current := func(f func()) {
+			l.post(func() {
+				if d == l.discovery { // else its successor tells
+					f()
+				}
+			})
+		}
+		err := d.watch(ctx, after, func(h hostList) { current(func() { l.learn(h, h.kind()) }) })
+		current(func() {
 			l.watching = false
 			l.log("discovery: " + err.Error())
 			if l.cfg.Settings.MustWatch {
@@ -335,7 +344,18 @@
 				l.after(watchPause, l.watch) // the module never asked, so it is not told of failures
 			}
 		})
-	}(l.index)
+	}(l.discovery, l.index)
+}
+
+// moveDiscovery goes on with discovery at another address, from the version that is known.
+func (l *loop) moveDiscovery(addr string) {
+	l.log("discovery moves to " + addr)
+	if l.watching {
+		l.endWatch()
+	}
+	l.discovery.client.CloseIdleConnections()
+	l.discovery, l.watching = newDiscovery(addr), false
+	l.watch()
 }
 
 // ready reports whether the router can serve.
