Give a peer 2.5 s for its first command and for the rest of one begun

The terms owe a peer that sends nothing, or half of something, an error line or a close within 3 s of connecting. client.read had no deadline at all: such a peer kept its descriptor until the router ended or wanted room. Empty commands ("\r\n", "*0\r\n") are answered by nothing, so they do not count as a first command. After one, a connection may stay idle as before.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -22,18 +22,19 @@
 )
 
 const (
-	mostValue    = 64 << 10               // bytes of a value
-	mostWord     = 1 << 10                // ... of a key, an id or the list of names and values
-	mostCommand  = mostValue + 4<<10      // ... of a whole command
-	keptBuffer   = 8 << 10                // bytes of room that a connection keeps between commands
-	pipelined    = 512                    // commands of one connection that may await their answers
-	writeTimeout = 5 * time.Second        // for an answer to a client that does not read
-	lingerTime   = time.Second            // for a client to read why its connection is closed
-	acceptPause  = 10 * time.Millisecond  // before another try where no descriptor was free
-	lastArrivals = 500 * time.Millisecond // new connections may still come so long after SIGTERM
-	commandGrace = 100 * time.Millisecond // for the rest of a command that has begun when its connection is to close
-	drainSlack   = 650 * time.Millisecond // beyond the longest deadline, for the drain after SIGTERM: SIGKILL may follow 50 ms later
-	metaArg      = 3                      // place of the names and values in a command
+	mostValue    = 64 << 10                // bytes of a value
+	mostWord     = 1 << 10                 // ... of a key, an id or the list of names and values
+	mostCommand  = mostValue + 4<<10       // ... of a whole command
+	keptBuffer   = 8 << 10                 // bytes of room that a connection keeps between commands
+	pipelined    = 512                     // commands of one connection that may await their answers
+	writeTimeout = 5 * time.Second         // for an answer to a client that does not read
+	lingerTime   = time.Second             // for a client to read why its connection is closed
+	acceptPause  = 10 * time.Millisecond   // before another try where no descriptor was free
+	lastArrivals = 500 * time.Millisecond  // new connections may still come so long after SIGTERM
+	commandWait  = 2500 * time.Millisecond // for a connection's first command, and for the rest of any that has begun
+	commandGrace = 100 * time.Millisecond  // for the rest of a command that has begun when its connection is to close
+	drainSlack   = 650 * time.Millisecond  // beyond the longest deadline, for the drain after SIGTERM: SIGKILL may follow 50 ms later
+	metaArg      = 3                       // place of the names and values in a command
 )
 
 // command is a client's request as it came.
@@ -124,13 +125,15 @@
 	wg       sync.WaitGroup // clients' goroutines
 	closing  chan struct{}  // closed when no more connections are taken
 	arrivals time.Duration  // how long connections are still taken after SIGTERM
+
+	commandWait time.Duration // how long a peer may take over a command
 }
 
 // New makes a router and opens its listener.
 func New(cfg *Config) (*Server, error) {
 	s := &Server{cfg: cfg, sockets: newSockets(cfg.Limits.Sockets), memory: newMemory(cfg.Limits.MemoryMB),
 		clients: map[*client]struct{}{}, closing: make(chan struct{}),
-		arrivals: lastArrivals}
+		arrivals: lastArrivals, commandWait: commandWait}
 	var err error
 	if s.loop, err = newLoop(cfg, s.sockets); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -289,6 +292,9 @@
 	defer close(c.queue)
 	var buf []byte
 	extended := false
+	// The danger: a peer that says nothing, or half a command, holds a descriptor for ever.
+	timed := true // a command is due: the connection's first, or the rest of one that has begun
+	c.expect(c.srv.commandWait)
 	for {
 		complete, args, used, err := nextCommand(buf)
 		if err != nil {
@@ -299,6 +305,10 @@
 			if !c.command(args, buf[:used]) {
 				return
 			}
+			if timed && len(args) > 0 {
+				timed = false
+				c.expect(0)
+			}
 			if rest := buf[used:]; cap(buf) > keptBuffer && len(rest) <= keptBuffer {
 				buf = bytes.Clone(rest) // many clients with a large command once must not keep its room
 			} else {
@@ -313,6 +323,10 @@
 		if len(buf) == cap(buf) {
 			buf = append(make([]byte, 0, max(1024, 2*cap(buf))), buf...)
 		}
+		if !timed && len(buf) > 0 && !extended {
+			timed = true
+			c.expect(c.srv.commandWait)
+		}
 		n, err := c.nc.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.retired.Load() {
@@ -323,6 +337,12 @@
 			c.nc.SetReadDeadline(time.Now().Add(commandGrace))
 			continue
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if len(buf) > 0 {
+				c.say([]byte("-ERR Protocol error: the command did not come whole in time\r\n"))
+			}
+			return
+		}
 		if err != nil {
 			c.srv.loop.post(func() { c.srv.loop.depart(c) })
 			return
@@ -330,6 +350,19 @@
 	}
 }
 
+// expect gives a command so long to come whole; 0 lifts the limit. A connection that is to be
+// closed between requests keeps its own.
+func (c *client) expect(wait time.Duration) {
+	var until time.Time
+	if wait > 0 {
+		until = time.Now().Add(wait)
+	}
+	c.nc.SetReadDeadline(until)
+	if c.retired.Load() {
+		c.nc.SetReadDeadline(time.Now())
+	}
+}
+
 // unread reports whether bytes have come that were not read yet.
 func (c *client) unread() bool {
 	raw, err := c.nc.SyscallConn()
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -180,6 +180,39 @@
 	}
 }
 
+// TestPeersThatSayNothing: a peer owes its first command, and the rest of any that it has begun,
+// within a time. One that has said something proper may stay idle.
+func TestPeersThatSayNothing(t *testing.T) {
+	srv, err := New(testConfig(t, silentDiscovery(t), nil, host("c1", "127.0.0.1:1", "in_service")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv.commandWait = time.Second
+	idle := dial(t, srv.ln.Addr().String())
+	idle.send(words("ECHO")) // there before anybody waits for it
+	r := startServer(t, srv)
+	idle.want("-ERR unknown command")
+	late := map[string]*testClient{}
+	for _, begun := range []string{"", "\r\n", "*0\r\n", "PI", "*4\r\n$5\r\nC.GET\r\n$2\r\nk"} {
+		late[begun] = dial(t, r.addr)
+		late[begun].send(begun)
+	}
+	for begun, c := range late {
+		if begun != "" && !strings.HasSuffix(begun, "\r\n") {
+			if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
+				t.Errorf("%q: answer %q", begun, got)
+			}
+		}
+		c.wantClosed()
+	}
+	idle.send(words("PING") + "*4\r\n$5\r\nC.G") // idle for longer than the others were
+	idle.want("+PONG")
+	if got := idle.line(); !strings.HasPrefix(got, "-ERR ") {
+		t.Errorf("answer %q", got)
+	}
+	idle.wantClosed()
+}
+
 func TestBusyRoundsUp(t *testing.T) {
 	for wait, want := range map[decide.Time]string{0: "-BUSY\r\n", 1: "-BUSY 1\r\n", 1000: "-BUSY 1\r\n", 1001: "-BUSY 2\r\n", 600_000: "-BUSY 600\r\n"} {
 		if got := string(appendBusy(nil, wait)); got != want {
