Take no token of the retry budget for an attempt after a broken connection

From 2 s on requests were refused though no cache was full. From outside (strace of one router): caches end about 9% of attempts with a reset a few milliseconds after the request is written, and close another tenth of the connections after an answer. With counters in the log, every refusal before 5 s came from one place: forward's "isRetry && budget < 1". The budget grows by 0.05 a request, breaks need 0.09, so it stood at 0 from 2 s on; the clients came back at once (1.08 tries a request), and overflow and hedges, which draw on the same budget, had no tokens either.

The budget is there because retries feed the overload that caused them. A connection that breaks at once is no sign of one: a cache with too much to do refuses or is late. Like an attempt that met nobody it now takes no token; MaxAttempts and the class still bound it.

Ruled out: the socket code's reading of answers (answers without a reset were parsed whole, the resets come from the caches), descriptors (98 of 134 at once), dials (none failed).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -68,6 +68,7 @@
 	stopped  bool // Cancel was asked for
 	neverRan bool
 	unmet    bool // no connection came about
+	broke    bool // the connection did before the answer was whole
 }
 
 type request struct {
@@ -608,10 +609,15 @@
 	}
 }
 
-// isRetry reports whether a further attempt adds to what caches are asked for: one that did not
-// meet its cache has cost none of them anything.
+// isRetry reports whether a further attempt could feed an overload: one that follows a connection
+// that failed or broke does not. The danger: where networks break every tenth attempt, these alone use
+// up the budget; the clients come back anyway, and the overflow and the hedges have no tokens left.
 func (r *Router) isRetry(q *request) bool {
-	return len(q.attempts) > 0 && !q.attempts[len(q.attempts)-1].unmet
+	if len(q.attempts) == 0 {
+		return false
+	}
+	last := &q.attempts[len(q.attempts)-1]
+	return !last.unmet && !last.broke
 }
 
 // giveUp answers a request unless an attempt is still out that may do so.
@@ -832,6 +838,7 @@
 		a.unmet = true
 		r.reached(a.to, false)
 	}
+	a.broke = ev.Result == ConnLost
 	if a.to.pending == 0 && r.closesIdle(a.to) {
 		r.do(CloseIdle{a.to.ID})
 	}
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -581,3 +581,20 @@
 	r.rank(key)
 	return r.nth(0).ID
 }
+
+// The danger: a network that breaks connections uses up what the budget has for overload.
+func TestBrokenConnectionsTakeNoBudget(t *testing.T) {
+	b := quietBench(t, 8, nil)
+	for id := range int64(100) {
+		b.ask(id+1, "read", uint64(id))
+		if len(sends(b.answer(id+1, 0, ConnLost, false))) != 1 {
+			t.Fatalf("break %d was not followed by another attempt", id+1)
+		}
+		b.settle(id+1, 1)
+	}
+	b.r.budget = 0
+	b.ask(1000, "once", 7)
+	if len(sends(b.answer(1000, 0, ConnLost, false))) != 0 || finals(b.acts) != 1 {
+		t.Fatal("what may have run and must not be repeated was not failed at once")
+	}
+}
