Try a key's home once more after one broken connection

The retry after a break went to the next cache in the key's order, since pick passed over every cache that had been tried. One break now leaves the home in the running; after a second one, or any other outcome, the request goes elsewhere. A dead process costs one more attempt, which its refused connection ends at once.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -474,10 +474,17 @@
 // knows reports whether the cache has answered for the key lately, so that it likely keeps it.
 func (c *cache) knows(key uint64) bool { return c.keeps[0][key] || c.keeps[1][key] }
 
+// triedAt reports whether the next attempt should go elsewhere. One connection that broke says nothing
+// against the cache behind it. The danger: at any other cache the key misses, and the origin is
+// asked for what its home keeps.
 func (q *request) triedAt(c *cache) bool {
+	broke := 0
 	for _, a := range q.attempts {
 		if a.to == c {
-			return true
+			if !a.broke || broke > 0 {
+				return true
+			}
+			broke++
 		}
 	}
 	return false
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -598,3 +598,17 @@
 		t.Fatal("what may have run and must not be repeated was not failed at once")
 	}
 }
+
+// The danger: a retry elsewhere misses, so that breaks press the origin.
+func TestOneBreakDoesNotMoveAKey(t *testing.T) {
+	b := quietBench(t, 8, nil)
+	home := b.ask(1, "read", 42).Cache
+	again := sends(b.answer(1, 0, ConnLost, false))
+	if len(again) != 1 || again[0].Cache != home {
+		t.Fatalf("after one break the request went to %v, not back to %s", again, home)
+	}
+	other := sends(b.answer(1, 1, ConnLost, false))
+	if len(other) != 1 || other[0].Cache == home {
+		t.Fatalf("after two breaks at %s the request went to %v", home, other)
+	}
+}
