Judge likely misses by the whole aim once few are out, so the limit finds rest

The counters in the log show the limit on likely misses sink from 48 at the start to 30 at 3 s, 11 at 6 s, and 1 at 9 s, where it stays; from then on nearly every refusal is "to spare the origin" (5,198 of them by 20 s), and the clients' returns double what is asked. But the origin is no slower then: by the strace, misses take p25 75, p50 100, p90 170 ms from the first second to the last, at any load. A likely miss speaks against the origin after 0.65 of the aim (104 of 160 ms), and over 15% of them take that long by themselves on this fleet of small machines. So fewer fetches never look better, and the limit has no rest above its floor.

The limits of caches know this trap: at or under one attempt out at a cache over all routers, an attempt may take its whole aim. The limit on misses now does the same once it is at one fetch a cache over all routers (overdue, outcome).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -734,7 +734,7 @@
 	a := &q.attempts[n]
 	c := a.to
 	if a.fetch && c.prompt && r.now >= c.warmAt { // a cold one is slow itself and has few hits
-		r.at(a.sent+Time(originShare*float64(q.class.Aim)), func() {
+		r.at(a.sent+r.fetchTime(q), func() {
 			if a := &q.attempts[n]; a.pending {
 				adjust(&r.fetches, false, originTolerated)
 				r.fetches = max(1, r.fetches)
@@ -757,6 +757,16 @@
 	})
 }
 
+// fetchTime is how long a likely miss may take before it speaks against the origin. The danger: where
+// misses are slow by themselves, fewer of them are no faster, and the limit finds no rest until
+// nothing is fetched. Once all routers together have one out at each cache, it may take its whole aim.
+func (r *Router) fetchTime(q *request) Time {
+	if r.fetches <= float64(len(r.ready))*r.alone() {
+		return q.class.Aim
+	}
+	return Time(originShare * float64(q.class.Aim))
+}
+
 // closesIdle reports whether an idle connection to the cache costs more than it saves: a dial,
 // when this router comes back. At even shares keeping costs Routers/100 times what dialling
 // does, as 100 connections a cache cost ConnPrice; a cache used more than others earns its own
@@ -853,7 +863,7 @@
 	if good && !a.fetch {
 		a.to.prompt = true
 	}
-	fetched := ev.Result == Served && a.fetch && float64(r.now-a.sent) < originShare*float64(q.class.Aim)
+	fetched := ev.Result == Served && a.fetch && r.now-a.sent < r.fetchTime(q)
 	if ev.Result == Errored || fetched && float64(r.fetching+1) > r.fetches/2 {
 		adjust(&r.fetches, fetched, originTolerated)
 		r.fetches = max(1, r.fetches)
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -612,3 +612,34 @@
 		t.Fatalf("after two breaks at %s the request went to %v", home, other)
 	}
 }
+
+// The danger: misses that are slow by themselves bring the limit on them down to nothing.
+func TestSlowMissesFewOutMayTakeTheirAim(t *testing.T) {
+	for _, c := range []struct {
+		fetches float64
+		after   Time
+		falls   bool
+	}{
+		{20, 150 * ms, true}, // over two a cache and router: late after originShare
+		{4, 150 * ms, false},
+		{4, 210 * ms, true},
+	} {
+		b := quietBench(t, 8, nil) // two routers: alone is four likely misses for this one
+		b.r.fetches = c.fetches
+		b.ask(1, "read", 7)
+		b.advance(c.after)
+		if (b.r.fetches < c.fetches) != c.falls {
+			t.Errorf("limit %v after %d ms: %v", c.fetches, c.after/ms, b.r.fetches)
+		}
+	}
+	b := quietBench(t, 8, nil)
+	b.r.fetches = 1
+	for id := range int64(50) { // each takes 3/4 of the aim
+		b.ask(id+1, "read", uint64(id))
+		b.advance(150 * ms)
+		b.feed(&Outcome{ID: id + 1, Result: Served, Last: true, Miss: true, Load: Load{Busy: -1}})
+	}
+	if b.r.fetches <= 1 {
+		t.Errorf("answers within the aim left the limit at %v", b.r.fetches)
+	}
+}
