Answer commands that no client sends with an error instead of sending them on

By the protocol a command is an array of bulk strings with a class of the settings, and a keyed write carries k. The codec reads plain lines too, and parseCommand let any class and a missing key pass, so a peer's rubbish that happens to parse reached a cache server and was served as though it had run; a keyed write without its key could have been repeated with nothing to drop the repeat. On the old code the new rows of the test are answered -BUSY and one reaches the cache. PING as a plain line is still answered.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -49,6 +49,7 @@
 	wait     decide.Time // how long the client waits
 	cost     decide.Time
 	write    bool
+	keyed    bool // it carries an idempotency key
 }
 
 // parseCommand reads a C.GET or C.SET. It keeps args.
@@ -90,6 +91,8 @@
 				return c, errors.New("d is not a number of milliseconds")
 			}
 			c.wait, c.waitFrom, c.waitTo = ms*1000, to-len(value), to
+		case "k":
+			c.keyed = value != ""
 		case "h":
 			if us, err := strconv.ParseInt(value, 10, 64); err == nil && us > 0 {
 				c.cost = us
@@ -419,6 +422,9 @@
 		return false
 	}
 	cmd, err := parseCommand(args, len(raw))
+	if err == nil {
+		err = c.srv.proper(raw, cmd)
+	}
 	if err != nil {
 		c.say(redcon.AppendError(nil, "ERR "+err.Error()))
 		return true
@@ -435,6 +441,23 @@
 	return true
 }
 
+// proper reports what is wrong with a command that can be read, but that no client sends. The
+// danger: sent on, it is served as though it were a client's, or repeated with no key to drop it.
+func (s *Server) proper(raw []byte, cmd command) error {
+	if raw[0] != redcon.Array {
+		return errors.New("a command is an array of bulk strings")
+	}
+	for _, class := range s.cfg.Settings.Classes {
+		if class.Name == cmd.class {
+			if class.Effect == decide.Keyed && cmd.write && !cmd.keyed {
+				return errors.New("k is needed")
+			}
+			return nil
+		}
+	}
+	return errors.New("c names no class")
+}
+
 // write sends the answers in the order of the commands.
 func (c *client) write() {
 	defer c.srv.wg.Done()
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -153,6 +153,9 @@
 		{words("C.SET", "k", "id", "c=put,d=10"), false},
 		{words("C.GET", strings.Repeat("k", mostWord+1), "id", "c=read,d=10"), false},
 		{"FLUSHALL\r\n", false},
+		{"C.GET k id c=read,d=10000\r\n", false}, // not an array of bulk strings
+		{words("C.GET", "k", "id", "c=other,d=10000"), false},
+		{words("C.SET", "k", "id", "c=put,d=10000", "value"), false}, // a keyed write without its key
 		{"*1\r\n$-2\r\n", true},
 		{"*1\r\n$9223372036854775807\r\n", true},
 		{"*x\r\n", true},
