Take an answer that is not an array of three strings for a failed attempt

The protocol's answer is an array of three: the value, how the read went, the load report. parseReply served any array that begins with a string, so one with an element missing, one too many or of another kind passed for a value. It is now an error, which may have run. On the old code the new rows of the test come out as served.

--- a/internal/router/outcome_test.go
+++ b/internal/router/outcome_test.go
@@ -30,6 +30,11 @@
 		{"-BUSY\r\n", decide.Rejected, false},
 		{"-SYNTAX\r\n", decide.Errored, false},
 		{"*3\r\n$-1\r\n$-1\r\n$-1\r\n", decide.Errored, false}, // a value that is null serves nobody
+		{"*1\r\n$5\r\nvalue\r\n", decide.Errored, false},
+		{"*2\r\n$5\r\nvalue\r\n$3\r\nhit\r\n", decide.Errored, false},
+		{"*4\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n$-1\r\n", decide.Errored, false},
+		{"*3\r\n$5\r\nvalue\r\n:1\r\n$-1\r\n", decide.Errored, false},
+		{"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n*0\r\n", decide.Errored, false},
 	} {
 		cache := newFakeCache(t)
 		r := newRig(t, cache.addr(), nil)
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -23,6 +23,7 @@
 	mostReply    = mostValue + 4096
 	mostLine     = 512 // bytes of a line of an answer
 	mostItems    = 16  // of an array
+	answerItems  = 3   // of an answer: the value or receipt, how it went, the load report
 )
 
 // upstream is one cache server: its connections and the attempts that wait for one.
@@ -499,19 +500,16 @@
 	rep := &reply{result: decide.Errored, load: decide.Load{Busy: -1}}
 	switch resp.Type {
 	case redcon.Array:
-		item := 0
+		items := make([]redcon.RESP, 0, answerItems+1)
 		resp.ForEach(func(r redcon.RESP) bool {
-			switch {
-			case item == 0 && r.Type == redcon.Bulk && !isNull(r):
-				rep.result, rep.value = decide.Served, bytes.Clone(r.Raw)
-			case item == 1:
-				rep.miss = string(r.Data) == "miss" || string(r.Data) == "pending"
-			case item == 2:
-				rep.load = parseLoad(string(r.Data))
-			}
-			item++
-			return item < 3
+			items = append(items, r)
+			return len(items) <= answerItems
 		})
+		if isAnswer(items) {
+			rep.result, rep.value = decide.Served, bytes.Clone(items[0].Raw)
+			rep.miss = string(items[1].Data) == "miss" || string(items[1].Data) == "pending"
+			rep.load = parseLoad(string(items[2].Data))
+		}
 	case redcon.Bulk:
 		rep.load = parseLoad(string(resp.Data))
 	case redcon.String:
@@ -528,6 +526,20 @@
 	return rep
 }
 
+// isAnswer reports whether an array has the shape of an answer. The danger: a cache gone mad sends
+// something else that begins with a string, and it passes for the value.
+func isAnswer(items []redcon.RESP) bool {
+	if len(items) != answerItems || isNull(items[0]) {
+		return false
+	}
+	for _, r := range items {
+		if r.Type != redcon.Bulk || len(r.Data) > mostValue {
+			return false
+		}
+	}
+	return true
+}
+
 func isNull(r redcon.RESP) bool { return len(r.Raw) > 1 && r.Raw[1] == '-' }
 
 // parseLoad reads a load report; what it does not know it skips.
