Lower no limit for a refusal where less is out than a cache is first trusted with

Counters in the log: 7 of 12 caches turn away 25 to 40% of what they are sent, also where that is 13 requests in 3 s, and recover later. outcome took half an attempt off a cache's limit for each refusal, however little was out, so their limits fell to 0.1, their keys moved, and the five other caches were crowded; each next attempt also took a token of the budget.

A refusal now speaks of crowding only where more is out at the cache than this router's part of the first limit. Others cost neither limit nor token; the request goes to another cache at once, as a refused attempt never ran.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -69,6 +69,7 @@
 	neverRan bool
 	unmet    bool // no connection came about
 	broke    bool // the connection did before the answer was whole
+	shunned  bool // it was turned away for no crowd of ours
 }
 
 type request struct {
@@ -261,7 +262,7 @@
 	c := r.caches[e.ID]
 	if c == nil {
 		c = &cache{healthy: true, prompt: true, hash: hash(e.ID), keeps: [2]map[uint64]bool{{}, {}}}
-		c.limit = max(leastFirst, firstLimit/float64(max(1, r.set.Routers)))
+		c.limit = r.firstPart()
 		r.caches[e.ID] = c
 	} else if e.Start != c.Start || c.Condition == Removed && e.Condition == Up {
 		// The process is a new one: nothing seen of the old one holds.
@@ -624,7 +625,7 @@
 		return false
 	}
 	last := &q.attempts[len(q.attempts)-1]
-	return !last.unmet && !last.broke
+	return !last.unmet && !last.broke && !last.shunned
 }
 
 // giveUp answers a request unless an attempt is still out that may do so.
@@ -779,6 +780,11 @@
 // alone is the limit at which all routers together keep one attempt out at a cache.
 func (r *Router) alone() float64 { return 1 / float64(max(1, r.set.Routers)) }
 
+// firstPart is what this router keeps out at a cache of which nothing is known.
+func (r *Router) firstPart() float64 {
+	return max(leastFirst, firstLimit/float64(max(1, r.set.Routers)))
+}
+
 // adjust moves a limit by the fate of one attempt under it. A limit comes to rest where
 // the tolerated share of attempts is overdue: some are long by nature.
 func adjust(limit *float64, good bool, tolerated float64) {
@@ -856,6 +862,10 @@
 		r.reached(a.to, false)
 	}
 	a.broke = ev.Result == ConnLost
+	// A refusal speaks of crowding only where more is out than any cache is trusted with at first. The
+	// danger: one that stands still now and then loses its whole part of the work for good.
+	crowd := ev.Result == Rejected && float64(a.to.pending+1) > r.firstPart()
+	a.shunned = ev.Result == Rejected && !crowd
 	if a.to.pending == 0 && r.closesIdle(a.to) {
 		r.do(CloseIdle{a.to.ID})
 	}
@@ -868,7 +878,7 @@
 		adjust(&r.fetches, fetched, originTolerated)
 		r.fetches = max(1, r.fetches)
 	}
-	if ev.Result == Rejected || ev.Result == NoConnection || good && float64(a.to.pending+1) > a.to.limit/2 {
+	if crowd || ev.Result == NoConnection || good && float64(a.to.pending+1) > a.to.limit/2 {
 		r.pool(good)
 		adjust(&a.to.limit, good, tolerated)
 	} else if ev.Result == Served && a.to.limit < r.alone() && r.now-a.sent < q.class.Aim {
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -643,3 +643,25 @@
 		t.Errorf("answers within the aim left the limit at %v", b.r.fetches)
 	}
 }
+
+// The danger: a cache that stands still now and then turns away the few requests that come
+// meanwhile, and loses its part of the work for good.
+func TestRefusalsWithoutACrowdCostNoLimit(t *testing.T) {
+	b := quietBench(t, 8, nil)
+	home := b.ask(1, "read", 42).Cache
+	c := b.r.caches[home]
+	limit, budget := c.limit, b.r.budget
+	again := sends(b.answer(1, 0, Rejected, false))
+	if len(again) != 1 || again[0].Cache == home || c.limit != limit || b.r.budget != budget {
+		t.Fatalf("after a refusal: sent to %v, limit %v to %v, budget %v to %v", again, limit, c.limit, budget, b.r.budget)
+	}
+	b.settle(1, 1)
+	c.pending = 2 * firstLimit
+	b.ask(2, "all", 42)
+	c.pending -= firstLimit // more than the first part stay out
+	c.limit = 2 * firstLimit
+	b.ask(3, "read", 42)
+	if b.answer(3, 0, Rejected, false); c.limit >= 2*firstLimit {
+		t.Fatalf("a refusal by a crowded cache left its limit at %v", c.limit)
+	}
+}
