Give each router its part of a cache's first limit, by size, as a share of time

Summed over the routers' logs, attempts that clients left unanswered grow from 100 to 700 a second, nearly all at the 15 to 20 caches that are home to popular keys; those answered nothing at all while the other 40 answered in 95 ms.

Cause: decide.go firstPart gave each router at least one attempt out at each cache. That is 1 to 4 a cache for 2 routers and 80 for 80; a cache has 4 or 5 cores and gets slower over 3 to 6 a core, so a popular key's home is pushed over in the first second and kept there by one attempt of each router. adjust raised a limit by 1/8 attempt at every router alike, and a limit under one counted the gap, not the time that attempts took, so that it let out more the slower the cache was.

Mend: the first limit is a sum over all routers, shared by size; steps go by that part; a limit under one is a share of time that attempts use up.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -17,7 +17,8 @@
 	longestInterval = 64  // ... to so many DrainGraces at most, for a router that is hardly asked
 	backoffMost     = 6   // doublings of the wait between calls for the list
 	firstLimit      = 8   // requests out at a cache, over all routers, before anything is known
-	leastFirst      = 1   // ... and one router's part of it, at least
+	leastFetches    = 1   // likely misses that one router may have out, at least
+	roomBurst       = 2   // attempts that a limit under one lets out at a time, at most
 	tolerated       = .2  // share of overdue attempts at which a limit stays as it is
 	originTolerated = .15 // the same for likely misses: the origin is slow to recover
 	originShare     = .65 // of the aim after which a likely miss speaks against the origin
@@ -44,8 +45,10 @@
 	pending  int // attempts out, those of finished requests included
 	probing  int // number of the round whose probe is out; 0 for none
 	hash     uint64
-	score    float64            // of the key being placed
-	limit    float64            // attempts this router keeps out here at most
+	score    float64 // of the key being placed
+	limit    float64 // attempts this router keeps out here at most
+	credit   float64 // time earned by a limit under one, as of creditAt
+	creditAt Time
 	keeps    [2]map[uint64]bool // keys it answered lately, of this window and the one before
 	uses     int                // attempts ever sent to it
 	lastSend Time
@@ -94,6 +97,7 @@
 	caches   map[string]*cache // every cache ever listed
 	zones    map[string]*zone
 	ready    []*cache // those up, by id
+	size     float64  // mean of theirs
 	reqs     map[int64]*request
 	timers   map[int64]func()
 	token    int64
@@ -213,11 +217,24 @@
 			r.ready = append(r.ready, c)
 		}
 	}
+	if len(r.ready) > 0 {
+		r.size = 0
+		for _, c := range r.ready {
+			r.size += c.Size / float64(len(r.ready))
+		}
+	}
 	sort.Slice(r.ready, func(i, j int) bool { return r.ready[i].ID < r.ready[j].ID })
+	for _, c := range r.ready {
+		if c.limit == 0 {
+			c.limit = r.firstPart(c)
+			// Routers started together must not all come at once.
+			c.credit, c.creditAt = r.random()*float64(r.patience), r.now
+		}
+	}
 	if !r.started {
 		r.started = true
 		r.missing = 1
-		r.fetches = max(leastFirst, firstLimit*float64(len(r.ready))/float64(max(1, r.set.Routers)))
+		r.fetches = max(leastFetches, firstLimit*float64(len(r.ready))/float64(max(1, r.set.Routers)))
 		if r.set.MustWatch {
 			r.do(Watch{})
 		}
@@ -262,7 +279,6 @@
 	c := r.caches[e.ID]
 	if c == nil {
 		c = &cache{healthy: true, prompt: true, hash: hash(e.ID), keeps: [2]map[uint64]bool{{}, {}}}
-		c.limit = r.firstPart()
 		r.caches[e.ID] = c
 	} else if e.Start != c.Start || c.Condition == Removed && e.Condition == Up {
 		// The process is a new one: nothing seen of the old one holds.
@@ -453,14 +469,24 @@
 	return anyway, false
 }
 
-// hasRoom reports whether the limit lets one more attempt out. A limit under one
-// leaves gaps between attempts. The danger: a cache slowed down by crowding stays slow until it
-// has been mostly idle, and one attempt of every router at all times is enough to keep it so.
+// hasRoom reports whether the limit lets one more attempt out. A limit under one is the share of time
+// that attempts may take up, earned beforehand. The danger: a cache slowed down by crowding stays slow
+// until it has been mostly idle, and one attempt of every router at all times is enough to keep it so.
 func (r *Router) hasRoom(c *cache) bool {
-	if c.limit >= 1 || c.pending > 0 {
+	if c.limit >= 1 {
 		return float64(c.pending) < c.limit
 	}
-	return r.now >= c.lastSend+Time(float64(r.patience)*(1/c.limit-1))
+	return r.earned(c) > 0 && float64(c.pending) < min(roomBurst, max(1, c.limit*float64(r.set.Routers)))
+}
+
+// earned is the time at a cache that a limit under one has gained and attempts have not taken up.
+func (r *Router) earned(c *cache) float64 {
+	return min(float64(r.patience), c.credit+min(c.limit, 1)*float64(r.now-c.creditAt))
+}
+
+// spend takes the time that an attempt took off what was earned.
+func (r *Router) spend(c *cache, t Time) {
+	c.credit, c.creditAt = r.earned(c)-float64(t), r.now
 }
 
 // mayOverflow reports whether a request without room at its home may go to another cache: one
@@ -737,7 +763,7 @@
 	if a.fetch && c.prompt && r.now >= c.warmAt { // a cold one is slow itself and has few hits
 		r.at(a.sent+r.fetchTime(q), func() {
 			if a := &q.attempts[n]; a.pending {
-				adjust(&r.fetches, false, originTolerated)
+				r.adjust(&r.fetches, false, originTolerated)
 				r.fetches = max(1, r.fetches)
 			}
 		})
@@ -746,14 +772,14 @@
 	c.prompt = false
 	if c.limit > r.alone() {
 		r.pool(false)
-		adjust(&c.limit, false, tolerated)
+		r.adjust(&c.limit, false, tolerated)
 		return
 	}
 	// The danger: where all caches are slow by themselves, less load makes none of them faster,
 	// and a share of nothing is served. Alone, an attempt may take its whole aim.
 	r.at(a.sent+q.class.Aim, func() {
 		if q.attempts[n].pending {
-			adjust(&c.limit, false, tolerated)
+			r.adjust(&c.limit, false, tolerated)
 		}
 	})
 }
@@ -780,18 +806,25 @@
 // alone is the limit at which all routers together keep one attempt out at a cache.
 func (r *Router) alone() float64 { return 1 / float64(max(1, r.set.Routers)) }
 
-// firstPart is what this router keeps out at a cache of which nothing is known.
-func (r *Router) firstPart() float64 {
-	return max(leastFirst, firstLimit/float64(max(1, r.set.Routers)))
+// firstPart is what this router keeps out at a cache of which nothing is known but its size.
+func (r *Router) firstPart(c *cache) float64 {
+	part := firstLimit * r.alone()
+	if r.size > 0 && c.Size > 0 {
+		part *= c.Size / r.size
+	}
+	return part
 }
 
 // adjust moves a limit by the fate of one attempt under it. A limit comes to rest where
 // the tolerated share of attempts is overdue: some are long by nature.
-func adjust(limit *float64, good bool, tolerated float64) {
+// Its step is that of one attempt, or of this router's part of the first limit where that is less. The
+// danger: what is one step for a router alone is one for each of them.
+func (r *Router) adjust(limit *float64, good bool, tolerated float64) {
+	unit := min(1, firstLimit*r.alone())
 	if good {
-		*limit += step * tolerated / (1 - tolerated)
+		*limit += unit * step * tolerated / (1 - tolerated)
 	} else {
-		*limit = max(leastLimit, *limit-step*min(*limit, 1))
+		*limit = max(unit*leastLimit, *limit-step*min(*limit, unit))
 	}
 }
 
@@ -803,7 +836,7 @@
 	part := weight / (weight + float64(len(r.ready)))
 	for _, c := range r.ready {
 		if limit := c.limit; limit > r.alone() {
-			adjust(&limit, good, tolerated)
+			r.adjust(&limit, good, tolerated)
 			c.limit = max(r.alone(), c.limit+part*(limit-c.limit))
 		}
 	}
@@ -851,6 +884,11 @@
 	a := &q.attempts[ev.Attempt]
 	a.pending, a.neverRan = false, ev.Result.NeverRan()
 	a.to.pending--
+	if took := r.now - a.sent; ev.Result == Rejected {
+		r.spend(a.to, max(took, r.patience)) // a refusal comes at once, and so would the next attempt
+	} else {
+		r.spend(a.to, took)
+	}
 	if a.fetch {
 		r.fetching--
 	}
@@ -864,7 +902,7 @@
 	a.broke = ev.Result == ConnLost
 	// A refusal speaks of crowding only where more is out than any cache is trusted with at first. The
 	// danger: one that stands still now and then loses its whole part of the work for good.
-	crowd := ev.Result == Rejected && float64(a.to.pending+1) > r.firstPart()
+	crowd := ev.Result == Rejected && float64(a.to.pending+1) > r.firstPart(a.to)
 	a.shunned = ev.Result == Rejected && !crowd
 	if a.to.pending == 0 && r.closesIdle(a.to) {
 		r.do(CloseIdle{a.to.ID})
@@ -875,14 +913,14 @@
 	}
 	fetched := ev.Result == Served && a.fetch && r.now-a.sent < r.fetchTime(q)
 	if ev.Result == Errored || fetched && float64(r.fetching+1) > r.fetches/2 {
-		adjust(&r.fetches, fetched, originTolerated)
+		r.adjust(&r.fetches, fetched, originTolerated)
 		r.fetches = max(1, r.fetches)
 	}
 	if crowd || ev.Result == NoConnection || good && float64(a.to.pending+1) > a.to.limit/2 {
 		r.pool(good)
-		adjust(&a.to.limit, good, tolerated)
+		r.adjust(&a.to.limit, good, tolerated)
 	} else if ev.Result == Served && a.to.limit < r.alone() && r.now-a.sent < q.class.Aim {
-		adjust(&a.to.limit, true, tolerated)
+		r.adjust(&a.to.limit, true, tolerated)
 	}
 	if a.fetch && (ev.Result == Served || ev.Result == Errored) {
 		r.missing -= r.missing / missWindow
--- /dev/null
+++ b/decide/fleet_test.go
@@ -0,0 +1,63 @@
+package decide
+
+import "testing"
+
+// The tests here feed many Routers alike and add up what they do: what one may do alone, all may
+// do at once.
+
+const manyRouters = 80
+
+// routers returns a fleet of routers that were started together.
+func routers(t *testing.T, caches int) []*bench {
+	t.Helper()
+	s := settings()
+	s.Routers, s.Probes = manyRouters, false
+	bs := make([]*bench, manyRouters)
+	for i := range bs {
+		r, err := New(s, uint64(i)*7919+1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		bs[i] = &bench{t: t, r: r, now: 1e9}
+		bs[i].feed(&List{Kind: ListFull, Entries: fleet(caches)})
+	}
+	return bs
+}
+
+// The danger: each router keeps an attempt out at a slow cache, and all of them are a crowd that keeps
+// it slow.
+func TestFleetsFirstLimitFitsACache(t *testing.T) {
+	const span, took = 4000 * ms, 150 * ms
+	out := Time(0) // time that attempts were out, over all routers
+	for _, b := range routers(t, 1) {
+		b.r.caches["c00"].keeps[0][7] = true
+		busy, from := map[int64]Time{}, b.now
+		for id := int64(1); b.now < from+span; id++ {
+			for _, s := range sends(b.feed(&Request{ID: id, Class: "read", Key: 7, HasKey: true, Deadline: b.now + 800*ms})) {
+				busy[s.ID] = b.now
+			}
+			b.advance(50 * ms)
+			for n := id; n > id-16; n-- {
+				if at, ok := busy[n]; ok && b.now >= at+took {
+					delete(busy, n)
+					out += b.now - at
+					for _, s := range sends(b.answer(n, 0, Served, true)) {
+						busy[s.ID] = b.now
+					}
+				}
+			}
+		}
+	}
+	if most := float64(out) / span; most > 2*firstLimit {
+		t.Errorf("%.0f attempts of all routers were out at a slow cache on average, more than twice %d", most, firstLimit)
+	}
+}
+
+// The danger: a large cache gets the same part as a small one, too little for it or too much.
+func TestFirstLimitGoesBySize(t *testing.T) {
+	b := quietBench(t, 2, nil)
+	b.feed(&List{Kind: ListFull, Entries: []Entry{{ID: "big", Size: 6}, {ID: "small", Size: 2}}})
+	if big, small := b.r.caches["big"].limit, b.r.caches["small"].limit; big != 3*small {
+		t.Errorf("first limits of %v and %v for sizes of 6 and 2", big, small)
+	}
+}
