Share the burst of retries among the routers

Each had a burst of 10 (retryBurst), so 800 together, where two had 20. Mend: the burst is a sum over all routers; each starts with its part.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,7 +31,7 @@
 	hotPart         = .5  // of a cache's fair share of requests that one key may take
 	hotLeast        = 2   // requests for a key before it can be hot
 	admitTries      = 32  // held requests without room that are looked at for one answer
-	retryBurst      = 10  // ... and in one burst
+	retryBurst      = 20  // ... and in one burst, over all routers
 )
 
 // cache is what this router knows of one cache server.
@@ -127,8 +127,9 @@
 		return nil, err
 	}
 	r := &Router{set: s, rng: seed, classes: map[string]*Class{}, caches: map[string]*cache{},
-		reqs: map[int64]*request{}, timers: map[int64]func(){}, budget: retryBurst,
+		reqs: map[int64]*request{}, timers: map[int64]func(){},
 		keys: [2]map[uint64]int{{}, {}}, zones: map[string]*zone{}}
+	r.budget = r.burstPart()
 	for i := range s.Classes {
 		c := s.Classes[i]
 		r.classes[c.Name] = &c
@@ -619,7 +620,7 @@
 		// No request is lost: whatever else happens, this timer gives the final answer.
 		r.at(q.Deadline, func() { r.answer(q) })
 	}
-	r.budget = min(r.budget+retryShare, retryBurst)
+	r.budget = min(r.budget+retryShare, max(1, r.burstPart()))
 	r.spare += probeShare / max(r.set.ProbePrice, 1e-9)
 	r.keys[0][q.Key]++
 	r.asked[0]++
@@ -654,6 +655,10 @@
 	return !last.unmet && !last.broke && !last.shunned
 }
 
+// burstPart is this router's part of the retries that all routers together may send at once. The danger:
+// a burst that does one router of two no harm is, from each of many, more than all first attempts.
+func (r *Router) burstPart() float64 { return retryBurst * r.alone() }
+
 // giveUp answers a request unless an attempt is still out that may do so.
 func (r *Router) giveUp(q *request) {
 	for _, a := range q.attempts {
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -61,3 +61,18 @@
 		t.Errorf("first limits of %v and %v for sizes of 6 and 2", big, small)
 	}
 }
+
+// The danger: each router's burst of retries is small, and all of them outnumber the first attempts.
+func TestFleetsRetryBurst(t *testing.T) {
+	retries := 0
+	for _, b := range routers(t, 8) {
+		for id := int64(1); id <= 5; id++ {
+			if b.ask(id, "read", uint64(id)) != nil {
+				retries += len(sends(b.answer(id, 0, Errored, false)))
+			}
+		}
+	}
+	if most := retryBurst + manyRouters*5*retryShare; float64(retries) > most {
+		t.Errorf("%d retries of all routers in one burst, more than %v", retries, most)
+	}
+}
