Blame a silent cache, not the origin, while the origin serves other misses

Symptom: on zone+vast the limit on likely misses falls to its floor within 2 s at every router and 1,700 to 3,500 requests a second are refused to spare an origin that answers 370 misses a second in a steady 178 ms. Cause: overdue() blames the origin for each late likely miss while the cache was prompt at its last likely hit. One router of 80 knows few keys, so nearly all are likely misses, and what a stuck cache leaves lying is put on the origin: the cache keeps its limit. Mend: a cache that has answered nothing since, while the origin has served another miss in time, is to blame.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -112,6 +112,7 @@
 	waiting  []*request        // held for room
 	fetching int               // attempts out that the origin likely has to serve
 	fetches  float64           // ... at most
+	fetched  Time              // when the origin last served one in time
 	missing  float64           // fading share of them that the origin did serve, or failed to
 	patience Time              // of the class with the shortest
 	budget   float64           // of retries
@@ -767,7 +768,14 @@
 	c := a.to
 	if a.fetch && c.prompt && r.now >= c.warmAt { // a cold one is slow itself and has few hits
 		r.at(a.sent+r.fetchTime(q), func() {
-			if a := &q.attempts[n]; a.pending {
+			a := &q.attempts[n]
+			switch {
+			case !a.pending:
+			case c.answered <= a.sent && r.fetched > a.sent:
+				// The danger: one router of many knows few keys, and nearly all that a stuck cache
+				// leaves lying counts as a likely miss. The origin has served others meanwhile.
+				r.stuck(c)
+			default:
 				r.adjust(&r.fetches, false, originTolerated)
 				r.fetches = max(1, r.fetches)
 			}
@@ -789,6 +797,13 @@
 	})
 }
 
+// stuck cuts the limit of a cache that has answered nothing for as long as an attempt may take.
+func (r *Router) stuck(c *cache) {
+	c.prompt = false
+	r.adjust(&c.limit, false, tolerated)
+	r.adjust(&c.limit, false, tolerated)
+}
+
 // fetchTime is how long a likely miss may take before it speaks against the origin. The danger: where
 // misses are slow by themselves, fewer of them are no faster, and the limit finds no rest until
 // nothing is fetched. Once all routers together have one out at each cache, it may take its whole aim.
@@ -917,6 +932,9 @@
 		a.to.prompt = true
 	}
 	fetched := ev.Result == Served && a.fetch && r.now-a.sent < r.fetchTime(q)
+	if fetched && ev.Miss {
+		r.fetched = r.now
+	}
 	if ev.Result == Errored || fetched && float64(r.fetching+1) > r.fetches/2 {
 		r.adjust(&r.fetches, fetched, originTolerated)
 		r.fetches = max(1, r.fetches)
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -76,3 +76,29 @@
 		t.Errorf("%d retries of all routers in one burst, more than %v", retries, most)
 	}
 }
+
+// The danger: to one router of many nearly all requests are likely misses, the origin is blamed for a
+// cache that stands still, and that cache is sent ever more.
+func TestSilentCacheIsBlamedWhileTheOriginServes(t *testing.T) {
+	for _, serves := range []bool{true, false} {
+		b := quietBench(t, 8, nil)
+		to := b.ask(1, "read", 1).Cache
+		other := int64(2)
+		for b.ask(other, "read", uint64(other)).Cache == to {
+			b.settle(other, 0)
+			other++
+		}
+		limit, fetches := b.r.caches[to].limit, b.r.fetches
+		b.advance(50 * ms)
+		if serves {
+			b.feed(&Outcome{ID: other, Result: Served, Last: true, Miss: true, Load: Load{Busy: -1}})
+		}
+		b.advance(100 * ms)
+		if blamed := b.r.caches[to].limit < limit; blamed != serves {
+			t.Errorf("origin serves others: %v, silent cache blamed: %v", serves, blamed)
+		}
+		if spared := b.r.fetches < fetches; spared == serves {
+			t.Errorf("origin serves others: %v, origin blamed: %v", serves, spared)
+		}
+	}
+}
