Let others' verdicts move only what a cache is trusted with beyond the first limit

Symptom: limits that one router had cut for a stuck cache were back after 2 s, and it was sent 60 requests a second over all routers while it answered none. Cause: pool() counts 29% of each verdict elsewhere at every cache with 80 routers, 5% with 2: some 15 good ones a second undo a cut, and bad ones close sound caches. Mend: pooled verdicts work above the first limit only; a prompt probe of the cache itself restores the first limit.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -347,6 +347,9 @@
 		return
 	}
 	c.fails = 0
+	if ev.Elapsed < r.patience { // a cache that has got over a crowd; its few attempts would be long in telling
+		c.limit = max(c.limit, r.firstPart(c))
+	}
 	if !c.healthy {
 		r.mark(c, true)
 	}
@@ -848,16 +851,17 @@
 	}
 }
 
-// pool lets a verdict on one cache count in part at all that take more than one attempt of all
-// routers. The danger: of many routers each sends a cache little, and learns of a surge or of a
-// lost zone from each cache apart, when it is over.
+// pool lets a verdict on one cache count in part at all that are trusted with more than at first.
+// The danger: of many routers each sends a cache little, and learns of a surge or of a lost zone from
+// each cache apart, when it is over. Under the first limit only a cache's own answers count: with many
+// routers the others' good ones would undo what it took this router seconds to learn.
 func (r *Router) pool(good bool) {
 	weight := pooled * float64(r.set.Routers)
 	part := weight / (weight + float64(len(r.ready)))
 	for _, c := range r.ready {
-		if limit := c.limit; limit > r.alone() {
+		if limit, first := c.limit, r.firstPart(c); limit >= first {
 			r.adjust(&limit, good, tolerated)
-			c.limit = max(r.alone(), c.limit+part*(limit-c.limit))
+			c.limit = max(first, c.limit+part*(limit-c.limit))
 		}
 	}
 }
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -102,3 +102,28 @@
 		}
 	}
 }
+
+// The danger: a cut limit lets so little out that the cache's recovery goes unnoticed.
+func TestPromptProbeRestoresTheFirstLimit(t *testing.T) {
+	s := settings()
+	b := newBench(t, s)
+	b.feed(&List{Kind: ListFull, Entries: fleet(3)})
+	c := b.r.caches["c01"]
+	for len(probes(b.advance(1*ms))) == 0 {
+	}
+	c.limit = .1
+	b.feed(&Probed{Cache: "c01", Result: Served, Elapsed: 2 * b.r.patience})
+	if c.limit != .1 {
+		t.Errorf("a slow probe raised the limit to %v", c.limit)
+	}
+	for len(probes(b.advance(1*ms))) == 0 {
+		b.spare()
+	}
+	b.feed(&Probed{Cache: "c01", Result: Served, Elapsed: 5 * ms})
+	if c.limit != b.r.firstPart(c) {
+		t.Errorf("a prompt probe left the limit at %v", c.limit)
+	}
+}
+
+// spare lets the next round of probes start at the next beat.
+func (b *bench) spare() { b.r.spare = float64(len(b.r.ready)) }
