Pass over a cache after two failed connections until a trial with backoff and jitter

Evidence: the caches without a connection are those that the release has taken away. Discovery is overbooked (503 to 23 to 38 calls a half second after the restart, up to five times in a row for one router), so a restarted router goes by its old list for up to 10 s. Ruled out: full connection tables; 30 to 100 connections stand at each cache that answers, refused dials end in 0.5 ms at those that have none. Cause: decide.go reached() kept failures by zone only; with one zone of which a part is alive it never trips, and each request tries up to three gone caches. Mend: the zone's half-open trial for each cache, with backoff and jitter.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -12,6 +12,7 @@
 const (
 	threshold       = 2   // consecutive failures that mark a cache
 	zoneThreshold   = 3   // consecutive failed connections that mark a zone
+	awayThreshold   = 2   // ... and one cache
 	rehashCap       = 4   // picks tried before an unhealthy one is used anyway
 	probeShare      = .01 // points a request that probes may cost, before the Interval is stretched
 	longestInterval = 64  // ... to so many DrainGraces at most, for a router that is hardly asked
@@ -54,6 +55,8 @@
 	lastSend Time
 	sends    float64 // fading count of attempts, as of lastSend
 	answered Time    // when it last answered anything
+	unmet    int     // failed connections in a row
+	trialAt  Time    // after some it is passed over until then; one request is its half-open trial
 	prompt   bool    // it answered the last likely hit in time
 }
 
@@ -284,7 +287,7 @@
 		r.caches[e.ID] = c
 	} else if e.Start != c.Start || c.Condition == Removed && e.Condition == Up {
 		// The process is a new one: nothing seen of the old one holds.
-		c.healthy, c.fails, c.keeps = true, 0, [2]map[uint64]bool{{}, {}}
+		c.healthy, c.fails, c.unmet, c.keeps = true, 0, 0, [2]map[uint64]bool{{}, {}}
 	}
 	if r.set.LiveSizes {
 		// The danger: a size that falls with the load moves keys from list to list, and they miss.
@@ -368,18 +371,28 @@
 // router that learns it from each of its caches apart finds out when it is over.
 func (r *Router) reached(c *cache, met bool) {
 	if met {
-		c.zone.fails = 0
+		c.zone.fails, c.unmet = 0, 0
 		return
 	}
+	c.unmet++
+	r.delayTrial(c)
 	if c.zone.fails++; c.zone.fails == zoneThreshold {
 		r.logf("zone %s out of reach", c.Zone)
 	}
 	c.zone.trialAt = r.now + r.set.ColdTime/4
 }
 
-// cut reports whether a cache's zone is held to be out of reach.
+// delayTrial sets when a cache that could not be reached is tried again: later with each failure, and not
+// when the other routers do.
+func (r *Router) delayTrial(c *cache) {
+	wait := float64(r.set.ColdTime) / 8 * math.Exp2(float64(min(c.unmet, backoffMost)))
+	c.trialAt = r.now + Time(wait*(0.5+r.random()/2))
+}
+
+// cut reports whether a cache or its zone is held to be out of reach. The danger: a router with an old
+// list, as after a restart, sends each request to caches that are gone until its attempts are used up.
 func (r *Router) cut(c *cache) bool {
-	return c.zone.fails >= zoneThreshold && r.now < c.zone.trialAt
+	return c.unmet >= awayThreshold && r.now < c.trialAt || c.zone.fails >= zoneThreshold && r.now < c.zone.trialAt
 }
 
 // Placement.
@@ -733,6 +746,9 @@
 	if q.attempts[n].fetch {
 		r.fetching++
 	}
+	if c.unmet >= awayThreshold {
+		r.delayTrial(c)
+	}
 	if c.zone.fails >= zoneThreshold {
 		c.zone.trialAt = r.now + r.set.ColdTime/4 // the trial is one request
 	}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -127,3 +127,58 @@
 
 // spare lets the next round of probes start at the next beat.
 func (b *bench) spare() { b.r.spare = float64(len(b.r.ready)) }
+
+// The danger: after a restart most of an old list may be gone, and each request goes to caches that
+// are not there until its attempts are used up, at every router.
+func TestCacheOutOfReachIsPassedOver(t *testing.T) {
+	refused, served := 0, 0
+	for _, b := range routers(t, 8) {
+		for id := int64(1); id <= 60; id++ {
+			b.advance(20 * ms)
+			next := sends(b.feed(&Request{ID: id, Class: "read", Key: uint64(id), HasKey: true, Deadline: b.now + 800*ms}))
+			for n := 0; len(next) > 0; n++ {
+				if next[0].Cache < "c06" { // gone
+					refused++
+					next = sends(b.answer(id, n, NoConnection, false))
+				} else {
+					served++
+					b.settle(id, n)
+					next = nil
+				}
+			}
+		}
+	}
+	if perCache := float64(refused) / manyRouters / 6; perCache > awayThreshold+1.5 {
+		t.Errorf("each router asked each cache that is gone %.1f times within 1.2 s", perCache)
+	}
+	if served < manyRouters*20 {
+		t.Errorf("only %d of %d requests found a cache", served, manyRouters*60)
+	}
+}
+
+// The danger: a cache whose connections fail for a moment is never tried again, or by all at once.
+func TestCacheOutOfReachIsTriedAgain(t *testing.T) {
+	trials := map[Time]int{}
+	for _, b := range routers(t, 1) {
+		c := b.r.caches["c00"]
+		for range awayThreshold {
+			b.r.reached(c, false)
+		}
+		if !b.r.cut(c) {
+			t.Fatal("not passed over")
+		}
+		trials[(c.trialAt-b.now)/(50*ms)]++
+		b.now = c.trialAt
+		if b.feed(&Timer{}); b.r.cut(c) {
+			t.Fatal("no trial")
+		}
+		if b.r.reached(c, true); b.r.cut(c) {
+			t.Fatal("passed over though it was reached")
+		}
+	}
+	for at, n := range trials {
+		if n > manyRouters/4 {
+			t.Errorf("%d of %d routers try again within 50 ms of %d ms", n, manyRouters, at*50)
+		}
+	}
+}
