Leave a silent cache at once, its keys with it, until it answers or a probe is prompt

Each of 80 routers sends each such cache about one request a second, learns alone, and halving its limit costs it one more request each time; keys without room at home then wait as if the home were merely crowded. Mend: stuck() takes the limit to the least at once and marks the cache silent; pick() treats that like an unhealthy mark, which stays with the probes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -58,6 +58,7 @@
 	unmet    int     // failed connections in a row
 	trialAt  Time    // after some it is passed over until then; one request is its half-open trial
 	prompt   bool    // it answered the last likely hit in time
+	silent   bool    // it left an attempt lying and has answered nothing since
 }
 
 // zone is what this router knows of the way to a zone.
@@ -351,7 +352,7 @@
 	}
 	c.fails = 0
 	if ev.Elapsed < r.patience { // a cache that has got over a crowd; its few attempts would be long in telling
-		c.limit = max(c.limit, r.firstPart(c))
+		c.limit, c.silent = max(c.limit, r.firstPart(c)), false
 	}
 	if !c.healthy {
 		r.mark(c, true)
@@ -464,7 +465,7 @@
 		}
 		tried++
 		switch {
-		case !c.healthy: // not crowded: its keys have to go elsewhere, whatever the budget
+		case !c.healthy || c.silent: // not crowded: its keys have to go elsewhere, whatever the budget
 			if anyway == nil && r.hasRoom(c) {
 				anyway = c
 			}
@@ -478,7 +479,7 @@
 			q.astray = !home
 			return c, false
 		}
-		home = home && !c.healthy
+		home = home && (!c.healthy || c.silent)
 	}
 	q.astray = false
 	if crowded {
@@ -816,11 +817,16 @@
 	})
 }
 
-// stuck cuts the limit of a cache that has answered nothing for as long as an attempt may take.
+// stuck notes a cache that has answered nothing for as long as an attempt may take. Where all routers
+// share what it can do, its limit goes to the least at once. The danger: each of many routers learns from
+// its own few attempts that a cache hangs, and halving the limit costs one more of each every time.
 func (r *Router) stuck(c *cache) {
-	c.prompt = false
+	c.prompt, c.silent = false, true
 	r.adjust(&c.limit, false, tolerated)
 	r.adjust(&c.limit, false, tolerated)
+	if c.limit < 1 {
+		c.limit = r.unit() * leastLimit
+	}
 }
 
 // fetchTime is how long a likely miss may take before it speaks against the origin. The danger: where
@@ -859,7 +865,7 @@
 // Its step is that of one attempt, or of this router's part of the first limit where that is less. The
 // danger: what is one step for a router alone is one for each of them.
 func (r *Router) adjust(limit *float64, good bool, tolerated float64) {
-	unit := min(1, firstLimit*r.alone())
+	unit := r.unit()
 	if good {
 		*limit += unit * step * tolerated / (1 - tolerated)
 	} else {
@@ -867,6 +873,9 @@
 	}
 }
 
+// unit is what a verdict moves a limit by: an attempt, or this router's part of the first limit.
+func (r *Router) unit() float64 { return min(1, firstLimit*r.alone()) }
+
 // pool lets a verdict on one cache count in part at all that are trusted with more than at first.
 // The danger: of many routers each sends a cache little, and learns of a surge or of a lost zone from
 // each cache apart, when it is over. Under the first limit only a cache's own answers count: with many
@@ -934,6 +943,10 @@
 	}
 	if ev.Result == Served || ev.Result == Errored || ev.Result == Rejected {
 		a.to.answered = r.now
+		if a.to.silent && ev.Result == Served {
+			a.to.silent = false
+			a.to.limit = max(a.to.limit, r.firstPart(a.to)/2) // half, lest all come back at once
+		}
 		r.reached(a.to, true)
 	} else if ev.Result == NoConnection {
 		a.unmet = true
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -182,3 +182,41 @@
 		}
 	}
 }
+
+// The danger: each of many routers sends a cache that hangs one attempt after the other to halve its limit.
+func TestFleetLeavesASilentCacheAtOnce(t *testing.T) {
+	late, elsewhere := 0, 0
+	for _, b := range routers(t, 8) {
+		c := b.r.caches["c03"]
+		b.r.stuck(c)
+		for id := int64(1); id <= 300; id++ {
+			b.advance(10 * ms)
+			if s := b.ask(id, "read", uint64(id)); s != nil && s.Cache == "c03" {
+				late++
+				b.answer(id, 0, Errored, true)
+			} else if s != nil {
+				elsewhere++
+				b.settle(id, 0)
+			}
+		}
+	}
+	if late > manyRouters {
+		t.Errorf("%d attempts of %d routers went to a silent cache within 3 s", late, manyRouters)
+	}
+	if elsewhere < manyRouters*250 {
+		t.Errorf("only %d of %d requests were sent elsewhere", elsewhere, manyRouters*300)
+	}
+	b := routers(t, 2)[0]
+	c := b.r.caches["c00"]
+	b.r.stuck(c)
+	for key := int64(1); c.silent && key < 400; key++ {
+		b.r.caches["c01"].healthy = false // so that c00 is used anyway
+		b.advance(100 * ms)
+		if s := b.ask(key, "read", uint64(key)); s != nil {
+			b.settle(key, 0)
+		}
+	}
+	if c.silent || c.limit < b.r.firstPart(c)/2 {
+		t.Errorf("after an answer silent is %v, the limit %v", c.silent, c.limit)
+	}
+}
