Let a limit under one save up a quarter of the patience, and one attempt out at a time

Symptom: caches on join+vast still fell over one after the other from 1 s on, also sound ones. s- (43 to 52 ms when idle) went from 65 to 125 requests a second and from 7 to 35 in work within 1 s, then answered none for 1 s. 35 is over twice its first limit. Cause: earned() let each router save up a whole patience of time for each cache, and hasRoom() two attempts out at a time. 80 routers at once have up to 160 attempts saved up for a cache that little goes to, and keys that leave a stuck cache move there at the same moment.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,8 +18,8 @@
 	longestInterval = 64  // ... to so many DrainGraces at most, for a router that is hardly asked
 	backoffMost     = 6   // doublings of the wait between calls for the list
 	firstLimit      = 8   // requests out at a cache, over all routers, before anything is known
+	savedShare      = .25 // of the patience that a limit under one may save up: about one short attempt
 	leastFetches    = 1   // likely misses that one router may have out, at least
-	roomBurst       = 2   // attempts that a limit under one lets out at a time, at most
 	tolerated       = .2  // share of overdue attempts at which a limit stays as it is
 	originTolerated = .15 // the same for likely misses: the origin is slow to recover
 	originShare     = .65 // of the aim after which a likely miss speaks against the origin
@@ -234,7 +234,7 @@
 		if c.limit == 0 {
 			c.limit = r.firstPart(c)
 			// Routers started together must not all come at once.
-			c.credit, c.creditAt = r.random()*float64(r.patience), r.now
+			c.credit, c.creditAt = savedShare*r.random()*float64(r.patience), r.now
 		}
 	}
 	if !r.started {
@@ -495,12 +495,12 @@
 	if c.limit >= 1 {
 		return float64(c.pending) < c.limit
 	}
-	return r.earned(c) > 0 && float64(c.pending) < min(roomBurst, max(1, c.limit*float64(r.set.Routers)))
+	return r.earned(c) > 0 && c.pending == 0
 }
 
 // earned is the time at a cache that a limit under one has gained and attempts have not taken up.
 func (r *Router) earned(c *cache) float64 {
-	return min(float64(r.patience), c.credit+min(c.limit, 1)*float64(r.now-c.creditAt))
+	return min(savedShare*float64(r.patience), c.credit+min(c.limit, 1)*float64(r.now-c.creditAt))
 }
 
 // spend takes the time that an attempt took off what was earned.
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -220,3 +220,23 @@
 		t.Errorf("after an answer silent is %v, the limit %v", c.silent, c.limit)
 	}
 }
+
+// The danger: what each router has saved up for a cache while it had nothing for it is spent by all at
+// once when keys move there.
+func TestFleetSavesUpLittleForACache(t *testing.T) {
+	atOnce, soon := 0, 0
+	for _, b := range routers(t, 1) {
+		b.advance(5000 * ms)
+		b.r.caches["c00"].keeps[0][7] = true
+		for id := int64(1); id <= 3; id++ {
+			if b.ask(id, "read", 7) != nil {
+				atOnce++
+			}
+		}
+		b.advance(60 * ms)
+		soon += len(sends(b.answer(1, 0, Served, true)))
+	}
+	if atOnce > manyRouters || soon > 0 {
+		t.Errorf("%d attempts of %d routers at once, %d more 60 ms later", atOnce, manyRouters, soon)
+	}
+}
