--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,7 +18,7 @@
 	longestInterval = 64  // ... to so many DrainGraces at most, for a router that is hardly asked
 	backoffMost     = 6   // doublings of the wait between calls for the list
 	firstLimit      = 8   // requests out at a cache, over all routers, before anything is known
-	savedShare      = .25 // of the patience that a limit under one may save up: about one short attempt
+	savedShare      = .25 // of the patience that a limit under one saves up at most: about one short attempt
 	leastFetches    = 1   // likely misses that one router may have out, at least
 	tolerated       = .2  // share of overdue attempts at which a limit stays as it is
 	originTolerated = .15 // the same for likely misses: the origin is slow to recover
@@ -223,13 +223,13 @@
 			r.ready = append(r.ready, c)
 		}
 	}
+	sort.Slice(r.ready, func(i, j int) bool { return r.ready[i].ID < r.ready[j].ID })
 	if len(r.ready) > 0 {
 		r.size = 0
 		for _, c := range r.ready {
 			r.size += c.Size / float64(len(r.ready))
 		}
 	}
-	sort.Slice(r.ready, func(i, j int) bool { return r.ready[i].ID < r.ready[j].ID })
 	for _, c := range r.ready {
 		if c.limit == 0 {
 			c.limit = r.firstPart(c)
@@ -351,7 +351,7 @@
 		return
 	}
 	c.fails = 0
-	if ev.Elapsed < r.patience { // a cache that has got over a crowd; its few attempts would be long in telling
+	if (c.silent || r.thin()) && ev.Elapsed < r.patience { // a cache that has got over a crowd; its few attempts would be long in telling
 		c.limit, c.silent = max(c.limit, r.firstPart(c)), false
 	}
 	if !c.healthy {
@@ -488,14 +488,21 @@
 	return anyway, false
 }
 
-// hasRoom reports whether the limit lets one more attempt out. A limit under one is the share of time
-// that attempts may take up, earned beforehand. The danger: a cache slowed down by crowding stays slow
-// until it has been mostly idle, and one attempt of every router at all times is enough to keep it so.
+// hasRoom reports whether the limit lets one more attempt out. A limit under one leaves gaps between
+// attempts. The danger: a cache slowed down by crowding stays slow until it has been mostly idle, and one
+// attempt of every router at all times is enough to keep it so. With many routers the gap has to grow with
+// the time that attempts take: their sum is the crowd.
 func (r *Router) hasRoom(c *cache) bool {
 	if c.limit >= 1 {
 		return float64(c.pending) < c.limit
 	}
-	return r.earned(c) > 0 && c.pending == 0
+	if c.pending > 0 {
+		return false
+	}
+	if !r.thin() {
+		return r.now >= c.lastSend+Time(float64(r.patience)*(1/c.limit-1))
+	}
+	return r.earned(c) > 0
 }
 
 // earned is the time at a cache that a limit under one has gained and attempts have not taken up.
@@ -876,17 +883,24 @@
 // unit is what a verdict moves a limit by: an attempt, or this router's part of the first limit.
 func (r *Router) unit() float64 { return min(1, firstLimit*r.alone()) }
 
-// pool lets a verdict on one cache count in part at all that are trusted with more than at first.
-// The danger: of many routers each sends a cache little, and learns of a surge or of a lost zone from
-// each cache apart, when it is over. Under the first limit only a cache's own answers count: with many
-// routers the others' good ones would undo what it took this router seconds to learn.
+// thin reports whether this router's part of a cache is less than an attempt, so that it hears little of it.
+func (r *Router) thin() bool { return r.unit() < 1 }
+
+// pool lets a verdict on one cache count in part at all others. The danger: of many routers each sends
+// a cache little, and learns of a surge or of a lost zone from each cache apart, when it is over. It
+// lowers none under one attempt of all routers, and where each hears little of any, moves only what lies
+// above the first limit: the many good verdicts on others would undo what took seconds to learn of one.
 func (r *Router) pool(good bool) {
 	weight := pooled * float64(r.set.Routers)
 	part := weight / (weight + float64(len(r.ready)))
 	for _, c := range r.ready {
-		if limit, first := c.limit, r.firstPart(c); limit >= first {
+		least := r.alone()
+		if r.thin() {
+			least = r.firstPart(c)
+		}
+		if limit := c.limit; limit > least || limit == least && good {
 			r.adjust(&limit, good, tolerated)
-			c.limit = max(first, c.limit+part*(limit-c.limit))
+			c.limit = max(least, c.limit+part*(limit-c.limit))
 		}
 	}
 }
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -240,3 +240,41 @@
 		t.Errorf("%d attempts of %d routers at once, %d more 60 ms later", atOnce, manyRouters, soon)
 	}
 }
+
+// The danger: to one router of many the others' verdicts, good or bad, outweigh what it learnt of a cache.
+func TestFleetPoolsAboveTheFirstLimit(t *testing.T) {
+	r := routers(t, 12)[0].r
+	high, low := r.caches["c00"], r.caches["c01"]
+	first := r.firstPart(high)
+	high.limit, low.limit = 3*first, first/4
+	for range 1000 {
+		r.pool(false)
+	}
+	if high.limit != first {
+		t.Errorf("bad verdicts on others took a limit to %v, not to the first of %v", high.limit, first)
+	}
+	for range 1000 {
+		r.pool(true)
+	}
+	if low.limit != first/4 {
+		t.Errorf("good verdicts on others took a cut limit to %v", low.limit)
+	}
+}
+
+// The danger: sums in the order of a map differ by a rounding, and two like routers act differently.
+func TestMeanSizeHasOneOrder(t *testing.T) {
+	es := fleet(40)
+	for i := range es {
+		es[i].Size = 1 / float64(i+3)
+	}
+	var want float64
+	for i := range 20 {
+		b := quietBench(t, 1, nil)
+		b.feed(&List{Kind: ListFull, Entries: es})
+		if i == 0 {
+			want = b.r.size
+		} else if b.r.size != want {
+			t.Fatalf("mean size %v, before it was %v", b.r.size, want)
+		}
+	}
+}
