--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -106,14 +106,15 @@
 // The danger: a cut limit lets so little out that the cache's recovery goes unnoticed.
 func TestPromptProbeRestoresTheFirstLimit(t *testing.T) {
 	s := settings()
+	s.Routers = manyRouters
 	b := newBench(t, s)
 	b.feed(&List{Kind: ListFull, Entries: fleet(3)})
 	c := b.r.caches["c01"]
 	for len(probes(b.advance(1*ms))) == 0 {
 	}
-	c.limit = .1
+	c.limit = .01
 	b.feed(&Probed{Cache: "c01", Result: Served, Elapsed: 2 * b.r.patience})
-	if c.limit != .1 {
+	if c.limit != .01 {
 		t.Errorf("a slow probe raised the limit to %v", c.limit)
 	}
 	for len(probes(b.advance(1*ms))) == 0 {
