Judge a miss by the time a fetch may take before it counts for its cache

Evidence: half of all answers are misses after 18 of 60 caches were replaced; they take 146 to 193 ms, over the 150 ms of half the aim that outcome() asks of an answer to raise a limit, though overdue() does not blame a cache for a late fetch. Mend: where routers are many, a true miss is good within fetchTime. Routers of a small fleet do as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -975,6 +975,10 @@
 		r.do(CloseIdle{a.to.ID})
 	}
 	good := ev.Result == Served && r.now-a.sent < q.class.patience()
+	if r.thin() && ev.Result == Served && ev.Miss {
+		// The danger: where nearly half are misses, a limit can hardly rise, as the origin takes their time.
+		good = r.now-a.sent < r.fetchTime(q)
+	}
 	if good && !a.fetch {
 		a.to.prompt = true
 	}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -279,3 +279,17 @@
 		}
 	}
 }
+
+// The danger: where many answers wait for the origin, a limit that was cut never gets up again.
+func TestMissInTimeRaisesItsCachesLimit(t *testing.T) {
+	for _, miss := range []bool{true, false} {
+		b := routers(t, 8)[0]
+		c := b.r.caches[b.ask(1, "read", 1).Cache]
+		b.advance(b.r.patience + 20*ms)
+		limit := c.limit
+		b.feed(&Outcome{ID: 1, Result: Served, Last: true, Miss: miss, Load: Load{Busy: -1}})
+		if rose := c.limit > limit; rose != miss {
+			t.Errorf("miss: %v, limit rose: %v (%v to %v)", miss, rose, limit, c.limit)
+		}
+	}
+}
