--- a/decide/decide.go
+++ b/decide/decide.go
@@ -351,7 +351,8 @@
 		return
 	}
 	c.fails = 0
-	if (c.silent || r.thin()) && ev.Elapsed < r.patience { // a cache that has got over a crowd; its few attempts would be long in telling
+	if (c.silent || r.thin()) && ev.Elapsed < r.patience {
+		// It has got over a crowd; the few attempts that a cut limit lets out would be long in telling.
 		c.limit, c.silent = max(c.limit, r.firstPart(c)), false
 	}
 	if !c.healthy {
@@ -393,7 +394,8 @@
 // cut reports whether a cache or its zone is held to be out of reach. The danger: a router with an old
 // list, as after a restart, sends each request to caches that are gone until its attempts are used up.
 func (r *Router) cut(c *cache) bool {
-	return c.unmet >= awayThreshold && r.now < c.trialAt || c.zone.fails >= zoneThreshold && r.now < c.zone.trialAt
+	return c.unmet >= awayThreshold && r.now < c.trialAt ||
+		c.zone.fails >= zoneThreshold && r.now < c.zone.trialAt
 }
 
 // Placement.
