Spread a key by what is sure of its count where a router sees little

Seen, by counters that each router logged once a second (a scratch copy, not committed), over the fleet in second 3: "Khome0=1638 Khome1=362 Kspread0=196 Kspread1=663": reads at the key's home miss in 18%, those of keys held to be hot in 77%. Each router sees 13 requests a second. Two for one key among the first 20 are a tenth of them, so spread() took the key for hot and dealt it out over dozens of caches; 300 routers did so, each for other keys.

At fault: decide.go, spread(): `share := n / asked`, with no account of chance. Now, where a router's part of a cache is less than an attempt, two standard deviations come off the count first. Small fleets as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,6 +31,7 @@
 	retryShare      = .05 // retries and hedges a request, in the long run
 	hotPart         = .5  // of a cache's fair share of requests that one key may take
 	hotLeast        = 2   // requests for a key before it can be hot
+	hotDoubt        = 2   // standard deviations by which chance may have raised a key's count
 	admitTries      = 32  // held requests without room that are looked at for one answer
 	retryBurst      = 20  // ... and in one burst, over all routers
 )
@@ -441,7 +442,13 @@
 	if n < hotLeast {
 		return 1
 	}
-	share := float64(n) / float64(r.asked[0]+r.asked[1])
+	sure := float64(n)
+	if r.thin() {
+		// The danger: one router of many sees so few requests that two for a key look like a hot one. All
+		// routers spread it, each as it sees fit, and it misses everywhere.
+		sure = max(0, sure-hotDoubt*math.Sqrt(sure))
+	}
+	share := sure / float64(r.asked[0]+r.asked[1])
 	return 1 + int(share*float64(len(r.ready))/hotPart)
 }
 
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -293,3 +293,37 @@
 		}
 	}
 }
+
+// The danger: two requests for a key among the few that one router of many sees make it look hot, all
+// routers spread it, and it misses wherever it goes.
+func TestFleetSpreadsWhatIsSurelyHot(t *testing.T) {
+	seldom, often := map[string]bool{}, map[string]bool{}
+	for _, b := range routers(t, 40) {
+		id := int64(0)
+		ask := func(key uint64, at map[string]bool) {
+			id++
+			b.advance(400 * ms)
+			if s := b.ask(id, "read", key); s != nil {
+				at[s.Cache] = true
+				b.settle(id, 0)
+			}
+		}
+		for n := range 20 {
+			key := uint64(n) + 100
+			if n%10 == 0 {
+				key = 7
+			}
+			ask(key, map[string]bool{})
+		}
+		ask(7, seldom)
+		for range 20 {
+			ask(8, often)
+		}
+	}
+	if len(seldom) > 1 {
+		t.Errorf("a key seen three times was spread over %d caches", len(seldom))
+	}
+	if len(often) < 10 {
+		t.Errorf("a key that half of all requests are for was spread over %d caches", len(often))
+	}
+}
