Take keys off caches that the list's live weights show as crowded

One key makes up 8% of the requests; its home can serve 50 of its 320 a second, then its second rank drowns, then the third.

Each router sends a cache one request in 12 s, so its own limits cannot see this: it needs an attempt of its own to learn, and one each is 300. But the list tells: weights are live ("size divided by 1 + requests held for each core") and come every 1.3 s, and while 04051 drowned its 2.5 was listed as 0.07. entry() took the largest size ever seen and dropped the rest. That stays for placement; the difference is the crowd now.

Now, where routers are many: a cache held to be crowded keeps a share of its keys that shrinks by the root of the crowd and grows back as it lessens; each router chooses by key and its own seed, so a hot key is shared out over as many caches as it takes, and goes one way from each router. A request no cache is open to is refused at once: holding it was of no use.

Both tests fail without it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,6 +32,9 @@
 	hotPart         = .5  // of a cache's fair share of requests that one key may take
 	hotLeast        = 2   // requests for a key before it can be hot
 	hotDoubt        = 2   // standard deviations by which chance may have raised a key's count
+	crowdedAt       = 1.5 // requests held for each core, by the list, above which a cache loses keys
+	drained         = .8  // ... unless that is so much of what it was before
+	leastOpen       = .02 // ... and in all
 	admitTries      = 32  // held requests without room that are looked at for one answer
 	retryBurst      = 20  // ... and in one burst, over all routers
 )
@@ -58,8 +61,11 @@
 	answered Time    // when it last answered anything
 	unmet    int     // failed connections in a row
 	trialAt  Time    // after some it is passed over until then; one request is its half-open trial
-	prompt   bool    // it answered the last likely hit in time
-	silent   bool    // it left an attempt lying and has answered nothing since
+	crowd    float64 // requests it held for each core, by the list
+	open     float64 // share of the keys it is home to that this router still sends it, as of openAt
+	openAt   Time
+	prompt   bool // it answered the last likely hit in time
+	silent   bool // it left an attempt lying and has answered nothing since
 }
 
 // zone is what this router knows of the way to a zone.
@@ -97,6 +103,7 @@
 	set      Settings
 	classes  map[string]*Class
 	rng      uint64
+	own      uint64 // tells this router's choices from those of others
 	now      Time
 	out      []Action
 	caches   map[string]*cache // every cache ever listed
@@ -132,8 +139,8 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	r := &Router{set: s, rng: seed, classes: map[string]*Class{}, caches: map[string]*cache{},
-		reqs: map[int64]*request{}, timers: map[int64]func(){},
+	r := &Router{set: s, rng: seed, own: mix(seed + 1), classes: map[string]*Class{},
+		caches: map[string]*cache{}, reqs: map[int64]*request{}, timers: map[int64]func(){},
 		keys: [2]map[uint64]int{{}, {}}, zones: map[string]*zone{}}
 	r.budget = r.burstPart()
 	for i := range s.Classes {
@@ -285,16 +292,19 @@
 func (r *Router) entry(e Entry) {
 	c := r.caches[e.ID]
 	if c == nil {
-		c = &cache{healthy: true, prompt: true, hash: hash(e.ID), keeps: [2]map[uint64]bool{{}, {}}}
+		c = &cache{healthy: true, prompt: true, open: 1, hash: hash(e.ID), keeps: [2]map[uint64]bool{{}, {}}}
 		r.caches[e.ID] = c
 	} else if e.Start != c.Start || c.Condition == Removed && e.Condition == Up {
 		// The process is a new one: nothing seen of the old one holds.
 		c.healthy, c.fails, c.unmet, c.keeps = true, 0, 0, [2]map[uint64]bool{{}, {}}
+		c.crowd, c.open = 0, 1
 	}
 	if r.set.LiveSizes {
 		// The danger: a size that falls with the load moves keys from list to list, and they miss.
 		// The largest seen is the nominal one, or close; it is the same for all routers.
+		listed := max(e.Size, 1e-3)
 		e.Size = max(e.Size, c.Size)
+		r.ease(c, max(0, e.Size/listed-1))
 	}
 	c.Entry = e
 	if r.zones[e.Zone] == nil {
@@ -309,6 +319,31 @@
 	}
 }
 
+// ease takes the list's word for how crowded a cache is. The danger: each of many routers sends a cache so
+// little that it learns of a crowd from its own attempts when it is over, and all of them send one more.
+func (r *Router) ease(c *cache, crowd float64) {
+	c.open, c.openAt = r.openShare(c), r.now
+	if crowd > crowdedAt && crowd > drained*c.crowd {
+		c.open = max(leastOpen, c.open*math.Sqrt(crowdedAt/crowd))
+	}
+	c.crowd = crowd
+}
+
+// openShare is the share of its keys that a cache is still sent. It grows back while there is no crowd.
+func (r *Router) openShare(c *cache) float64 {
+	if c.crowd > crowdedAt {
+		return c.open
+	}
+	room := 1 - c.crowd/crowdedAt
+	return min(1, c.open*math.Exp(room*float64(r.now-c.openAt)/float64(r.set.DrainGrace)))
+}
+
+// isOpen reports whether this router sends the key to the cache. Routers choose apart, so that those of a hot
+// key share it out among as many caches as it takes, and each stays with its choice.
+func (r *Router) isOpen(c *cache, key uint64) bool {
+	return !r.thin() || unit(mix(key^c.hash^r.own)) < r.openShare(c)
+}
+
 // Health: the design's mechanism. Interval is the span within which the operators want bad
 // news acted upon, or as many of them as it takes this router's requests to pay for a probe of
 // each cache. The danger: probes grow with routers times caches, and cost more than they save.
@@ -457,7 +492,7 @@
 func (r *Router) pick(q *request) (to *cache, crowded bool) {
 	var anyway *cache
 	home := true // until a cache has been passed over that the key should go to
-	tried := 0
+	tried, shut := 0, false
 	for i := range r.rank(q.Key) {
 		if tried == rehashCap {
 			break
@@ -474,6 +509,8 @@
 		}
 		tried++
 		switch {
+		case !r.isOpen(c, q.Key):
+			shut = true
 		case !c.healthy || c.silent: // not crowded: its keys have to go elsewhere, whatever the budget
 			if anyway == nil && r.hasRoom(c) {
 				anyway = c
@@ -488,9 +525,12 @@
 			q.astray = !home
 			return c, false
 		}
-		home = home && (!c.healthy || c.silent)
+		home = home && (!c.healthy || c.silent || !r.isOpen(c, q.Key))
 	}
 	q.astray = false
+	if shut && anyway == nil {
+		return nil, crowded
+	}
 	if crowded {
 		return nil, true
 	}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -327,3 +327,85 @@
 		t.Errorf("a key that half of all requests are for was spread over %d caches", len(often))
 	}
 }
+
+// listed has the list say that one cache has so much of its size left.
+func (b *bench) listed(cache string, left float64) {
+	es := fleet(len(b.r.ready))
+	for i := range es {
+		if es[i].ID == cache {
+			es[i].Size *= left
+		}
+	}
+	b.feed(&List{Kind: ListChanges, Entries: es})
+}
+
+// The danger: each of many routers learns of a crowd at a cache by sending it one more attempt.
+func TestFleetTakesKeysOffACrowdedCache(t *testing.T) {
+	const home = "c03"
+	id := int64(0)
+	share := func(bs []*bench) float64 {
+		asked, sent := 0, 0
+		for _, b := range bs {
+			for key := uint64(1); key <= 40; key++ {
+				if b.r.rank(key); b.r.nth(0).ID != home {
+					continue
+				}
+				b.now += 50 * ms
+				asked++
+				b.r.keys, b.r.asked = [2]map[uint64]int{{}, {}}, [2]int{}
+				id++
+				if s := b.ask(id, "read", key); s != nil {
+					if s.Cache == home {
+						sent++
+					}
+					b.settle(id, 0)
+				}
+			}
+		}
+		return float64(sent) / float64(asked)
+	}
+	bs := routers(t, 8)
+	for _, b := range bs {
+		b.r.set.LiveSizes = true
+	}
+	if got := share(bs); got < .95 {
+		t.Fatalf("%.2f of a cache's keys went there before it was crowded", got)
+	}
+	for _, b := range bs {
+		b.listed(home, .05) // it holds 19 requests for each core
+	}
+	if got := share(bs); got > .3 {
+		t.Errorf("%.2f of a crowded cache's keys still went there", got)
+	}
+	for _, b := range bs {
+		b.listed(home, 1)
+		b.advance(10000 * ms)
+		b.listed(home, 1)
+	}
+	if got := share(bs); got < .95 {
+		t.Errorf("%.2f of a cache's keys came back after the crowd", got)
+	}
+}
+
+// The danger: a request that no cache is open to is held, for nothing, and the client's retries pile up.
+func TestShutKeyIsRefusedAtOnce(t *testing.T) {
+	refused := 0
+	for _, b := range routers(t, 8) {
+		b.r.set.LiveSizes = true
+		es := fleet(8)
+		for range 20 {
+			for i := range es {
+				es[i].Size /= 2
+			}
+			b.feed(&List{Kind: ListChanges, Entries: es})
+		}
+		for id := int64(1); id <= 10; id++ {
+			if b.ask(id, "read", uint64(id)); finals(b.acts) == 1 {
+				refused++
+			}
+		}
+	}
+	if refused < 10*manyRouters*8/10 {
+		t.Errorf("%d of %d requests were refused at once while all caches were crowded", refused, 10*manyRouters)
+	}
+}
