Send on only as large a share of keys as comes back in time

At fault: decide.go, limits only: each is a router's for one cache, of which it hears once in 12 s, and what time it has not used lets every one of 300 routers send one attempt more whatever the crowd.

Now a router that sees little of each cache takes the fate of all its attempts together: one that is out for the whole aim lowers the share of keys it sends on, one in time raises it, at rest at the share of late attempts that limits tolerate. The rest is refused at once, by key, so that retries of the same do not add up to load. The share also grows by itself: with nothing sent on nothing is learnt. Small fleets as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,8 @@
 	hotDoubt        = 2   // standard deviations by which chance may have raised a key's count
 	crowdedAt       = 1.5 // requests held for each core, by the list, above which a cache loses keys
 	drained         = .8  // ... unless that is so much of what it was before
+	judged          = .1  // by which one late attempt lowers the share of keys that are sent on
+	readmit         = 4   // DrainGraces in which the share of keys that are sent on grows e-fold by itself
 	leastOpen       = .02 // ... and in all
 	admitTries      = 32  // held requests without room that are looked at for one answer
 	retryBurst      = 20  // ... and in one burst, over all routers
@@ -100,38 +102,40 @@
 
 // Router decides for one instance. Use New.
 type Router struct {
-	set      Settings
-	classes  map[string]*Class
-	rng      uint64
-	own      uint64 // tells this router's choices from those of others
-	now      Time
-	out      []Action
-	caches   map[string]*cache // every cache ever listed
-	zones    map[string]*zone
-	ready    []*cache // those up, by id
-	size     float64  // mean of theirs
-	reqs     map[int64]*request
-	timers   map[int64]func()
-	token    int64
-	calls    int // failed calls for the list in a row
-	round    int
-	uses     int     // attempts ever sent
-	spare    float64 // probes earned by requests and not yet sent
-	beats    int     // DrainGraces since the last round
-	started  bool
-	ranks    []*cache          // scratch of rank
-	ranked   int               // ... of which so many are in order
-	waiting  []*request        // held for room
-	fetching int               // attempts out that the origin likely has to serve
-	fetches  float64           // ... at most
-	fetched  Time              // when the origin last served one in time
-	missing  float64           // fading share of them that the origin did serve, or failed to
-	patience Time              // of the class with the shortest
-	budget   float64           // of retries
-	keys     [2]map[uint64]int // requests by key, of this window and the one before
-	asked    [2]int            // ... and of all keys
-	shed     [2]int            // requests refused in this window for want of room: at caches, at the origin
-	shedding bool
+	set        Settings
+	classes    map[string]*Class
+	rng        uint64
+	own        uint64 // tells this router's choices from those of others
+	now        Time
+	out        []Action
+	caches     map[string]*cache // every cache ever listed
+	zones      map[string]*zone
+	ready      []*cache // those up, by id
+	size       float64  // mean of theirs
+	admitted   float64  // share of keys that are sent on at all, as of admittedAt
+	admittedAt Time
+	reqs       map[int64]*request
+	timers     map[int64]func()
+	token      int64
+	calls      int // failed calls for the list in a row
+	round      int
+	uses       int     // attempts ever sent
+	spare      float64 // probes earned by requests and not yet sent
+	beats      int     // DrainGraces since the last round
+	started    bool
+	ranks      []*cache          // scratch of rank
+	ranked     int               // ... of which so many are in order
+	waiting    []*request        // held for room
+	fetching   int               // attempts out that the origin likely has to serve
+	fetches    float64           // ... at most
+	fetched    Time              // when the origin last served one in time
+	missing    float64           // fading share of them that the origin did serve, or failed to
+	patience   Time              // of the class with the shortest
+	budget     float64           // of retries
+	keys       [2]map[uint64]int // requests by key, of this window and the one before
+	asked      [2]int            // ... and of all keys
+	shed       [2]int            // requests refused in this window for want of room: at caches, at the origin
+	shedding   bool
 }
 
 // New returns a router for the settings. The error names a wrong field.
@@ -139,7 +143,7 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	r := &Router{set: s, rng: seed, own: mix(seed + 1), classes: map[string]*Class{},
+	r := &Router{set: s, rng: seed, own: mix(seed + 1), admitted: 1, classes: map[string]*Class{},
 		caches: map[string]*cache{}, reqs: map[int64]*request{}, timers: map[int64]func(){},
 		keys: [2]map[uint64]int{{}, {}}, zones: map[string]*zone{}}
 	r.budget = r.burstPart()
@@ -698,6 +702,11 @@
 	r.spare += probeShare / max(r.set.ProbePrice, 1e-9)
 	r.keys[0][q.Key]++
 	r.asked[0]++
+	if r.thin() && unit(mix(q.Key^r.own)) >= r.admission() {
+		r.shed[0]++
+		r.answer(q)
+		return
+	}
 	r.forward(q)
 }
 
@@ -810,6 +819,13 @@
 		c.zone.trialAt = r.now + r.set.ColdTime/4 // the trial is one request
 	}
 	r.do(Send{ID: q.ID, Cache: c.ID, StopAt: q.Deadline})
+	if r.thin() {
+		r.at(min(r.now+q.class.Aim, q.Deadline-1), func() {
+			if q.attempts[n].pending {
+				r.judge(false)
+			}
+		})
+	}
 	r.at(r.now+q.class.patience(), func() {
 		if q.attempts[n].pending {
 			r.overdue(q, n)
@@ -873,6 +889,22 @@
 	})
 }
 
+// admission is the share of keys that are sent on at all. It grows by itself as well, lest a router that
+// sends next to nothing on never learns that the crowd is over.
+func (r *Router) admission() float64 {
+	return min(1, r.admitted*math.Exp(float64(r.now-r.admittedAt)/float64(readmit*r.set.DrainGrace)))
+}
+
+// judge lets the fate of an attempt move that share. The danger: one router of many learns of a crowd from
+// each cache apart, and the clients' retries, sent on like first tries, keep the crowd up.
+func (r *Router) judge(inTime bool) {
+	by := 1 - judged
+	if inTime {
+		by = 1 + judged*tolerated/(1-tolerated)
+	}
+	r.admitted, r.admittedAt = max(leastOpen, min(1, r.admission()*by)), r.now
+}
+
 // stuck notes a cache that has answered nothing for as long as an attempt may take. Where all routers
 // share what it can do, its limit goes to the least at once. The danger: each of many routers learns from
 // its own few attempts that a cache hangs, and halving the limit costs one more of each every time.
@@ -1015,6 +1047,9 @@
 		a.unmet = true
 		r.reached(a.to, false)
 	}
+	if r.thin() && ev.Result == Served && r.now < a.sent+q.class.Aim {
+		r.judge(true)
+	}
 	a.broke = ev.Result == ConnLost
 	// A refusal speaks of crowding only where more is out than any cache is trusted with at first. The
 	// danger: one that stands still now and then loses its whole part of the work for good.
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -387,6 +387,46 @@
 	}
 }
 
+// The danger: each of many routers learns of a crowd from each cache apart, and the clients' retries, sent
+// on like first tries, keep the crowd up.
+func TestFleetSendsOnWhatComesBackInTime(t *testing.T) {
+	bs := routers(t, 40)
+	sent := func(base int64, answered bool) float64 {
+		n := 0
+		for _, b := range bs {
+			for id := base; id < base+100; id++ {
+				if s := b.ask(id, "read", uint64(id)); s != nil {
+					n++
+					if answered {
+						b.settle(id, 0)
+					}
+				}
+				b.advance(20 * ms)
+			}
+		}
+		return float64(n) / float64(100*len(bs))
+	}
+	if got := sent(1000, true); got < .95 {
+		t.Fatalf("%.2f of the requests were sent on while all came back in time", got)
+	}
+	sent(2000, false)
+	atOnce := 0
+	for _, b := range bs {
+		for id := int64(3000); id < 3050; id++ {
+			b.ask(id, "read", uint64(id))
+			atOnce += finals(b.acts)
+		}
+	}
+	if atOnce < len(bs)*35 {
+		t.Errorf("%d of %d requests were refused at once when none had come back for 2 s", atOnce, len(bs)*50)
+	}
+	for _, b := range bs {
+		if b.advance(30000 * ms); b.r.admission() < 1 {
+			t.Fatal("a router that was asked nothing for 30 s still sends on only a part")
+		}
+	}
+}
+
 // The danger: a request that no cache is open to is held, for nothing, and the client's retries pile up.
 func TestShutKeyIsRefusedAtOnce(t *testing.T) {
 	refused := 0
