Earn no probes by requests that are refused at once

At fault: decide.go, request(): spare grew before the request was admitted. Now a request earns when it is admitted; small fleets as before, as they admit all.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -699,7 +699,6 @@
 		r.at(q.Deadline, func() { r.answer(q) })
 	}
 	r.budget = min(r.budget+retryShare, max(1, r.burstPart()))
-	r.spare += probeShare / max(r.set.ProbePrice, 1e-9)
 	r.keys[0][q.Key]++
 	r.asked[0]++
 	if r.thin() && unit(mix(q.Key^r.own)) >= r.admission() {
@@ -707,6 +706,7 @@
 		r.answer(q)
 		return
 	}
+	r.spare += probeShare / max(r.set.ProbePrice, 1e-9)
 	r.forward(q)
 }
 
