Send on a fifth of the keys at least, however much is late

At fault: decide.go, judge(): it let the share of keys sent on fall to 2%. When the origin is slow nearly every miss is late, and that says nothing of the caches. With so little sent on the caches lose their keys within seconds (reads of a key last asked for 3 s ago miss in more than half, by the logged attempts), so what is sent on misses, is late, and keeps the share down; and it brings a router one answer in 3 s to learn from.

The test fails without it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,6 +36,7 @@
 	drained         = .8  // ... unless that is so much of what it was before
 	judged          = .1  // by which one late attempt lowers the share of keys that are sent on
 	readmit         = 4   // DrainGraces in which the share of keys that are sent on grows e-fold by itself
+	leastAdmitted   = .2  // ... and what it falls to at most
 	leastOpen       = .02 // ... and in all
 	admitTries      = 32  // held requests without room that are looked at for one answer
 	retryBurst      = 20  // ... and in one burst, over all routers
@@ -902,7 +903,7 @@
 	if inTime {
 		by = 1 + judged*tolerated/(1-tolerated)
 	}
-	r.admitted, r.admittedAt = max(leastOpen, min(1, r.admission()*by)), r.now
+	r.admitted, r.admittedAt = max(leastAdmitted, min(1, r.admission()*by)), r.now
 }
 
 // stuck notes a cache that has answered nothing for as long as an attempt may take. Where all routers
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -462,3 +462,23 @@
 		t.Errorf("50 requests refused at once earned %v probes", b.r.spare-before)
 	}
 }
+
+// The danger: all is late for a while as the origin is slow, next to nothing is sent on, and by the time the
+// origin is well the caches have lost their keys.
+func TestFleetKeepsAPartSentOn(t *testing.T) {
+	sent := 0
+	for _, b := range routers(t, 40) {
+		for range 200 {
+			b.r.judge(false)
+		}
+		for id := int64(1); id <= 20; id++ {
+			if b.ask(id, "read", uint64(id)) != nil {
+				sent++
+				b.settle(id, 0)
+			}
+		}
+	}
+	if sent < 20*manyRouters/10 {
+		t.Errorf("%d of %d requests were sent on after a time in which all was late", sent, 20*manyRouters)
+	}
+}
