Keep a key off cold caches while a router of many cannot tell whether it is hot

At fault: decide.go, warmEnough(), "r.spread(q.Key) > 1": a key is kept off a cold cache once it is surely hot. A router of 300 has seen 80 requests by then, and needs five for a key to be sure (n - 2*sqrt(n)): keys with 1 to 6% of all requests, up to ten times a cache's part, pass. "1 +" in the count below lets each router send one.

Now a doubt speaks against the key: a router of many sends on the first request that it sees for a key with a chance that grows with what it was asked, so that all first ones of a key stay within what a cold cache can take (rules.tipMultiple, read from the settings now), and later ones only where they are less than half a cache's part. Few routers (a first limit of one attempt or more each) and fleets that are cold as a whole do as before.

--- a/decide/api.go
+++ b/decide/api.go
@@ -60,8 +60,9 @@
 	RefuseWait  Time    // longest stay-away a client honours; 0 where it is not passed on
 	DrainGrace  Time    // sends to a draining or gone cache must have ceased by then
 	ColdTime    Time    // a started cache is warm no later than this
-	ColdShare   float64 // a started cache can do this share of its work at least; sent a multiple ...
-	TipTime     Time    // ... for this long falls over
+	ColdShare   float64 // a started cache can do this share of its work at least; sent over ...
+	TipMultiple float64 // ... this many times what it can do
+	TipTime     Time    // ... for this long, it falls over
 	AskEvery    Time    // without a watch for this long, the router is deemed told
 	ProbePrice  float64 // points lost at one probe a request
 	ConnPrice   float64 // points lost at 100 open connections a cache
@@ -82,9 +83,9 @@
 		{"Routers", float64(s.Routers), 0, inf}, {"MaxAttempts", float64(s.MaxAttempts), 1, inf},
 		{"RefuseWait", float64(s.RefuseWait), 0, inf}, {"DrainGrace", float64(s.DrainGrace), 0, inf},
 		{"ColdTime", float64(s.ColdTime), 0, inf}, {"ColdShare", s.ColdShare, 0, 1},
-		{"TipTime", float64(s.TipTime), 0, inf}, {"AskEvery", float64(s.AskEvery), 0, inf},
-		{"ProbePrice", s.ProbePrice, 0, inf}, {"ConnPrice", s.ConnPrice, 0, inf},
-		{"DialPrice", s.DialPrice, 0, inf},
+		{"TipTime", float64(s.TipTime), 0, inf}, {"TipMultiple", s.TipMultiple, 0, inf},
+		{"AskEvery", float64(s.AskEvery), 0, inf}, {"ProbePrice", s.ProbePrice, 0, inf},
+		{"ConnPrice", s.ConnPrice, 0, inf}, {"DialPrice", s.DialPrice, 0, inf},
 	}
 	for i, c := range s.Classes {
 		at := fmt.Sprintf("Classes[%d].", i)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -614,9 +614,26 @@
 			sent, size = sent+r.recent(w), size+w.Size
 		}
 	}
+	if r.thin() && size > 0 && r.mayBeHot(q.Key, c) {
+		return false
+	}
 	return r.recent(c) < 1+r.warmth(c)*c.Size*sent/max(size, c.Size)
 }
 
+// mayBeHot reports whether a key may be more than a cold cache can do: here a doubt speaks against it. The
+// danger: each of many routers has seen a hot key once or twice, and all of them send it to a cache that is
+// cold. Of a key with share s of all requests, s*exp(-s*n) of them are the first that their router sees of
+// it after n others, 1/(e*n) at most. So a router sends on the first one with a chance that grows with n.
+func (r *Router) mayBeHot(key uint64, c *cache) bool {
+	// Of what it was asked, the part of a cache of that size.
+	part := float64(r.asked[0]+r.asked[1]) * c.Size / (r.size * float64(len(r.ready)))
+	if spare := max(1, r.set.TipMultiple-1); unit(mix(key+r.own)) >= math.E*part*r.warmth(c)*spare {
+		return true
+	}
+	n := r.keys[0][key] + r.keys[1][key]
+	return n >= hotLeast && float64(n) >= hotPart*part
+}
+
 // recent is the number of attempts sent to a cache lately, fading within TipTime.
 func (r *Router) recent(c *cache) float64 {
 	return c.sends * math.Exp(-float64(r.now-c.lastSend)/float64(max(r.set.TipTime, 1)))
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -15,7 +15,7 @@
 	return Settings{
 		Routers: 2, MaxAttempts: 3, Copies: true, Cancels: true, Probes: true,
 		DrainGrace: 1000 * ms, ColdTime: 10000 * ms, ColdShare: 0.2,
-		TipTime: 2000 * ms, AskEvery: 10000 * ms, ProbePrice: 0.01, RefuseWait: 1000 * ms,
+		TipTime: 2000 * ms, TipMultiple: 3, AskEvery: 10000 * ms, ProbePrice: 0.01, RefuseWait: 1000 * ms,
 		Classes: []Class{
 			{Name: "read", Effect: Safe, Aim: 200 * ms, Limit: 800 * ms, Worth: 2},
 			{Name: "all", Effect: Keyed, Scope: ScopeAll, KeyTTL: 500 * ms, Aim: 200 * ms, Limit: 800 * ms, Worth: 3},
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -40,6 +40,7 @@
 		DrainGrace int64   `json:"drainGrace"`
 		Fall       int64   `json:"fall"`
 		StartShare float64 `json:"startCapacity"`
+		Multiple   float64 `json:"tipMultiple"`
 	} `json:"rules"`
 	Penalties struct {
 		Probe     float64 `json:"probe"`
@@ -77,8 +78,8 @@
 		MaxAttempts: 1, Copies: in.Limits.Copies, Cancels: in.Limits.Cancel, Probes: in.Limits.Probes,
 		DrainGrace: in.Rules.DrainGrace,
 		ColdTime:   in.Rules.Cold, ColdShare: in.Rules.StartShare,
-		TipTime: in.Rules.Fall, AskEvery: in.Rules.AskEvery, ProbePrice: in.Penalties.Probe,
-		ConnPrice: in.Penalties.Conn, DialPrice: in.Penalties.Handshake,
+		TipMultiple: in.Rules.Multiple, TipTime: in.Rules.Fall, AskEvery: in.Rules.AskEvery,
+		ProbePrice: in.Penalties.Probe, ConnPrice: in.Penalties.Conn, DialPrice: in.Penalties.Handshake,
 	}
 	if in.Limits.MaxAttempts != nil {
 		s.MaxAttempts = *in.Limits.MaxAttempts
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -115,3 +115,11 @@
 		}
 	})
 }
+
+// The danger: a rule's figure is not read, and the module keeps a rule that is not the site's.
+func TestSettingsOfTheColdRule(t *testing.T) {
+	s, _, err := ParseSettings([]byte(`{"rules":{"cold":9,"fall":4,"startCapacity":0.3,"tipMultiple":2.5}}`))
+	if err != nil || s.ColdTime != 9 || s.TipTime != 4 || s.ColdShare != .3 || s.TipMultiple != 2.5 {
+		t.Errorf("the cold rule is read as %d, %d, %v, %v (%v)", s.ColdTime, s.TipTime, s.ColdShare, s.TipMultiple, err)
+	}
+}
