Count a start that the list dates in the future, or tells again, from when it was told

At fault: decide.go, entry(): "if e.Start > 0 && e.Start+r.set.ColdTime > r.now". Now a start counts once, from the earlier of its date and the moment it was told, and never before one told earlier. A list that tells of a start late still gives the cache the warm-up it has had.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -242,3 +242,35 @@
 		})
 	}
 }
+
+// The danger: a start that is dated in the future, told again or told late shuts a warm cache out, or lets a
+// cold one in.
+func TestStartsAsListsTellThem(t *testing.T) {
+	const told = 1000 * ms // since the start of the clock of the test
+	for _, c := range []struct {
+		name   string
+		starts []Time // one a second, from told on
+		warmAt Time   // or 0 where it is not cold
+	}{
+		{"in the future", []Time{told + 60000*ms}, told + 10000*ms},
+		{"in the future, told again", []Time{told + 60000*ms, told + 60000*ms, told + 60000*ms}, told + 10000*ms},
+		{"told again", []Time{told, told, told, told}, told + 10000*ms},
+		{"told late", []Time{told - 4000*ms}, told + 6000*ms},
+		{"told when it is warm", []Time{told - 11000*ms}, 0},
+		{"an older one told after it", []Time{told, told - 8000*ms}, told + 10000*ms},
+		{"a second one", []Time{told, told + 1000*ms}, told + 11000*ms},
+	} {
+		b := quietBench(t, 3, nil)
+		es, zero := fleet(3), b.now
+		b.now += told
+		for _, at := range c.starts {
+			es[1].Start = zero + at
+			b.feed(&List{Kind: ListFull, Entries: es})
+			b.now += 1000 * ms
+		}
+		cold := b.r.caches["c01"]
+		if got := cold.warmAt - zero; got != c.warmAt && (c.warmAt > 0 || cold.warmAt > b.now) {
+			t.Errorf("%s: cold until %d ms, not %d", c.name, got/ms, c.warmAt/ms)
+		}
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -296,6 +296,7 @@
 
 func (r *Router) entry(e Entry) {
 	c := r.caches[e.ID]
+	starts := c == nil || e.Start != c.Start
 	if c == nil {
 		c = &cache{healthy: true, prompt: true, open: 1, hash: hash(e.ID), keeps: [2]map[uint64]bool{{}, {}}}
 		r.caches[e.ID] = c
@@ -319,8 +320,10 @@
 	if e.Size <= 0 {
 		c.Size = 1
 	}
-	if e.Start > 0 && e.Start+r.set.ColdTime > r.now {
-		c.coldFrom, c.warmAt = e.Start, e.Start+r.set.ColdTime
+	if from := min(e.Start, r.now); starts && e.Start > 0 && from > c.coldFrom {
+		// The danger: a start that a list dates in the future, or repeats after a later one, shuts the cache
+		// out for longer than it is cold, or lets it in while it is.
+		c.coldFrom, c.warmAt = from, from+r.set.ColdTime
 	}
 }
 
