Refuse a list of caches that the router's memory has no room to read

Found by looking for fixed sizes at 32 MB: discovery's answer could have 8 MB, of which reading and decoding make several times as much. An answer may now have a sixteenth of the memory, 8 MB at most as before: 2 MB at 32 MB, against 0.4 MB for 1,024 caches with the longest names that are taken. A longer one is a failed call, as before: the old list stays and discovery is asked again.

The test reads 1,024 such caches at 32 MB, and sees 20,480 of them (7.6 MB) refused; before, they were taken.

--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -35,7 +35,8 @@
 	noIndex      = -1               // version of a list that was never seen
 	watchWait    = 20 * time.Second // how long discovery may hold a watch open
 	watchSlack   = 2 * time.Second  // how much longer an answer may take
-	mostListSize = 8 << 20          // bytes of an answer
+	mostListSize = 8 << 20          // bytes of an answer at most,
+	listPart     = 16               // ... and of the memory, as one over this: reading it takes several times its size
 	mostHeader   = 64 << 10         // ... of its header
 	mostName     = 256              // bytes of a cache's name
 )
@@ -97,11 +98,12 @@
 // discovery calls the discovery service. One watch runs at a time.
 type discovery struct {
 	url    string
+	most   int64 // bytes of an answer
 	client *http.Client
 }
 
-func newDiscovery(addr string) *discovery {
-	return &discovery{url: "http://" + addr + "/discovery/hosts", client: &http.Client{
+func newDiscovery(addr string, memoryMB int64) *discovery {
+	return &discovery{url: "http://" + addr + "/discovery/hosts", most: min(mostListSize, memoryMB<<20/listPart), client: &http.Client{
 		Timeout: watchWait + watchSlack,
 		Transport: &http.Transport{
 			MaxConnsPerHost:        1, // it counts against the router's descriptors
@@ -146,11 +148,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return hostList{}, fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, mostListSize+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, d.most+1))
 	if err != nil {
 		return hostList{}, err
 	}
-	if len(body) > mostListSize {
+	if int64(len(body)) > d.most {
 		return hostList{}, errors.New("discovery's answer is too long")
 	}
 	h, err := parseHosts(body)
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -100,7 +100,7 @@
 		told := make(chan hostList, 1)
 		failed := make(chan error, 1)
 		go func() {
-			failed <- newDiscovery(addr).watch(context.Background(), 5, func(h hostList) { told <- h })
+			failed <- newDiscovery(addr, defaultMemoryMB).watch(context.Background(), 5, func(h hostList) { told <- h })
 		}()
 		receive(t, calls, "call").reply <- body
 		select {
@@ -184,3 +184,30 @@
 		t.Errorf("got %+v", h)
 	}
 }
+
+// TestLongListIsTakenTooLongIsNot at the smallest memory: 1,024 caches with the longest names are read, and
+// an answer that memory has no room for is a failed call.
+func TestLongListIsTakenTooLongIsNot(t *testing.T) {
+	for _, n := range []int{1024, 20 * 1024} {
+		var lines []string
+		for i := range n {
+			lines = append(lines, host(fmt.Sprintf("%0*d", mostName, i), "127.123.123.123:65535", "in_service"))
+		}
+		addr, calls := newFakeDiscovery(t)
+		told, failed := make(chan hostList, 1), make(chan error, 1)
+		go func() {
+			failed <- newDiscovery(addr, 32).watch(context.Background(), 5, func(h hostList) { told <- h })
+		}()
+		receive(t, calls, "call").reply <- hosts(9, true, lines...)
+		select {
+		case err := <-failed:
+			if n == 1024 || !strings.Contains(err.Error(), "too long") {
+				t.Errorf("%d caches: %v", n, err)
+			}
+		case h := <-told:
+			if n > 1024 || len(h.entries) != n {
+				t.Errorf("%d caches: %d taken", n, len(h.entries))
+			}
+		}
+	}
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -76,7 +76,7 @@
 		longest = max(longest, c.Limit)
 	}
 	return &loop{cfg: cfg, longest: longest, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
-		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery), index: cfg.Known.index}, nil
+		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery, cfg.Limits.MemoryMB), index: cfg.Known.index}, nil
 }
 
 // clock is Unix time in microseconds. It runs on the monotonic clock from the
@@ -354,7 +354,7 @@
 		l.endWatch()
 	}
 	l.discovery.client.CloseIdleConnections()
-	l.discovery, l.watching = newDiscovery(addr), false
+	l.discovery, l.watching = newDiscovery(addr, l.cfg.Limits.MemoryMB), false
 	l.watch()
 }
 
