Ask discovery again with backoff and jitter where the list comes by itself

The issue on cold caches asks for it; the module does so where it has to ask for the list itself, but where changes come by themselves the loop called again 100 ms after each failed watch, for as long as it failed, and all routers that lost it together did so on one beat. Now the wait doubles up to 1.6 s, of which each router takes a random half to whole, and an answer or a move of discovery ends it. It stays well under the 6 s after which what discovery has to tell counts as told.

At fault: loop.go, watch(): l.after(watchPause, l.watch). The test draws the waits; before, there was one of 100 ms.

--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -211,3 +211,28 @@
 		}
 	}
 }
+
+// TestWaitsBetweenWatchesGrow and differ, up to a bound, until something is told again.
+func TestWaitsBetweenWatchesGrow(t *testing.T) {
+	r := newRig(t, newFakeCache(t).addr(), nil)
+	r.do(func() {
+		waits := map[decide.Time]bool{}
+		for round := range 20 {
+			r.l.failed = 0
+			for i := range 8 {
+				most := decide.Time(watchPause) << min(i, watchDoubled)
+				wait := r.l.pause()
+				if waits[wait] = true; wait < most/2 || wait > most {
+					t.Errorf("wait %d of round %d is %d us, want %d to %d", i, round, wait, most/2, most)
+				}
+			}
+		}
+		if len(waits) < 20*8/2 {
+			t.Errorf("only %d of %d waits differ", len(waits), 20*8)
+		}
+		h := hostList{index: 5}
+		if r.l.learn(h, h.kind()); r.l.pause() > watchPause {
+			t.Error("after an answer the wait is still a long one")
+		}
+	})
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"log"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,7 @@
 	discovery *discovery
 	index     int64 // version of the list
 	watching  bool
+	failed    int                // watches in a row that told nothing
 	endWatch  context.CancelFunc // of the watch that is on
 	serving   atomic.Bool        // a cache is known that takes work
 	ctx       context.Context    // ends the watch
@@ -63,7 +65,8 @@
 	busyReply     = "-BUSY\r\n"
 	failedReply   = "-ERR failed\r\n"
 	sweepInterval = 1_000_000 // microseconds between looks for idle connections
-	watchPause    = 100_000   // ... before another watch where the list has to come by itself
+	watchPause    = 100_000   // ... before another watch where the list has to come by itself: at most
+	watchDoubled  = 4         // ... doubled with each that fails, so many times
 )
 
 func newLoop(cfg *Config, s *sockets) (*loop, error) {
@@ -298,7 +301,7 @@
 
 // learn takes over a list of caches, for the module and for sending alike.
 func (l *loop) learn(h hostList, kind decide.ListKind) {
-	l.index = h.index
+	l.index, l.failed = h.index, 0
 	seen := make(map[string]bool, len(h.entries))
 	for i, e := range h.entries {
 		seen[e.ID] = true
@@ -341,12 +344,20 @@
 			if l.cfg.Settings.MustWatch {
 				l.backlog = append(l.backlog, &decide.List{Kind: decide.ListFailed})
 			} else {
-				l.after(watchPause, l.watch) // the module never asked, so it is not told of failures
+				l.after(l.pause(), l.watch) // the module never asked, so it is not told of failures
 			}
 		})
 	}(l.discovery, l.index)
 }
 
+// pause is how long to wait before another watch, longer with each that has failed and never as long as the
+// other routers: what they all ask again at once serves none of them.
+func (l *loop) pause() decide.Time {
+	wait := float64(decide.Time(watchPause) << min(l.failed, watchDoubled))
+	l.failed++
+	return decide.Time(wait * (0.5 + rand.Float64()/2))
+}
+
 // moveDiscovery goes on with discovery at another address, from the version that is known.
 func (l *loop) moveDiscovery(addr string) {
 	l.log("discovery moves to " + addr)
@@ -354,7 +365,7 @@
 		l.endWatch()
 	}
 	l.discovery.client.CloseIdleConnections()
-	l.discovery, l.watching = newDiscovery(addr, l.cfg.Limits.MemoryMB), false
+	l.discovery, l.watching, l.failed = newDiscovery(addr, l.cfg.Limits.MemoryMB), false, 0
 	l.watch()
 }
 
