Tell the module that an attempt was not sent where no descriptor was left for it

Looked for at 1,024 caches and 256 descriptors, where a connection to each is not to be had. An attempt, or a probe, that found no descriptor within dialTimeout was told to the module as a connection that failed. Two of these and the cache passes for gone, three and its zone does; two probe rounds and it is unhealthy. The cache had not been asked at all.

At fault: upstream.go, start(): "a.end(decide.NoConnection, nil)" for every attempt that still waits. Where the router has no connection to the cache, up or coming up, it had no descriptor for one: the outcome is "not sent" now. The module gives no verdict on a probe that was not sent. A pool that is full stays a failed connection.

Both tests fail without it ("outcome 4, want 7"; "healthy is false after probes that were not sent, 6 count as failed").

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -390,7 +390,10 @@
 		return // too late: its round has been judged
 	}
 	c.probing = 0
-	if ev.Result != Served {
+	switch {
+	case ev.Result == NotSent:
+		return // it was not asked
+	case ev.Result != Served:
 		c.fails++
 		return
 	}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -482,3 +482,13 @@
 		t.Errorf("%d of %d requests were sent on after a time in which all was late", sent, 20*manyRouters)
 	}
 }
+
+// The danger: a router without a descriptor to probe a cache with takes it for dead.
+func TestProbeNotSentIsNoFailure(t *testing.T) {
+	b := newBench(t, settings())
+	b.feed(&List{Kind: ListFull, Entries: fleet(3)})
+	b.rounds(3*threshold, "c01", result(NotSent))
+	if c := b.r.caches["c01"]; !c.healthy || c.fails > 0 {
+		t.Errorf("healthy is %v after probes that were not sent, %d count as failed", c.healthy, c.fails)
+	}
+}
--- a/internal/router/outcome_test.go
+++ b/internal/router/outcome_test.go
@@ -441,3 +441,25 @@
 		}
 	})
 }
+
+// TestNoDescriptorSaysNothingOfTheCache: where the router had none left to ask it with, it did not fail.
+func TestNoDescriptorSaysNothingOfTheCache(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.addr(), nil)
+	r.do(func() {
+		r.l.sockets.mostUpstreams = 1
+		h, err := parseHosts([]byte(hosts(2, false, host("c2", cache.addr(), "in_service"))))
+		if err != nil {
+			t.Error(err)
+		}
+		r.l.learn(h, h.kind())
+	})
+	r.send(r.request(nil), long)
+	receive(t, cache.commands, "command")
+	q := r.request(nil)
+	r.do(func() {
+		r.l.cfg.Transport.DialTimeout = 1000
+		r.l.perform(decide.Send{ID: q.id, Cache: "c2", StopAt: q.deadline})
+	})
+	r.want(decide.NotSent)
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -110,7 +110,13 @@
 	u.pump()
 	if a.state == waiting {
 		l.at(a.sent+l.cfg.Transport.DialTimeout, func() {
-			if a.state == waiting {
+			switch {
+			case a.state != waiting:
+			case len(u.conns) == 0:
+				// No descriptor was left to ask the cache with. The danger: where there are more caches
+				// than descriptors, those that were not asked pass for dead.
+				a.end(decide.NotSent, nil)
+			default:
 				a.end(decide.NoConnection, nil)
 			}
 		})
