Forget caches that are gone, in the module and in the network code

Found while looking for tables that grow: both kept a record of each cache that was ever listed, and replaced machines come under new names. A lost zone that comes back sooner is treated as before.

At fault: loop.go, learn(), and decide.go, list(): neither deleted anything. Both tests fail without the mend: "203 caches are remembered, of which 4 are listed" after 200 replacements, and 101 of 2 in the loop.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -288,7 +288,10 @@
 // forget opens a new window of what the caches keep: a cache that warms up by
 // refilling keeps its keys for about as long as that takes.
 func (r *Router) forget() {
-	for _, c := range r.caches {
+	for id, c := range r.caches {
+		if c.Condition == Removed && c.pending == 0 && len(c.keeps[0])+len(c.keeps[1]) == 0 {
+			delete(r.caches, id) // the danger: machines come and go, and memory grows with their names
+		}
 		c.keeps = [2]map[uint64]bool{{}, c.keeps[0]}
 	}
 	r.at(r.now+max(r.set.ColdTime/4, r.window()), r.forget)
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -1,6 +1,9 @@
 package decide
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // The tests here feed many Routers alike and add up what they do: what one may do alone, all may
 // do at once.
@@ -492,3 +495,19 @@
 		t.Errorf("healthy is %v after probes that were not sent, %d count as failed", c.healthy, c.fails)
 	}
 }
+
+// The danger: machines come and go, and memory grows with their names.
+func TestGoneCachesAreForgotten(t *testing.T) {
+	b := quietBench(t, 3, nil)
+	for i := range 200 {
+		es := append(fleet(3), Entry{ID: fmt.Sprint("new", i), Size: 1})
+		b.feed(&List{Kind: ListFull, Entries: es})
+		if s := b.ask(int64(i), "read", uint64(i)); s != nil {
+			b.settle(int64(i), 0)
+		}
+		b.advance(1000 * ms)
+	}
+	if n := len(b.r.caches); n > 20 {
+		t.Errorf("%d caches are remembered, of which 4 are listed", n)
+	}
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -414,10 +414,14 @@
 	}
 }
 
-// sweep closes upstream connections before their caches do.
+// sweep closes upstream connections before their caches do, and forgets the caches that are gone; the module
+// has been told of that by now. The danger: machines come and go, and memory grows with their names.
 func (l *loop) sweep() {
-	for _, u := range l.upstreams {
+	for name, u := range l.upstreams {
 		u.closeIdle(l.now - l.cfg.Transport.Keepalive*3/4)
+		if !u.up && len(u.conns) == 0 {
+			delete(l.upstreams, name)
+		}
 	}
 	l.after(sweepInterval, l.sweep)
 }
--- a/internal/router/outcome_test.go
+++ b/internal/router/outcome_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"net"
 	"strconv"
 	"strings"
@@ -463,3 +464,26 @@
 	})
 	r.want(decide.NotSent)
 }
+
+// TestGoneCachesAreForgotten, lest memory grow with every machine that ever was.
+func TestGoneCachesAreForgotten(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.addr(), nil)
+	r.do(func() {
+		for i := range 100 {
+			h, err := parseHosts([]byte(hosts(i+2, true, host("c1", cache.addr(), "in_service"),
+				host(fmt.Sprint("new", i), cache.addr(), "in_service"))))
+			if err != nil {
+				t.Error(err)
+			}
+			r.l.learn(h, h.kind())
+			r.l.sweep()
+		}
+		if n := len(r.l.upstreams); n != 2 {
+			t.Errorf("%d caches are known, of which 2 are listed", n)
+		}
+	})
+	r.send(r.request(nil), long)
+	receive(t, cache.commands, "command").reply(t, served)
+	r.want(decide.Served)
+}
