Let each router send a cold cache its part of a key that may be hot

At fault: decide.go, mayBeHot(): "n >= hotLeast && float64(n) >= hotPart*part". A key asked for twice was shut out by the routers that had seen it twice, and sent on by the others: it was fetched at two places, and the warm caches took all the rest of it.

Now the share of routers that send a key on falls with the count they have of it, so that the sum of any one key comes to what the tipping multiple leaves beside the cache's other keys. No more keys are shut out whole.

The test fails without it: "a key seen 2 times: 0 of 300 routers send it to a cold cache, want 240 to 300".

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -243,6 +243,38 @@
 	}
 }
 
+// The danger: all that is asked for twice is kept off cold caches, by some routers and not by others, and is
+// fetched at two places.
+func TestColdCacheGetsItsPartOfAKey(t *testing.T) {
+	const many = 300
+	for _, c := range []struct {
+		seen      int // requests of 600 that were for the key
+		low, high int // routers of many that send the next one to the cold cache
+	}{{1, many, many}, {2, many * 8 / 10, many}, {6, many / 5, many / 2}, {60, 0, many / 20}} {
+		sent := 0
+		for i := range many {
+			r, err := New(coldSettings(many), uint64(i)*7919+1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			es := fleet(200)
+			es[3].Start = 1e9
+			r.Handle(1e9, &List{Kind: ListFull, Entries: es})
+			key := uint64(1)
+			for unit(mix(mix(key)+1)) >= r.set.ColdShare {
+				key++ // of those that any cold cache may have
+			}
+			r.asked[0], r.keys[0][key] = 600, c.seen
+			q := &request{Request: &Request{Key: key, Deadline: 2e9}, class: &Class{}}
+			sent += b2i(r.warmEnough(q, r.caches["c03"]))
+		}
+		if sent < c.low || sent > c.high {
+			t.Errorf("a key seen %d times: %d of %d routers send it to a cold cache, want %d to %d", c.seen, sent, many,
+				c.low, c.high)
+		}
+	}
+}
+
 // The danger: a start that is dated in the future, told again or told late shuts a warm cache out, or lets a
 // cold one in.
 func TestStartsAsListsTellThem(t *testing.T) {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -631,16 +631,18 @@
 
 // mayBeHot reports whether a key may be more than a cold cache can do: here a doubt speaks against it. The
 // danger: each of many routers has seen a hot key once or twice, and all of them send it to a cache that is
-// cold. Of a key with share s of all requests, s*exp(-s*n) of them are the first that their router sees of
-// it after n others, 1/(e*n) at most. So a router sends on the first one with a chance that grows with n.
+// cold. So each sends on what keeps the sum over all routers, whatever the key's share of all requests, to
+// what the tipping multiple leaves beside the cache's other keys: of a share s, s*exp(-s*n) is the first that
+// its router sees after n others, 1/(e*n) at most, and of later ones the count tells the share.
 func (r *Router) mayBeHot(key uint64, c *cache) bool {
 	// Of what it was asked, the part of a cache of that size.
 	part := float64(r.asked[0]+r.asked[1]) * c.Size / (r.size * float64(len(r.ready)))
-	if spare := max(1, r.set.TipMultiple-1); unit(mix(key+r.own)) >= math.E*part*r.warmth(c)*spare {
-		return true
-	}
+	most := part * r.warmth(c) * max(1, r.set.TipMultiple-1)
 	n := r.keys[0][key] + r.keys[1][key]
-	return n >= hotLeast && float64(n) >= hotPart*part
+	if n == 1 {
+		most *= math.E
+	}
+	return unit(mix(key+r.own))*float64(n) >= most
 }
 
 // recent is the number of attempts sent to a cache lately, fading within TipTime.
