Lay late misses to the origin, not to a crowd, while much of the fleet is cold

Counted over all routers on a scratch copy, each second: at 7 s "Whit:3254 Wmiss:1874 Wr6:360 admission:140 req:7228", share sent on 0.99; at 12 s "Chit:371 Cmiss:218 Whit:1201 Wmiss:534 Wr6:1235 admission:12350 req:4966", share 0.35 (W, C: warm, cold cache; hit, miss: in time; r6: cancelled; admission: refused at once). Hits that come at all come in time, "Wlhit:11" are late; half of all answers are misses, as six in ten caches are replaced and come empty.

At fault: decide.go, send(): each attempt that is out for its aim lowers the share of keys that is sent on, judge(false), also a miss that waits for the origin. Hits are refused with it, and the clients' retries of those are 12,000 a second.

Now, while more of the fleet is cold than the share of late attempts that is tolerated, a likely miss does not count if a hit has been served promptly since it was sent. A crowd, where none is, still counts.

The limit on misses does not end it: 4.4 a router, 1,300 over all, and a verdict moves it by a hundredth.

The test fails without it: "cold true, prompt hits true: 0.37 of the keys are sent on".

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -131,6 +131,7 @@
 	fetches    float64           // ... at most
 	fetched    Time              // when the origin last served one in time
 	missing    float64           // fading share of them that the origin did serve, or failed to
+	prompt     Time              // when a hit was last served before it was overdue
 	patience   Time              // of the class with the shortest
 	budget     float64           // of retries
 	keys       [2]map[uint64]int // requests by key, of this window and the one before
@@ -850,7 +851,8 @@
 	r.do(Send{ID: q.ID, Cache: c.ID, StopAt: q.Deadline})
 	if r.thin() {
 		r.at(min(r.now+q.class.Aim, q.Deadline-1), func() {
-			if q.attempts[n].pending {
+			a := &q.attempts[n]
+			if a.pending && !(a.fetch && r.prompt > a.sent && r.refilling()) {
 				r.judge(false)
 			}
 		})
@@ -924,6 +926,19 @@
 	return min(1, r.admitted*math.Exp(float64(r.now-r.admittedAt)/float64(readmit*r.set.DrainGrace)))
 }
 
+// refilling reports whether more of the fleet is cold than a share of late attempts is tolerated. The danger:
+// what cold caches have lost is asked of the origin at once, all misses are late for a while, and routers
+// refuse the hits with them.
+func (r *Router) refilling() bool {
+	cold, all := 0.0, 0.0
+	for _, c := range r.ready {
+		if all += c.Size; r.now < c.warmAt {
+			cold += c.Size
+		}
+	}
+	return cold > tolerated*all
+}
+
 // judge lets the fate of an attempt move that share. The danger: one router of many learns of a crowd from
 // each cache apart, and the clients' retries, sent on like first tries, keep the crowd up.
 func (r *Router) judge(inTime bool) {
@@ -1092,6 +1107,9 @@
 		// The danger: where nearly half are misses, a limit can hardly rise, as the origin takes their time.
 		good = r.now-a.sent < r.fetchTime(q)
 	}
+	if good && !ev.Miss {
+		r.prompt = r.now
+	}
 	if good && !a.fetch {
 		a.to.prompt = true
 	}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 )
 
@@ -511,3 +512,37 @@
 		t.Errorf("%d caches are remembered, of which 4 are listed", n)
 	}
 }
+
+// The danger: what cold caches have lost is asked of the origin at once, all misses are late, and the routers
+// refuse the hits with them.
+func TestLateMissesOfAColdFleetShutOutNoHits(t *testing.T) {
+	for _, c := range []struct {
+		cold, hits bool
+		want       bool // nearly all keys are still sent on
+	}{{true, true, true}, {false, true, false}, {true, false, false}} {
+		sum := 0.0
+		for _, b := range routers(t, 40) {
+			es := fleet(40)
+			for i := range es {
+				if c.cold && i%2 == 0 {
+					es[i].Start = b.now
+				}
+			}
+			b.feed(&List{Kind: ListFull, Entries: es})
+			b.r.fetches = math.Inf(1) // limits are not what is looked at
+			for _, c := range b.r.ready {
+				c.limit = math.Inf(1)
+			}
+			for id := int64(1); id <= 100; id++ {
+				if b.ask(id, "read", uint64(id)) != nil && c.hits && id%2 == 0 {
+					b.settle(id, 0) // every other one is a hit, the rest wait for the origin
+				}
+				b.advance(20 * ms)
+			}
+			sum += b.r.admission()
+		}
+		if mean := sum / manyRouters; mean > .9 != c.want {
+			t.Errorf("cold %v, prompt hits %v: %.2f of the keys are sent on", c.cold, c.hits, mean)
+		}
+	}
+}
