Leave room beside one key that may be hot for a second one at the same cold cache

At fault: decide.go, mayBeHot(): each key may come to all that the tipping multiple leaves beside the cache's other keys.

Now each comes to half of it: one part of the cache where the multiple is 3.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -633,12 +633,13 @@
 // mayBeHot reports whether a key may be more than a cold cache can do: here a doubt speaks against it. The
 // danger: each of many routers has seen a hot key once or twice, and all of them send it to a cache that is
 // cold. So each sends on what keeps the sum over all routers, whatever the key's share of all requests, to
-// what the tipping multiple leaves beside the cache's other keys: of a share s, s*exp(-s*n) is the first that
-// its router sees after n others, 1/(e*n) at most, and of later ones the count tells the share.
+// half of what the tipping multiple leaves beside the cache's other keys, as it may have two such: of a share
+// s, s*exp(-s*n) is the first that its router sees after n others, 1/(e*n) at most, and of later ones the
+// count tells the share.
 func (r *Router) mayBeHot(key uint64, c *cache) bool {
 	// Of what it was asked, the part of a cache of that size.
 	part := float64(r.asked[0]+r.asked[1]) * c.Size / (r.size * float64(len(r.ready)))
-	most := part * r.warmth(c) * max(1, r.set.TipMultiple-1)
+	most := part * r.warmth(c) * max(1, (r.set.TipMultiple-1)/2)
 	n := r.keys[0][key] + r.keys[1][key]
 	if n == 1 {
 		most *= math.E
