Take the time that a probe may last from the settings in the network code too

With a long grace the network code told a probe as failed before the module's time was up; with a short one it kept a connection busy for a probe that was judged long ago. Both now ask Settings.ProbeTimeout.

--- a/decide/api.go
+++ b/decide/api.go
@@ -69,6 +69,17 @@
 	DialPrice   float64 // points lost at one new connection a request
 }
 
+// ProbeTimeout is how long a cache has to answer a probe.
+func (s *Settings) ProbeTimeout() Time { return s.drainGrace() / 2 }
+
+// drainGrace is DrainGrace, or a default where the settings leave it out.
+func (s *Settings) drainGrace() Time {
+	if s.DrainGrace == 0 {
+		return 1e6
+	}
+	return s.DrainGrace
+}
+
 // check names the first field that is out of range.
 func (s *Settings) check() error {
 	if len(s.Classes) == 0 {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -156,9 +156,7 @@
 			r.patience = c.patience()
 		}
 	}
-	if r.set.DrainGrace == 0 {
-		r.set.DrainGrace = 1e6
-	}
+	r.set.DrainGrace = s.drainGrace()
 	return r, nil
 }
 
@@ -373,7 +371,7 @@
 		c.probing = n
 		r.do(Probe{c.ID})
 	}
-	r.at(r.now+r.probeTimeout(), func() {
+	r.at(r.now+r.set.ProbeTimeout(), func() {
 		for _, c := range r.ready {
 			if c.probing == n {
 				c.probing = 0
@@ -386,8 +384,6 @@
 	})
 }
 
-func (r *Router) probeTimeout() Time { return r.set.DrainGrace / 2 }
-
 func (r *Router) probed(ev *Probed) {
 	c := r.caches[ev.Cache]
 	if c == nil || c.probing == 0 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -147,7 +147,7 @@
 			}
 		}
 		played++
-		b.advance(b.r.probeTimeout() + ms)
+		b.advance(b.r.set.ProbeTimeout() + ms)
 	}
 }
 
@@ -183,7 +183,7 @@
 	if !b.r.caches["c01"].healthy {
 		t.Fatal("marked before the round completed")
 	}
-	b.advance(b.r.probeTimeout() + ms)
+	b.advance(b.r.set.ProbeTimeout() + ms)
 	if b.r.caches["c01"].healthy {
 		t.Fatal("not marked when the round completed")
 	}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -263,12 +263,12 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	u.start(a)
+	u.send(a)
 }
 
 func (l *loop) probe(cache string) {
 	if u := l.upstreams[cache]; u != nil {
-		u.start(&attempt{upstream: u, sent: l.now, stopAt: l.now + probeTimeout})
+		u.send(&attempt{upstream: u, sent: l.now, stopAt: l.now + l.cfg.Settings.ProbeTimeout()})
 	}
 }
 
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -16,14 +16,14 @@
 )
 
 const (
-	probeTimeout = 500_000 // microseconds that a cache has to answer a probe
-	fleetConns   = 72      // connections to a cache over all routers: it holds 90, and a full table slows it
-	leastConns   = 2       // ... and one router's part of them, at least
-	mostDials    = 4       // connections to one cache that come up at a time
-	mostReply    = mostValue + 4096
-	mostLine     = 512 // bytes of a line of an answer
-	mostItems    = 16  // of an array
-	answerItems  = 3   // of an answer: the value or receipt, how it went, the load report
+	fleetConns  = 72     // connections to a cache over all routers: it holds 90, and a full table slows it
+	leastConns  = 2      // ... and one router's part of them, at least
+	restTime    = 10_000 // microseconds between an answer on a connection and its next request
+	mostDials   = 4      // connections to one cache that come up at a time
+	mostReply   = mostValue + 4096
+	mostLine    = 512 // bytes of a line of an answer
+	mostItems   = 16  // of an array
+	answerItems = 3   // of an answer: the value or receipt, how it went, the load report
 )
 
 // upstream is one cache server: its connections and the attempts that wait for one.
@@ -102,8 +102,8 @@
 	result   decide.Result // ... for this reason
 }
 
-// start sends an attempt on an idle connection, or has it wait for one.
-func (u *upstream) start(a *attempt) {
+// send sends an attempt on an idle connection, or has it wait for one.
+func (u *upstream) send(a *attempt) {
 	l := u.l
 	l.at(a.stopAt, func() { a.giveUp(decide.NoAnswer) })
 	u.waiting = append(u.waiting, a)
