Open a silent watch anew in time: wait 2 s where lists are pushed, 1 s of slack

Where lists are pushed, calls cost nothing, so a watch waits 2 s now, and a silent one is heard of 3 s after its call, well inside the 6 s. Where lists are asked for, calls are scarce and the wait stays at 20 s; the slack of 1 s leaves time for the next call before the 22 s. The limit holds for the whole of an answer, so that a watch silent in its head or half its body ends too; a call that may not wait has 3 s.

After SIGHUP the whole list is asked for at the new address where lists are pushed: the versions there may be others, and a watch after a version that it has not reached tells nothing while the 4 s run. TestMovedDiscovery held the old query; it now holds the exact query for both kinds of list, and two signals at once.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -186,7 +186,9 @@
 
 // MoveDiscovery has the router ask at another address from now on. What it knows stays.
 func (s *Server) MoveDiscovery(addr string) {
-	s.loop.post(func() { s.loop.moveDiscovery(addr) })
+	moved := *s.cfg
+	moved.Discovery = addr
+	s.loop.post(func() { s.loop.moveDiscovery(&moved) })
 }
 
 // acceptAll takes connections until the listener is closed.
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -33,8 +33,9 @@
 
 const (
 	noIndex      = -1               // version of a list that was never seen
-	watchWait    = 20 * time.Second // how long discovery may hold a watch open
-	watchSlack   = 2 * time.Second  // how much longer an answer may take
+	askedWait    = 20 * time.Second // how long discovery may hold a watch open where calls are scarce
+	pushedWait   = 2 * time.Second  // ... where they cost nothing: what a silent one misses counts as told 6 s later
+	watchSlack   = time.Second      // how much longer an answer may take: what is missed counts as told 2 s after the wait
 	mostListSize = 8 << 20          // bytes of an answer at most,
 	listPart     = 16               // ... and of the memory, as one over this: reading it takes several times its size
 	mostHeader   = 64 << 10         // ... of its header
@@ -98,13 +99,17 @@
 // discovery calls the discovery service. One watch runs at a time.
 type discovery struct {
 	url    string
-	most   int64 // bytes of an answer
+	most   int64         // bytes of an answer
+	wait   time.Duration // of a watch
 	client *http.Client
 }
 
-func newDiscovery(addr string, memoryMB int64) *discovery {
-	return &discovery{url: "http://" + addr + "/discovery/hosts", most: min(mostListSize, memoryMB<<20/listPart), client: &http.Client{
-		Timeout: watchWait + watchSlack,
+func newDiscovery(cfg *Config) *discovery {
+	wait := pushedWait
+	if cfg.Settings.MustWatch {
+		wait = askedWait
+	}
+	return &discovery{url: "http://" + cfg.Discovery + "/discovery/hosts", most: min(mostListSize, cfg.Limits.MemoryMB<<20/listPart), wait: wait, client: &http.Client{
 		Transport: &http.Transport{
 			MaxConnsPerHost:        1, // it counts against the router's descriptors
 			MaxIdleConnsPerHost:    1,
@@ -132,10 +137,13 @@
 }
 
 func (d *discovery) call(ctx context.Context, after int64) (hostList, error) {
-	url := d.url
+	url, most := d.url, pushedWait+watchSlack // a call that may not wait
 	if after != noIndex {
-		url = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, after, watchWait.Milliseconds())
+		url, most = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, after, d.wait.Milliseconds()), d.wait+watchSlack
 	}
+	// The danger: a watch that falls silent, before its answer or within, is heard of no more.
+	ctx, end := context.WithTimeout(ctx, most)
+	defer end()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return hostList{}, err
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"starlingwinch/decide"
 )
@@ -100,7 +104,7 @@
 		told := make(chan hostList, 1)
 		failed := make(chan error, 1)
 		go func() {
-			failed <- newDiscovery(addr, defaultMemoryMB).watch(context.Background(), 5, func(h hostList) { told <- h })
+			failed <- newDiscovery(testConfig(t, addr, nil)).watch(context.Background(), 5, func(h hostList) { told <- h })
 		}()
 		receive(t, calls, "call").reply <- body
 		select {
@@ -147,28 +151,32 @@
 	}
 }
 
-// TestMovedDiscovery: the watch goes on at the new address from the version known, and what the
-// old one still has to say is not taken.
+// TestMovedDiscovery: the watch goes on at the new address, from the version known where lists have to be asked
+// for and with the whole list where they cost nothing, and what the old one still has to say is not taken.
 func TestMovedDiscovery(t *testing.T) {
-	cache := newFakeCache(t)
-	old, oldCalls := newFakeDiscovery(t)
-	moved, calls := newFakeDiscovery(t)
-	r := start(t, testConfig(t, old, nil, host("c1", cache.addr(), "in_service")))
-	last := receive(t, oldCalls, "call")
-	r.srv.MoveDiscovery(moved)
-	first := receive(t, calls, "call at the new address")
-	if !strings.Contains(first.query, "after=1&") {
-		t.Errorf("call %s", first.query)
-	}
-	last.reply <- hosts(5, true)
-	first.reply <- hosts(2, false, host("c2", "127.0.0.1:1", "terminating"))
-	if c := receive(t, calls, "next call"); !strings.Contains(c.query, "after=2&") {
-		t.Errorf("call %s", c.query)
+	for mode, want := range map[string]string{"subscribe": "/discovery/hosts?after=1&wait_ms=20000", "automatic": "/discovery/hosts"} {
+		cache := newFakeCache(t)
+		old, oldCalls := newFakeDiscovery(t)
+		moved, calls := newFakeDiscovery(t)
+		r := start(t, testConfig(t, old, func(in map[string]any) { in["settings"].(map[string]any)["discovery"] = mode },
+			host("c1", cache.addr(), "in_service")))
+		last := receive(t, oldCalls, "call")
+		r.srv.MoveDiscovery("127.0.0.1:1")
+		r.srv.MoveDiscovery(moved) // a second signal before the first has led anywhere
+		first := receive(t, calls, "call at the new address")
+		if first.query != want {
+			t.Errorf("%s: call %s, want %s", mode, first.query, want)
+		}
+		last.reply <- hosts(5, true)
+		first.reply <- hosts(2, mode == "automatic", host("c1", cache.addr(), "in_service"), host("c2", "127.0.0.1:1", "terminating"))
+		if c := receive(t, calls, "next call"); !strings.Contains(c.query, "after=2&") {
+			t.Errorf("%s: call %s", mode, c.query)
+		}
+		c := dial(t, r.addr)
+		c.send(get("r1"))
+		receive(t, cache.commands, "command").reply(t, served)
+		c.want("value")
 	}
-	c := dial(t, r.addr)
-	c.send(get("r1"))
-	receive(t, cache.commands, "command").reply(t, served)
-	c.want("value")
 }
 
 func TestParseHosts(t *testing.T) {
@@ -195,8 +203,10 @@
 		}
 		addr, calls := newFakeDiscovery(t)
 		told, failed := make(chan hostList, 1), make(chan error, 1)
+		small := testConfig(t, addr, nil)
+		small.Limits.MemoryMB = 32
 		go func() {
-			failed <- newDiscovery(addr, 32).watch(context.Background(), 5, func(h hostList) { told <- h })
+			failed <- newDiscovery(small).watch(context.Background(), 5, func(h hostList) { told <- h })
 		}()
 		receive(t, calls, "call").reply <- hosts(9, true, lines...)
 		select {
@@ -236,3 +246,54 @@
 		}
 	})
 }
+
+// TestSilentWatchEnds before its answer and at any place within.
+func TestSilentWatchEnds(t *testing.T) {
+	body := hosts(9, true, host("c1", "127.0.0.1:1", "in_service"))
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	for _, sent := range []int{0, 12, len(whole) - len(body), len(whole) - 1} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		go func() {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer nc.Close()
+			io.WriteString(nc, whole[:sent])
+			io.Copy(io.Discard, nc)
+		}()
+		d := newDiscovery(testConfig(t, ln.Addr().String(), nil))
+		d.wait = -watchSlack + 50*time.Millisecond
+		failed := make(chan error, 1)
+		go func() {
+			_, err := d.call(context.Background(), 5)
+			failed <- err
+		}()
+		if err := receive(t, failed, "end of the silent watch"); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("%d bytes: %v", sent, err)
+		}
+	}
+}
+
+// TestSilentWatchIsOpenedAnewInTime: what it misses counts as told 6 s after it fell silent, or 2 s after the
+// wait that it asked for; by then another watch has to be open, behind the longest pause after one failure.
+func TestSilentWatchIsOpenedAnewInTime(t *testing.T) {
+	for _, mode := range []string{"automatic", "subscribe"} {
+		cfg := testConfig(t, "127.0.0.1:1", func(in map[string]any) { in["settings"].(map[string]any)["discovery"] = mode })
+		d := newDiscovery(cfg)
+		pause := time.Duration(watchPause) * time.Microsecond
+		told := max(6*time.Second, d.wait+2*time.Second)
+		if mode == "automatic" {
+			told = 6 * time.Second
+		} else {
+			pause = 500 * time.Millisecond // the module's, with lists asked for every 10 s
+		}
+		if again := d.wait + watchSlack + pause; again >= told {
+			t.Errorf("%s: the next watch is open %v after one that falls silent at once, and is told by %v", mode, again, told)
+		}
+	}
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -30,6 +30,7 @@
 	lastID    int64
 	open      int // requests that still want their final answer
 	upstreams map[string]*upstream
+	rest      decide.Time // of a connection to a cache, after an answer
 	conns     int         // to all upstreams, those coming up included
 	starved   bool        // an attempt waits for a descriptor
 	longest   decide.Time // patience of any client
@@ -78,8 +79,8 @@
 	for _, c := range cfg.Settings.Classes {
 		longest = max(longest, c.Limit)
 	}
-	return &loop{cfg: cfg, longest: longest, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
-		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery, cfg.Limits.MemoryMB), index: cfg.Known.index}, nil
+	return &loop{cfg: cfg, longest: longest, rest: restTime, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
+		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg), index: cfg.Known.index}, nil
 }
 
 // clock is Unix time in microseconds. It runs on the monotonic clock from the
@@ -358,14 +359,18 @@
 	return decide.Time(wait * (0.5 + rand.Float64()/2))
 }
 
-// moveDiscovery goes on with discovery at another address, from the version that is known.
-func (l *loop) moveDiscovery(addr string) {
-	l.log("discovery moves to " + addr)
+// moveDiscovery goes on with discovery at another address. Where the list comes by itself and costs nothing, all
+// of it is asked for: versions there may be others.
+func (l *loop) moveDiscovery(cfg *Config) {
+	l.log("discovery moves to " + cfg.Discovery)
 	if l.watching {
 		l.endWatch()
 	}
 	l.discovery.client.CloseIdleConnections()
-	l.discovery, l.watching, l.failed = newDiscovery(addr, l.cfg.Limits.MemoryMB), false, 0
+	l.discovery, l.watching, l.failed = newDiscovery(cfg), false, 0
+	if !l.cfg.Settings.MustWatch {
+		l.index = noIndex
+	}
 	l.watch()
 }
 
