Ask for the whole list when changes do not follow the known version

A discovery that has begun anew, or one reached after SIGHUP with versions of its own, answers a watch with changes up to a lower version. parse succeeded, call() said 'changes up to version 4 do not follow version 9', and loop.watch repeated the same call with the same version for ever; likewise where discovery answers 4xx as it knows of no such version. Such an answer now says errOutOfStep, and the next call is for the whole list. The log names the cause: 'discovery: out of step: changes up to version 4 do not follow version 9'.

Seen to fail with the mend taken out (the test's patience cut to 4 s).

--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -96,6 +96,9 @@
 	return h, nil
 }
 
+// errOutOfStep says that changes can't be had: the whole list has to be asked for.
+var errOutOfStep = errors.New("out of step")
+
 // discovery calls the discovery service. One watch runs at a time.
 type discovery struct {
 	url    string
@@ -154,7 +157,11 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return hostList{}, fmt.Errorf("discovery answered %s", resp.Status)
+		err = fmt.Errorf("discovery answered %s", resp.Status)
+		if after != noIndex && resp.StatusCode/100 == 4 {
+			err = fmt.Errorf("%w: %w", errOutOfStep, err) // it may know of no such version
+		}
+		return hostList{}, err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, d.most+1))
 	if err != nil {
@@ -165,7 +172,7 @@
 	}
 	h, err := parseHosts(body)
 	if err == nil && !h.full && (after == noIndex || h.index < after) {
-		err = fmt.Errorf("changes up to version %d do not follow version %d", h.index, after)
+		err = fmt.Errorf("%w: changes up to version %d do not follow version %d", errOutOfStep, h.index, after)
 	}
 	return h, err
 }
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -247,6 +247,50 @@
 	})
 }
 
+// TestOutOfStepListIsAskedForWhole: changes that do not follow what is known, a version that went back and one
+// that discovery has never heard of lead to a call for all of it, not to the same call for ever.
+func TestOutOfStepListIsAskedForWhole(t *testing.T) {
+	for _, mode := range []string{"automatic", "subscribe"} {
+		addr, calls := newFakeDiscovery(t)
+		cache := newFakeCache(t)
+		r := start(t, testConfig(t, addr, func(in map[string]any) {
+			settings := in["settings"].(map[string]any)
+			settings["discovery"] = mode
+			settings["rules"].(map[string]any)["askEvery"] = 1_000_000
+		}))
+		receive(t, calls, "call").reply <- hosts(9, false)
+		if c := receive(t, calls, "call"); !strings.Contains(c.query, "after=9&") {
+			t.Errorf("%s: call %s", mode, c.query)
+		} else {
+			c.reply <- hosts(4, false) // it has begun anew
+		}
+		whole := receive(t, calls, "call for all")
+		if whole.query != "/discovery/hosts" {
+			t.Errorf("%s: call %s", mode, whole.query)
+		}
+		whole.reply <- hosts(5, true, host("c1", cache.addr(), "in_service"))
+		if c := receive(t, calls, "call"); !strings.Contains(c.query, "after=5&") {
+			t.Errorf("%s: call %s", mode, c.query)
+		}
+		c := dial(t, r.addr)
+		c.send(get("r1"))
+		receive(t, cache.commands, "command").reply(t, served)
+		c.want("value")
+	}
+}
+
+// TestUnknownVersionIsOutOfStep, and an overbooked discovery is not.
+func TestUnknownVersionIsOutOfStep(t *testing.T) {
+	for status, want := range map[int]bool{http.StatusGone: true, http.StatusBadRequest: true, http.StatusServiceUnavailable: false} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		defer srv.Close()
+		_, err := newDiscovery(testConfig(t, srv.Listener.Addr().String(), nil)).call(context.Background(), 5)
+		if got := errors.Is(err, errOutOfStep); err == nil || got != want {
+			t.Errorf("%d: %v", status, err)
+		}
+	}
+}
+
 // TestSilentWatchEnds before its answer and at any place within.
 func TestSilentWatchEnds(t *testing.T) {
 	body := hosts(9, true, host("c1", "127.0.0.1:1", "in_service"))
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"log"
 	"math/rand/v2"
 	"sync/atomic"
@@ -342,6 +343,9 @@
 		current(func() {
 			l.watching = false
 			l.log("discovery: " + err.Error())
+			if errors.Is(err, errOutOfStep) {
+				l.index = noIndex // the danger: the same call is answered in the same way for ever
+			}
 			if l.cfg.Settings.MustWatch {
 				l.backlog = append(l.backlog, &decide.List{Kind: decide.ListFailed})
 			} else {
