Read on from a client until its connection has ended

client.read returned once its connection was retired (drain, want of descriptors), after QUIT and after a protocol error, and stood still while the queue of 512 answers was full.

Now a retired connection is read until it is between requests, a command that has begun keeps its time of 2.2 s (100 ms only where the connection has to make room), the reader goes on and throws away what comes behind QUIT or an error, looks with poll for a client that hung up while the queue is full, and the connection is half-closed and read until the client closes it too, for 1 s at most. golang.org/x/sys/unix comes in for POLLRDHUP, which the standard library does not name.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+	"golang.org/x/sys/unix"
 
 	"starlingwinch/decide"
 )
@@ -32,8 +33,13 @@
 	acceptPause  = 10 * time.Millisecond   // before another try where no descriptor was free
 	lastArrivals = 500 * time.Millisecond  // new connections may still come so long after SIGTERM
 	commandWait  = 2200 * time.Millisecond // for a connection's first command, and for the rest of any that has begun
-	commandGrace = 100 * time.Millisecond  // for the rest of a command that has begun when its connection is to close
+	commandGrace = 100 * time.Millisecond  // for the rest of a command that has begun where its connection has to make room
+	firstWait    = 100 * time.Millisecond  // for a connection's first command where room is wanted: it is under way
+	leftLook     = 100 * time.Millisecond  // between looks whether a client has left whose bytes are not read
+	lastLook     = 20 * time.Millisecond   // for a connection that queues as the router ends
 	drainSlack   = 650 * time.Millisecond  // beyond the longest deadline, for the drain after SIGTERM: SIGKILL may follow 50 ms later
+	drainLongest = 3 * time.Second         // ... which counts as no longer than this until SIGKILL
+	drainAnswers = 100 * time.Millisecond  // before that, when the last answers are given
 	metaArg      = 3                       // place of the names and values in a command
 )
 
@@ -208,7 +214,8 @@
 			time.Sleep(s.acceptPause)
 			continue
 		}
-		c := &client{srv: s, nc: nc.(*net.TCPConn), open: map[int64]*request{}, queue: make(chan *slot, pipelined)}
+		c := &client{srv: s, nc: nc.(*net.TCPConn), open: map[int64]*request{}, queue: make(chan *slot, pipelined),
+			readEnded: make(chan struct{})}
 		c.lastUsed.Store(s.loop.clock())
 		s.mu.Lock()
 		s.clients[c] = struct{}{}
@@ -225,6 +232,7 @@
 func (s *Server) room() bool {
 	for !s.sockets.takeClient() {
 		if c := s.longestIdle(); c != nil {
+			c.hurried.Store(true)
 			c.retire()
 		}
 		select {
@@ -266,14 +274,20 @@
 	open     map[int64]*request // requests without a final answer; the loop's
 	queue    chan *slot         // answers due, in the order of the commands
 	retired  atomic.Bool        // to be closed between requests
+	hurried  atomic.Bool        // ... to make room, so that it can't wait for half a command
 	due      atomic.Int64       // commands whose answer is not written
+	used     atomic.Bool        // a command has come
 	lastUsed atomic.Int64       // when the last answer was written
+
+	lingering atomic.Bool   // all answers are written, and the client is to read the last one
+	readEnded chan struct{} // closed when nothing more is read
 }
 
 // retire has the connection closed as soon as it is between requests.
 func (c *client) retire() {
-	c.retired.Store(true)
-	c.nc.SetReadDeadline(time.Now())
+	if !c.retired.Swap(true) {
+		c.nc.SetReadDeadline(time.Now())
+	}
 }
 
 // slot is the place of an answer in its connection's order.
@@ -294,28 +308,36 @@
 	s.wire <- b
 }
 
-// read takes commands until the connection ends.
+// read takes commands until the connection ends or takes no more, and then reads on.
 func (c *client) read() {
 	defer c.srv.wg.Done()
-	defer close(c.queue)
+	defer close(c.readEnded)
+	reads := c.commands()
+	close(c.queue)
+	if reads {
+		c.discard()
+	} else {
+		c.srv.loop.post(func() { c.srv.loop.depart(c) })
+	}
+}
+
+// commands takes commands. It reports whether the client may still be there when no more are taken.
+func (c *client) commands() bool {
 	var buf []byte
-	extended := false
 	// The danger: a peer that says nothing, or half a command, holds a descriptor for ever.
-	timed := true // a command is due: the connection's first, or the rest of one that has begun
-	c.expect(c.srv.commandWait)
-	for {
+	until := time.Now().Add(c.srv.commandWait) // when the first command is due, or the rest of any that has begun
+	for cut := false; ; {
 		complete, args, used, err := nextCommand(buf)
 		if err != nil {
-			c.say(redcon.AppendError(nil, "ERR Protocol error: "+err.Error()))
-			return
+			return c.say(redcon.AppendError(nil, "ERR Protocol error: "+err.Error()))
 		}
 		if complete {
-			if !c.command(args, buf[:used]) {
-				return
+			if goesOn, there := c.command(args, buf[:used]); !goesOn {
+				return there
 			}
-			if timed && len(args) > 0 {
-				timed = false
-				c.expect(0)
+			if len(args) > 0 {
+				c.used.Store(true)
+				until, cut = time.Time{}, false
 			}
 			if rest := buf[used:]; cap(buf) > keptBuffer && len(rest) <= keptBuffer {
 				buf = bytes.Clone(rest) // many clients with a large command once must not keep its room
@@ -325,49 +347,63 @@
 			continue
 		}
 		if len(buf) >= mostCommand {
-			c.say([]byte("-ERR Protocol error: too big a command\r\n"))
-			return
+			return c.say([]byte("-ERR Protocol error: too big a command\r\n"))
 		}
 		if len(buf) == cap(buf) {
 			buf = append(make([]byte, 0, max(1024, 2*cap(buf))), buf...)
 		}
-		if !timed && len(buf) > 0 && !extended {
-			timed = true
-			c.expect(c.srv.commandWait)
+		if until.IsZero() && len(buf) > 0 {
+			until = time.Now().Add(c.srv.commandWait)
 		}
-		n, err := c.nc.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.retired.Load() {
-			if extended || len(buf) == 0 && !c.unread() {
-				return
-			}
-			extended = true // it has begun a command
-			c.nc.SetReadDeadline(time.Now().Add(commandGrace))
-			continue
+		if grace := time.Now().Add(commandGrace); len(buf) > 0 && !cut && c.hurried.Load() && grace.Before(until) {
+			until, cut = grace, true
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			if len(buf) > 0 {
-				c.say([]byte("-ERR Protocol error: the command did not come whole in time\r\n"))
-			}
-			return
+		if !c.await(len(buf) > 0, until) {
+			return true
 		}
-		if err != nil {
-			c.srv.loop.post(func() { c.srv.loop.depart(c) })
-			return
+		n, err := c.nc.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case err == nil:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return false
+		case until.IsZero() || time.Now().Before(until): // called back to see whether the connection is to be closed
+		case len(buf) > 0:
+			return c.say([]byte("-ERR Protocol error: the command did not come whole in time\r\n"))
+		default:
+			return true
 		}
 	}
 }
 
-// expect gives a command so long to come whole; 0 lifts the limit. A connection that is to be
-// closed between requests keeps its own.
-func (c *client) expect(wait time.Duration) {
-	var until time.Time
-	if wait > 0 {
-		until = time.Now().Add(wait)
-	}
+// await has the next read end at the given time, if there is one. It reports false where the connection is
+// to be closed and is between requests. The danger: one with work in hand is read on, as a command behind it
+// counts as taken.
+func (c *client) await(begun bool, until time.Time) bool {
 	c.nc.SetReadDeadline(until)
-	if c.retired.Load() {
-		c.nc.SetReadDeadline(time.Now())
+	return !c.retired.Load() || begun || c.due.Load() > 0 || c.unread()
+}
+
+// discard reads what nobody takes any more, for as long as answers are due and the client may read them. The
+// danger: a client that leaves meanwhile goes unnoticed, and its requests are sent on.
+func (c *client) discard() {
+	buf := make([]byte, 4096)
+	for total := 0; total < 4*mostCommand; {
+		n, err := c.nc.Read(buf)
+		total += n
+		switch {
+		case err == nil:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			c.srv.loop.post(func() { c.srv.loop.depart(c) })
+			return
+		case c.lingering.Load():
+			return
+		default: // of a command, or of a connection that was to be closed
+			c.nc.SetReadDeadline(time.Time{})
+			if c.lingering.Load() {
+				c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+			}
+		}
 	}
 }
 
@@ -384,18 +420,61 @@
 	return n > 0
 }
 
-// say queues an answer of the router's own.
-func (c *client) say(answer []byte) {
+// hungUp reports whether the client has closed its side or reset the connection, also behind bytes that are
+// not read yet.
+func (c *client) hungUp() bool {
+	if c.nc == nil {
+		return false
+	}
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		gone = err == nil && n > 0 && p[0].Revents&unix.POLLRDHUP != 0
+	})
+	return gone || err != nil
+}
+
+// enqueue gives an answer its place. It reports false where the client has left. The danger: while its many
+// commands wait for their answers nobody reads on to where it left.
+func (c *client) enqueue(s *slot) bool {
+	c.due.Add(1)
+	for {
+		select {
+		case c.queue <- s:
+			return true
+		default:
+		}
+		select {
+		case c.queue <- s:
+			return true
+		case <-time.After(leftLook):
+			if c.hungUp() {
+				return false
+			}
+		}
+	}
+}
+
+// say queues an answer of the router's own. It reports whether the client is still there.
+func (c *client) say(answer []byte) bool {
 	s := newSlot(c.srv.memory)
 	s.answer(answer)
-	c.due.Add(1)
-	c.queue <- s
+	return c.enqueue(s)
 }
 
-// command carries out one command. It reports whether the connection goes on.
-func (c *client) command(args [][]byte, raw []byte) bool {
+// command carries out one command. It reports whether the connection goes on, and whether the client is there.
+func (c *client) command(args [][]byte, raw []byte) (goesOn, there bool) {
+	said := func(answer []byte) (goesOn, there bool) {
+		there = c.say(answer)
+		return there, there
+	}
 	if len(args) == 0 {
-		return true
+		return true, true
 	}
 	read := c.srv.loop.clock()
 	verb := strings.ToUpper(string(args[0][:min(len(args[0]), 32)]))
@@ -403,44 +482,40 @@
 	case "PING":
 		switch {
 		case !c.srv.loop.serving.Load():
-			c.say([]byte("-LOADING no caches are known yet\r\n"))
+			return said([]byte("-LOADING no caches are known yet\r\n"))
 		case len(args) > 1:
-			c.say(redcon.AppendBulk(nil, args[1]))
-		default:
-			c.say([]byte("+PONG\r\n"))
+			return said(redcon.AppendBulk(nil, args[1]))
 		}
-		return true
+		return said([]byte("+PONG\r\n"))
 	case "QUIT":
-		c.say([]byte("+OK\r\n"))
-		return false
+		return false, c.say([]byte("+OK\r\n"))
 	case "C.GET", "C.SET":
 	default:
-		c.say([]byte("-ERR unknown command\r\n"))
-		return true
+		return said([]byte("-ERR unknown command\r\n"))
 	}
 	// The command outlives the buffer.
 	_, args, _, err := nextCommand(bytes.Clone(raw))
 	if err != nil {
-		return false
+		return false, true
 	}
 	cmd, err := parseCommand(args, len(raw))
 	if err == nil {
 		err = c.srv.proper(raw, cmd)
 	}
 	if err != nil {
-		c.say(redcon.AppendError(nil, "ERR "+err.Error()))
-		return true
+		return said(redcon.AppendError(nil, "ERR "+err.Error()))
 	}
 	s := newSlot(c.srv.memory)
 	if !s.memory.take(int64(len(raw))) {
-		c.say([]byte(busyReply))
-		return true
+		return said([]byte(busyReply))
 	}
 	s.charge = int64(len(raw))
-	c.due.Add(1)
-	c.queue <- s
+	if !c.enqueue(s) {
+		s.memory.give(s.charge)
+		return false, false
+	}
 	c.srv.loop.post(func() { c.srv.loop.accept(c, s, cmd, read) })
-	return true
+	return true, true
 }
 
 // proper reports what is wrong with a command that can be read, but that no client sends. The
@@ -484,7 +559,9 @@
 		}
 		s.memory.give(s.charge + int64(len(b)))
 		c.lastUsed.Store(c.srv.loop.clock())
-		c.due.Add(-1)
+		if c.due.Add(-1) == 0 && c.retired.Load() {
+			c.nc.SetReadDeadline(time.Now())
+		}
 	}
 	if !gone {
 		c.linger()
@@ -496,21 +573,15 @@
 	c.srv.sockets.giveClient()
 }
 
-// linger lets the client read the last answer. The danger: closing while bytes of an
-// oversized command still come resets the connection, and the answer is lost with it.
+// linger lets the client read the last answer. The danger: closing while bytes still come, of an oversized
+// command or of a request that crosses the close, resets the connection, and the answer is lost with it.
 func (c *client) linger() {
-	if !c.unread() || c.nc.CloseWrite() != nil {
+	if c.srv.loop.clock()-c.lastUsed.Load() > lingerTime.Microseconds() && !c.unread() || c.nc.CloseWrite() != nil {
 		return
 	}
+	c.lingering.Store(true)
 	c.nc.SetReadDeadline(time.Now().Add(lingerTime))
-	buf := make([]byte, 4096)
-	for total := 0; total < 4*mostCommand; {
-		n, err := c.nc.Read(buf)
-		if err != nil {
-			return
-		}
-		total += n
-	}
+	<-c.readEnded
 }
 
 // nextCommand takes one command off b. The danger: the codec panics on lengths out of range.
--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -1,11 +1,188 @@
 package router
 
 import (
+	"errors"
+	"io"
+	"os"
+	"runtime"
+	"strings"
 	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"starlingwinch/decide"
 )
 
+// await yields until the condition holds.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(patience); !holds(); runtime.Gosched() {
+		if time.Now().After(until) {
+			t.Fatalf("%s: not so in time", what)
+		}
+	}
+}
+
+// silentServer is a router whose module answers nothing.
+func silentServer(t *testing.T, lines ...string) (*running, *rig) {
+	t.Helper()
+	srv, err := New(testConfig(t, silentDiscovery(t), nil, lines...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{outcomes: make(chan *decide.Outcome, 1000)}
+	srv.loop.module = s
+	return startServer(t, srv), &rig{t, srv.loop, s.outcomes}
+}
+
+// awaitOpen waits until so many requests are open.
+func (r *rig) awaitOpen(n int) {
+	r.t.Helper()
+	await(r.t, "requests that are open", func() bool {
+		open := 0
+		r.do(func() { open = r.l.open })
+		return open == n
+	})
+}
+
+// only is the one request that is open.
+func (r *rig) only() (q *request) {
+	r.t.Helper()
+	r.awaitOpen(1)
+	r.do(func() {
+		for _, q = range r.l.requests {
+		}
+	})
+	return q
+}
+
+var leaving = map[string]func(*testClient){
+	"close":      func(c *testClient) { c.nc.Close() },
+	"half-close": func(c *testClient) { c.nc.CloseWrite() },
+	"reset": func(c *testClient) {
+		c.nc.SetLinger(0)
+		c.nc.Close()
+	},
+}
+
+// TestClientThatLeavesAfterItsLastCommand is noticed, though no more commands are taken from it: nothing is
+// sent on for it.
+func TestClientThatLeavesAfterItsLastCommand(t *testing.T) {
+	for end, wire := range map[string]string{"retired": "", "QUIT": words("QUIT"), "protocol error": "*x\r\n"} {
+		for how, leave := range leaving {
+			t.Run(end+", "+how, func(t *testing.T) {
+				r, rig := silentServer(t)
+				c := dial(t, r.addr)
+				c.send(get("r1") + wire)
+				q := rig.only()
+				if end == "retired" {
+					r.srv.drain()
+				} else {
+					await(t, "answers due", func() bool { return q.client.due.Load() == 2 })
+				}
+				leave(c)
+				rig.awaitOpen(0)
+			})
+		}
+	}
+}
+
+// TestClientThatLeavesBehindAFullQueue: its commands fill the queue of answers, so that nobody reads on to where
+// it left.
+func TestClientThatLeavesBehindAFullQueue(t *testing.T) {
+	for how, leave := range leaving {
+		t.Run(how, func(t *testing.T) {
+			r, rig := silentServer(t)
+			c := dial(t, r.addr)
+			c.send(strings.Repeat(get("r"), 2*pipelined))
+			await(t, "a full queue", func() bool {
+				open := 0
+				rig.do(func() { open = rig.l.open })
+				return open > pipelined
+			})
+			leave(c)
+			rig.awaitOpen(0)
+		})
+	}
+}
+
+// wantOpen waits for longer than a connection is given that has to make room.
+func (c *testClient) wantOpen() {
+	c.t.Helper()
+	c.nc.SetReadDeadline(time.Now().Add(3 * commandGrace))
+	if b, err := c.r.ReadByte(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.t.Fatalf("got %q, %v from a connection that is to stay open", b, err)
+	}
+	c.nc.SetReadDeadline(time.Now().Add(patience))
+}
+
+// TestDrainTakesWhatComesBehindWorkInHand: the connection stays open, so the command counts as taken.
+func TestDrainTakesWhatComesBehindWorkInHand(t *testing.T) {
+	cache := newFakeCache(t)
+	r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+	c := dial(t, r.addr)
+	c.send(get("r1"))
+	first := receive(t, cache.commands, "command")
+	r.srv.drain()
+	c.wantOpen()
+	c.send(get("r2"))
+	second := receive(t, cache.commands, "command")
+	first.reply(t, served)
+	second.reply(t, served)
+	c.want("value")
+	c.want("value")
+	c.wantClosed()
+}
+
+// TestDrainWaitsForACommandThatHasBegun for as long as any may take.
+func TestDrainWaitsForACommandThatHasBegun(t *testing.T) {
+	cache := newFakeCache(t)
+	srv, err := New(testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv.commandWait = patience
+	r := startServer(t, srv)
+	c := dial(t, r.addr)
+	wire := words("PING") + get("r1")
+	c.send(wire[:len(wire)-5])
+	c.want("+PONG")
+	r.srv.drain()
+	c.wantOpen()
+	c.send(wire[len(wire)-5:])
+	receive(t, cache.commands, "command").reply(t, served)
+	c.want("value")
+	c.wantClosed()
+}
+
+// TestBytesThatCrossTheClose do not turn it into a reset, which may cost the last answer.
+func TestBytesThatCrossTheClose(t *testing.T) {
+	r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", "127.0.0.1:1", "in_service")))
+	c := dial(t, r.addr)
+	c.send(words("PING") + words("QUIT"))
+	c.want("+PONG")
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the router's end of the connection", func() bool {
+		p := []unix.PollFd{{Events: unix.POLLRDHUP}}
+		raw.Control(func(fd uintptr) {
+			p[0].Fd = int32(fd)
+			unix.Poll(p, 0)
+		})
+		return p[0].Revents != 0
+	})
+	for range 2 {
+		c.send(get("r1"))
+	}
+	c.want("+OK")
+	if _, err := c.r.ReadByte(); err != io.EOF {
+		t.Errorf("the connection ended with %v", err)
+	}
+}
+
 // TestProbeEndsWhenTheSettingsSay, not after a time that suits one site.
 func TestProbeEndsWhenTheSettingsSay(t *testing.T) {
 	cache := newFakeCache(t)
