Look for the client before a request is sent on that has waited

The news that a client left is posted by its reader and queues behind other events; an answer before it in the queue can let a held request out. Before the first byte of an attempt of a request that has waited 0.1 s or longer, the loop now asks the socket itself (poll, POLLRDHUP) and takes the departure at once. One system call for each such send.

Seen to fail with the mend taken out (the test's patience cut to 4 s).

--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -107,6 +107,41 @@
 	}
 }
 
+// TestClientThatLeftIsLookedForBeforeASend: the news that it left queues behind what has its request sent on.
+func TestClientThatLeftIsLookedForBeforeASend(t *testing.T) {
+	for how, leave := range leaving {
+		t.Run(how, func(t *testing.T) {
+			cache := newFakeCache(t)
+			r, rig := silentServer(t, host("c1", cache.addr(), "in_service"))
+			c := dial(t, r.addr)
+			c.send(get("r0"))
+			q := rig.only()
+			rig.do(func() { // a connection that stands idle takes the next at once
+				rig.l.rest = 0
+				rig.l.perform(decide.Send{ID: q.id, Cache: "c1"})
+			})
+			receive(t, cache.commands, "command").reply(t, served)
+			rig.want(decide.Served)
+			c.send(get("r1"))
+			q = rig.only()
+			rig.do(func() {
+				leave(c)
+				await(t, "the end of the connection", q.client.hungUp)
+				q.taken -= longWait
+				rig.l.perform(decide.Send{ID: q.id, Cache: "c1"})
+			})
+			rig.want(decide.NotSent)
+			other := dial(t, r.addr)
+			other.send(get("r2"))
+			next := rig.only()
+			rig.do(func() { rig.l.perform(decide.Send{ID: next.id, Cache: "c1"}) })
+			if cmd := receive(t, cache.commands, "command"); cmd.args[2] != "r2" {
+				t.Errorf("the cache was sent %q", cmd.args)
+			}
+		})
+	}
+}
+
 // wantOpen waits for longer than a connection is given that has to make room.
 func (c *testClient) wantOpen() {
 	c.t.Helper()
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -125,7 +125,11 @@
 
 // sendable is the last look before an attempt's first byte: all may have changed while it waited.
 func (u *upstream) sendable(a *attempt) bool {
-	return u.up && u.l.now < a.stopAt && (a.request == nil || !a.request.over)
+	r := a.request
+	if r != nil && !r.over && u.l.now >= r.taken+longWait && r.client.hungUp() {
+		u.l.depart(r.client) // the danger: the news of it is still to come, and what nobody waits for is sent on
+	}
+	return u.up && u.l.now < a.stopAt && (r == nil || !r.over)
 }
 
 // pump gives idle connections to waiting attempts, first come first served, and
