Spare a connection that has just come when room is made for others

With all descriptors of clients taken, room() retired the connection idle for longest before it had looked whether another one queued; where the others had work in hand that was the one accepted last, whose first command was still under way.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -137,6 +137,7 @@
 
 	commandWait time.Duration // how long a peer may take over a command
 	acceptPause time.Duration // before another try where no descriptor was free
+	firstWait   time.Duration // before a connection without a command makes room for others
 }
 
 // New makes a router and opens its listener.
@@ -144,7 +145,7 @@
 	s := &Server{cfg: cfg, sockets: newSockets(cfg.Limits.Sockets), memory: newMemory(cfg.Limits.MemoryMB),
 		clients: map[*client]struct{}{}, closing: make(chan struct{}),
 		arrivals: lastArrivals, commandWait: commandWait,
-		acceptPause: acceptPause}
+		acceptPause: acceptPause, firstWait: firstWait}
 	var err error
 	if s.loop, err = newLoop(cfg, s.sockets); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -249,8 +250,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var longest *client
+	fresh := s.loop.clock() - s.firstWait.Microseconds()
 	for c := range s.clients {
-		if c.due.Load() == 0 && !c.retired.Load() &&
+		// The danger: a connection that has just come is closed as its first request comes in.
+		if c.due.Load() == 0 && !c.retired.Load() && (c.used.Load() || c.lastUsed.Load() < fresh) &&
 			(longest == nil || c.lastUsed.Load() < longest.lastUsed.Load()) {
 			longest = c
 		}
--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -191,6 +191,28 @@
 	c.wantClosed()
 }
 
+// TestConnectionThatHasJustComeMakesNoRoom: its first command is under way, and closing it loses that.
+func TestConnectionThatHasJustComeMakesNoRoom(t *testing.T) {
+	srv, err := New(testConfig(t, silentDiscovery(t), nil, host("c1", "127.0.0.1:1", "in_service")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv.firstWait = 2 * patience
+	r := startServer(t, srv)
+	c := dial(t, r.addr)
+	await(t, "a client", func() bool {
+		srv.mu.Lock()
+		defer srv.mu.Unlock()
+		return len(srv.clients) == 1
+	})
+	if srv.longestIdle() != nil {
+		t.Error("it is closed before its first command")
+	}
+	c.send(words("PING"))
+	c.want("+PONG")
+	await(t, "an idle connection", func() bool { return srv.longestIdle() != nil })
+}
+
 // TestBytesThatCrossTheClose do not turn it into a reset, which may cost the last answer.
 func TestBytesThatCrossTheClose(t *testing.T) {
 	r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", "127.0.0.1:1", "in_service")))
