Take the connections that queue at the listener before it is closed

After SIGTERM the listener was closed at 0.5 s, and room() gave up where clients' descriptors were all taken: connections that the kernel had accepted were reset, and with them requests that count as taken. Idle clients are now retired first, and the accept loop goes on until the queue is empty for 20 ms, or the drain's limit has come.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -132,7 +132,8 @@
 	mu       sync.Mutex
 	clients  map[*client]struct{}
 	wg       sync.WaitGroup // clients' goroutines
-	closing  chan struct{}  // closed when no more connections are taken
+	closing  chan struct{}  // closed when none but the connections that queue are taken any more
+	ended    chan struct{}  // closed when no more are taken at all
 	arrivals time.Duration  // how long connections are still taken after SIGTERM
 
 	commandWait time.Duration // how long a peer may take over a command
@@ -143,7 +144,7 @@
 // New makes a router and opens its listener.
 func New(cfg *Config) (*Server, error) {
 	s := &Server{cfg: cfg, sockets: newSockets(cfg.Limits.Sockets), memory: newMemory(cfg.Limits.MemoryMB),
-		clients: map[*client]struct{}{}, closing: make(chan struct{}),
+		clients: map[*client]struct{}{}, closing: make(chan struct{}), ended: make(chan struct{}),
 		arrivals: lastArrivals, commandWait: commandWait,
 		acceptPause: acceptPause, firstWait: firstWait}
 	var err error
@@ -176,8 +177,15 @@
 	limit := time.After(time.Duration(s.loop.longest)*time.Microsecond + drainSlack)
 	time.Sleep(s.arrivals)
 	close(s.closing)
-	s.ln.Close()
-	<-failed // no client is added any more
+	s.drain() // idle clients make room for those that queue
+	s.deadline(time.Now())
+	select {
+	case <-failed:
+	case <-limit:
+		close(s.ended)
+		return nil
+	}
+	s.ln.Close() // no client is added any more
 	s.drain()
 	gone := make(chan struct{})
 	go func() {
@@ -191,24 +199,51 @@
 	return nil
 }
 
-// MoveDiscovery has the router ask at another address from now on. What it knows stays.
+// deadline calls Accept back at the given time; a listener that knows of none is closed.
+func (s *Server) deadline(t time.Time) {
+	if ln, ok := s.ln.(interface{ SetDeadline(time.Time) error }); ok {
+		ln.SetDeadline(t)
+	} else {
+		s.ln.Close()
+	}
+}
+
+func (s *Server) isClosing() bool {
+	select {
+	case <-s.closing:
+		return true
+	default:
+		return false
+	}
+}
+
+// MoveDiscovery has the router ask at the address that cfg names from now on. What it knows stays.
 func (s *Server) MoveDiscovery(addr string) {
 	moved := *s.cfg
 	moved.Discovery = addr
 	s.loop.post(func() { s.loop.moveDiscovery(&moved) })
 }
 
-// acceptAll takes connections until the listener is closed.
+// acceptAll takes connections until the router closes, and then those that queue. The danger: the kernel has
+// accepted them, and with them requests that count as taken; closing the listener resets them.
 func (s *Server) acceptAll() error {
 	for {
 		if !s.room() {
 			return net.ErrClosed
 		}
+		last := s.isClosing()
+		if last {
+			s.deadline(time.Now().Add(lastLook))
+		}
 		nc, err := s.ln.Accept()
 		if err != nil {
 			s.sockets.giveClient()
-			if errors.Is(err, net.ErrClosed) {
+			late := errors.Is(err, os.ErrDeadlineExceeded)
+			switch {
+			case errors.Is(err, net.ErrClosed), late && last:
 				return err
+			case late:
+				continue // called back as the router closes
 			}
 			// Out of descriptors, or a connection that was reset while it queued: neither may
 			// end the router. Those in the queue wait.
@@ -237,7 +272,7 @@
 			c.retire()
 		}
 		select {
-		case <-s.closing:
+		case <-s.ended:
 			return false
 		case <-s.sockets.freed: // the danger: polling alone lets in a few a second, and a crowd queues
 		case <-time.After(s.acceptPause): // by now another may be idle
--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -191,6 +191,53 @@
 	c.wantClosed()
 }
 
+// TestDrainTakesConnectionsThatQueue for want of a descriptor: the kernel has accepted them, and their requests.
+func TestDrainTakesConnectionsThatQueue(t *testing.T) {
+	cache := newFakeCache(t)
+	srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
+		in["limits"].(map[string]any)["sockets"] = leastSockets
+	}, host("c1", cache.addr(), "in_service")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv.arrivals = 0
+	srv.acceptPause = time.Millisecond
+	r := startServer(t, srv)
+	var clients []*testClient
+	var busy []fakeCommand
+	for i := range 2 * int(srv.sockets.mostClients) {
+		c := dial(t, r.addr)
+		c.send(get("r"))
+		clients = append(clients, c)
+		if i < int(srv.sockets.mostClients) && i < srv.sockets.mostUpstreams {
+			busy = append(busy, receive(t, cache.commands, "command"))
+		}
+	}
+	r.stop()
+	await(t, "the drain", srv.isClosing)
+	over := make(chan struct{})
+	defer close(over)
+	for _, cmd := range busy {
+		cmd.reply(t, served)
+	}
+	go func() {
+		for {
+			select {
+			case cmd := <-cache.commands:
+				io.WriteString(cmd.conn, served)
+			case <-over:
+				return
+			}
+		}
+	}()
+	for _, c := range clients {
+		c.want("value")
+	}
+	if err := receive(t, r.ended, "end of the router"); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestConnectionThatHasJustComeMakesNoRoom: its first command is under way, and closing it loses that.
 func TestConnectionThatHasJustComeMakesNoRoom(t *testing.T) {
 	srv, err := New(testConfig(t, silentDiscovery(t), nil, host("c1", "127.0.0.1:1", "in_service")))
