Answer what comes during the drain before SIGKILL can find it

Now that a busy connection is read on, a request that comes late in the drain could be open then, and is lost. Requests that come after the first 0.5 s of the drain get their final answer 0.1 s before the drain's end at the latest.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -175,7 +175,9 @@
 	}
 	log.Print("draining")
 	limit := time.After(time.Duration(s.loop.longest)*time.Microsecond + drainSlack)
+	begun := s.loop.clock()
 	time.Sleep(s.arrivals)
+	s.loop.post(func() { s.loop.drain(begun) })
 	close(s.closing)
 	s.drain() // idle clients make room for those that queue
 	s.deadline(time.Now())
--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -260,6 +260,20 @@
 	await(t, "an idle connection", func() bool { return srv.longestIdle() != nil })
 }
 
+// TestRequestsOfTheDrainAreAnsweredBeforeItsEnd, however long their clients would wait.
+func TestRequestsOfTheDrainAreAnsweredBeforeItsEnd(t *testing.T) {
+	r := newRig(t, "127.0.0.1:1", nil)
+	r.do(func() {
+		r.l.drain(r.l.now)
+		if most := r.l.now + (drainLongest + drainSlack).Microseconds(); r.l.ending >= most {
+			t.Errorf("the last answers come %d us after SIGTERM, and SIGKILL after %d", r.l.ending-r.l.now, most-r.l.now)
+		}
+	})
+	if q := r.request(nil); q.deadline != r.l.ending {
+		t.Errorf("deadline %d, want %d", q.deadline, r.l.ending)
+	}
+}
+
 // TestBytesThatCrossTheClose do not turn it into a reset, which may cost the last answer.
 func TestBytesThatCrossTheClose(t *testing.T) {
 	r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", "127.0.0.1:1", "in_service")))
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -35,6 +35,7 @@
 	conns     int         // to all upstreams, those coming up included
 	starved   bool        // an attempt waits for a descriptor
 	longest   decide.Time // patience of any client
+	ending    decide.Time // when the last answers are given, once the router is to end
 	discovery *discovery
 	index     int64 // version of the list
 	watching  bool
@@ -215,6 +216,9 @@
 		// The danger: timers last as long as the client claims to wait, and hold the request.
 		cmd.wait = min(cmd.wait, l.longest)
 	}
+	if l.ending > 0 {
+		cmd.wait = max(0, min(cmd.wait, l.ending-read)) // what SIGKILL would find unanswered is lost
+	}
 	l.lastID++
 	r := &request{id: l.lastID, cmd: cmd, taken: read, deadline: read + cmd.wait, client: c, slot: s}
 	l.requests[r.id] = r
@@ -224,6 +228,12 @@
 		HasKey: true, Deadline: r.deadline, Cost: cmd.cost, Write: cmd.write})
 }
 
+// drain notes that the router is to end, as it was told at the given time.
+func (l *loop) drain(told decide.Time) {
+	longest := min(l.longest, drainLongest.Microseconds())
+	l.ending = told + longest + (drainSlack - drainAnswers).Microseconds()
+}
+
 // depart notes that a client has closed its connection.
 func (l *loop) depart(c *client) {
 	for _, r := range c.open {
