Use no connection to a cache's old address or to the process before its restart

upstream.update closed idle connections when the address changed, but a dial under way to the old address still counted as one to come: what waited got no other until that dial had failed (250 ms), and was then told as no connection. Such dials are now given up, and new ones begun. After a restart (since_ms) idle connections to the process before were kept; where the machine had vanished nothing says that they are dead, and a request written to one ends as a reset that may have run. They are closed now; one that came up after the stated start is kept, and a start in the future counts as now.

Held before, shown by forced tests and a deliberate break: a connection that ends makes room for what waits; one that comes up after its cache drained, moved or restarted, or after it was closed, carries nothing and gives its descriptor back once.

--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -301,6 +301,115 @@
 	}
 }
 
+// TestEndedConnectionMakesRoom for what waits, at once.
+func TestEndedConnectionMakesRoom(t *testing.T) {
+	for name, end := range map[string]func(*rig, *request, fakeCommand){
+		"given up":    func(r *rig, q *request, _ fakeCommand) { r.l.perform(decide.Cancel{ID: q.id, Attempt: 0}) },
+		"out of step": func(r *rig, _ *request, cmd fakeCommand) { io.WriteString(cmd.conn, served+"trailing") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cache := newFakeCache(t)
+			r := newRig(t, cache.addr(), func(c *Config) { c.Settings.Routers = 1000 })
+			var qs []*request
+			var cmd fakeCommand
+			for range leastConns {
+				qs = append(qs, r.request(nil))
+				r.send(qs[len(qs)-1], long)
+				cmd = receive(t, cache.commands, "command")
+			}
+			r.send(r.request(nil), long)
+			r.do(func() { end(r, qs[len(qs)-1], cmd) })
+			receive(t, r.outcomes, "outcome")
+			receive(t, cache.commands, "command of what waited").reply(t, served)
+			r.want(decide.Served)
+		})
+	}
+}
+
+// TestCacheThatMovesDuringADial: what waits gets a connection to the new address, and each descriptor is
+// counted once.
+func TestCacheThatMovesDuringADial(t *testing.T) {
+	moved := newFakeCache(t)
+	r := newRig(t, unreachable(t), nil)
+	r.send(r.request(nil), long)
+	r.do(func() {
+		h, err := parseHosts([]byte(hosts(2, false, host("c1", moved.addr(), "in_service"))))
+		if err != nil {
+			t.Error(err)
+		}
+		r.l.learn(h, h.kind())
+	})
+	receive(t, moved.commands, "command").reply(t, served)
+	r.want(decide.Served)
+	r.do(func() {
+		if u := r.l.upstreams["c1"]; r.l.conns != 1 || u.dialing != 0 || len(u.conns) != 1 {
+			t.Errorf("%d descriptors, %d dials, %d connections", r.l.conns, u.dialing, len(u.conns))
+		}
+	})
+}
+
+// TestConnectionThatComesUpTooLate, when its attempt has ended, its cache drains or has moved, or the router
+// has closed it: it carries nothing, and its descriptor is given back once.
+func TestConnectionThatComesUpTooLate(t *testing.T) {
+	for name, change := range map[string]func(*rig, *upstream, *conn){
+		"drained": func(_ *rig, u *upstream, _ *conn) { u.update(u.addr, 0, false) },
+		"moved":   func(_ *rig, u *upstream, _ *conn) { u.update("127.0.0.1:1", 0, true) },
+		"restarted": func(r *rig, u *upstream, _ *conn) {
+			u.l.now++
+			u.update(u.addr, u.l.now, true)
+			u.l.now--
+		},
+		"closed": func(_ *rig, _ *upstream, c *conn) { c.close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cache := newFakeCache(t)
+			r := newRig(t, cache.addr(), nil)
+			r.do(func() {
+				u := r.l.upstreams["c1"]
+				if !r.l.descriptor() {
+					t.Error("no descriptor")
+				}
+				c := &conn{upstream: u, addr: u.addr}
+				u.conns[c] = struct{}{}
+				u.dialing++
+				nc, raw, err := dialTCP(u.addr, patience)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				change(r, u, c)
+				u.dialed(c, nc, raw, nil)
+				if r.l.conns != 0 || u.dialing != 0 || len(u.conns) != 0 || len(u.idle) != 0 {
+					t.Errorf("%d descriptors, %d dials, %d connections, %d idle", r.l.conns, u.dialing, len(u.conns), len(u.idle))
+				}
+			})
+			receive(t, cache.ended, "end of the connection")
+		})
+	}
+}
+
+// TestConnectionsToTheProcessBefore a restart are not used.
+func TestConnectionsToTheProcessBefore(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.addr(), nil)
+	r.send(r.request(nil), long)
+	receive(t, cache.commands, "command").reply(t, served)
+	r.want(decide.Served)
+	r.do(func() { r.l.upstreams["c1"].update(cache.addr(), r.l.now, true) })
+	receive(t, cache.ended, "end of the idle connection")
+	r.send(r.request(nil), long)
+	receive(t, cache.commands, "command").reply(t, served)
+	r.want(decide.Served)
+	r.do(func() { // a start that the list dates in the future shuts no connection out
+		u := r.l.upstreams["c1"]
+		u.update(cache.addr(), r.l.now+1_000_000_000, true)
+		c := &conn{upstream: u, addr: u.addr, since: r.l.now}
+		if !c.usable() {
+			t.Error("a connection that is up now is not used")
+		}
+	})
+}
+
 // TestProbeEndsWhenTheSettingsSay, not after a time that suits one site.
 func TestProbeEndsWhenTheSettingsSay(t *testing.T) {
 	cache := newFakeCache(t)
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -325,11 +325,11 @@
 			u = newUpstream(l, e.ID)
 			l.upstreams[e.ID] = u
 		}
-		u.update(h.addrs[i], e.Condition == decide.Up)
+		u.update(h.addrs[i], e.Start, e.Condition == decide.Up)
 	}
 	for name, u := range l.upstreams {
 		if h.full && !seen[name] {
-			u.update(u.addr, false)
+			u.update(u.addr, u.start, false)
 		}
 	}
 	l.serving.Store(l.ready())
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -5,8 +5,10 @@
 	"errors"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,7 +33,8 @@
 	l       *loop
 	name    string
 	addr    string
-	up      bool // the list says that it may be sent new work
+	start   decide.Time // of its process, by the list
+	up      bool        // the list says that it may be sent new work
 	conns   map[*conn]struct{}
 	idle    []*conn // the one used last stands last
 	dialing int
@@ -45,10 +48,24 @@
 }
 
 // update takes over what the list says.
-func (u *upstream) update(addr string, up bool) {
+func (u *upstream) update(addr string, start decide.Time, up bool) {
 	if addr != u.addr {
 		u.addr = addr
 		u.closeIdle(u.l.now)
+		for c := range u.conns {
+			if c.nc == nil {
+				c.close() // the danger: what waits for a connection waits for one to the old address
+			}
+		}
+		u.l.at(u.l.now, u.pump)
+	}
+	if start = min(start, u.l.now); start != u.start {
+		u.start = start
+		for _, c := range slices.Clone(u.idle) {
+			if !c.usable() {
+				u.drop(c)
+			}
+		}
 	}
 	u.up = up
 	if !up {
@@ -60,6 +77,18 @@
 	}
 }
 
+// stale is since when a connection may have been idle at most. The danger: the cache closes it as the router
+// writes, and the request may have run.
+func (u *upstream) stale() decide.Time { return u.l.now - u.l.cfg.Transport.Keepalive*3/4 }
+
+// drop closes an idle connection.
+func (u *upstream) drop(c *conn) {
+	if i := slices.Index(u.idle, c); i >= 0 {
+		u.idle = slices.Delete(u.idle, i, i+1)
+	}
+	c.close()
+}
+
 // closeIdle closes the connections that have stood idle since the given time or longer.
 func (u *upstream) closeIdle(since decide.Time) {
 	kept := u.idle[:0]
@@ -153,7 +182,7 @@
 
 // free takes back a connection that is ready for the next attempt.
 func (u *upstream) free(c *conn) {
-	if !u.up || c.addr != u.addr {
+	if !u.up || !c.usable() {
 		c.close()
 		return
 	}
@@ -175,18 +204,20 @@
 
 // dialed takes a connection that is up, or the news that it could not be had.
 func (u *upstream) dialed(c *conn, nc *net.TCPConn, raw syscall.RawConn, err error) {
-	u.dialing--
 	switch {
+	case c.closed: // meanwhile
+		if nc != nil {
+			nc.Close()
+		}
 	case err != nil:
 		c.close()
 		if len(u.waiting) > 0 {
 			u.waiting[0].end(decide.NoConnection, nil)
 		}
 		u.pump()
-	case c.closed:
-		nc.Close()
 	default:
-		c.nc, c.raw = nc, raw
+		u.dialing--
+		c.nc, c.raw, c.since = nc, raw, u.l.now
 		u.free(c)
 	}
 }
@@ -233,11 +264,17 @@
 	addr      string
 	nc        *net.TCPConn // nil until it is up
 	raw       syscall.RawConn
-	attempt   *attempt // what it carries
+	since     decide.Time   // when it came up
+	attempt   *attempt      // what it carries
+	turn      atomic.Uint32 // attempts begun on it
+	early     *reply        // an answer that came before the loop learned that its request was whole
 	idleSince decide.Time
 	closed    bool
 }
 
+// usable reports whether the connection leads to the process that the list names.
+func (c *conn) usable() bool { return c.addr == c.upstream.addr && c.since >= c.upstream.start }
+
 // run dials and then reads answers, until the connection ends.
 func (c *conn) run(addr string, timeout time.Duration) {
 	u := c.upstream
@@ -281,11 +318,14 @@
 		return
 	}
 	c.closed = true
-	delete(c.upstream.conns, c)
+	u := c.upstream
+	delete(u.conns, c)
 	if c.nc != nil {
 		c.nc.Close()
+	} else {
+		u.dialing--
 	}
-	c.upstream.l.released()
+	u.l.released()
 }
 
 // write sends the attempt that has waited longest. The loop itself writes as much as the socket takes at
@@ -352,13 +392,7 @@
 // broken takes the news that the connection has ended.
 func (c *conn) broken() {
 	u := c.upstream
-	for i, w := range u.idle {
-		if w == c {
-			u.idle = append(u.idle[:i], u.idle[i+1:]...)
-			break
-		}
-	}
-	c.close()
+	u.drop(c)
 	if a := c.attempt; a != nil {
 		switch {
 		case a.state != writing:
