Keep to the idle time of cache servers, however short

Idle connections were looked for once a second, at three quarters of the stated idle time: with an idle time under 4 s one could be used when its cache had closed it or was about to, and such a request ends as a reset that may have run. One idle for longer than three quarters is now closed instead of used, and the looks come eight times in the idle time.

Seen to fail with the mend taken out (the test's patience cut to 4 s).

--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -301,6 +301,38 @@
 	}
 }
 
+// TestStaleConnectionIsNotUsed: the cache closes it at any moment, and what is written to it may have run.
+func TestStaleConnectionIsNotUsed(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.addr(), func(c *Config) { c.Transport.Keepalive = 200_000_000 })
+	r.send(r.request(nil), long)
+	first := receive(t, cache.commands, "command")
+	first.reply(t, served)
+	r.want(decide.Served)
+	q := r.request(nil)
+	r.do(func() {
+		r.l.upstreams["c1"].idle[0].idleSince -= 3 * r.l.cfg.Transport.Keepalive / 4
+		r.l.perform(decide.Send{ID: q.id, Cache: "c1"})
+	})
+	if second := receive(t, cache.commands, "command"); second.conn == first.conn {
+		t.Error("a connection was used that its cache is about to close")
+	}
+}
+
+// TestSweepsKeepToTheIdleTime that the settings state, however short.
+func TestSweepsKeepToTheIdleTime(t *testing.T) {
+	for keepalive, most := range map[decide.Time]decide.Time{200_000: 50_000, 2_000_000: 500_000, 60_000_000: sweepInterval} {
+		r := newRig(t, "127.0.0.1:1", func(c *Config) { c.Transport.Keepalive = keepalive })
+		r.do(func() {
+			r.l.timers = nil
+			r.l.sweep()
+			if wait := r.l.timers[0].at - r.l.now; wait > most {
+				t.Errorf("idle time %d: the next look comes after %d", keepalive, wait)
+			}
+		})
+	}
+}
+
 // TestEndedConnectionMakesRoom for what waits, at once.
 func TestEndedConnectionMakesRoom(t *testing.T) {
 	for name, end := range map[string]func(*rig, *request, fakeCommand){
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -134,7 +134,7 @@
 	if !l.cfg.Settings.MustWatch {
 		l.watch() // "changes come by themselves" to the module: on real sockets somebody has to call
 	}
-	l.after(sweepInterval, l.sweep)
+	l.sweep()
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
@@ -440,12 +440,12 @@
 // has been told of that by now. The danger: machines come and go, and memory grows with their names.
 func (l *loop) sweep() {
 	for name, u := range l.upstreams {
-		u.closeIdle(l.now - l.cfg.Transport.Keepalive*3/4)
+		u.closeIdle(u.stale())
 		if !u.up && len(u.conns) == 0 {
 			delete(l.upstreams, name)
 		}
 	}
-	l.after(sweepInterval, l.sweep)
+	l.after(max(1000, min(sweepInterval, l.cfg.Transport.Keepalive/sweeps)), l.sweep)
 }
 
 // Timers.
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -164,6 +164,7 @@
 // pump gives idle connections to waiting attempts, first come first served, and
 // opens more where there are too few.
 func (u *upstream) pump() {
+	u.closeIdle(u.stale())
 	for len(u.waiting) > 0 {
 		a := u.waiting[0]
 		if !u.sendable(a) {
