--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"os"
 	"runtime"
 	"strings"
@@ -333,6 +334,79 @@
 	}
 }
 
+const another = "*3\r\n$7\r\nanother\r\n$3\r\nhit\r\n$-1\r\n"
+
+// TestSecondAnswerThatComesLate is not served for the next request on its connection.
+func TestSecondAnswerThatComesLate(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.addr(), nil)
+	r.do(func() { r.l.rest = patience.Microseconds() })
+	r.send(r.request(nil), long)
+	first := receive(t, cache.commands, "command")
+	first.reply(t, served)
+	r.want(decide.Served)
+	q := r.request(nil)
+	r.send(q, long)
+	first.reply(t, another)
+	second := receive(t, cache.commands, "command")
+	second.reply(t, served)
+	r.want(decide.Served)
+	if got := string(receive(t, q.slot.wire, "answer")); second.conn == first.conn || got != "$5\r\nvalue\r\n" {
+		t.Errorf("the client got %q", got)
+	}
+}
+
+// TestSecondAnswerReadBeforeTheNextRequest and told to the loop behind it is not served for it.
+func TestSecondAnswerReadBeforeTheNextRequest(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.addr(), nil)
+	r.do(func() { r.l.rest = 0 })
+	r.send(r.request(nil), long)
+	first := receive(t, cache.commands, "command")
+	first.reply(t, served)
+	r.want(decide.Served)
+	q := r.request(nil)
+	r.do(func() {
+		first.reply(t, another)
+		await(t, "a second answer that was read", func() bool { return len(r.l.events) > 0 })
+		r.l.perform(decide.Send{ID: q.id, Cache: "c1"})
+	})
+	r.want(decide.ConnLost)
+}
+
+// TestAnswerBeforeTheLongWriteIsKnownToBeWhole counts once it is, also where the cache closes behind it.
+func TestAnswerBeforeTheLongWriteIsKnownToBeWhole(t *testing.T) {
+	for name, closes := range map[string]bool{"stays": false, "closes": true} {
+		t.Run(name, func(t *testing.T) {
+			addr, conns := deafCache(t)
+			r := newRig(t, addr, nil)
+			q := huge(r)
+			r.send(q, long)
+			if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil { // it has begun
+				t.Fatal(err)
+			}
+			r.do(func() {
+				a := q.attempts[0]
+				c := a.conn
+				rep, _, err := readReply(strings.NewReader(served), nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				c.answered(rep, c.turn.Load(), true)
+				if closes {
+					c.broken()
+				}
+				if q.over {
+					t.Error("an answer to half a request was served")
+				}
+				c.wrote(a, true, nil)
+			})
+			r.want(decide.Served)
+		})
+	}
+}
+
 // TestEndedConnectionMakesRoom for what waits, at once.
 func TestEndedConnectionMakesRoom(t *testing.T) {
 	for name, end := range map[string]func(*rig, *request, fakeCommand){
@@ -442,6 +516,30 @@
 	})
 }
 
+// TestSpoiltAnswerThatNeverEnds stops at its attempt's time or at its size, and its connection with it.
+func TestSpoiltAnswerThatNeverEnds(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.addr(), nil)
+	q := r.request(nil)
+	r.send(q, long)
+	cmd := receive(t, cache.commands, "command")
+	cmd.reply(t, "*3\r\n$65536\r\n")
+	r.do(func() { q.attempts[0].giveUp(decide.NoAnswer) })
+	r.want(decide.NoAnswer)
+	receive(t, cache.ended, "end of the connection")
+	r.send(r.request(nil), long)
+	flood := receive(t, cache.commands, "command")
+	go func(nc net.Conn) { // until the router closes it
+		io.WriteString(nc, "*16\r\n")
+		for {
+			if _, err := io.WriteString(nc, "$65536\r\n"+strings.Repeat("v", mostValue)+"\r\n"); err != nil {
+				return
+			}
+		}
+	}(flood.conn)
+	r.want(decide.ConnLost)
+}
+
 // TestProbeEndsWhenTheSettingsSay, not after a time that suits one site.
 func TestProbeEndsWhenTheSettingsSay(t *testing.T) {
 	cache := newFakeCache(t)
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"math"
 	"net"
 	"slices"
@@ -171,16 +172,31 @@
 			a.end(decide.NotSent, nil)
 			continue
 		}
-		if len(u.idle) == 0 {
+		i := u.rested()
+		if i < 0 {
 			u.dial()
+			if len(u.idle) > 0 {
+				u.l.at(u.idle[0].idleSince+u.l.rest, u.pump)
+			}
 			return
 		}
-		c := u.idle[len(u.idle)-1]
-		u.idle = u.idle[:len(u.idle)-1]
+		c := u.idle[i]
+		u.idle = slices.Delete(u.idle, i, i+1)
 		c.write(a)
 	}
 }
 
+// rested is the place of the idle connection used last, of those that have rested; -1 where there is none. The
+// danger: a second answer comes some milliseconds behind the first, and passes for that of the next request.
+func (u *upstream) rested() int {
+	for i := len(u.idle) - 1; i >= 0; i-- {
+		if c := u.idle[i]; c.turn.Load() == 0 || c.idleSince+u.l.rest <= u.l.now {
+			return i
+		}
+	}
+	return -1
+}
+
 // free takes back a connection that is ready for the next attempt.
 func (u *upstream) free(c *conn) {
 	if !u.up || !c.usable() {
@@ -192,10 +208,10 @@
 	u.pump()
 }
 
-// dial opens as many connections as there is need and room for. The danger: a
+// dial opens as many connections as there is need and room for, beside those that rest. The danger: a
 // burst that dials one for each request fills the cache's table and takes its time.
 func (u *upstream) dial() {
-	for u.dialing < min(len(u.waiting), mostDials) && len(u.conns) < u.most && u.l.descriptor() {
+	for u.dialing+len(u.idle) < min(len(u.waiting), mostDials) && len(u.conns) < u.most && u.l.descriptor() {
 		c := &conn{upstream: u, addr: u.addr}
 		u.conns[c] = struct{}{}
 		u.dialing++
@@ -285,18 +301,35 @@
 		return
 	}
 	defer nc.Close()
+	in := &arrivals{Reader: nc, turn: &c.turn}
 	var buf []byte
 	for {
-		rep, rest, err := readReply(nc, buf)
+		in.first = 0
+		rep, rest, err := readReply(in, buf)
 		if err != nil {
 			u.l.post(c.broken)
 			return
 		}
 		buf = rest
 		// Bytes behind an answer are not awaited by anyone: the connection is out of step.
-		clean := len(rest) == 0
-		u.l.post(func() { c.answered(rep, clean) })
+		clean, turn := len(rest) == 0, in.first
+		u.l.post(func() { c.answered(rep, turn, clean) })
+	}
+}
+
+// arrivals notes with the first bytes of an answer how many attempts had been begun by then.
+type arrivals struct {
+	io.Reader
+	turn  *atomic.Uint32
+	first uint32 // 0 until bytes have come
+}
+
+func (a *arrivals) Read(b []byte) (int, error) {
+	n, err := a.Reader.Read(b)
+	if n > 0 && a.first == 0 {
+		a.first = a.turn.Load()
 	}
+	return n, err
 }
 
 func dialTCP(addr string, timeout time.Duration) (*net.TCPConn, syscall.RawConn, error) {
@@ -333,6 +366,7 @@
 // once, nearly always all: so nothing comes between the last look and the first byte.
 func (c *conn) write(a *attempt) {
 	buf := a.encode(c.upstream.l.now)
+	c.turn.Add(1)
 	n, err := c.tryWrite(buf)
 	if n == 0 && err != nil {
 		c.close() // the cache had closed it; not a byte has gone out, so the attempt may have another one
@@ -367,6 +401,9 @@
 	case !whole:
 		c.close()
 		a.end(decide.NoConnection, nil)
+	case c.early != nil && (!a.stopping || a.result == decide.ConnLost):
+		c.close() // it was answered, and may have been closed behind that
+		a.end(c.early.result, c.early)
 	case a.stopping:
 		a.end(a.result, nil)
 	default:
@@ -406,15 +443,21 @@
 }
 
 // answered takes an answer.
-func (c *conn) answered(rep *reply, clean bool) {
+func (c *conn) answered(rep *reply, turn uint32, clean bool) {
 	if c.closed {
 		return
 	}
 	a := c.attempt
-	if a == nil || a.state == writing {
+	if a == nil || turn != c.turn.Load() {
 		c.broken() // nobody asked, or not yet: what else comes can't be told apart either
 		return
 	}
+	if a.state == writing {
+		if c.early == nil {
+			c.early = rep
+		}
+		return
+	}
 	result := rep.result
 	if a.request == nil && rep.pong {
 		result = decide.Served
@@ -460,7 +503,7 @@
 var errReply = errors.New("malformed answer")
 
 // readReply reads one answer and returns it with the bytes that came behind it.
-func readReply(nc net.Conn, buf []byte) (*reply, []byte, error) {
+func readReply(nc io.Reader, buf []byte) (*reply, []byte, error) {
 	for {
 		n, resp, err := nextReply(buf)
 		if err != nil {
