--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -219,7 +219,7 @@
 	}
 }
 
-// MoveDiscovery has the router ask at the address that cfg names from now on. What it knows stays.
+// MoveDiscovery has the router ask at another address from now on. What it knows stays.
 func (s *Server) MoveDiscovery(addr string) {
 	moved := *s.cfg
 	moved.Discovery = addr
