--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"log"
 	"math/rand/v2"
 	"sync/atomic"
@@ -30,9 +31,11 @@
 	lastID    int64
 	open      int // requests that still want their final answer
 	upstreams map[string]*upstream
+	rest      decide.Time // of a connection to a cache, after an answer
 	conns     int         // to all upstreams, those coming up included
 	starved   bool        // an attempt waits for a descriptor
 	longest   decide.Time // patience of any client
+	ending    decide.Time // when the last answers are given, once the router is to end
 	discovery *discovery
 	index     int64 // version of the list
 	watching  bool
@@ -51,6 +54,7 @@
 type request struct {
 	id       int64
 	cmd      command
+	taken    decide.Time
 	deadline decide.Time
 	client   *client
 	slot     *slot
@@ -64,7 +68,9 @@
 	eventBacklog  = 1024 // events under way to the loop before senders wait
 	busyReply     = "-BUSY\r\n"
 	failedReply   = "-ERR failed\r\n"
-	sweepInterval = 1_000_000 // microseconds between looks for idle connections
+	sweepInterval = 1_000_000 // microseconds between looks for idle connections, ...
+	sweeps        = 8         // or so many looks while a cache keeps one
+	longWait      = 100_000   // microseconds that a request waits before its client is looked for again
 	watchPause    = 100_000   // ... before another watch where the list has to come by itself: at most
 	watchDoubled  = 4         // ... doubled with each that fails, so many times
 )
@@ -78,8 +84,8 @@
 	for _, c := range cfg.Settings.Classes {
 		longest = max(longest, c.Limit)
 	}
-	return &loop{cfg: cfg, longest: longest, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
-		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery, cfg.Limits.MemoryMB), index: cfg.Known.index}, nil
+	return &loop{cfg: cfg, longest: longest, rest: restTime, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
+		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg), index: cfg.Known.index}, nil
 }
 
 // clock is Unix time in microseconds. It runs on the monotonic clock from the
@@ -128,7 +134,7 @@
 	if !l.cfg.Settings.MustWatch {
 		l.watch() // "changes come by themselves" to the module: on real sockets somebody has to call
 	}
-	l.after(sweepInterval, l.sweep)
+	l.sweep()
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
@@ -210,8 +216,11 @@
 		// The danger: timers last as long as the client claims to wait, and hold the request.
 		cmd.wait = min(cmd.wait, l.longest)
 	}
+	if l.ending > 0 {
+		cmd.wait = max(0, min(cmd.wait, l.ending-read)) // what SIGKILL would find unanswered is lost
+	}
 	l.lastID++
-	r := &request{id: l.lastID, cmd: cmd, deadline: read + cmd.wait, client: c, slot: s}
+	r := &request{id: l.lastID, cmd: cmd, taken: read, deadline: read + cmd.wait, client: c, slot: s}
 	l.requests[r.id] = r
 	l.open++
 	c.open[r.id] = r
@@ -219,6 +228,12 @@
 		HasKey: true, Deadline: r.deadline, Cost: cmd.cost, Write: cmd.write})
 }
 
+// drain notes that the router is to end, as it was told at the given time.
+func (l *loop) drain(told decide.Time) {
+	longest := min(l.longest, drainLongest.Microseconds())
+	l.ending = told + longest + (drainSlack - drainAnswers).Microseconds()
+}
+
 // depart notes that a client has closed its connection.
 func (l *loop) depart(c *client) {
 	for _, r := range c.open {
@@ -263,12 +278,12 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	u.start(a)
+	u.send(a)
 }
 
 func (l *loop) probe(cache string) {
 	if u := l.upstreams[cache]; u != nil {
-		u.start(&attempt{upstream: u, sent: l.now, stopAt: l.now + probeTimeout})
+		u.send(&attempt{upstream: u, sent: l.now, stopAt: l.now + l.cfg.Settings.ProbeTimeout()})
 	}
 }
 
@@ -310,11 +325,11 @@
 			u = newUpstream(l, e.ID)
 			l.upstreams[e.ID] = u
 		}
-		u.update(h.addrs[i], e.Condition == decide.Up)
+		u.update(h.addrs[i], e.Start, e.Condition == decide.Up)
 	}
 	for name, u := range l.upstreams {
 		if h.full && !seen[name] {
-			u.update(u.addr, false)
+			u.update(u.addr, u.start, false)
 		}
 	}
 	l.serving.Store(l.ready())
@@ -341,6 +356,9 @@
 		current(func() {
 			l.watching = false
 			l.log("discovery: " + err.Error())
+			if errors.Is(err, errOutOfStep) {
+				l.index = noIndex // the danger: the same call is answered in the same way for ever
+			}
 			if l.cfg.Settings.MustWatch {
 				l.backlog = append(l.backlog, &decide.List{Kind: decide.ListFailed})
 			} else {
@@ -358,14 +376,18 @@
 	return decide.Time(wait * (0.5 + rand.Float64()/2))
 }
 
-// moveDiscovery goes on with discovery at another address, from the version that is known.
-func (l *loop) moveDiscovery(addr string) {
-	l.log("discovery moves to " + addr)
+// moveDiscovery goes on with discovery at another address. Where the list comes by itself and costs nothing, all
+// of it is asked for: versions there may be others.
+func (l *loop) moveDiscovery(cfg *Config) {
+	l.log("discovery moves to " + cfg.Discovery)
 	if l.watching {
 		l.endWatch()
 	}
 	l.discovery.client.CloseIdleConnections()
-	l.discovery, l.watching, l.failed = newDiscovery(addr, l.cfg.Limits.MemoryMB), false, 0
+	l.discovery, l.watching, l.failed = newDiscovery(cfg), false, 0
+	if !l.cfg.Settings.MustWatch {
+		l.index = noIndex
+	}
 	l.watch()
 }
 
@@ -418,12 +440,12 @@
 // has been told of that by now. The danger: machines come and go, and memory grows with their names.
 func (l *loop) sweep() {
 	for name, u := range l.upstreams {
-		u.closeIdle(l.now - l.cfg.Transport.Keepalive*3/4)
+		u.closeIdle(u.stale())
 		if !u.up && len(u.conns) == 0 {
 			delete(l.upstreams, name)
 		}
 	}
-	l.after(sweepInterval, l.sweep)
+	l.after(max(1000, min(sweepInterval, l.cfg.Transport.Keepalive/sweeps)), l.sweep)
 }
 
 // Timers.
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,14 +19,14 @@
 )
 
 const (
-	probeTimeout = 500_000 // microseconds that a cache has to answer a probe
-	fleetConns   = 72      // connections to a cache over all routers: it holds 90, and a full table slows it
-	leastConns   = 2       // ... and one router's part of them, at least
-	mostDials    = 4       // connections to one cache that come up at a time
-	mostReply    = mostValue + 4096
-	mostLine     = 512 // bytes of a line of an answer
-	mostItems    = 16  // of an array
-	answerItems  = 3   // of an answer: the value or receipt, how it went, the load report
+	fleetConns  = 72     // connections to a cache over all routers: it holds 90, and a full table slows it
+	leastConns  = 2      // ... and one router's part of them, at least
+	restTime    = 10_000 // microseconds between an answer on a connection and its next request
+	mostDials   = 4      // connections to one cache that come up at a time
+	mostReply   = mostValue + 4096
+	mostLine    = 512 // bytes of a line of an answer
+	mostItems   = 16  // of an array
+	answerItems = 3   // of an answer: the value or receipt, how it went, the load report
 )
 
 // upstream is one cache server: its connections and the attempts that wait for one.
@@ -31,7 +34,8 @@
 	l       *loop
 	name    string
 	addr    string
-	up      bool // the list says that it may be sent new work
+	start   decide.Time // of its process, by the list
+	up      bool        // the list says that it may be sent new work
 	conns   map[*conn]struct{}
 	idle    []*conn // the one used last stands last
 	dialing int
@@ -45,10 +49,24 @@
 }
 
 // update takes over what the list says.
-func (u *upstream) update(addr string, up bool) {
+func (u *upstream) update(addr string, start decide.Time, up bool) {
 	if addr != u.addr {
 		u.addr = addr
 		u.closeIdle(u.l.now)
+		for c := range u.conns {
+			if c.nc == nil {
+				c.close() // the danger: what waits for a connection waits for one to the old address
+			}
+		}
+		u.l.at(u.l.now, u.pump)
+	}
+	if start = min(start, u.l.now); start != u.start {
+		u.start = start
+		for _, c := range slices.Clone(u.idle) {
+			if !c.usable() {
+				u.drop(c)
+			}
+		}
 	}
 	u.up = up
 	if !up {
@@ -60,6 +78,18 @@
 	}
 }
 
+// stale is since when a connection may have been idle at most. The danger: the cache closes it as the router
+// writes, and the request may have run.
+func (u *upstream) stale() decide.Time { return u.l.now - u.l.cfg.Transport.Keepalive*3/4 }
+
+// drop closes an idle connection.
+func (u *upstream) drop(c *conn) {
+	if i := slices.Index(u.idle, c); i >= 0 {
+		u.idle = slices.Delete(u.idle, i, i+1)
+	}
+	c.close()
+}
+
 // closeIdle closes the connections that have stood idle since the given time or longer.
 func (u *upstream) closeIdle(since decide.Time) {
 	kept := u.idle[:0]
@@ -102,8 +132,8 @@
 	result   decide.Result // ... for this reason
 }
 
-// start sends an attempt on an idle connection, or has it wait for one.
-func (u *upstream) start(a *attempt) {
+// send sends an attempt on an idle connection, or has it wait for one.
+func (u *upstream) send(a *attempt) {
 	l := u.l
 	l.at(a.stopAt, func() { a.giveUp(decide.NoAnswer) })
 	u.waiting = append(u.waiting, a)
@@ -125,31 +155,51 @@
 
 // sendable is the last look before an attempt's first byte: all may have changed while it waited.
 func (u *upstream) sendable(a *attempt) bool {
-	return u.up && u.l.now < a.stopAt && (a.request == nil || !a.request.over)
+	r := a.request
+	if r != nil && !r.over && u.l.now >= r.taken+longWait && r.client.hungUp() {
+		u.l.depart(r.client) // the danger: the news of it is still to come, and what nobody waits for is sent on
+	}
+	return u.up && u.l.now < a.stopAt && (r == nil || !r.over)
 }
 
 // pump gives idle connections to waiting attempts, first come first served, and
 // opens more where there are too few.
 func (u *upstream) pump() {
+	u.closeIdle(u.stale())
 	for len(u.waiting) > 0 {
 		a := u.waiting[0]
 		if !u.sendable(a) {
 			a.end(decide.NotSent, nil)
 			continue
 		}
-		if len(u.idle) == 0 {
+		i := u.rested()
+		if i < 0 {
 			u.dial()
+			if len(u.idle) > 0 {
+				u.l.at(u.idle[0].idleSince+u.l.rest, u.pump)
+			}
 			return
 		}
-		c := u.idle[len(u.idle)-1]
-		u.idle = u.idle[:len(u.idle)-1]
+		c := u.idle[i]
+		u.idle = slices.Delete(u.idle, i, i+1)
 		c.write(a)
 	}
 }
 
+// rested is the place of the idle connection used last, of those that have rested; -1 where there is none. The
+// danger: a second answer comes some milliseconds behind the first, and passes for that of the next request.
+func (u *upstream) rested() int {
+	for i := len(u.idle) - 1; i >= 0; i-- {
+		if c := u.idle[i]; c.turn.Load() == 0 || c.idleSince+u.l.rest <= u.l.now {
+			return i
+		}
+	}
+	return -1
+}
+
 // free takes back a connection that is ready for the next attempt.
 func (u *upstream) free(c *conn) {
-	if !u.up || c.addr != u.addr {
+	if !u.up || !c.usable() {
 		c.close()
 		return
 	}
@@ -158,10 +208,10 @@
 	u.pump()
 }
 
-// dial opens as many connections as there is need and room for. The danger: a
+// dial opens as many connections as there is need and room for, beside those that rest. The danger: a
 // burst that dials one for each request fills the cache's table and takes its time.
 func (u *upstream) dial() {
-	for u.dialing < min(len(u.waiting), mostDials) && len(u.conns) < u.most && u.l.descriptor() {
+	for u.dialing+len(u.idle) < min(len(u.waiting), mostDials) && len(u.conns) < u.most && u.l.descriptor() {
 		c := &conn{upstream: u, addr: u.addr}
 		u.conns[c] = struct{}{}
 		u.dialing++
@@ -171,18 +221,20 @@
 
 // dialed takes a connection that is up, or the news that it could not be had.
 func (u *upstream) dialed(c *conn, nc *net.TCPConn, raw syscall.RawConn, err error) {
-	u.dialing--
 	switch {
+	case c.closed: // meanwhile
+		if nc != nil {
+			nc.Close()
+		}
 	case err != nil:
 		c.close()
 		if len(u.waiting) > 0 {
 			u.waiting[0].end(decide.NoConnection, nil)
 		}
 		u.pump()
-	case c.closed:
-		nc.Close()
 	default:
-		c.nc, c.raw = nc, raw
+		u.dialing--
+		c.nc, c.raw, c.since = nc, raw, u.l.now
 		u.free(c)
 	}
 }
@@ -229,11 +281,17 @@
 	addr      string
 	nc        *net.TCPConn // nil until it is up
 	raw       syscall.RawConn
-	attempt   *attempt // what it carries
+	since     decide.Time   // when it came up
+	attempt   *attempt      // what it carries
+	turn      atomic.Uint32 // attempts begun on it
+	early     *reply        // an answer that came before the loop learned that its request was whole
 	idleSince decide.Time
 	closed    bool
 }
 
+// usable reports whether the connection leads to the process that the list names.
+func (c *conn) usable() bool { return c.addr == c.upstream.addr && c.since >= c.upstream.start }
+
 // run dials and then reads answers, until the connection ends.
 func (c *conn) run(addr string, timeout time.Duration) {
 	u := c.upstream
@@ -243,18 +301,35 @@
 		return
 	}
 	defer nc.Close()
+	in := &arrivals{Reader: nc, turn: &c.turn}
 	var buf []byte
 	for {
-		rep, rest, err := readReply(nc, buf)
+		in.first = 0
+		rep, rest, err := readReply(in, buf)
 		if err != nil {
 			u.l.post(c.broken)
 			return
 		}
 		buf = rest
 		// Bytes behind an answer are not awaited by anyone: the connection is out of step.
-		clean := len(rest) == 0
-		u.l.post(func() { c.answered(rep, clean) })
+		clean, turn := len(rest) == 0, in.first
+		u.l.post(func() { c.answered(rep, turn, clean) })
+	}
+}
+
+// arrivals notes with the first bytes of an answer how many attempts had been begun by then.
+type arrivals struct {
+	io.Reader
+	turn  *atomic.Uint32
+	first uint32 // 0 until bytes have come
+}
+
+func (a *arrivals) Read(b []byte) (int, error) {
+	n, err := a.Reader.Read(b)
+	if n > 0 && a.first == 0 {
+		a.first = a.turn.Load()
 	}
+	return n, err
 }
 
 func dialTCP(addr string, timeout time.Duration) (*net.TCPConn, syscall.RawConn, error) {
@@ -277,17 +352,21 @@
 		return
 	}
 	c.closed = true
-	delete(c.upstream.conns, c)
+	u := c.upstream
+	delete(u.conns, c)
 	if c.nc != nil {
 		c.nc.Close()
+	} else {
+		u.dialing--
 	}
-	c.upstream.l.released()
+	u.l.released()
 }
 
 // write sends the attempt that has waited longest. The loop itself writes as much as the socket takes at
 // once, nearly always all: so nothing comes between the last look and the first byte.
 func (c *conn) write(a *attempt) {
 	buf := a.encode(c.upstream.l.now)
+	c.turn.Add(1)
 	n, err := c.tryWrite(buf)
 	if n == 0 && err != nil {
 		c.close() // the cache had closed it; not a byte has gone out, so the attempt may have another one
@@ -322,6 +401,9 @@
 	case !whole:
 		c.close()
 		a.end(decide.NoConnection, nil)
+	case c.early != nil && (!a.stopping || a.result == decide.ConnLost):
+		c.close() // it was answered, and may have been closed behind that
+		a.end(c.early.result, c.early)
 	case a.stopping:
 		a.end(a.result, nil)
 	default:
@@ -348,13 +430,7 @@
 // broken takes the news that the connection has ended.
 func (c *conn) broken() {
 	u := c.upstream
-	for i, w := range u.idle {
-		if w == c {
-			u.idle = append(u.idle[:i], u.idle[i+1:]...)
-			break
-		}
-	}
-	c.close()
+	u.drop(c)
 	if a := c.attempt; a != nil {
 		switch {
 		case a.state != writing:
@@ -367,15 +443,21 @@
 }
 
 // answered takes an answer.
-func (c *conn) answered(rep *reply, clean bool) {
+func (c *conn) answered(rep *reply, turn uint32, clean bool) {
 	if c.closed {
 		return
 	}
 	a := c.attempt
-	if a == nil || a.state == writing {
+	if a == nil || turn != c.turn.Load() {
 		c.broken() // nobody asked, or not yet: what else comes can't be told apart either
 		return
 	}
+	if a.state == writing {
+		if c.early == nil {
+			c.early = rep
+		}
+		return
+	}
 	result := rep.result
 	if a.request == nil && rep.pong {
 		result = decide.Served
@@ -421,7 +503,7 @@
 var errReply = errors.New("malformed answer")
 
 // readReply reads one answer and returns it with the bytes that came behind it.
-func readReply(nc net.Conn, buf []byte) (*reply, []byte, error) {
+func readReply(nc io.Reader, buf []byte) (*reply, []byte, error) {
 	for {
 		n, resp, err := nextReply(buf)
 		if err != nil {
