Give a probe as long as a request where the drain grace is short

Time-out and interval of probes were half the drain grace and all of it: right for 1 to 2.5 s, but with 0.1 to 0.25 s, which other customers have, caches that serve in time would fail their probes and be marked unhealthy by all routers. The time-out is now the shortest aim where that is longer, and a round is judged before the next begins.

Seen to fail with the mend taken out.

--- a/decide/api.go
+++ b/decide/api.go
@@ -69,8 +69,19 @@
 	DialPrice   float64 // points lost at one new connection a request
 }
 
-// ProbeTimeout is how long a cache has to answer a probe.
-func (s *Settings) ProbeTimeout() Time { return s.drainGrace() / 2 }
+// ProbeTimeout is how long a cache has to answer a probe: half of the span within which the operators want bad
+// news acted upon, or as long as a request may take where that is longer. The danger: under a short drain grace
+// caches that serve in time fail their probes.
+func (s *Settings) ProbeTimeout() Time {
+	aim := Time(math.MaxInt64)
+	for _, c := range s.Classes {
+		aim = min(aim, c.Aim)
+	}
+	return max(s.drainGrace()/2, aim)
+}
+
+// ProbeInterval is the time between two rounds of probes at the least. The one before is judged by then.
+func (s *Settings) ProbeInterval() Time { return max(s.drainGrace(), s.ProbeTimeout()+1) }
 
 // drainGrace is DrainGrace, or a default where the settings leave it out.
 func (s *Settings) drainGrace() Time {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -359,7 +359,7 @@
 // each cache. The danger: probes grow with routers times caches, and cost more than they save.
 
 func (r *Router) probeRound() {
-	r.at(r.now+r.set.DrainGrace, r.probeRound)
+	r.at(r.now+r.set.ProbeInterval(), r.probeRound)
 	r.beats++
 	if r.spare < float64(len(r.ready)) && r.beats < longestInterval {
 		return
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -670,3 +670,20 @@
 		t.Fatalf("a refusal by a crowded cache left its limit at %v", c.limit)
 	}
 }
+
+// TestProbesSuitAShortDrainGrace: caches that answer within a request's aim pass, and a round is judged before
+// the next begins.
+func TestProbesSuitAShortDrainGrace(t *testing.T) {
+	s := settings()
+	s.DrainGrace = 50 * ms
+	if got := s.ProbeTimeout(); got != 200*ms {
+		t.Errorf("a probe may take %d", got)
+	}
+	if s.ProbeInterval() <= s.ProbeTimeout() {
+		t.Errorf("rounds every %d, judged after %d", s.ProbeInterval(), s.ProbeTimeout())
+	}
+	s.DrainGrace = 1000 * ms
+	if s.ProbeTimeout() != 500*ms || s.ProbeInterval() != 1000*ms {
+		t.Errorf("with a long grace: %d, every %d", s.ProbeTimeout(), s.ProbeInterval())
+	}
+}
