Begin no repeat of a keyed request after the time in which caches drop it

The module checks KeyTTL when it decides on a repeat, but the attempt may then wait for a connection, up to its dial time-out or its deadline, and go out when caches no longer drop it. Send now carries SendBy, and the last look before the first byte holds it.

Seen to fail with the mend taken out.

--- a/decide/api.go
+++ b/decide/api.go
@@ -248,11 +248,13 @@
 // Probe, CloseIdle, Watch or Log. The caller carries them out in order.
 type Action interface{ action() }
 
-// Send starts the next attempt of a request, given up at StopAt.
+// Send starts the next attempt of a request, given up at StopAt. Where it has to wait for a connection, it is
+// not begun at SendBy or later; 0 is no such limit.
 type Send struct {
 	ID     int64
 	Cache  string
 	StopAt Time
+	SendBy Time
 }
 
 // Cancel ends the wait on an attempt.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -682,6 +682,17 @@
 	return true
 }
 
+// repeatBy is when an attempt must have begun at the latest. The danger: a repeat that caches still drop when it
+// is decided on waits for a connection until they do not.
+func (q *request) repeatBy(n int) (by Time) {
+	for _, a := range q.attempts[:n] {
+		if at := a.sent + q.class.KeyTTL; q.class.Effect == Keyed && !a.neverRan && (by == 0 || at < by) {
+			by = at
+		}
+	}
+	return by
+}
+
 func sameGroup(s Scope, a, b *cache) bool {
 	switch s {
 	case ScopeAll:
@@ -845,7 +856,7 @@
 	if c.zone.fails >= zoneThreshold {
 		c.zone.trialAt = r.now + r.set.ColdTime/4 // the trial is one request
 	}
-	r.do(Send{ID: q.ID, Cache: c.ID, StopAt: q.Deadline})
+	r.do(Send{ID: q.ID, Cache: c.ID, StopAt: q.Deadline, SendBy: q.repeatBy(n)})
 	if r.thin() {
 		r.at(min(r.now+q.class.Aim, q.Deadline-1), func() {
 			a := &q.attempts[n]
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -671,6 +671,35 @@
 	}
 }
 
+// TestRepeatsAreBegunWhileTheyAreDropped: a keyed request's further attempts name the end of the time in which
+// caches drop them, counted from the first that may have run; nothing else has such an end.
+func TestRepeatsAreBegunWhileTheyAreDropped(t *testing.T) {
+	for class, keyed := range map[string]bool{"read": false, "all": true} {
+		for result, ran := range map[Result]bool{ConnLost: true, NoConnection: false} {
+			b := newBench(t, settings())
+			b.feed(&List{Kind: ListFull, Entries: fleet(8)})
+			sent := b.now
+			if s := b.ask(1, class, 5); s == nil || s.SendBy != 0 {
+				t.Fatalf("%s: first attempt %+v", class, s)
+			}
+			b.now += 10 * ms
+			var again *Send
+			for _, a := range b.feed(&Outcome{ID: 1, Result: result}) {
+				if s, ok := a.(Send); ok {
+					again = &s
+				}
+			}
+			want := Time(0)
+			if keyed && ran {
+				want = sent + 500*ms
+			}
+			if again == nil || again.SendBy != want {
+				t.Errorf("%s after result %d: next attempt %+v, want it by %d", class, result, again, want)
+			}
+		}
+	}
+}
+
 // TestProbesSuitAShortDrainGrace: caches that answer within a request's aim pass, and a round is judged before
 // the next begins.
 func TestProbesSuitAShortDrainGrace(t *testing.T) {
--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -551,3 +551,17 @@
 		}
 	})
 }
+
+// TestRepeatThatWaitsIsNotBegunTooLate: caches drop a repeat for so long only, and it was decided on in time.
+func TestRepeatThatWaitsIsNotBegunTooLate(t *testing.T) {
+	r, cache, busy := busyPool(t)
+	q := r.request(nil)
+	r.do(func() {
+		r.l.perform(decide.Send{ID: q.id, Cache: "c1", SendBy: r.l.now + 1000})
+		q.attempts[0].sendBy = r.l.now // as though it had waited for so long
+	})
+	busy[0].reply(t, served)
+	r.want(decide.Served)
+	r.want(decide.NotSent)
+	freed(t, r, cache, busy[1:])
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -272,7 +272,7 @@
 	if r == nil || u == nil {
 		return
 	}
-	a := &attempt{request: r, number: len(r.attempts), upstream: u, sent: l.now, stopAt: s.StopAt}
+	a := &attempt{request: r, number: len(r.attempts), upstream: u, sent: l.now, stopAt: s.StopAt, sendBy: s.SendBy}
 	if a.stopAt == 0 || a.stopAt > r.deadline {
 		a.stopAt = r.deadline
 	}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -126,6 +126,7 @@
 	upstream *upstream
 	sent     decide.Time
 	stopAt   decide.Time
+	sendBy   decide.Time // not to be begun from then on; 0 for no limit
 	state    attemptState
 	conn     *conn
 	stopping bool          // given up while part of it is written
@@ -159,7 +160,7 @@
 	if r != nil && !r.over && u.l.now >= r.taken+longWait && r.client.hungUp() {
 		u.l.depart(r.client) // the danger: the news of it is still to come, and what nobody waits for is sent on
 	}
-	return u.up && u.l.now < a.stopAt && (r == nil || !r.over)
+	return u.up && u.l.now < a.stopAt && (a.sendBy == 0 || u.l.now < a.sendBy) && (r == nil || !r.over)
 }
 
 // pump gives idle connections to waiting attempts, first come first served, and
