Ask for the list again within the drain grace after a watch that failed

Where lists are asked for, the first wait after a failure was up to a twentieth of askEvery; it is bounded by the drain grace, as a silent watch is noticed 1 s before what it missed counts as told. Later waits grow as before, as calls are scarce.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -212,6 +212,9 @@
 		// Routers that lose the list together must not ask together: the list serves few calls.
 		r.calls++
 		wait := float64(max(r.set.AskEvery, 1e6)) / 40 * math.Exp2(float64(min(r.calls, backoffMost)))
+		if r.calls == 1 { // a silent watch is noticed when what it missed is about to count as told
+			wait = min(wait, float64(r.set.DrainGrace))
+		}
 		r.at(r.now+Time(wait*(0.5+r.random()/2)), func() { r.do(Watch{}) })
 		if r.calls == 1 {
 			r.logf("list lost, asking again")
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -716,3 +716,19 @@
 		t.Errorf("with a long grace: %d, every %d", s.ProbeTimeout(), s.ProbeInterval())
 	}
 }
+
+// TestFirstCallAfterASilentWatchIsInTime: it was noticed a second before what it missed counts as told, and a
+// list that may be asked for seldom must not put the next call behind the drain grace.
+func TestFirstCallAfterASilentWatchIsInTime(t *testing.T) {
+	s := settings()
+	s.MustWatch, s.AskEvery, s.DrainGrace = true, 120_000*ms, 250*ms
+	b := newBench(t, s)
+	b.feed(&List{Kind: ListFull, Entries: fleet(8)})
+	b.feed(&List{Kind: ListFailed})
+	for _, a := range b.advance(s.DrainGrace) {
+		if _, ok := a.(Watch); ok {
+			return
+		}
+	}
+	t.Error("no call within the drain grace")
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -369,11 +369,15 @@
 }
 
 // pause is how long to wait before another watch, longer with each that has failed and never as long as the
-// other routers: what they all ask again at once serves none of them.
+// other routers: what they all ask again at once serves none of them. It ends well within the drain grace, as
+// what discovery has to tell at its return counts as told at once.
 func (l *loop) pause() decide.Time {
-	wait := float64(decide.Time(watchPause) << min(l.failed, watchDoubled))
+	wait := decide.Time(watchPause) << min(l.failed, watchDoubled)
+	if grace := l.cfg.Settings.DrainGrace; grace > 0 {
+		wait = min(wait, grace/2)
+	}
 	l.failed++
-	return decide.Time(wait * (0.5 + rand.Float64()/2))
+	return decide.Time(float64(wait) * (0.5 + rand.Float64()/2))
 }
 
 // moveDiscovery goes on with discovery at another address. Where the list comes by itself and costs nothing, all
