--- a/decide/api.go
+++ b/decide/api.go
@@ -69,8 +69,19 @@
 	DialPrice   float64 // points lost at one new connection a request
 }
 
-// ProbeTimeout is how long a cache has to answer a probe.
-func (s *Settings) ProbeTimeout() Time { return s.drainGrace() / 2 }
+// ProbeTimeout is how long a cache has to answer a probe: half of the span within which the operators want bad
+// news acted upon, or as long as a request may take where that is longer. The danger: under a short drain grace
+// caches that serve in time fail their probes.
+func (s *Settings) ProbeTimeout() Time {
+	aim := Time(math.MaxInt64)
+	for _, c := range s.Classes {
+		aim = min(aim, c.Aim)
+	}
+	return max(s.drainGrace()/2, aim)
+}
+
+// ProbeInterval is the time between two rounds of probes at the least. The one before is judged by then.
+func (s *Settings) ProbeInterval() Time { return max(s.drainGrace(), s.ProbeTimeout()+1) }
 
 // drainGrace is DrainGrace, or a default where the settings leave it out.
 func (s *Settings) drainGrace() Time {
@@ -237,11 +248,13 @@
 // Probe, CloseIdle, Watch or Log. The caller carries them out in order.
 type Action interface{ action() }
 
-// Send starts the next attempt of a request, given up at StopAt.
+// Send starts the next attempt of a request, given up at StopAt. Where it has to wait for a connection, it is
+// not begun at SendBy or later; 0 is no such limit.
 type Send struct {
 	ID     int64
 	Cache  string
 	StopAt Time
+	SendBy Time
 }
 
 // Cancel ends the wait on an attempt.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -212,6 +212,9 @@
 		// Routers that lose the list together must not ask together: the list serves few calls.
 		r.calls++
 		wait := float64(max(r.set.AskEvery, 1e6)) / 40 * math.Exp2(float64(min(r.calls, backoffMost)))
+		if r.calls == 1 { // a silent watch is noticed when what it missed is about to count as told
+			wait = min(wait, float64(r.set.DrainGrace))
+		}
 		r.at(r.now+Time(wait*(0.5+r.random()/2)), func() { r.do(Watch{}) })
 		if r.calls == 1 {
 			r.logf("list lost, asking again")
@@ -359,7 +362,7 @@
 // each cache. The danger: probes grow with routers times caches, and cost more than they save.
 
 func (r *Router) probeRound() {
-	r.at(r.now+r.set.DrainGrace, r.probeRound)
+	r.at(r.now+r.set.ProbeInterval(), r.probeRound)
 	r.beats++
 	if r.spare < float64(len(r.ready)) && r.beats < longestInterval {
 		return
@@ -682,6 +685,17 @@
 	return true
 }
 
+// repeatBy is when an attempt must have begun at the latest. The danger: a repeat that caches still drop when it
+// is decided on waits for a connection until they do not.
+func (q *request) repeatBy(n int) (by Time) {
+	for _, a := range q.attempts[:n] {
+		if at := a.sent + q.class.KeyTTL; q.class.Effect == Keyed && !a.neverRan && (by == 0 || at < by) {
+			by = at
+		}
+	}
+	return by
+}
+
 func sameGroup(s Scope, a, b *cache) bool {
 	switch s {
 	case ScopeAll:
@@ -845,7 +859,7 @@
 	if c.zone.fails >= zoneThreshold {
 		c.zone.trialAt = r.now + r.set.ColdTime/4 // the trial is one request
 	}
-	r.do(Send{ID: q.ID, Cache: c.ID, StopAt: q.Deadline})
+	r.do(Send{ID: q.ID, Cache: c.ID, StopAt: q.Deadline, SendBy: q.repeatBy(n)})
 	if r.thin() {
 		r.at(min(r.now+q.class.Aim, q.Deadline-1), func() {
 			a := &q.attempts[n]
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -670,3 +670,65 @@
 		t.Fatalf("a refusal by a crowded cache left its limit at %v", c.limit)
 	}
 }
+
+// TestRepeatsAreBegunWhileTheyAreDropped: a keyed request's further attempts name the end of the time in which
+// caches drop them, counted from the first that may have run; nothing else has such an end.
+func TestRepeatsAreBegunWhileTheyAreDropped(t *testing.T) {
+	for class, keyed := range map[string]bool{"read": false, "all": true} {
+		for result, ran := range map[Result]bool{ConnLost: true, NoConnection: false} {
+			b := newBench(t, settings())
+			b.feed(&List{Kind: ListFull, Entries: fleet(8)})
+			sent := b.now
+			if s := b.ask(1, class, 5); s == nil || s.SendBy != 0 {
+				t.Fatalf("%s: first attempt %+v", class, s)
+			}
+			b.now += 10 * ms
+			var again *Send
+			for _, a := range b.feed(&Outcome{ID: 1, Result: result}) {
+				if s, ok := a.(Send); ok {
+					again = &s
+				}
+			}
+			want := Time(0)
+			if keyed && ran {
+				want = sent + 500*ms
+			}
+			if again == nil || again.SendBy != want {
+				t.Errorf("%s after result %d: next attempt %+v, want it by %d", class, result, again, want)
+			}
+		}
+	}
+}
+
+// TestProbesSuitAShortDrainGrace: caches that answer within a request's aim pass, and a round is judged before
+// the next begins.
+func TestProbesSuitAShortDrainGrace(t *testing.T) {
+	s := settings()
+	s.DrainGrace = 50 * ms
+	if got := s.ProbeTimeout(); got != 200*ms {
+		t.Errorf("a probe may take %d", got)
+	}
+	if s.ProbeInterval() <= s.ProbeTimeout() {
+		t.Errorf("rounds every %d, judged after %d", s.ProbeInterval(), s.ProbeTimeout())
+	}
+	s.DrainGrace = 1000 * ms
+	if s.ProbeTimeout() != 500*ms || s.ProbeInterval() != 1000*ms {
+		t.Errorf("with a long grace: %d, every %d", s.ProbeTimeout(), s.ProbeInterval())
+	}
+}
+
+// TestFirstCallAfterASilentWatchIsInTime: it was noticed a second before what it missed counts as told, and a
+// list that may be asked for seldom must not put the next call behind the drain grace.
+func TestFirstCallAfterASilentWatchIsInTime(t *testing.T) {
+	s := settings()
+	s.MustWatch, s.AskEvery, s.DrainGrace = true, 120_000*ms, 250*ms
+	b := newBench(t, s)
+	b.feed(&List{Kind: ListFull, Entries: fleet(8)})
+	b.feed(&List{Kind: ListFailed})
+	for _, a := range b.advance(s.DrainGrace) {
+		if _, ok := a.(Watch); ok {
+			return
+		}
+	}
+	t.Error("no call within the drain grace")
+}
