--- a/cmd/starlingwinch/main_test.go
+++ b/cmd/starlingwinch/main_test.go
@@ -135,6 +135,19 @@
 	terminate(t, cmd, log)
 }
 
+// TestSignalsThatCross: signals that come while the router ends change nothing about its end.
+func TestSignalsThatCross(t *testing.T) {
+	cmd := program(t, fmt.Sprintf(config, "127.0.0.1:0", "127.0.0.1:1"))
+	addr, log := serving(t, cmd)
+	ping(t, addr)
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	terminate(t, cmd, log)
+}
+
 func configPath(cmd *exec.Cmd) string {
 	_, path, _ := strings.Cut(cmd.Env[len(cmd.Env)-1], "=")
 	return path
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -312,6 +313,9 @@
 				return
 			}
 			defer nc.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
+				return // given up before it was whole
+			}
 			io.WriteString(nc, whole[:sent])
 			io.Copy(io.Discard, nc)
 		}()
