Set one timer for the next connection that has rested, not one for each look

Reading for what can spin found upstream.pump, new in this sitting: each look at a cache whose idle connections all rest set a timer, and each of those timers looked again and set another, so that under load their number grew without end. That this was the cause of the crash is likely, but not proven: it was not reproduced.

Seen to fail without the mend: 100 looks set 100 timers.

--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -356,6 +356,27 @@
 	}
 }
 
+// TestLooksForARestedConnectionSetOneTimer, however many attempts wait for it.
+func TestLooksForARestedConnectionSetOneTimer(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.addr(), nil)
+	r.do(func() { r.l.rest = patience.Microseconds() })
+	r.send(r.request(nil), long)
+	receive(t, cache.commands, "command").reply(t, served)
+	r.want(decide.Served)
+	r.send(r.request(nil), long)
+	r.do(func() {
+		u := r.l.upstreams["c1"]
+		before := len(r.l.timers)
+		for range 100 {
+			u.pump()
+		}
+		if more := len(r.l.timers) - before; len(u.waiting) != 1 || more > 0 {
+			t.Errorf("%d attempts wait, %d more timers", len(u.waiting), more)
+		}
+	})
+}
+
 // TestSecondAnswerReadBeforeTheNextRequest and told to the loop behind it is not served for it.
 func TestSecondAnswerReadBeforeTheNextRequest(t *testing.T) {
 	cache := newFakeCache(t)
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -39,6 +39,7 @@
 	conns   map[*conn]struct{}
 	idle    []*conn // the one used last stands last
 	dialing int
+	armed   bool // a timer is set for when a connection has rested
 	most    int
 	waiting []*attempt // in the order of their sending
 }
@@ -176,8 +177,13 @@
 		i := u.rested()
 		if i < 0 {
 			u.dial()
-			if len(u.idle) > 0 {
-				u.l.at(u.idle[0].idleSince+u.l.rest, u.pump)
+			if len(u.idle) > 0 && !u.armed {
+				// One timer: the danger is that each look sets another, and under load they grow without end.
+				u.armed = true
+				u.l.at(u.idle[0].idleSince+u.l.rest, func() {
+					u.armed = false
+					u.pump()
+				})
 			}
 			return
 		}
