--- a/decide/decide.go
+++ b/decide/decide.go
@@ -689,7 +689,8 @@
 // is decided on waits for a connection until they do not.
 func (q *request) repeatBy(n int) (by Time) {
 	for _, a := range q.attempts[:n] {
-		if at := a.sent + q.class.KeyTTL; q.class.Effect == Keyed && !a.neverRan && (by == 0 || at < by) {
+		at := a.sent + q.class.KeyTTL
+		if q.class.Effect == Keyed && !a.neverRan && (by == 0 || at < by) {
 			by = at
 		}
 	}
