--- a/decide/decide.go
+++ b/decide/decide.go
@@ -685,8 +685,8 @@
 	return true
 }
 
-// repeatBy is when an attempt must have begun at the latest. The danger: a repeat that caches still drop when it
-// is decided on waits for a connection until they do not.
+// repeatBy is when an attempt must have begun at the latest. The danger: a repeat that caches still drop
+// when it is decided on waits for a connection until they do not.
 func (q *request) repeatBy(n int) (by Time) {
 	for _, a := range q.attempts[:n] {
 		at := a.sent + q.class.KeyTTL
