Split the module into files by concern and name parts by the field's terms

No behaviour changes: declarations moved, the constants beside what uses them. Renamed: stuck/silent to eject/ejected (outlier ejection), cut/trialAt/delayTrial to circuitOpen/halfOpenAt/delayHalfOpen (circuit breaker), budget/burstPart to retryBudget/retryBurstPart, warmEnough to slowStart.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -266,7 +266,7 @@
 			}
 			r.asked[0], r.keys[0][key] = 600, c.seen
 			q := &request{Request: &Request{Key: key, Deadline: 2e9}, class: &Class{}}
-			sent += b2i(r.warmEnough(q, r.caches["c03"]))
+			sent += b2i(r.slowStart(q, r.caches["c03"]))
 		}
 		if sent < c.low || sent > c.high {
 			t.Errorf("a key seen %d times: %d of %d routers send it to a cold cache, want %d to %d", c.seen, sent, many,
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -169,15 +169,15 @@
 		for range awayThreshold {
 			b.r.reached(c, false)
 		}
-		if !b.r.cut(c) {
+		if !b.r.circuitOpen(c) {
 			t.Fatal("not passed over")
 		}
-		trials[(c.trialAt-b.now)/(50*ms)]++
-		b.now = c.trialAt
-		if b.feed(&Timer{}); b.r.cut(c) {
+		trials[(c.halfOpenAt-b.now)/(50*ms)]++
+		b.now = c.halfOpenAt
+		if b.feed(&Timer{}); b.r.circuitOpen(c) {
 			t.Fatal("no trial")
 		}
-		if b.r.reached(c, true); b.r.cut(c) {
+		if b.r.reached(c, true); b.r.circuitOpen(c) {
 			t.Fatal("passed over though it was reached")
 		}
 	}
@@ -193,7 +193,7 @@
 	late, elsewhere := 0, 0
 	for _, b := range routers(t, 8) {
 		c := b.r.caches["c03"]
-		b.r.stuck(c)
+		b.r.eject(c)
 		for id := int64(1); id <= 300; id++ {
 			b.advance(10 * ms)
 			if s := b.ask(id, "read", uint64(id)); s != nil && s.Cache == "c03" {
@@ -213,16 +213,16 @@
 	}
 	b := routers(t, 2)[0]
 	c := b.r.caches["c00"]
-	b.r.stuck(c)
-	for key := int64(1); c.silent && key < 400; key++ {
+	b.r.eject(c)
+	for key := int64(1); c.ejected && key < 400; key++ {
 		b.r.caches["c01"].healthy = false // so that c00 is used anyway
 		b.advance(100 * ms)
 		if s := b.ask(key, "read", uint64(key)); s != nil {
 			b.settle(key, 0)
 		}
 	}
-	if c.silent || c.limit < b.r.firstPart(c)/2 {
-		t.Errorf("after an answer silent is %v, the limit %v", c.silent, c.limit)
+	if c.ejected || c.limit < b.r.firstPart(c)/2 {
+		t.Errorf("after an answer ejected is %v, the limit %v", c.ejected, c.limit)
 	}
 }
 
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -142,7 +142,7 @@
 			}
 		}
 	}
-	if burst := int(b.r.burstPart()); n < burst || n > burst+200*retryShare {
+	if burst := int(b.r.retryBurstPart()); n < burst || n > burst+200*retryShare {
 		t.Fatalf("%d retries of 200 failures", n)
 	}
 }
@@ -153,11 +153,11 @@
 	home := b.ask(1, "read", 42).Cache
 	b.settle(1, 0)
 	b.r.caches[home].limit, b.r.caches[home].credit = 0.2, -1e9
-	b.r.budget = 5
+	b.r.retryBudget = 5
 	if s := b.ask(2, "read", 42); s == nil || s.Cache == home {
 		t.Fatalf("no overflow with budget: %v", s)
 	}
-	b.r.budget = 0
+	b.r.retryBudget = 0
 	for _, c := range b.r.caches {
 		c.keeps = [2]map[uint64]bool{{}, {}}
 	}
@@ -246,16 +246,16 @@
 		key++
 	}
 	q := &request{Request: &Request{Key: key, Deadline: b.now + 1e6}, class: &Class{}}
-	if !b.r.warmEnough(q, c) {
+	if !b.r.slowStart(q, c) {
 		t.Fatal("a first attempt is kept off")
 	}
 	q.attempts = []attempt{{to: b.r.caches["c01"], neverRan: true}}
-	if b.r.warmEnough(q, c) {
+	if b.r.slowStart(q, c) {
 		t.Error("a retry is let in")
 	}
 	q.attempts = nil
 	b.r.keys[0][key], b.r.asked[0] = 30, 100
-	if b.r.warmEnough(q, c) {
+	if b.r.slowStart(q, c) {
 		t.Error("a hot key is let in")
 	}
 }
@@ -337,7 +337,7 @@
 	b.settle(1, 0)
 	c := b.r.caches[home]
 	c.healthy, c.limit, c.lastSend = false, leastLimit, b.now
-	b.r.budget, b.r.fetches, b.r.fetching = 0, 9, 5
+	b.r.retryBudget, b.r.fetches, b.r.fetching = 0, 9, 5
 	if s := b.ask(2, "read", 42); s == nil || s.Cache == home {
 		t.Fatalf("got %v, want another cache", s)
 	}
@@ -368,7 +368,7 @@
 	c := b.r.caches["c00"]
 	c.coldFrom, c.warmAt, c.lastSend = b.now-9000*ms, b.now+1000*ms, b.now
 	key := uint64(1)
-	for !b.r.warmEnough(&request{Request: &Request{Key: key}}, c) {
+	for !b.r.slowStart(&request{Request: &Request{Key: key}}, c) {
 		key++
 	}
 	fetches := b.r.fetches
@@ -504,7 +504,7 @@
 // The danger: a router learns from each cache apart that the links to their zone are cut.
 func TestZoneOutOfReach(t *testing.T) {
 	b := quietBench(t, 12, func(s *Settings) { s.MaxAttempts = 6 })
-	b.r.budget = 0 // an attempt that met no cache costs none of it
+	b.r.retryBudget = 0 // an attempt that met no cache costs none of it
 	tries, key := 0, uint64(0)
 	for tries < zoneThreshold { // caches of zone a can't be reached
 		key++
@@ -596,7 +596,7 @@
 		}
 		b.settle(id+1, 1)
 	}
-	b.r.budget = 0
+	b.r.retryBudget = 0
 	b.ask(1000, "once", 7)
 	if len(sends(b.answer(1000, 0, ConnLost, false))) != 0 || finals(b.acts) != 1 {
 		t.Fatal("what may have run and must not be repeated was not failed at once")
@@ -654,10 +654,10 @@
 	b := quietBench(t, 8, nil)
 	home := b.ask(1, "read", 42).Cache
 	c := b.r.caches[home]
-	limit, budget := c.limit, b.r.budget
+	limit, budget := c.limit, b.r.retryBudget
 	again := sends(b.answer(1, 0, Rejected, false))
-	if len(again) != 1 || again[0].Cache == home || c.limit != limit || b.r.budget != budget {
-		t.Fatalf("after a refusal: sent to %v, limit %v to %v, budget %v to %v", again, limit, c.limit, budget, b.r.budget)
+	if len(again) != 1 || again[0].Cache == home || c.limit != limit || b.r.retryBudget != budget {
+		t.Fatalf("after a refusal: sent to %v, limit %v to %v, budget %v to %v", again, limit, c.limit, budget, b.r.retryBudget)
 	}
 	b.settle(1, 1)
 	c.pending = 2 * firstLimit
--- /dev/null
+++ b/decide/list.go
@@ -0,0 +1,105 @@
+// Membership: the list of caches and the calls for it.
+
+package decide
+
+import (
+	"math"
+	"sort"
+)
+
+const backoffMost = 6 // doublings of the wait between calls for the list
+
+func (r *Router) list(ev *List) {
+	if ev.Kind == ListFailed {
+		// Routers that lose the list together must not ask together: the list serves few calls.
+		r.calls++
+		wait := float64(max(r.set.AskEvery, 1e6)) / 40 * math.Exp2(float64(min(r.calls, backoffMost)))
+		if r.calls == 1 { // a silent watch is noticed when what it missed is about to count as told
+			wait = min(wait, float64(r.set.DrainGrace))
+		}
+		r.at(r.now+Time(wait*(0.5+r.random()/2)), func() { r.do(Watch{}) })
+		if r.calls == 1 {
+			r.logf("list lost, asking again")
+		}
+		return
+	}
+	if ev.Kind != ListStale {
+		r.calls = 0
+	}
+	seen := map[string]bool{}
+	for _, e := range ev.Entries {
+		seen[e.ID] = true
+		r.entry(e)
+	}
+	r.ready = r.ready[:0]
+	for id, c := range r.caches {
+		if ev.Kind != ListChanges && !seen[id] {
+			c.Condition = Removed
+		}
+		if c.Condition == Up {
+			r.ready = append(r.ready, c)
+		}
+	}
+	sort.Slice(r.ready, func(i, j int) bool { return r.ready[i].ID < r.ready[j].ID })
+	if len(r.ready) > 0 {
+		r.size = 0
+		for _, c := range r.ready {
+			r.size += c.Size / float64(len(r.ready))
+		}
+	}
+	for _, c := range r.ready {
+		if c.limit == 0 {
+			c.limit = r.firstPart(c)
+			// Routers started together must not all come at once.
+			c.credit, c.creditAt = savedShare*r.random()*float64(r.patience), r.now
+		}
+	}
+	if !r.started {
+		r.started = true
+		r.missing = 1
+		r.fetches = max(leastFetches, firstLimit*float64(len(r.ready))/float64(max(1, r.set.Routers)))
+		if r.set.MustWatch {
+			r.do(Watch{})
+		}
+		r.at(r.now, r.forget)
+		r.at(r.now, r.turn)
+		if r.set.Probes {
+			// Routers started together must not probe on one beat.
+			r.spare = r.random() * float64(len(r.ready))
+			r.at(r.now+Time(r.random()*float64(r.set.DrainGrace)), r.probeRound)
+		}
+	}
+}
+
+func (r *Router) entry(e Entry) {
+	c := r.caches[e.ID]
+	starts := c == nil || e.Start != c.Start
+	if c == nil {
+		c = &cache{healthy: true, prompt: true, open: 1, hash: hash(e.ID), keeps: [2]map[uint64]bool{{}, {}}}
+		r.caches[e.ID] = c
+	} else if e.Start != c.Start || c.Condition == Removed && e.Condition == Up {
+		// The process is a new one: nothing seen of the old one holds.
+		c.healthy, c.fails, c.unmet, c.keeps = true, 0, 0, [2]map[uint64]bool{{}, {}}
+		c.crowd, c.open = 0, 1
+	}
+	if r.set.LiveSizes {
+		// The danger: a size that falls with the load moves keys from list to list, and they miss.
+		// The largest seen is the nominal one, or close; it is the same for all routers.
+		listed := max(e.Size, 1e-3)
+		e.Size = max(e.Size, c.Size)
+		r.ease(c, max(0, e.Size/listed-1))
+	}
+	c.Entry = e
+	if r.zones[e.Zone] == nil {
+		r.zones[e.Zone] = &zone{}
+	}
+	c.zone = r.zones[e.Zone]
+	if e.Size <= 0 {
+		c.Size = 1
+	}
+	if from := min(e.Start, r.now); starts && e.Start > 0 && from > c.coldFrom {
+		// The danger: a start that a list dates in the future, or repeats after a later one, shuts the cache
+		// out for longer than it is cold, or lets it in while it is.
+		c.coldFrom, c.warmAt = from, from+r.set.ColdTime
+	}
+}
--- /dev/null
+++ b/decide/slowstart.go
@@ -0,0 +1,72 @@
+// Slow start of caches that have just started.
+
+package decide
+
+import "math"
+
+// slowStart keeps a cold cache to its share, whichever way a request comes to
+// it. The danger: all routers' work adds up, and a cold cache pushed over stays
+// down. A second hash of the key decides, so that routers agree and it fills steadily.
+func (r *Router) slowStart(q *request, c *cache) bool {
+	if r.now >= c.warmAt {
+		return true
+	}
+	if len(q.attempts) > 0 || r.spread(q.Key) > 1 || unit(mix(mix(q.Key)+1)) >= r.warmth(c) {
+		return false // in trouble retries are most of what is sent, and they all look for room
+	}
+	// Retries and hot keys can still add up: it gets no more than its part of what warm ones get.
+	sent, size := 0.0, 0.0
+	for _, w := range r.ready {
+		if r.now >= w.warmAt {
+			sent, size = sent+r.recent(w), size+w.Size
+		}
+	}
+	if r.thin() && size > 0 && r.mayBeHot(q.Key, c) {
+		return false
+	}
+	return r.recent(c) < 1+r.warmth(c)*c.Size*sent/max(size, c.Size)
+}
+
+// mayBeHot reports whether a key may be more than a cold cache can do: here a doubt speaks against it. The
+// danger: each of many routers has seen a hot key once or twice, and all of them send it to a cache that is
+// cold. So each sends on what keeps the sum over all routers, whatever the key's share of all requests, to
+// half of what the tipping multiple leaves beside the cache's other keys, as it may have two such: of a share
+// s, s*exp(-s*n) is the first that its router sees after n others, 1/(e*n) at most, and of later ones the
+// count tells the share.
+func (r *Router) mayBeHot(key uint64, c *cache) bool {
+	// Of what it was asked, the part of a cache of that size.
+	part := float64(r.asked[0]+r.asked[1]) * c.Size / (r.size * float64(len(r.ready)))
+	most := part * r.warmth(c) * max(1, (r.set.TipMultiple-1)/2)
+	n := r.keys[0][key] + r.keys[1][key]
+	if n == 1 {
+		most *= math.E
+	}
+	return unit(mix(key+r.own))*float64(n) >= most
+}
+
+// recent is the number of attempts sent to a cache lately, fading within TipTime.
+func (r *Router) recent(c *cache) float64 {
+	return c.sends * math.Exp(-float64(r.now-c.lastSend)/float64(max(r.set.TipTime, 1)))
+}
+
+// warmth is the least share of its capacity that a cache can have by now.
+func (r *Router) warmth(c *cache) float64 {
+	if r.now >= c.warmAt {
+		return 1
+	}
+	age := float64(r.now-c.coldFrom) / float64(r.set.ColdTime)
+	return r.set.ColdShare + (1-r.set.ColdShare)*max(0, age)
+}
+
+// refilling reports whether more of the fleet is cold than a share of late attempts is tolerated. The danger:
+// what cold caches have lost is asked of the origin at once, all misses are late for a while, and routers
+// refuse the hits with them.
+func (r *Router) refilling() bool {
+	cold, all := 0.0, 0.0
+	for _, c := range r.ready {
+		if all += c.Size; r.now < c.warmAt {
+			cold += c.Size
+		}
+	}
+	return cold > tolerated*all
+}
--- a/internal/policylimit/policylimit_test.go
+++ b/internal/policylimit/policylimit_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"unicode/utf8"
@@ -56,6 +57,22 @@
 	return names
 }
 
+// moduleFiles names the files of the decision module, in order, but for its interface and its tests: nothing
+// that decides may stand outside the policy.
+func moduleFiles(root string) ([]string, error) {
+	all, err := filepath.Glob(filepath.Join(root, "decide", "*.go"))
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, path := range all {
+		if base := filepath.Base(path); base != "api.go" && !strings.HasSuffix(base, "_test.go") {
+			names = append(names, "decide/"+base)
+		}
+	}
+	return names, nil
+}
+
 func TestPolicyKeepsItsLimits(t *testing.T) {
 	root := filepath.Join("..", "..")
 	deploy, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
@@ -63,8 +80,12 @@
 		t.Fatal(err)
 	}
 	names := policyFiles(string(deploy))
-	if len(names) != 1 || names[0] != "decide/decide.go" {
-		t.Errorf("policy files are %v, want decide/decide.go alone", names)
+	want, err := moduleFiles(root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(names, want) {
+		t.Errorf("policy files are %v, want all of the module but its interface: %v", names, want)
 	}
 	texts := map[string]string{}
 	for _, n := range names {
