Call for the list in time for what counts as told 6 s after an outage

Cause: decide.list doubled its wait up to 16 s whatever the failed call had taken, and a silent watch was held for 21 s (askedWait). Change: the wait leaves room, within decide.ToldWithin (6 s, the protocol's), for the call that failed, which discovery may have come back under, and for the next one; a watch that is asked for waits 3 s instead of 20. Doubling and jitter stay.

TestSilentWatchIsOpenedAnewInTime now holds 6 s for lists that are asked for too; it allowed 2 s after the wait. Tests that named the wait of 20 s name 3 s.

--- a/decide/api.go
+++ b/decide/api.go
@@ -16,6 +16,10 @@
 // Time is an instant or a span in microseconds. The zero of the clock is arbitrary.
 type Time = int64
 
+// ToldWithin is the time, by the protocol, after which a change of the list counts as told: since discovery has
+// it and can be reached, whatever became of the calls for it.
+const ToldWithin Time = 6_000_000
+
 // Effect says what may happen when a request is carried out twice.
 type Effect uint8
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -84,7 +84,8 @@
 	reqs        map[int64]*request
 	timers      map[int64]func()
 	token       int64
-	calls       int // failed calls for the list in a row
+	calls       int  // failed calls for the list in a row
+	askedAt     Time // start of the last call for the list, or its last answer
 	round       int
 	uses        int     // attempts ever sent
 	spare       float64 // probes earned by requests and not yet sent
--- a/decide/list.go
+++ b/decide/list.go
@@ -7,7 +7,16 @@
 	"sort"
 )
 
-const backoffMost = 6 // doublings of the wait between calls for the list
+const (
+	backoffMost = 6   // doublings of the wait between calls for the list
+	callRoom    = 1e6 // microseconds that a call for the list may take until its answer
+)
+
+// watch calls for the list.
+func (r *Router) watch() {
+	r.askedAt = r.now
+	r.do(Watch{})
+}
 
 func (r *Router) list(ev *List) {
 	if ev.Kind == ListFailed {
@@ -17,14 +26,17 @@
 		if r.calls == 1 { // a silent watch is noticed when what it missed is about to count as told
 			wait = min(wait, float64(r.set.DrainGrace))
 		}
-		r.at(r.now+Time(wait*(0.5+r.random()/2)), func() { r.do(Watch{}) })
+		// The danger: discovery may be back since the start of the call that has failed, and what it has to
+		// tell counts as told before the next call is answered.
+		wait = min(wait, float64(max(ToldWithin-callRoom-(r.now-r.askedAt), callRoom/2)))
+		r.at(r.now+Time(wait*(0.5+r.random()/2)), r.watch)
 		if r.calls == 1 {
 			r.logf("list lost, asking again")
 		}
 		return
 	}
 	if ev.Kind != ListStale {
-		r.calls = 0
+		r.calls, r.askedAt = 0, r.now // the next call follows at once
 	}
 	seen := map[string]bool{}
 	for _, e := range ev.Entries {
@@ -59,7 +71,7 @@
 		r.missing = 1
 		r.fetches = max(leastFetches, firstLimit*float64(len(r.ready))/float64(max(1, r.set.Routers)))
 		if r.set.MustWatch {
-			r.do(Watch{})
+			r.watch()
 		}
 		r.at(r.now, r.forget)
 		r.at(r.now, r.turn)
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -32,14 +32,14 @@
 }
 
 const (
-	noIndex      = -1               // version of a list that was never seen
-	askedWait    = 20 * time.Second // how long discovery may hold a watch open where calls are scarce
-	pushedWait   = 2 * time.Second  // ... where they cost nothing: what a silent one misses counts as told 6 s later
-	watchSlack   = time.Second      // how much longer an answer may take: what is missed counts as told 2 s after the wait
-	mostListSize = 8 << 20          // bytes of an answer at most,
-	listPart     = 16               // ... and of the memory, as one over this: reading it takes several times its size
-	mostHeader   = 64 << 10         // ... of its header
-	mostName     = 256              // bytes of a cache's name
+	noIndex      = -1              // version of a list that was never seen
+	askedWait    = 3 * time.Second // how long discovery may hold a watch open where calls are scarce
+	pushedWait   = 2 * time.Second // ... where they cost nothing: what a silent one misses counts as told (decide.ToldWithin)
+	watchSlack   = time.Second     // how much longer an answer may take
+	mostListSize = 8 << 20         // bytes of an answer at most,
+	listPart     = 16              // ... and of the memory, as one over this: reading it takes several times its size
+	mostHeader   = 64 << 10        // ... of its header
+	mostName     = 256             // bytes of a cache's name
 )
 
 var conditions = map[string]decide.Condition{"in_service": decide.Up, "terminating": decide.Draining,
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/heap"
 	"context"
 	"errors"
 	"fmt"
@@ -58,12 +59,12 @@
 	addr, calls := newFakeDiscovery(t)
 	r := start(t, testConfig(t, addr, nil))
 	first := receive(t, calls, "call")
-	if want := "/discovery/hosts?after=1&wait_ms=20000"; first.query != want {
+	if want := "/discovery/hosts?after=1&wait_ms=3000"; first.query != want {
 		t.Errorf("call %s, want %s", first.query, want)
 	}
 	first.reply <- hosts(7, false, host("c1", cache.addr(), "in_service"))
 	second := receive(t, calls, "call")
-	if want := "/discovery/hosts?after=7&wait_ms=20000"; second.query != want {
+	if want := "/discovery/hosts?after=7&wait_ms=3000"; second.query != want {
 		t.Errorf("call %s, want %s", second.query, want)
 	}
 	c := dial(t, r.addr)
@@ -155,7 +156,7 @@
 // TestMovedDiscovery: the watch goes on at the new address, from the version known where lists have to be asked
 // for and with the whole list where they cost nothing, and what the old one still has to say is not taken.
 func TestMovedDiscovery(t *testing.T) {
-	for mode, want := range map[string]string{"subscribe": "/discovery/hosts?after=1&wait_ms=20000", "automatic": "/discovery/hosts"} {
+	for mode, want := range map[string]string{"subscribe": "/discovery/hosts?after=1&wait_ms=3000", "automatic": "/discovery/hosts"} {
 		cache := newFakeCache(t)
 		old, oldCalls := newFakeDiscovery(t)
 		moved, calls := newFakeDiscovery(t)
@@ -332,22 +333,91 @@
 	}
 }
 
-// TestSilentWatchIsOpenedAnewInTime: what it misses counts as told 6 s after it fell silent, or 2 s after the
-// wait that it asked for; by then another watch has to be open, behind the longest pause after one failure.
+// TestSilentWatchIsOpenedAnewInTime: what it misses counts as told 6 s after it fell silent, however long it was
+// to wait; by then another watch has to be open, behind the longest pause after one failure.
 func TestSilentWatchIsOpenedAnewInTime(t *testing.T) {
 	for _, mode := range []string{"automatic", "subscribe"} {
 		cfg := testConfig(t, "127.0.0.1:1", func(in map[string]any) { in["settings"].(map[string]any)["discovery"] = mode })
 		d := newDiscovery(cfg)
 		pause := time.Duration(watchPause) * time.Microsecond
-		told := max(6*time.Second, d.wait+2*time.Second)
-		if mode == "automatic" {
-			told = 6 * time.Second
-		} else {
+		told := time.Duration(decide.ToldWithin) * time.Microsecond
+		if mode == "subscribe" {
 			pause = time.Duration(cfg.Settings.DrainGrace) * time.Microsecond // the module's at most
-			told += pause
 		}
 		if again := d.wait + watchSlack + pause; again >= told {
 			t.Errorf("%s: the next watch is open %v after one that falls silent at once, and is told by %v", mode, again, told)
 		}
 	}
 }
+
+// outage is what discovery does with calls while it is down.
+type outage struct {
+	name string
+	took decide.Time // until a call has failed
+}
+
+// TestFirstCallAfterAnOutageIsInTime: whatever became of the calls before, the first one that meets discovery
+// back, at whatever moment, is begun early enough to be answered within the time after which changes count as
+// told; and the calls of many routers are spread.
+func TestFirstCallAfterAnOutageIsInTime(t *testing.T) {
+	silence := (askedWait + watchSlack).Microseconds()
+	const room, routers = 500_000, 200 // microseconds that the call may take; seeds
+	for _, down := range []outage{{"refusal", 100}, {"silence", silence}, {"lost packets", watchSlack.Microseconds()}, {"503", 5000}} {
+		for _, back := range []decide.Time{1_000_000, 25_000_000, 40_000_000} {
+			first := map[decide.Time]int{}
+			for seed := range uint64(routers) {
+				set := testConfig(t, "127.0.0.1:1", nil).Settings
+				set.AskEvery, set.DrainGrace = 10_000_000, 1_500_000
+				at := firstCall(t, set, seed, down.took, back+decide.Time(seed)*7919%5_000_000)
+				if at > decide.ToldWithin-room {
+					t.Errorf("%s until %d us: seed %d called %d us after discovery's return", down.name, back, seed, at)
+				}
+				first[at/100_000]++
+			}
+			for at, n := range first {
+				if n > routers/4 && back > 1_000_000 {
+					t.Errorf("%s until %d us: %d of %d first calls came in one tenth of a second, %d", down.name, back, n, routers, at)
+				}
+			}
+		}
+	}
+}
+
+// firstCall plays a module whose calls for the list fail until discovery is back, a call under way at that moment
+// too. It returns how long after that the first call is begun that finds it back.
+func firstCall(t *testing.T, set decide.Settings, seed uint64, took, back decide.Time) decide.Time {
+	t.Helper()
+	m, err := decide.New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const started = decide.Time(1e9)
+	timers := &timerHeap{}
+	now, called, seq := started, decide.Time(-1), int64(0)
+	at := func(t decide.Time, f func()) {
+		seq++
+		heap.Push(timers, timer{t, seq, f})
+	}
+	var feed func(ev decide.Event)
+	feed = func(ev decide.Event) {
+		for _, a := range m.Handle(now, ev) {
+			switch a := a.(type) {
+			case decide.SetTimer:
+				at(a.At, func() { feed(&decide.Timer{Token: a.Token}) })
+			case decide.Watch:
+				if now >= started+back {
+					called = now
+					return
+				}
+				at(now+took, func() { feed(&decide.List{Kind: decide.ListFailed}) })
+			}
+		}
+	}
+	feed(&decide.List{Kind: decide.ListStale, Entries: []decide.Entry{{ID: "c1", Size: 1}}})
+	for called < 0 {
+		next := heap.Pop(timers).(timer)
+		now = next.at
+		next.f()
+	}
+	return called - started - back
+}
