Judge attempts at a slow cache by its own hits, not by half of the aim

Cause: Class.patience, the same for quick and slow caches (decide/requests.go): less load makes none of these faster, so the limit fell to its floor and a third of the fleet was idle, the rest crowded. Ruled out: the retry budget (hedges are 1 to 2%), the origin's limit (never in the way), dials (2 ms).

Change: a router of few tracks what the quicker quarter of a cache's hits takes; an attempt there is overdue after twice that, between half and nine tenths of its aim. Routers of many hear too little of one cache and go on as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,6 +30,7 @@
 	answered   Time    // when it last answered anything
 	unmet      int     // failed connections in a row
 	halfOpenAt Time    // after some it is passed over until then; one request is its half-open trial
+	usual      float64 // microseconds that the quicker ones of its hits take; 0 is not known
 	crowd      float64 // requests it held for each core, by the list
 	open       float64 // share of the keys it is home to that this router still sends it, as of openAt
 	openAt     Time
--- a/decide/limits.go
+++ b/decide/limits.go
@@ -5,6 +5,10 @@
 import "math"
 
 const (
+	slowBy        = 2   // times what the quicker hits of a cache take, that one may take before it is overdue
+	slowest       = .9  // ... of the aim at most
+	quicker       = .25 // share of hits that are the quicker ones
+	usualStep     = .1  // part by which one hit moves what they take
 	firstLimit    = 8   // requests out at a cache, over all routers, before anything is known
 	savedShare    = .25 // of the patience that a limit under one saves up at most: about one short attempt
 	tolerated     = .2  // share of overdue attempts at which a limit stays as it is
@@ -25,6 +29,18 @@
 	return part
 }
 
+// note lets one hit move what the quicker quarter of hits takes, a quantile that is tracked sample by sample.
+func (c *cache) note(took float64) {
+	switch {
+	case c.usual == 0:
+		c.usual = took
+	case took < c.usual:
+		c.usual -= usualStep * (1 - quicker) * c.usual
+	default:
+		c.usual += usualStep * quicker * c.usual
+	}
+}
+
 // hasRoom reports whether the limit lets one more attempt out. A limit under one leaves gaps between
 // attempts. The danger: a cache slowed down by crowding stays slow until it has been mostly idle, and one
 // attempt of every router at all times is enough to keep it so. With many routers the gap has to grow with
--- a/decide/origin.go
+++ b/decide/origin.go
@@ -20,11 +20,12 @@
 // fetchTime is how long a likely miss may take before it speaks against the origin. The danger: where
 // misses are slow by themselves, fewer of them are no faster, and the limit finds no rest until
 // nothing is fetched. Once all routers together have one out at each cache, it may take its whole aim.
-func (r *Router) fetchTime(q *request) Time {
+func (r *Router) fetchTime(q *request, c *cache) Time {
 	if r.fetches <= float64(len(r.ready))*r.alone() {
 		return q.class.Aim
 	}
-	return Time(originShare * float64(q.class.Aim))
+	slow := r.patienceAt(c, q.class) - q.class.patience()
+	return min(q.class.Aim, Time(originShare*float64(q.class.Aim))+slow)
 }
 
 // overdue blames a late attempt on the origin if it is a likely miss and the cache answered the
@@ -34,7 +35,7 @@
 	a := &q.attempts[n]
 	c := a.to
 	if a.fetch && c.prompt && r.now >= c.warmAt { // a cold one is slow itself and has few hits
-		r.at(a.sent+r.fetchTime(q), func() {
+		r.at(a.sent+r.fetchTime(q, c), func() {
 			a := &q.attempts[n]
 			switch {
 			case !a.pending:
--- a/decide/requests.go
+++ b/decide/requests.go
@@ -138,7 +138,7 @@
 			}
 		})
 	}
-	r.at(r.now+q.class.patience(), func() {
+	r.at(r.now+r.patienceAt(c, q.class), func() {
 		if q.attempts[n].pending {
 			r.overdue(q, n)
 			r.hedge(q, n)
@@ -149,6 +149,15 @@
 // patience is how long an attempt may take before it counts as overdue.
 func (c *Class) patience() Time { return max(c.Aim/2, 1) }
 
+// patience is the same at one cache: a slow one may take twice what its quicker hits take. The danger: where half
+// of its hits take half of the aim with nothing else to do, its limit falls until it does next to nothing.
+func (r *Router) patienceAt(c *cache, class *Class) Time {
+	if r.thin() {
+		return class.patience() // it hears too little of one cache to know
+	}
+	return max(class.patience(), min(Time(slowBy*c.usual), Time(slowest*float64(class.Aim))))
+}
+
 // answer gives the final answer, once.
 func (r *Router) answer(q *request) {
 	if q.done || q.streams {
@@ -221,10 +230,10 @@
 	if a.to.pending == 0 && r.closesIdle(a.to) {
 		r.do(CloseIdle{a.to.ID})
 	}
-	good := ev.Result == Served && r.now-a.sent < q.class.patience()
+	good := ev.Result == Served && r.now-a.sent < r.patienceAt(a.to, q.class)
 	if r.thin() && ev.Result == Served && ev.Miss {
 		// The danger: where nearly half are misses, a limit can hardly rise, as the origin takes their time.
-		good = r.now-a.sent < r.fetchTime(q)
+		good = r.now-a.sent < r.fetchTime(q, a.to)
 	}
 	if good && !ev.Miss {
 		r.prompt = r.now
@@ -232,7 +241,7 @@
 	if good && !a.fetch {
 		a.to.prompt = true
 	}
-	fetched := ev.Result == Served && a.fetch && r.now-a.sent < r.fetchTime(q)
+	fetched := ev.Result == Served && a.fetch && r.now-a.sent < r.fetchTime(q, a.to)
 	if fetched && ev.Miss {
 		r.fetched = r.now
 	}
@@ -252,6 +261,9 @@
 			r.missing += 1.0 / missWindow
 		}
 	}
+	if ev.Result == Served && !ev.Miss {
+		a.to.note(float64(r.now - a.sent))
+	}
 	if ev.Result == Served {
 		a.to.keeps[0][q.Key] = true
 	}
