--- a/decide/requests.go
+++ b/decide/requests.go
@@ -149,8 +149,8 @@
 // patience is how long an attempt may take before it counts as overdue.
 func (c *Class) patience() Time { return max(c.Aim/2, 1) }
 
-// patience is the same at one cache: a slow one may take twice what its quicker hits take. The danger: where half
-// of its hits take half of the aim with nothing else to do, its limit falls until it does next to nothing.
+// patienceAt is the same at one cache: a slow one may take twice what its quicker hits take. The danger: where
+// half of its hits take half of the aim with nothing else to do, its limit falls until it does next to nothing.
 func (r *Router) patienceAt(c *cache, class *Class) Time {
 	if r.thin() {
 		return class.patience() // it hears too little of one cache to know
