Let a connection that makes room linger for a tenth of the second it had

Cause: a connection that is closed to make room holds its descriptor for the whole linger time, 1 s, as the others wait. Change: it lingers for commandGrace, 100 ms, as long as it may take over the rest of a command.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -441,7 +441,7 @@
 		default: // of a command, or of a connection that was to be closed
 			c.nc.SetReadDeadline(time.Time{})
 			if c.lingering.Load() {
-				c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+				c.nc.SetReadDeadline(time.Now().Add(c.lingerTime()))
 			}
 		}
 	}
@@ -620,10 +620,19 @@
 		return
 	}
 	c.lingering.Store(true)
-	c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+	c.nc.SetReadDeadline(time.Now().Add(c.lingerTime()))
 	<-c.readEnded
 }
 
+// lingerTime is short where others wait for room. The danger: a crowd that does not heed the router's end of
+// its connections shuts out the PING that tells whether the router is ready.
+func (c *client) lingerTime() time.Duration {
+	if c.hurried.Load() {
+		return commandGrace
+	}
+	return lingerTime
+}
+
 // nextCommand takes one command off b. The danger: the codec panics on lengths out of range.
 func nextCommand(b []byte) (complete bool, args [][]byte, used int, err error) {
 	defer func() {
