Answer PONG from the start where a cache is known, before the loop's first turn

Observed: of 16 starts with discovery down (refusing, never up, silent, breaking off) and a known list of 1 or 1,024 caches, 5 to 9 answered the first PING with -LOADING, most of them with 1,024 caches. Cause: whether a cache is known was noted as the loop first learned the list; connections are taken side by side with that, and a PING overtook it. Change: it is noted as the loop is made. Requests wait for the loop anyway. Checked: TestReadyWithDiscoveryDown, which failed so, passes 3 times of 3 under -race.

--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"starlingwinch/decide"
@@ -31,6 +32,11 @@
 	return decide.ListChanges
 }
 
+// serves reports whether a cache is listed that takes work.
+func (h *hostList) serves() bool {
+	return slices.ContainsFunc(h.entries, func(e decide.Entry) bool { return e.Condition == decide.Up })
+}
+
 const (
 	noIndex      = -1               // version of a list that was never seen
 	askedWait    = 20 * time.Second // how long discovery may hold a watch open where calls are scarce
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -84,8 +84,10 @@
 	for _, c := range cfg.Settings.Classes {
 		longest = max(longest, c.Limit)
 	}
-	return &loop{cfg: cfg, longest: longest, rest: restTime, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
-		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg), index: cfg.Known.index}, nil
+	l := &loop{cfg: cfg, longest: longest, rest: restTime, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
+		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg), index: cfg.Known.index}
+	l.serving.Store(cfg.Known.serves()) // the danger: a PING overtakes the loop's first turn
+	return l, nil
 }
 
 // clock is Unix time in microseconds. It runs on the monotonic clock from the
--- a/internal/router/ready_test.go
+++ b/internal/router/ready_test.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 )
@@ -40,3 +43,62 @@
 		})
 	}
 }
+
+// troubledDiscovery serves the list once it is up; before that it takes calls and does not answer them, or
+// ends their connections.
+type troubledDiscovery struct {
+	addr  string
+	down  chan string // a call that came while it was down
+	up    chan struct{}
+	calls chan call // those that came afterwards
+}
+
+func newTroubledDiscovery(t *testing.T, silent bool) *troubledDiscovery {
+	t.Helper()
+	d := &troubledDiscovery{down: make(chan string, 1000), up: make(chan struct{}), calls: make(chan call, 1000)}
+	over := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := call{r.URL.String(), make(chan string, 1)}
+		select {
+		case <-d.up:
+			d.calls <- c
+		default:
+			d.down <- c.query
+			if !silent {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		select {
+		case body := <-c.reply:
+			fmt.Fprint(w, body)
+		case <-over:
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() {
+		close(over)
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	d.addr = srv.Listener.Addr().String()
+	return d
+}
+
+// TestReadyWithDiscoveryDown: the list that the router had last is enough, however long it is.
+func TestReadyWithDiscoveryDown(t *testing.T) {
+	for name, addr := range map[string]string{"refuses": "127.0.0.1:1", "never comes up": unreachable(t),
+		"silent": newTroubledDiscovery(t, true).addr, "breaks off": newTroubledDiscovery(t, false).addr} {
+		for _, mode := range []string{"subscribe", "automatic"} {
+			for _, known := range []int{1, atSize} {
+				t.Run(fmt.Sprint(name, ", ", mode, ", ", known), func(t *testing.T) {
+					t.Parallel()
+					begun := time.Now()
+					r := start(t, testConfig(t, addr, func(in map[string]any) {
+						in["settings"].(map[string]any)["discovery"] = mode
+					}, manyHosts(known, "127.0.0.1:1")...))
+					dial(t, r.addr).wantReady(begun)
+				})
+			}
+		}
+	}
+}
