Ask for the whole list at the start where no cache is known that takes work

Observed: with an empty known list that has a version (or one whose caches all drain), lists to be asked for, and a discovery that is silent at the start and leaves the call of then unanswered, the router was ready 21 s after its start: the first call was a watch of 20 s. Discovery was up after the first moments. Where lists are pushed: 3.6 s. Cause: the version of a list that serves nobody was taken for one to wait behind. Not mended: where lists are asked for, the module's pauses grow to 16 times those of the first seconds (askEvery/40 doubled each time), so that a discovery that refuses for 6 s may be asked again only after 11 s.

--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -131,6 +131,9 @@
 	l.now = l.clock()
 	known := l.cfg.Known
 	known.full = true
+	if !known.serves() {
+		known.index = noIndex // the danger: a watch that falls silent keeps the router from being ready for 20 s
+	}
 	l.learn(known, decide.ListStale)
 	l.tell()
 	if !l.cfg.Settings.MustWatch {
--- a/internal/router/ready_test.go
+++ b/internal/router/ready_test.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 )
@@ -102,3 +104,39 @@
 		}
 	}
 }
+
+// TestReadyOnceDiscoveryIsUp, where no cache was known: the call that was out before then is never answered, and
+// the router is not used before it knows of a cache.
+func TestReadyOnceDiscoveryIsUp(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		for _, mode := range []string{"subscribe", "automatic"} {
+			for name, known := range map[string]string{"no list": "null", "empty list": hosts(41, true),
+				"all drain": hosts(41, true, host("c1", "127.0.0.1:1", "terminating"))} {
+				t.Run(fmt.Sprint("silent ", silent, ", ", mode, ", ", name), func(t *testing.T) {
+					t.Parallel()
+					d := newTroubledDiscovery(t, silent)
+					begun := time.Now()
+					r := start(t, testConfig(t, d.addr, func(in map[string]any) {
+						in["known"] = json.RawMessage(known)
+						settings := in["settings"].(map[string]any)
+						settings["discovery"] = mode
+						settings["rules"].(map[string]any)["askEvery"] = 1_000_000
+					}))
+					if query := receive(t, d.down, "call"); query != "/discovery/hosts" {
+						t.Errorf("call %s, want one that may not wait", query)
+					}
+					c := dial(t, r.addr)
+					c.send(words("PING"))
+					if got := c.line(); !strings.HasPrefix(got, "-LOADING") {
+						t.Errorf("answer %q", got)
+					}
+					close(d.up)
+					receive(t, d.calls, "call").reply <- hosts(43, true, host("c1", "127.0.0.1:1", "in_service"))
+					receive(t, d.calls, "next call")
+					(&rig{t: t, l: r.srv.loop}).do(func() {}) // so the router has taken the answer
+					c.wantReady(begun)
+				})
+			}
+		}
+	}
+}
