Hold what answers and lists that break off come to, with reset and with end

No fault was found. The tests force each cut: a cache's answer after nothing, within its lines, its value and its second and third element, closed and reset (32 cases): a reset that may have run, nothing of it served, the connection given back; a safe request goes to the other cache and the answers of its connection keep their order. A list over HTTP without a length is whole at an orderly end and not taken at a reset, also where its JSON is complete; chunked, with a length, HTTP/1.0, cut headers; the watch goes on for the version that was known.

--- /dev/null
+++ b/internal/router/answers_test.go
@@ -0,0 +1,202 @@
+package router
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingwinch/decide"
+)
+
+// breaks are the ways in which a connection ends under an answer.
+var breaks = map[string]func(net.Conn){
+	"reset": func(nc net.Conn) {
+		nc.(*net.TCPConn).SetLinger(0)
+		nc.Close()
+	},
+	"closed": func(nc net.Conn) { nc.Close() },
+}
+
+// cutAnswers are beginnings of answers.
+var cutAnswers = map[string]string{
+	"nothing":                  "",
+	"type":                     "*",
+	"array header":             "*3\r\n",
+	"length":                   "*3\r\n$",
+	"value":                    "*3\r\n$5\r\nval",
+	"value without its end":    "*3\r\n$5\r\nvalue",
+	"half of its end":          "*3\r\n$5\r\nvalue\r",
+	"first element":            "*3\r\n$5\r\nvalue\r\n",
+	"length of how it went":    "*3\r\n$5\r\nvalue\r\n$3\r\n",
+	"null without its end":     "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1",
+	"all but the last byte":    served[:len(served)-1],
+	"line of an error":         "-ERR fai",
+	"refusal without its end":  "-BUSY",
+	"refusal with half an end": "-BUSY\r",
+	"bulk string":              "$5\r\nval",
+	"large value":              "*3\r\n$65536\r\n" + strings.Repeat("v", mostValue/2),
+}
+
+// TestAnswerThatBreaksOff is a reset of an attempt that may have run, however much of it has come.
+func TestAnswerThatBreaksOff(t *testing.T) {
+	for how, end := range breaks {
+		for name, wire := range cutAnswers {
+			t.Run(name+", "+how, func(t *testing.T) {
+				cache := newFakeCache(t)
+				r := newRig(t, cache.addr(), nil)
+				q := r.request(nil)
+				r.send(q, long)
+				cmd := receive(t, cache.commands, "command")
+				cmd.reply(t, wire)
+				end(cmd.conn)
+				if o := r.want(decide.ConnLost); o.Last {
+					t.Error("the request is over")
+				}
+				r.do(func() {
+					if len(q.slot.wire) > 0 || r.l.conns != 0 {
+						t.Errorf("%d answers to the client, %d connections", len(q.slot.wire), r.l.conns)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestSafeRequestGoesElsewhere after an answer that broke off, and the client gets one whole answer.
+func TestSafeRequestGoesElsewhere(t *testing.T) {
+	for how, end := range breaks {
+		for name, wire := range cutAnswers {
+			t.Run(name+", "+how, func(t *testing.T) {
+				t.Parallel()
+				caches := []*fakeCache{newFakeCache(t), newFakeCache(t)}
+				r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", caches[0].addr(), "in_service"),
+					host("c2", caches[1].addr(), "in_service")))
+				c := dial(t, r.addr)
+				c.send(get("r1") + words("PING"))
+				var first, second fakeCommand
+				other := caches[1]
+				select {
+				case first = <-caches[0].commands:
+				case first = <-caches[1].commands:
+					other = caches[0]
+				case <-time.After(patience):
+					t.Fatal("no command came")
+				}
+				first.reply(t, wire)
+				end(first.conn)
+				second = receive(t, other.commands, "command at the other cache")
+				second.reply(t, another)
+				c.want("another")
+				c.want("+PONG")
+			})
+		}
+	}
+}
+
+// brokenDiscovery answers each call with the same bytes and ends the connection.
+func brokenDiscovery(t *testing.T, wire string, end func(net.Conn)) (addr string, calls chan string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	calls = make(chan string, 1000)
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			req, err := http.ReadRequest(bufio.NewReader(nc))
+			if err == nil {
+				io.WriteString(nc, wire)
+				calls <- req.URL.String()
+			}
+			end(nc)
+		}
+	}()
+	return ln.Addr().String(), calls
+}
+
+const ok = "HTTP/1.1 200 OK\r\n"
+
+// TestListThatBreaksOff: a list without a length is whole at an orderly end. A reset is no end, also behind what
+// could be read as a list, and neither is an end within what was announced.
+func TestListThatBreaksOff(t *testing.T) {
+	body := hosts(9, true, host("c1", "127.0.0.1:1", "in_service"))
+	length := fmt.Sprintf(ok+"Content-Length: %d\r\n\r\n", len(body))
+	chunked := ok + "Transfer-Encoding: chunked\r\n\r\n"
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+	for _, c := range []struct {
+		name, wire string
+		whole      bool // where the end is orderly
+		reset      bool // ... and where it is not: all that was announced has come
+	}{
+		{"without a length", ok + "Connection: close\r\n\r\n" + body, true, false},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\n" + body, true, false},
+		{"without a length, cut", ok + "Connection: close\r\n\r\n" + body[:len(body)-1], false, false},
+		{"without a length, empty", ok + "Connection: close\r\n\r\n", false, false},
+		{"chunked, whole", chunked + chunk + "0\r\n\r\n", true, true},
+		{"chunked, without its end", chunked + chunk, false, false},
+		{"chunked, with half its end", chunked + chunk + "0\r\n", false, false},
+		{"chunked, cut", chunked + chunk[:len(chunk)/2], false, false},
+		{"with a length, whole", length + body, true, true},
+		{"with a length, cut", length + body[:len(body)-1], false, false},
+		{"header, cut", length[:len(length)-3], false, false},
+	} {
+		for how, end := range breaks {
+			t.Run(c.name+", "+how, func(t *testing.T) {
+				addr, calls := brokenDiscovery(t, c.wire, end)
+				h, err := newDiscovery(testConfig(t, addr, nil)).call(context.Background(), 5)
+				receive(t, calls, "call")
+				switch whole := how == "closed" && c.whole; {
+				case whole && (err != nil || h.index != 9):
+					t.Errorf("a whole list: %v", err)
+				case how == "reset" && c.reset: // the reset may overtake what is still to be read
+				case !whole && err == nil:
+					t.Errorf("taken: %+v", h)
+				}
+			})
+		}
+	}
+}
+
+// TestWatchIsOpenedAgainAfterAListThatBroke, for the version that is known, within the pause after one failure.
+func TestWatchIsOpenedAgainAfterAListThatBroke(t *testing.T) {
+	body := hosts(9, true, host("c2", "127.0.0.1:1", "in_service"))
+	for how, end := range breaks {
+		for _, mode := range []string{"subscribe", "automatic"} {
+			t.Run(how+", "+mode, func(t *testing.T) {
+				wire := ok + "Connection: close\r\n\r\n" + body
+				if how == "closed" {
+					wire = wire[:len(wire)-1]
+				}
+				addr, calls := brokenDiscovery(t, wire, end)
+				cfg := testConfig(t, addr, func(in map[string]any) {
+					settings := in["settings"].(map[string]any)
+					settings["discovery"] = mode
+					settings["rules"].(map[string]any)["askEvery"] = 1_000_000
+				}, host("c1", "127.0.0.1:1", "in_service"))
+				r := start(t, cfg)
+				rig := &rig{t: t, l: r.srv.loop}
+				for range 3 {
+					if query := receive(t, calls, "call"); !strings.Contains(query, "?after=1&") {
+						t.Errorf("call %s", query)
+					}
+				}
+				rig.do(func() {
+					if r.srv.loop.index != 1 || r.srv.loop.upstreams["c2"] != nil {
+						t.Errorf("the broken list was taken: version %d", r.srv.loop.index)
+					}
+				})
+			})
+		}
+	}
+}
