Fail no attempt for a dial that timed out before the attempt's own time to connect

Observed: an attempt that came while an earlier one's connection was coming up ended as "could not connect" when that dial timed out, though its own dial was out and its own time had hardly begun. Cause: each dial that fails ends the attempt that waits longest, also after its own attempt has ended by itself. Change: a timeout does so only once that attempt's time to connect is over; a refusal still does at once. Checked: TestDialThatTookTooLongFailsNoLaterAttempt failed without the change and passes with it. The harness makes a fake cache on a given listener, and gives the socket of a full queue.

--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -200,3 +202,202 @@
 		}
 	}
 }
+
+// lateCache is a cache whose connections come up late: the first try of each has found no room, and up makes some.
+func lateCache(t *testing.T) (addr string, up func() *fakeCache) {
+	t.Helper()
+	addr, fd := fullQueue(t)
+	return addr, func() *fakeCache {
+		t.Helper()
+		if err := syscall.Listen(fd, 1000); err != nil {
+			t.Fatal(err)
+		}
+		dup, err := syscall.Dup(fd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := os.NewFile(uintptr(dup), "listener")
+		defer f.Close()
+		ln, err := net.FileListener(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fakeCacheOn(t, ln)
+	}
+}
+
+func (r *rig) wantDescriptors(n int) {
+	r.t.Helper()
+	r.do(func() {
+		if u := r.l.upstreams["c1"]; r.l.conns != n || len(u.conns) != n || len(u.idle) != n || u.dialing != 0 {
+			r.t.Errorf("%d descriptors, %d connections, %d idle, %d dials; want %d idle connections", r.l.conns, len(u.conns), len(u.idle), u.dialing, n)
+		}
+	})
+}
+
+// TestLateConnectionsInTime: all of a burst is served once they are up, and each descriptor is counted once.
+func TestLateConnectionsInTime(t *testing.T) {
+	addr, up := lateCache(t)
+	r := newRig(t, addr, nil)
+	const burst = 50
+	for range burst {
+		r.send(r.request(nil), long)
+	}
+	r.do(func() {
+		if u := r.l.upstreams["c1"]; u.dialing != mostDials || len(u.waiting) != burst {
+			t.Errorf("%d dials, %d attempts wait", u.dialing, len(u.waiting))
+		}
+	})
+	cache := up()
+	conns := map[net.Conn]bool{}
+	for range burst {
+		cmd := receive(t, cache.commands, "command")
+		conns[cmd.conn] = true
+		cmd.reply(t, served)
+		r.want(decide.Served)
+	}
+	await(t, "an end of the dials", func() (none bool) {
+		r.do(func() { none = r.l.upstreams["c1"].dialing == 0 })
+		return none
+	})
+	r.do(func() {
+		r.l.perform(decide.CloseIdle{Cache: "c1"})
+	})
+	for range conns {
+		receive(t, cache.ended, "end of an idle connection")
+	}
+	r.wantDescriptors(0)
+}
+
+// TestConnectionsLaterThanTheSettingsAllow: the attempts could not connect, and nothing of them is written when
+// the cache has room again.
+func TestConnectionsLaterThanTheSettingsAllow(t *testing.T) {
+	addr, up := lateCache(t)
+	r := newRig(t, addr, func(c *Config) { c.Transport.DialTimeout = 300_000 })
+	const burst = 50
+	for range burst {
+		r.send(r.request(nil), long)
+	}
+	for range burst {
+		r.want(decide.NoConnection)
+	}
+	await(t, "an end of the dials", func() (none bool) {
+		r.do(func() { none = r.l.upstreams["c1"].dialing == 0 })
+		return none
+	})
+	r.wantDescriptors(0)
+	cache := up()
+	r.do(func() { r.l.cfg.Transport.DialTimeout = patience.Microseconds() })
+	q := r.request(nil)
+	r.do(func() { q.cmd.args[2] = []byte("last") })
+	r.send(q, long)
+	cmd := receive(t, cache.commands, "command")
+	if cmd.args[2] != "last" {
+		t.Errorf("the cache was sent %q", cmd.args)
+	}
+	cmd.reply(t, served)
+	r.want(decide.Served)
+	r.wantDescriptors(1)
+}
+
+// TestLateConnectionCarriesOnlyWhatStillWaits: what it was opened for is over, and the next request has it.
+func TestLateConnectionCarriesOnlyWhatStillWaits(t *testing.T) {
+	for name, end := range map[string]func(*rig, *request){
+		"time is up": func(_ *rig, q *request) { q.attempts[0].giveUp(decide.NoAnswer) },
+		"not in the window": func(r *rig, q *request) {
+			q.attempts[0].sendBy = r.l.now
+			r.l.upstreams["c1"].pump()
+		},
+		"cancelled": func(r *rig, q *request) { r.l.perform(decide.Cancel{ID: q.id, Attempt: 0}) },
+		"refused":   func(r *rig, q *request) { r.l.perform(decide.Refuse{ID: q.id}) },
+		"departed":  func(r *rig, q *request) { r.l.depart(q.client) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, up := lateCache(t)
+			r := newRig(t, addr, nil)
+			q := r.request(nil)
+			r.send(q, long)
+			r.do(func() { end(r, q) })
+			r.want(decide.NotSent)
+			q = r.request(nil)
+			r.do(func() { q.cmd.args[2] = []byte("last") })
+			r.send(q, long)
+			cmd := receive(t, up().commands, "command")
+			if cmd.args[2] != "last" {
+				t.Errorf("the cache was sent %q", cmd.args)
+			}
+			cmd.reply(t, served)
+			r.want(decide.Served)
+			r.wantDescriptors(1)
+		})
+	}
+}
+
+// TestDialThatTookTooLongFailsNoLaterAttempt, which has its own connection coming up and its own time.
+func TestDialThatTookTooLongFailsNoLaterAttempt(t *testing.T) {
+	addr, up := lateCache(t)
+	r := newRig(t, addr, nil)
+	q, later := r.request(nil), r.request(nil)
+	r.send(q, long)
+	r.do(func() {
+		u := r.l.upstreams["c1"]
+		var first *conn
+		for first = range u.conns {
+		}
+		q.attempts[0].end(decide.NoConnection, nil) // its time to connect is up
+		r.l.perform(decide.Send{ID: later.id, Cache: "c1"})
+		u.dialed(first, nil, nil, os.ErrDeadlineExceeded)
+		if later.attempts[0].state != waiting {
+			t.Error("the later attempt has ended")
+		}
+	})
+	r.want(decide.NoConnection)
+	receive(t, up().commands, "command").reply(t, served)
+	r.want(decide.Served)
+}
+
+// TestClientsThatWriteSlowly are served where the command is whole in time, and told so where it is not: each
+// byte does not begin the time anew.
+func TestClientsThatWriteSlowly(t *testing.T) {
+	for name, inTime := range map[string]bool{"in time": true, "too late": false} {
+		t.Run(name, func(t *testing.T) {
+			cache := newFakeCache(t)
+			srv, err := New(testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			srv.commandWait = patience
+			wire := get("r1")
+			if !inTime {
+				srv.commandWait = 300 * time.Millisecond
+				wire = words("C.GET", strings.Repeat("k", mostWord), "r1", "c=read,d=20000")
+			}
+			c := dial(t, startServer(t, srv).addr)
+			c.send(words("PING"))
+			c.want("+PONG")
+			pace := time.NewTicker(10 * time.Millisecond) // ten seconds for the long one
+			defer pace.Stop()
+			go func() {
+				for i := range len(wire) {
+					if _, err := io.WriteString(c.nc, wire[i:i+1]); err != nil {
+						return
+					}
+					<-pace.C
+				}
+			}()
+			if !inTime {
+				if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
+					t.Errorf("answer %q", got)
+				}
+				c.wantClosed()
+				if len(cache.commands) > 0 {
+					t.Error("it was sent on")
+				}
+				return
+			}
+			receive(t, cache.commands, "command").reply(t, served)
+			c.want("value")
+		})
+	}
+}
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -67,6 +67,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return fakeCacheOn(t, ln)
+}
+
+func fakeCacheOn(t *testing.T, ln net.Listener) *fakeCache {
+	t.Helper()
 	c := &fakeCache{ln: ln, commands: make(chan fakeCommand, 1000), ended: make(chan struct{}, 1000)}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
--- a/internal/router/outcome_test.go
+++ b/internal/router/outcome_test.go
@@ -79,6 +79,13 @@
 
 // unreachable is an address at which connections never come up: its queue is full.
 func unreachable(t *testing.T) string {
+	t.Helper()
+	addr, _ := fullQueue(t)
+	return addr
+}
+
+// fullQueue is a socket that listens and has no room for connections.
+func fullQueue(t *testing.T) (addr string, fd int) {
 	t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
@@ -95,12 +102,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: sa.(*syscall.SockaddrInet4).Port}).String()
+	addr = (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: sa.(*syscall.SockaddrInet4).Port}).String()
 	for range 20 {
 		nc, err := net.DialTimeout("tcp", addr, time.Second)
 		var ne net.Error
 		if errors.As(err, &ne) && ne.Timeout() {
-			return addr
+			return addr, fd
 		}
 		if err != nil {
 			t.Fatal(err)
@@ -108,7 +115,7 @@
 		t.Cleanup(func() { nc.Close() })
 	}
 	t.Fatal("the queue does not fill")
-	return ""
+	return "", 0
 }
 
 func TestConnectionThatNeverComesUpNeverRan(t *testing.T) {
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -141,7 +141,7 @@
 	u.waiting = append(u.waiting, a)
 	u.pump()
 	if a.state == waiting {
-		l.at(a.sent+l.cfg.Transport.DialTimeout, func() {
+		l.at(a.dialBy(), func() {
 			switch {
 			case a.state != waiting:
 			case len(u.conns) == 0:
@@ -235,7 +235,8 @@
 		}
 	case err != nil:
 		c.close()
-		if len(u.waiting) > 0 {
+		// The danger: a dial that took too long fails an attempt that came long after it.
+		if len(u.waiting) > 0 && (!isTimeout(err) || u.l.now >= u.waiting[0].dialBy()) {
 			u.waiting[0].end(decide.NoConnection, nil)
 		}
 		u.pump()
@@ -246,6 +247,14 @@
 	}
 }
 
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+// dialBy is when the attempt has to have a connection at the latest.
+func (a *attempt) dialBy() decide.Time { return a.sent + a.upstream.l.cfg.Transport.DialTimeout }
+
 // giveUp ends the wait on an attempt: it was cancelled or its time is up.
 func (a *attempt) giveUp(why decide.Result) {
 	switch a.state {
