Give a repeat up that is not written whole when its key's window ends

Observed: a repeat of a keyed write that began in the window and whose last byte was not written yet went on to its attempt's time (19.8 s, window 1 s), and one that waited for a connection kept its request until the settings' time to connect was over (20 s, windows 0.3 and 1 s) though it could not be begun any more. Cause: the window was looked at before the first byte alone. A cache begins a command at its last byte, and drops repeats for so long only. Change: a timer at the window's end gives up what waits or is being written; what is written whole is waited for. Checked: TestRepeatIsWhollyWrittenInTheWindow and TestRepeatWhoseConnectionIsLate failed so and pass (after 1, 0.3 and 1 s), nothing is written when the late connection comes up. TestRepeatWrittenInTheWindow fails where the timer gives up what was written too.

--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -401,3 +401,58 @@
 		})
 	}
 }
+
+// TestRepeatIsWhollyWrittenInTheWindow of its key, or given up: a cache begins a command at its last byte.
+func TestRepeatIsWhollyWrittenInTheWindow(t *testing.T) {
+	addr, conns := deafCache(t)
+	r := newRig(t, addr, nil)
+	q := huge(r)
+	r.do(func() { r.l.perform(decide.Send{ID: q.id, Cache: "c1", SendBy: r.l.now + 1_000_000}) })
+	nc := receive(t, conns, "connection")
+	if _, err := nc.Read(make([]byte, 1)); err != nil { // it has begun
+		t.Fatal(err)
+	}
+	if o := r.want(decide.NotSent); o.Elapsed < 1_000_000 || o.Elapsed >= 10_000_000 {
+		t.Errorf("given up after %d us, with a window of 1 s", o.Elapsed)
+	}
+	if n, _ := io.Copy(io.Discard, nc); n >= 64<<20 {
+		t.Errorf("%d bytes were written", n)
+	}
+}
+
+// TestRepeatWrittenInTheWindow is waited for beyond it.
+func TestRepeatWrittenInTheWindow(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.addr(), nil)
+	q := r.request([]byte("v"))
+	r.do(func() { r.l.perform(decide.Send{ID: q.id, Cache: "c1", SendBy: r.l.now + 1_000_000}) })
+	cmd := receive(t, cache.commands, "command")
+	await(t, "an end of the window", func() (over bool) {
+		r.do(func() { over = r.l.now > q.attempts[0].sendBy && r.l.timers[0].at > q.attempts[0].sendBy })
+		return over
+	})
+	cmd.reply(t, served)
+	r.want(decide.Served)
+}
+
+// TestRepeatWhoseConnectionIsLate ends with the window, however short, and nothing of it is written later.
+func TestRepeatWhoseConnectionIsLate(t *testing.T) {
+	for _, window := range []decide.Time{300_000, 1_000_000} {
+		addr, up := lateCache(t)
+		r := newRig(t, addr, nil)
+		q := r.request([]byte("v"))
+		r.do(func() { r.l.perform(decide.Send{ID: q.id, Cache: "c1", SendBy: r.l.now + window}) })
+		if o := r.want(decide.NotSent); o.Elapsed < window || o.Elapsed >= 10_000_000 {
+			t.Errorf("ended after %d us, with a window of %d", o.Elapsed, window)
+		}
+		q = r.request(nil)
+		r.do(func() { q.cmd.args[2] = []byte("last") })
+		r.send(q, long)
+		cmd := receive(t, up().commands, "command")
+		if cmd.args[2] != "last" {
+			t.Errorf("the cache was sent %q", cmd.args)
+		}
+		cmd.reply(t, served)
+		r.want(decide.Served)
+	}
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -138,6 +138,13 @@
 func (u *upstream) send(a *attempt) {
 	l := u.l
 	l.at(a.stopAt, func() { a.giveUp(decide.NoAnswer) })
+	if a.sendBy > 0 {
+		l.at(a.sendBy, func() { // the danger: the last byte comes when caches don't drop the repeat any more
+			if a.state == waiting || a.state == writing {
+				a.giveUp(decide.NoAnswer)
+			}
+		})
+	}
 	u.waiting = append(u.waiting, a)
 	u.pump()
 	if a.state == waiting {
