Have the last look before an attempt's first byte go by the clock

Observed: where the turn of the loop that sends takes long (forced in the test, as on a machine that stands still), a repeat was begun after its key's window and an attempt after its time, and the cache was told more time (5.5 s) than was left (under 5 s). Cause: the look and the time told went by the time at which the turn began. Change: the time is read again before each look. Checked: TestLastLookGoesByTheClock failed in its three cases without the change and passes with it.

--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -456,3 +457,48 @@
 		r.want(decide.Served)
 	}
 }
+
+// TestLastLookGoesByTheClock: a turn of the loop that takes long, as on a machine that stands still, crosses the
+// end of the window or of the attempt's time; what is told to the cache is what is left.
+func TestLastLookGoesByTheClock(t *testing.T) {
+	for name, send := range map[string]func(r *rig) decide.Send{
+		"window": func(r *rig) decide.Send { return decide.Send{SendBy: r.l.now + 10_000} },
+		"time":   func(r *rig) decide.Send { return decide.Send{StopAt: r.l.now + 10_000} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cache := newFakeCache(t)
+			r := newRig(t, cache.addr(), nil)
+			r.do(func() { r.l.rest = 0 })
+			r.send(r.request(nil), long)
+			receive(t, cache.commands, "command").reply(t, served)
+			r.want(decide.Served)
+			q := r.request([]byte("v"))
+			r.do(func() {
+				s := send(r)
+				s.ID, s.Cache = q.id, "c1"
+				late := r.l.now + 20_000
+				await(t, "a long turn", func() bool { return r.l.clock() > late })
+				r.l.perform(s)
+			})
+			r.want(decide.NotSent)
+		})
+	}
+	t.Run("told", func(t *testing.T) {
+		cache := newFakeCache(t)
+		r := newRig(t, cache.addr(), nil)
+		r.do(func() { r.l.rest = 0 })
+		r.send(r.request(nil), long)
+		receive(t, cache.commands, "command").reply(t, served)
+		r.want(decide.Served)
+		q := r.request(nil)
+		r.do(func() {
+			late := r.l.now + 500_000
+			await(t, "a long turn", func() bool { return r.l.clock() > late })
+			r.l.perform(decide.Send{ID: q.id, Cache: "c1", StopAt: late + 5_000_000})
+		})
+		cmd := receive(t, cache.commands, "command")
+		if d, err := strconv.Atoi(strings.TrimPrefix(cmd.args[3], "c=read,d=")); err != nil || d > 5000 {
+			t.Errorf("told %q, with less than 5 s left", cmd.args[3])
+		}
+	})
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -177,6 +177,7 @@
 	u.closeIdle(u.stale())
 	for len(u.waiting) > 0 {
 		a := u.waiting[0]
+		u.l.now = u.l.clock() // the danger: this turn of the loop has taken long, and time is up
 		if !u.sendable(a) {
 			a.end(decide.NotSent, nil)
 			continue
