Look for bytes and for an end on a connection before an attempt is written on it

Observed: half an answer that came on an idle connection just before the next attempt was written became part of its answer, and the client got "val*3" as its value (cache: "*3 $5 val", then a whole answer). Half a line or one byte: a reset that may have run. An end that had come and was not read yet: the attempt was written, and the reset counted as one that may have run. Cause: whoever reads a connection tells the loop of whole answers alone, and of an end behind its other news. Change: the reader notes that something has come, the loop looks at that and at the socket before the first byte. Such a connection is closed; the attempt has another one, or could not connect where the connection had just come up, as a cache that closes each one would be dialed without end. Checked: TestBytesOnAnIdleConnection (three cases) and TestEndOfAConnectionThatNobodyHasRead (closed, idle and new) fail without the look and pass with it; the latter's cases of new connections fail where they get another one. TestShortWindow (keyTtl 0.3 and 1 s, no fault) fails where neither module nor router look at the window.

--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -502,3 +502,109 @@
 		}
 	})
 }
+
+// TestShortWindow: a keyed write that may have run goes again inside its key's window, and not beyond it.
+func TestShortWindow(t *testing.T) {
+	for _, window := range []time.Duration{300 * time.Millisecond, time.Second} {
+		cache := newFakeCache(t)
+		r := start(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
+			for _, class := range in["settings"].(map[string]any)["categories"].([]any) {
+				class.(map[string]any)["keyTtl"] = window.Microseconds()
+			}
+		}, host("c1", cache.addr(), "in_service"), host("c2", cache.addr(), "in_service")))
+		c := dial(t, r.addr)
+		c.send(words("C.SET", "k1", "r1", "c=put,k=ab12,d=20000", "v"))
+		first := receive(t, cache.commands, "command")
+		over := time.Now().Add(window)
+		await(t, "an end of the window", func() bool { return time.Now().After(over) })
+		first.conn.Close()
+		if got := c.line(); !strings.HasPrefix(got, "-") {
+			t.Errorf("window %v: answer %q", window, got)
+		}
+		if len(cache.commands) > 0 {
+			t.Errorf("window %v: it went again", window)
+		}
+	}
+}
+
+// idle makes a rig with a connection that stands idle and may be used at once.
+func idle(t *testing.T) (*rig, *fakeCache, fakeCommand) {
+	t.Helper()
+	cache := newFakeCache(t)
+	r := newRig(t, cache.addr(), nil)
+	r.do(func() { r.l.rest = 0 })
+	r.send(r.request(nil), long)
+	first := receive(t, cache.commands, "command")
+	first.reply(t, served)
+	r.want(decide.Served)
+	return r, cache, first
+}
+
+// TestBytesOnAnIdleConnection, before the next attempt is written: what else comes on it can't be told apart, so
+// the attempt has another one, whether the bytes have been read by then or not.
+func TestBytesOnAnIdleConnection(t *testing.T) {
+	for name, wire := range map[string]string{"half a line": "-ER", "half an answer": "*3\r\n$5\r\nval", "one byte": "*"} {
+		t.Run(name, func(t *testing.T) {
+			r, cache, first := idle(t)
+			q := r.request(nil)
+			r.do(func() {
+				first.reply(t, wire)
+				c := r.l.upstreams["c1"].idle[0]
+				await(t, "bytes", func() bool { return !c.quiet() })
+				r.l.perform(decide.Send{ID: q.id, Cache: "c1"})
+			})
+			second := receive(t, cache.commands, "command")
+			if second.conn == first.conn {
+				t.Error("it went on the connection that is out of step")
+			}
+			second.reply(t, another)
+			r.want(decide.Served)
+			if got := string(receive(t, q.slot.wire, "answer")); got != "$7\r\nanother\r\n" {
+				t.Errorf("the client got %q", got)
+			}
+			receive(t, cache.ended, "end of the connection that is out of step")
+		})
+	}
+}
+
+// TestEndOfAConnectionThatNobodyHasRead yet: what is written to it would end as a reset that may have run. The
+// attempt has another one, or could not connect where the connection has just come up.
+func TestEndOfAConnectionThatNobodyHasRead(t *testing.T) {
+	for how, end := range breaks {
+		for name, fresh := range map[string]bool{"idle": false, "new": true} {
+			t.Run(how+", "+name, func(t *testing.T) {
+				cache := newFakeCache(t)
+				r := newRig(t, cache.addr(), nil)
+				q := r.request(nil)
+				addr, conns := deafCache(t)
+				nc, raw, err := dialTCP(addr, patience)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { nc.Close() })
+				c := &conn{addr: cache.addr(), nc: nc, raw: raw} // without a reader
+				end(receive(t, conns, "connection"))
+				await(t, "the end", func() bool { return !c.quiet() })
+				r.do(func() {
+					u := r.l.upstreams["c1"]
+					c.upstream, c.since = u, r.l.now
+					if !fresh {
+						u.l.rest = 0
+						c.turn.Add(1)
+					}
+					r.l.conns++
+					u.conns[c] = struct{}{}
+					u.free(c)
+					r.l.perform(decide.Send{ID: q.id, Cache: "c1"})
+				})
+				if fresh {
+					r.want(decide.NoConnection)
+					r.wantDescriptors(0)
+					return
+				}
+				receive(t, cache.commands, "command on another connection").reply(t, served)
+				r.want(decide.Served)
+			})
+		}
+	}
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -308,6 +308,7 @@
 	since     decide.Time   // when it came up
 	attempt   *attempt      // what it carries
 	turn      atomic.Uint32 // attempts begun on it
+	heard     atomic.Bool   // some of an answer has been read
 	early     *reply        // an answer that came before the loop learned that its request was whole
 	idleSince decide.Time
 	closed    bool
@@ -325,10 +326,9 @@
 		return
 	}
 	defer nc.Close()
-	in := &arrivals{Reader: nc, turn: &c.turn}
+	in := &arrivals{Reader: nc, turn: &c.turn, heard: &c.heard}
 	var buf []byte
 	for {
-		in.first = 0
 		rep, rest, err := readReply(in, buf)
 		if err != nil {
 			u.l.post(c.broken)
@@ -337,6 +337,8 @@
 		buf = rest
 		// Bytes behind an answer are not awaited by anyone: the connection is out of step.
 		clean, turn := len(rest) == 0, in.first
+		in.first = 0
+		c.heard.Store(false)
 		u.l.post(func() { c.answered(rep, turn, clean) })
 	}
 }
@@ -345,13 +347,15 @@
 type arrivals struct {
 	io.Reader
 	turn  *atomic.Uint32
-	first uint32 // 0 until bytes have come
+	first uint32       // 0 until bytes have come
+	heard *atomic.Bool // bytes have come
 }
 
 func (a *arrivals) Read(b []byte) (int, error) {
 	n, err := a.Reader.Read(b)
 	if n > 0 && a.first == 0 {
 		a.first = a.turn.Load()
+		a.heard.Store(true)
 	}
 	return n, err
 }
@@ -370,6 +374,19 @@
 	return tcp, raw, nil
 }
 
+// quiet reports whether neither bytes nor an end have come since the last answer.
+func (c *conn) quiet() bool {
+	if c.heard.Load() {
+		return false
+	}
+	quiet := false
+	err := c.raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EINTR
+	})
+	return quiet && err == nil && !c.heard.Load() // meanwhile
+}
+
 // close ends a connection. Its reader sees the end of it.
 func (c *conn) close() {
 	if c.closed {
@@ -389,11 +406,16 @@
 // write sends the attempt that has waited longest. The loop itself writes as much as the socket takes at
 // once, nearly always all: so nothing comes between the last look and the first byte.
 func (c *conn) write(a *attempt) {
+	fresh := c.turn.Load() == 0
+	if !c.quiet() {
+		c.unfit(a, fresh) // the danger: half a line becomes part of the answer, or the end a reset that may have run
+		return
+	}
 	buf := a.encode(c.upstream.l.now)
 	c.turn.Add(1)
 	n, err := c.tryWrite(buf)
 	if n == 0 && err != nil {
-		c.close() // the cache had closed it; not a byte has gone out, so the attempt may have another one
+		c.unfit(a, fresh) // the cache had closed it
 		return
 	}
 	c.upstream.waiting = c.upstream.waiting[1:]
@@ -414,6 +436,15 @@
 	}
 }
 
+// unfit closes a connection that can't carry the attempt. Not a byte has gone out, so the attempt may have another
+// one. The danger: a cache that closes each as it comes up is dialed without end.
+func (c *conn) unfit(a *attempt, fresh bool) {
+	c.close()
+	if fresh {
+		a.end(decide.NoConnection, nil)
+	}
+}
+
 // wrote takes the news of a long write.
 func (c *conn) wrote(a *attempt, whole bool, err error) {
 	if a.state != writing {
