Leave no gap between the read of a connection's bytes and the note of them

Cause: the reader notes what it has read after the read, and the loop looks at the note and at the socket in between. Change: read and note are one step, as are the loop's look and its count of the attempt.

--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -308,6 +309,7 @@
 	since     decide.Time   // when it came up
 	attempt   *attempt      // what it carries
 	turn      atomic.Uint32 // attempts begun on it
+	mu        sync.Mutex    // held over a look at what has come, and what follows from it
 	heard     atomic.Bool   // some of an answer has been read
 	early     *reply        // an answer that came before the loop learned that its request was whole
 	idleSince decide.Time
@@ -326,7 +328,7 @@
 		return
 	}
 	defer nc.Close()
-	in := &arrivals{Reader: nc, turn: &c.turn, heard: &c.heard}
+	in := &arrivals{conn: c, raw: raw}
 	var buf []byte
 	for {
 		rep, rest, err := readReply(in, buf)
@@ -343,21 +345,36 @@
 	}
 }
 
-// arrivals notes with the first bytes of an answer how many attempts had been begun by then.
+// arrivals reads from a connection. It notes with the first bytes of an answer how many attempts had been begun by
+// then.
 type arrivals struct {
-	io.Reader
-	turn  *atomic.Uint32
-	first uint32       // 0 until bytes have come
-	heard *atomic.Bool // bytes have come
+	conn  *conn
+	raw   syscall.RawConn
+	first uint32 // 0 until bytes have come
 }
 
-func (a *arrivals) Read(b []byte) (int, error) {
-	n, err := a.Reader.Read(b)
-	if n > 0 && a.first == 0 {
-		a.first = a.turn.Load()
-		a.heard.Store(true)
+func (a *arrivals) Read(b []byte) (n int, err error) {
+	rerr := a.raw.Read(func(fd uintptr) bool {
+		a.conn.mu.Lock()
+		defer a.conn.mu.Unlock()
+		for n, err = syscall.Read(int(fd), b); err == syscall.EINTR; {
+			n, err = syscall.Read(int(fd), b)
+		}
+		if n > 0 && a.first == 0 {
+			a.first = a.conn.turn.Load()
+			a.conn.heard.Store(true)
+		}
+		return err != syscall.EAGAIN
+	})
+	switch {
+	case rerr != nil:
+		return 0, rerr
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
 	}
-	return n, err
+	return n, nil
 }
 
 func dialTCP(addr string, timeout time.Duration) (*net.TCPConn, syscall.RawConn, error) {
@@ -384,7 +401,18 @@
 		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = err == syscall.EAGAIN || err == syscall.EINTR
 	})
-	return quiet && err == nil && !c.heard.Load() // meanwhile
+	return quiet && err == nil
+}
+
+// begin counts an attempt, unless something has come before it. The danger: bytes come between the two.
+func (c *conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.quiet() {
+		return false
+	}
+	c.turn.Add(1)
+	return true
 }
 
 // close ends a connection. Its reader sees the end of it.
@@ -407,12 +435,11 @@
 // once, nearly always all: so nothing comes between the last look and the first byte.
 func (c *conn) write(a *attempt) {
 	fresh := c.turn.Load() == 0
-	if !c.quiet() {
+	if !c.begin() {
 		c.unfit(a, fresh) // the danger: half a line becomes part of the answer, or the end a reset that may have run
 		return
 	}
 	buf := a.encode(c.upstream.l.now)
-	c.turn.Add(1)
 	n, err := c.tryWrite(buf)
 	if n == 0 && err != nil {
 		c.unfit(a, fresh) // the cache had closed it
