Linger on a connection whose last answer its client's machine has not confirmed

Observed: a long answer (64 KB) whose client had hardly begun to read, and a connection closed over 1 s after the answer was written (as the router ends, or to make room): bytes of the client that cross the close reset it, and the client got no whole answer. Cause: a connection that has rested for 1 s was closed at once, as though its last answer had surely been read. Change: it lingers as the others where the system still holds bytes for the client. TestRequestThatCrossesTheCloseOfARestingConnection (no fault) holds that what crosses the close is not sent on, resets nothing and costs no answer; it fails where nothing lingers, and where what is read after the shutdown is sent on.

--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"starlingwinch/decide"
 )
 
@@ -608,3 +610,99 @@
 		}
 	}
 }
+
+// wantEnd waits for the router's end of the connection and leaves what came before it unread.
+func (c *testClient) wantEnd() {
+	c.t.Helper()
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	await(c.t, "the router's end of the connection", func() bool {
+		p := []unix.PollFd{{Events: unix.POLLRDHUP}}
+		raw.Control(func(fd uintptr) {
+			p[0].Fd = int32(fd)
+			unix.Poll(p, 0)
+		})
+		return p[0].Revents != 0
+	})
+}
+
+// TestRequestThatCrossesTheCloseOfARestingConnection is not sent on, whether the connection is closed as the
+// router ends or to make room, and the answer before it, which the client has not read yet, is not lost.
+func TestRequestThatCrossesTheCloseOfARestingConnection(t *testing.T) {
+	for name, retire := range map[string]func(*client){
+		"drain": func(c *client) { c.retire() },
+		"room": func(c *client) {
+			c.hurried.Store(true)
+			c.retire()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cache := newFakeCache(t)
+			r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+			c := dial(t, r.addr)
+			c.send(get("r1"))
+			receive(t, cache.commands, "command").reply(t, served)
+			await(t, "a resting connection", func() bool {
+				r.srv.mu.Lock()
+				defer r.srv.mu.Unlock()
+				for cl := range r.srv.clients {
+					if cl.due.Load() == 0 && cl.used.Load() {
+						retire(cl)
+						return true
+					}
+				}
+				return false
+			})
+			c.wantEnd()
+			c.send(get("r2"))
+			c.send(get("r3")[:20]) // on a connection that is not reset
+			c.want("value")
+			if _, err := c.r.ReadByte(); err != io.EOF {
+				t.Errorf("the connection ended with %v", err)
+			}
+			next := dial(t, r.addr)
+			next.send(get("r4"))
+			if cmd := receive(t, cache.commands, "command"); cmd.args[2] != "r4" {
+				t.Errorf("what crossed the close was sent on: %q", cmd.args)
+			}
+		})
+	}
+}
+
+// TestBytesBehindALongAnswer that the client has hardly begun to read, long after the router has written it: the
+// close must not turn into a reset, which costs the rest of it.
+func TestBytesBehindALongAnswer(t *testing.T) {
+	cache := newFakeCache(t)
+	r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+	c := dial(t, r.addr)
+	if err := c.nc.SetReadBuffer(4096); err != nil {
+		t.Fatal(err)
+	}
+	c.send(get("r1"))
+	value := strings.Repeat("v", mostValue)
+	receive(t, cache.commands, "command").reply(t, "*3\r\n$65536\r\n"+value+"\r\n$3\r\nhit\r\n$-1\r\n")
+	await(t, "a resting connection", func() bool {
+		r.srv.mu.Lock()
+		defer r.srv.mu.Unlock()
+		for cl := range r.srv.clients {
+			if cl.due.Load() == 0 && cl.used.Load() {
+				cl.lastUsed.Add(-2 * lingerTime.Microseconds()) // as though it had rested for so long
+				cl.retire()
+				return true
+			}
+		}
+		return false
+	})
+	await(t, "the connection's end", func() bool {
+		r.srv.mu.Lock()
+		defer r.srv.mu.Unlock()
+		for cl := range r.srv.clients {
+			return cl.lingering.Load()
+		}
+		return true
+	})
+	c.send(get("r2"))
+	c.want(value)
+}
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -460,6 +460,17 @@
 	return n > 0
 }
 
+// unsent reports whether the client's machine has not confirmed all of the answers yet.
+func (c *client) unsent() bool {
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && n > 0
+}
+
 // hungUp reports whether the client has closed its side or reset the connection, also behind bytes that are
 // not read yet.
 func (c *client) hungUp() bool {
@@ -616,7 +627,8 @@
 // linger lets the client read the last answer. The danger: closing while bytes still come, of an oversized
 // command or of a request that crosses the close, resets the connection, and the answer is lost with it.
 func (c *client) linger() {
-	if c.srv.loop.clock()-c.lastUsed.Load() > lingerTime.Microseconds() && !c.unread() || c.nc.CloseWrite() != nil {
+	rested := c.srv.loop.clock()-c.lastUsed.Load() > lingerTime.Microseconds()
+	if rested && !c.unread() && !c.unsent() || c.nc.CloseWrite() != nil {
 		return
 	}
 	c.lingering.Store(true)
