--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -441,7 +441,7 @@
 		default: // of a command, or of a connection that was to be closed
 			c.nc.SetReadDeadline(time.Time{})
 			if c.lingering.Load() {
-				c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+				c.nc.SetReadDeadline(time.Now().Add(c.lingerTime()))
 			}
 		}
 	}
@@ -460,6 +460,17 @@
 	return n > 0
 }
 
+// unsent reports whether the client's machine has not confirmed all of the answers yet.
+func (c *client) unsent() bool {
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && n > 0
+}
+
 // hungUp reports whether the client has closed its side or reset the connection, also behind bytes that are
 // not read yet.
 func (c *client) hungUp() bool {
@@ -616,14 +627,24 @@
 // linger lets the client read the last answer. The danger: closing while bytes still come, of an oversized
 // command or of a request that crosses the close, resets the connection, and the answer is lost with it.
 func (c *client) linger() {
-	if c.srv.loop.clock()-c.lastUsed.Load() > lingerTime.Microseconds() && !c.unread() || c.nc.CloseWrite() != nil {
+	rested := c.srv.loop.clock()-c.lastUsed.Load() > lingerTime.Microseconds()
+	if rested && !c.unread() && !c.unsent() || c.nc.CloseWrite() != nil {
 		return
 	}
 	c.lingering.Store(true)
-	c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+	c.nc.SetReadDeadline(time.Now().Add(c.lingerTime()))
 	<-c.readEnded
 }
 
+// lingerTime is short where others wait for room. The danger: a crowd that does not heed the router's end of
+// its connections shuts out the PING that tells whether the router is ready.
+func (c *client) lingerTime() time.Duration {
+	if c.hurried.Load() {
+		return commandGrace
+	}
+	return lingerTime
+}
+
 // nextCommand takes one command off b. The danger: the codec panics on lengths out of range.
 func nextCommand(b []byte) (complete bool, args [][]byte, used int, err error) {
 	defer func() {
--- /dev/null
+++ b/internal/router/ready_test.go
@@ -0,0 +1,142 @@
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// readyTime is within how long of its start a router has to answer PING with PONG.
+const readyTime = 10 * time.Second
+
+func (c *testClient) wantReady(begun time.Time) {
+	c.t.Helper()
+	c.send(words("PING"))
+	c.want("+PONG")
+	if took := time.Since(begun); took >= readyTime {
+		c.t.Errorf("ready after %v", took)
+	}
+}
+
+// TestReadyBehindACrowd that came before it, whether its connections say something or nothing: none of them
+// heeds the router's end of its connection.
+func TestReadyBehindACrowd(t *testing.T) {
+	for name, wire := range map[string]string{"silent": "", "PING": words("PING"), "half a command": "*4\r\n$5\r\nC.G"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
+				in["limits"].(map[string]any)["sockets"] = leastSockets
+			}, host("c1", "127.0.0.1:1", "in_service")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			addr := srv.ln.Addr().String()
+			for range 10 * srv.sockets.mostClients {
+				dial(t, addr).send(wire)
+			}
+			c := dial(t, addr)
+			begun := time.Now()
+			startServer(t, srv)
+			c.wantReady(begun)
+		})
+	}
+}
+
+// troubledDiscovery serves the list once it is up; before that it takes calls and does not answer them, or
+// ends their connections.
+type troubledDiscovery struct {
+	addr  string
+	down  chan string // a call that came while it was down
+	up    chan struct{}
+	calls chan call // those that came afterwards
+}
+
+func newTroubledDiscovery(t *testing.T, silent bool) *troubledDiscovery {
+	t.Helper()
+	d := &troubledDiscovery{down: make(chan string, 1000), up: make(chan struct{}), calls: make(chan call, 1000)}
+	over := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := call{r.URL.String(), make(chan string, 1)}
+		select {
+		case <-d.up:
+			d.calls <- c
+		default:
+			d.down <- c.query
+			if !silent {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		select {
+		case body := <-c.reply:
+			fmt.Fprint(w, body)
+		case <-over:
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() {
+		close(over)
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	d.addr = srv.Listener.Addr().String()
+	return d
+}
+
+// TestReadyWithDiscoveryDown: the list that the router had last is enough, however long it is.
+func TestReadyWithDiscoveryDown(t *testing.T) {
+	for name, addr := range map[string]string{"refuses": "127.0.0.1:1", "never comes up": unreachable(t),
+		"silent": newTroubledDiscovery(t, true).addr, "breaks off": newTroubledDiscovery(t, false).addr} {
+		for _, mode := range []string{"subscribe", "automatic"} {
+			for _, known := range []int{1, atSize} {
+				t.Run(fmt.Sprint(name, ", ", mode, ", ", known), func(t *testing.T) {
+					t.Parallel()
+					begun := time.Now()
+					r := start(t, testConfig(t, addr, func(in map[string]any) {
+						in["settings"].(map[string]any)["discovery"] = mode
+					}, manyHosts(known, "127.0.0.1:1")...))
+					dial(t, r.addr).wantReady(begun)
+				})
+			}
+		}
+	}
+}
+
+// TestReadyOnceDiscoveryIsUp, where no cache was known: the call that was out before then is never answered, and
+// the router is not used before it knows of a cache.
+func TestReadyOnceDiscoveryIsUp(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		for _, mode := range []string{"subscribe", "automatic"} {
+			for name, known := range map[string]string{"no list": "null", "empty list": hosts(41, true),
+				"all drain": hosts(41, true, host("c1", "127.0.0.1:1", "terminating"))} {
+				t.Run(fmt.Sprint("silent ", silent, ", ", mode, ", ", name), func(t *testing.T) {
+					t.Parallel()
+					d := newTroubledDiscovery(t, silent)
+					begun := time.Now()
+					r := start(t, testConfig(t, d.addr, func(in map[string]any) {
+						in["known"] = json.RawMessage(known)
+						settings := in["settings"].(map[string]any)
+						settings["discovery"] = mode
+						settings["rules"].(map[string]any)["askEvery"] = 1_000_000
+					}))
+					if query := receive(t, d.down, "call"); query != "/discovery/hosts" {
+						t.Errorf("call %s, want one that may not wait", query)
+					}
+					c := dial(t, r.addr)
+					c.send(words("PING"))
+					if got := c.line(); !strings.HasPrefix(got, "-LOADING") {
+						t.Errorf("answer %q", got)
+					}
+					close(d.up)
+					receive(t, d.calls, "call").reply <- hosts(43, true, host("c1", "127.0.0.1:1", "in_service"))
+					receive(t, d.calls, "next call")
+					(&rig{t: t, l: r.srv.loop}).do(func() {}) // so the router has taken the answer
+					c.wantReady(begun)
+				})
+			}
+		}
+	}
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -138,10 +139,17 @@
 func (u *upstream) send(a *attempt) {
 	l := u.l
 	l.at(a.stopAt, func() { a.giveUp(decide.NoAnswer) })
+	if a.sendBy > 0 {
+		l.at(a.sendBy, func() { // the danger: the last byte comes when caches don't drop the repeat any more
+			if a.state == waiting || a.state == writing {
+				a.giveUp(decide.NoAnswer)
+			}
+		})
+	}
 	u.waiting = append(u.waiting, a)
 	u.pump()
 	if a.state == waiting {
-		l.at(a.sent+l.cfg.Transport.DialTimeout, func() {
+		l.at(a.dialBy(), func() {
 			switch {
 			case a.state != waiting:
 			case len(u.conns) == 0:
@@ -170,6 +178,7 @@
 	u.closeIdle(u.stale())
 	for len(u.waiting) > 0 {
 		a := u.waiting[0]
+		u.l.now = u.l.clock() // the danger: this turn of the loop has taken long, and time is up
 		if !u.sendable(a) {
 			a.end(decide.NotSent, nil)
 			continue
@@ -235,7 +244,8 @@
 		}
 	case err != nil:
 		c.close()
-		if len(u.waiting) > 0 {
+		// The danger: a dial that took too long fails an attempt that came long after it.
+		if len(u.waiting) > 0 && (!isTimeout(err) || u.l.now >= u.waiting[0].dialBy()) {
 			u.waiting[0].end(decide.NoConnection, nil)
 		}
 		u.pump()
@@ -246,6 +256,14 @@
 	}
 }
 
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+// dialBy is when the attempt has to have a connection at the latest.
+func (a *attempt) dialBy() decide.Time { return a.sent + a.upstream.l.cfg.Transport.DialTimeout }
+
 // giveUp ends the wait on an attempt: it was cancelled or its time is up.
 func (a *attempt) giveUp(why decide.Result) {
 	switch a.state {
@@ -291,6 +309,8 @@
 	since     decide.Time   // when it came up
 	attempt   *attempt      // what it carries
 	turn      atomic.Uint32 // attempts begun on it
+	mu        sync.Mutex    // held over a look at what has come, and what follows from it
+	heard     atomic.Bool   // some of an answer has been read
 	early     *reply        // an answer that came before the loop learned that its request was whole
 	idleSince decide.Time
 	closed    bool
@@ -308,10 +328,9 @@
 		return
 	}
 	defer nc.Close()
-	in := &arrivals{Reader: nc, turn: &c.turn}
+	in := &arrivals{conn: c, raw: raw}
 	var buf []byte
 	for {
-		in.first = 0
 		rep, rest, err := readReply(in, buf)
 		if err != nil {
 			u.l.post(c.broken)
@@ -320,23 +339,42 @@
 		buf = rest
 		// Bytes behind an answer are not awaited by anyone: the connection is out of step.
 		clean, turn := len(rest) == 0, in.first
+		in.first = 0
+		c.heard.Store(false)
 		u.l.post(func() { c.answered(rep, turn, clean) })
 	}
 }
 
-// arrivals notes with the first bytes of an answer how many attempts had been begun by then.
+// arrivals reads from a connection. It notes with the first bytes of an answer how many attempts had been begun by
+// then.
 type arrivals struct {
-	io.Reader
-	turn  *atomic.Uint32
+	conn  *conn
+	raw   syscall.RawConn
 	first uint32 // 0 until bytes have come
 }
 
-func (a *arrivals) Read(b []byte) (int, error) {
-	n, err := a.Reader.Read(b)
-	if n > 0 && a.first == 0 {
-		a.first = a.turn.Load()
+func (a *arrivals) Read(b []byte) (n int, err error) {
+	rerr := a.raw.Read(func(fd uintptr) bool {
+		a.conn.mu.Lock()
+		defer a.conn.mu.Unlock()
+		for n, err = syscall.Read(int(fd), b); err == syscall.EINTR; {
+			n, err = syscall.Read(int(fd), b)
+		}
+		if n > 0 && a.first == 0 {
+			a.first = a.conn.turn.Load()
+			a.conn.heard.Store(true)
+		}
+		return err != syscall.EAGAIN
+	})
+	switch {
+	case rerr != nil:
+		return 0, rerr
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
 	}
-	return n, err
+	return n, nil
 }
 
 func dialTCP(addr string, timeout time.Duration) (*net.TCPConn, syscall.RawConn, error) {
@@ -353,6 +391,30 @@
 	return tcp, raw, nil
 }
 
+// quiet reports whether neither bytes nor an end have come since the last answer.
+func (c *conn) quiet() bool {
+	if c.heard.Load() {
+		return false
+	}
+	quiet := false
+	err := c.raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EINTR
+	})
+	return quiet && err == nil
+}
+
+// begin counts an attempt, unless something has come before it. The danger: bytes come between the two.
+func (c *conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.quiet() {
+		return false
+	}
+	c.turn.Add(1)
+	return true
+}
+
 // close ends a connection. Its reader sees the end of it.
 func (c *conn) close() {
 	if c.closed {
@@ -372,11 +434,15 @@
 // write sends the attempt that has waited longest. The loop itself writes as much as the socket takes at
 // once, nearly always all: so nothing comes between the last look and the first byte.
 func (c *conn) write(a *attempt) {
+	fresh := c.turn.Load() == 0
+	if !c.begin() {
+		c.unfit(a, fresh) // the danger: half a line becomes part of the answer, or the end a reset that may have run
+		return
+	}
 	buf := a.encode(c.upstream.l.now)
-	c.turn.Add(1)
 	n, err := c.tryWrite(buf)
 	if n == 0 && err != nil {
-		c.close() // the cache had closed it; not a byte has gone out, so the attempt may have another one
+		c.unfit(a, fresh) // the cache had closed it
 		return
 	}
 	c.upstream.waiting = c.upstream.waiting[1:]
@@ -397,6 +463,15 @@
 	}
 }
 
+// unfit closes a connection that can't carry the attempt. Not a byte has gone out, so the attempt may have another
+// one. The danger: a cache that closes each as it comes up is dialed without end.
+func (c *conn) unfit(a *attempt, fresh bool) {
+	c.close()
+	if fresh {
+		a.end(decide.NoConnection, nil)
+	}
+}
+
 // wrote takes the news of a long write.
 func (c *conn) wrote(a *attempt, whole bool, err error) {
 	if a.state != writing {
