Look for a client that has left before every attempt's first byte

A client was looked for only where its request had been taken 0.1 s ago or more. But it may have left before its request was read: in the system's queue of connections, behind commands that are not read, or behind what stands in the loop's queue. Its request was then sent on at once, however long ago it had left, on each of ten ways to the first byte (first attempt, further one, second copy, what waits for a dial, a connection, a descriptor or a rest, unread commands, not yet let in, 200 clients under load).

The look now comes before each first byte. The time a request was taken at is not needed any more.

The test of the old look set that time back by 0.1 s; it no longer does and so asks for more.

--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -128,7 +128,6 @@
 			rig.do(func() {
 				leave(c)
 				await(t, "the end of the connection", q.client.hungUp)
-				q.taken -= longWait
 				rig.l.perform(decide.Send{ID: q.id, Cache: "c1"})
 			})
 			rig.want(decide.NotSent)
--- /dev/null
+++ b/internal/router/departure_test.go
@@ -0,0 +1,324 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"starlingwinch/decide"
+)
+
+// sender is a module that sends each request to cache c1 at once, and again where it failed there.
+type sender struct{ script }
+
+func (s *sender) Handle(now decide.Time, ev decide.Event) []decide.Action {
+	s.script.Handle(now, ev)
+	switch ev := ev.(type) {
+	case *decide.Request:
+		return []decide.Action{decide.Send{ID: ev.ID, Cache: "c1"}}
+	case *decide.Outcome:
+		if ev.Result == decide.Errored && !ev.Last {
+			return []decide.Action{decide.Send{ID: ev.ID, Cache: "c1"}}
+		}
+	}
+	return nil
+}
+
+// gate is a listener whose connections wait in the system's queue until the test lets them in.
+type gate struct {
+	net.Listener
+	in chan struct{}
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	<-g.in
+	return g.Listener.Accept()
+}
+
+// departure is a router with a cache, of whose connections some stand idle.
+type departure struct {
+	t     *testing.T
+	cache *fakeCache
+	r     *running
+	rig   *rig
+	send  *sender
+	gate  *gate
+}
+
+// newDeparture starts the router. Its module sends nothing by itself until it is told to.
+func newDeparture(t *testing.T, idle int) *departure {
+	t.Helper()
+	cache := newFakeCache(t)
+	srv, err := New(testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service"),
+		host("c2", cache.addr(), "in_service")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &departure{t: t, cache: cache, send: &sender{script{outcomes: make(chan *decide.Outcome, 1000)}},
+		gate: &gate{srv.ln, make(chan struct{}, 1000)}}
+	srv.ln = d.gate
+	srv.loop.module = &d.send.script
+	srv.loop.rest = 0
+	srv.arrivals = 0
+	d.r = startServer(t, srv)
+	d.rig = &rig{t, srv.loop, d.send.outcomes}
+	t.Cleanup(func() { close(d.gate.in) })
+	var busy []fakeCommand
+	for range idle {
+		d.rig.send(d.rig.request(nil), long)
+		busy = append(busy, receive(t, cache.commands, "command"))
+	}
+	for _, cmd := range busy {
+		cmd.reply(t, served)
+		d.rig.want(decide.Served)
+	}
+	return d
+}
+
+func (d *departure) dial() *testClient {
+	d.t.Helper()
+	d.gate.in <- struct{}{}
+	return dial(d.t, d.r.addr)
+}
+
+// gone waits until the news of so many closes has come to the router's machine.
+func (d *departure) gone(n int) {
+	await(d.t, "clients that have left", func() bool {
+		d.r.srv.mu.Lock()
+		defer d.r.srv.mu.Unlock()
+		left := 0
+		for c := range d.r.srv.clients {
+			if c.hungUp() {
+				left++
+			}
+		}
+		return left >= n
+	})
+}
+
+// events waits until so many turns of the loop are queued.
+func (d *departure) events(n int) {
+	await(d.t, "events in the queue", func() bool { return len(d.rig.l.events) >= n })
+}
+
+// wantNothingBegun has one more request served: had anything else been sent on before, the cache would have it.
+func (d *departure) wantNothingBegun() {
+	d.t.Helper()
+	args := [][]byte{[]byte("C.GET"), []byte("k1"), []byte("last"), []byte("c=read,d=20000")}
+	cmd, err := parseCommand(args, 100)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.rig.do(func() { d.rig.l.module = &d.send.script })
+	d.rig.send(d.rig.take(cmd), long)
+	for {
+		got := receive(d.t, d.cache.commands, "command")
+		if got.args[2] == "last" {
+			return
+		}
+		d.t.Errorf("the cache was sent %q", got.args)
+		io.WriteString(got.conn, served) // its client's departure may have ended the connection
+	}
+}
+
+// TestNothingIsBegunForAClientThatHasLeft, on whatever way its attempt comes to its first byte. The news that it
+// left queues behind that, and the request was taken a moment ago.
+func TestNothingIsBegunForAClientThatHasLeft(t *testing.T) {
+	perform := func(d *departure, q *request, cache string) {
+		d.rig.l.perform(decide.Send{ID: q.id, Cache: cache})
+	}
+	paths := map[string]struct {
+		idle int
+		play func(d *departure, leave func(*testClient)) // begins with the loop free
+	}{
+		"first attempt": {1, func(d *departure, leave func(*testClient)) {
+			c := d.dial()
+			c.send(get("r1"))
+			q := d.rig.only()
+			d.rig.do(func() {
+				leave(c)
+				d.gone(1)
+				perform(d, q, "c1")
+			})
+		}},
+		"behind commands that are not read": {1, func(d *departure, leave func(*testClient)) {
+			c := d.dial()
+			c.send(strings.Repeat(get("r1"), 2*pipelined))
+			await(d.t, "a full queue", func() bool {
+				open := 0
+				d.rig.do(func() { open = d.rig.l.open })
+				return open > pipelined
+			})
+			d.rig.do(func() {
+				leave(c)
+				d.gone(1)
+				for _, q := range d.rig.l.requests {
+					perform(d, q, "c1")
+				}
+			})
+		}},
+		"further attempt": {1, func(d *departure, leave func(*testClient)) {
+			c := d.dial()
+			c.send(get("r1"))
+			q := d.rig.only()
+			d.rig.do(func() {
+				d.rig.l.module = d.send
+				perform(d, q, "c1")
+			})
+			first := receive(d.t, d.cache.commands, "command")
+			d.rig.do(func() {
+				first.reply(d.t, failedReply)
+				d.events(1)
+				leave(c)
+				d.gone(1)
+			})
+		}},
+		"second copy": {2, func(d *departure, leave func(*testClient)) {
+			c := d.dial()
+			c.send(get("r1"))
+			q := d.rig.only()
+			d.rig.do(func() { perform(d, q, "c1") })
+			receive(d.t, d.cache.commands, "command")
+			d.rig.do(func() {
+				leave(c)
+				d.gone(1)
+				perform(d, q, "c1")
+			})
+		}},
+		"waits for a dial": {0, func(d *departure, leave func(*testClient)) {
+			c := d.dial()
+			c.send(get("r1"))
+			q := d.rig.only()
+			d.rig.do(func() {
+				perform(d, q, "c1")
+				d.events(1) // the connection is up
+				leave(c)
+				d.gone(1)
+			})
+		}},
+		"waits for a connection": {1, func(d *departure, leave func(*testClient)) {
+			d.rig.do(func() { d.rig.l.upstreams["c1"].most = 1 })
+			d.rig.send(d.rig.request(nil), long)
+			busy := receive(d.t, d.cache.commands, "command")
+			c := d.dial()
+			c.send(get("r1"))
+			await(d.t, "a second request", func() (two bool) {
+				d.rig.do(func() { two = d.rig.l.open == 2 })
+				return two
+			})
+			d.rig.do(func() {
+				for _, q := range d.rig.l.requests {
+					if q.client.nc != nil {
+						perform(d, q, "c1")
+					}
+				}
+				busy.reply(d.t, served)
+				d.events(1)
+				leave(c)
+				d.gone(1)
+			})
+		}},
+		"waits for a descriptor": {0, func(d *departure, leave func(*testClient)) {
+			d.rig.do(func() { d.rig.l.sockets.mostUpstreams = 1 })
+			q := d.rig.request(nil)
+			d.rig.do(func() { perform(d, q, "c2") })
+			busy := receive(d.t, d.cache.commands, "command")
+			c := d.dial()
+			c.send(get("r1"))
+			await(d.t, "a second request", func() (two bool) {
+				d.rig.do(func() { two = d.rig.l.open == 2 })
+				return two
+			})
+			d.rig.do(func() {
+				for _, q := range d.rig.l.requests {
+					if q.client.nc != nil {
+						perform(d, q, "c1")
+					}
+				}
+				d.rig.l.conns-- // one comes free, ...
+				d.rig.l.upstreams["c1"].pump()
+				d.rig.l.conns++
+				d.events(1) // ... and the connection is up
+				leave(c)
+				d.gone(1)
+			})
+			busy.reply(d.t, served)
+		}},
+		"waits for a connection that rests": {1, func(d *departure, leave func(*testClient)) {
+			c := d.dial()
+			c.send(get("r1"))
+			q := d.rig.only()
+			d.rig.do(func() {
+				d.rig.l.rest = patience.Microseconds()
+				perform(d, q, "c1")
+				leave(c)
+				d.gone(1)
+				d.rig.l.rest = 0
+				d.rig.l.upstreams["c1"].pump()
+			})
+		}},
+		"left before it was let in": {1, func(d *departure, leave func(*testClient)) {
+			d.rig.do(func() { d.rig.l.module = d.send })
+			c := dial(d.t, d.r.addr)
+			c.send(get("r1"))
+			leave(c)
+			d.rig.do(func() {
+				d.gate.in <- struct{}{}
+				d.events(1)
+				d.gone(1)
+			})
+		}},
+		"under load": {8, func(d *departure, leave func(*testClient)) {
+			const clients = 200
+			d.rig.do(func() {
+				d.rig.l.module = d.send
+				for i := range clients {
+					c := d.dial()
+					c.send(get(fmt.Sprint("r", i)))
+					d.events(i + 1)
+					leave(c)
+				}
+				d.gone(clients)
+			})
+		}},
+	}
+	for name, path := range paths {
+		for how, leave := range leaving {
+			t.Run(name+", "+how, func(t *testing.T) {
+				d := newDeparture(t, path.idle)
+				path.play(d, leave)
+				d.wantNothingBegun()
+			})
+		}
+	}
+}
+
+// BenchmarkLookForAClient is what the last look before an attempt's first byte costs.
+func BenchmarkLookForAClient(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer nc.Close()
+	other, err := ln.Accept()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer other.Close()
+	if _, err := io.WriteString(other, get("r1")); err != nil {
+		b.Fatal(err)
+	}
+	c := &client{nc: nc.(*net.TCPConn)}
+	for b.Loop() {
+		if c.hungUp() {
+			b.Fatal("it has not left")
+		}
+	}
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -54,7 +54,6 @@
 type request struct {
 	id       int64
 	cmd      command
-	taken    decide.Time
 	deadline decide.Time
 	client   *client
 	slot     *slot
@@ -70,7 +69,6 @@
 	failedReply   = "-ERR failed\r\n"
 	sweepInterval = 1_000_000 // microseconds between looks for idle connections, ...
 	sweeps        = 8         // or so many looks while a cache keeps one
-	longWait      = 100_000   // microseconds that a request waits before its client is looked for again
 	watchPause    = 100_000   // ... before another watch where the list has to come by itself: at most
 	watchDoubled  = 4         // ... doubled with each that fails, so many times
 )
@@ -220,7 +218,7 @@
 		cmd.wait = max(0, min(cmd.wait, l.ending-read)) // what SIGKILL would find unanswered is lost
 	}
 	l.lastID++
-	r := &request{id: l.lastID, cmd: cmd, taken: read, deadline: read + cmd.wait, client: c, slot: s}
+	r := &request{id: l.lastID, cmd: cmd, deadline: read + cmd.wait, client: c, slot: s}
 	l.requests[r.id] = r
 	l.open++
 	c.open[r.id] = r
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -158,8 +158,10 @@
 // sendable is the last look before an attempt's first byte: all may have changed while it waited.
 func (u *upstream) sendable(a *attempt) bool {
 	r := a.request
-	if r != nil && !r.over && u.l.now >= r.taken+longWait && r.client.hungUp() {
-		u.l.depart(r.client) // the danger: the news of it is still to come, and what nobody waits for is sent on
+	if r != nil && !r.over && r.client.hungUp() {
+		// The danger: the news of it is still to come, and what nobody waits for is sent on. It may have left
+		// before the request was read, so the time since then tells nothing.
+		u.l.depart(r.client)
 	}
 	return u.up && u.l.now < a.stopAt && (a.sendBy == 0 || u.l.now < a.sendBy) && (r == nil || !r.over)
 }
