Cut a cold cache's part in overload, so that the fleet's sum keeps its budget

Cause: a cold cache got its share of all that is asked for. In overload that counts what warm caches turn away, the clients' retries of it, and requests that found no room at their home.

Change: routers keep the fading share of attempts at warm caches that were served in time. A cold cache's part of the keys, and what may be a hot key, is cut to it, or to half of the tipping multiple of it where that is more; below the tolerated share nothing without room elsewhere overflows to a cold cache. Without overload nothing changes at a multiple of 3.

Test: fleets of 2 to 300 routers against caches that start cold, under hot keys, hangs, failures, bursts, held requests, releases, restarts with an old list; every window of the tipping time is held to N + 2 root of N + 2 over the sum, windows by two thirds of which routers knew of the start.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -98,6 +98,7 @@
 	fetched     Time              // when the origin last served one in time
 	missing     float64           // fading share of them that the origin did serve, or failed to
 	prompt      Time              // when a hit was last served before it was overdue
+	taken       float64           // fading share of attempts at warm caches that were served in time
 	patience    Time              // of the class with the shortest
 	retryBudget float64           // of retries
 	keys        [2]map[uint64]int // requests by key, of this window and the one before
@@ -111,7 +112,7 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	r := &Router{set: s, rng: seed, own: mix(seed + 1), admitted: 1, classes: map[string]*Class{},
+	r := &Router{set: s, rng: seed, own: mix(seed + 1), admitted: 1, taken: 1, classes: map[string]*Class{},
 		caches: map[string]*cache{}, reqs: map[int64]*request{}, timers: map[int64]func(){},
 		keys: [2]map[uint64]int{{}, {}}, zones: map[string]*zone{}}
 	r.retryBudget = r.retryBurstPart()
--- a/decide/placement.go
+++ b/decide/placement.go
@@ -133,8 +133,12 @@
 
 // mayOverflow reports whether a request without room at its home may go to another cache: one
 // that keeps its key, or any while the origin has room or the budget a token. The danger:
-// overflowing keys miss wherever they go and crowd the origin.
+// overflowing keys miss wherever they go and crowd the origin. In overload none goes to a cold cache: what
+// the warm ones leave is more than it can do.
 func (r *Router) mayOverflow(q *request, c *cache) bool {
+	if r.now < c.warmAt && r.relief() < 1-tolerated {
+		return false
+	}
 	return c.knows(q.Key) || r.originIdles() || r.retryBudget >= 1
 }
 
--- a/decide/requests.go
+++ b/decide/requests.go
@@ -191,6 +191,7 @@
 	a := &q.attempts[ev.Attempt]
 	a.pending, a.neverRan = false, ev.Result.NeverRan()
 	a.to.pending--
+	r.took(a, q, ev.Result)
 	if took := r.now - a.sent; ev.Result == Rejected {
 		r.spend(a.to, max(took, r.patience)) // a refusal comes at once, and so would the next attempt
 	} else {
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -4,6 +4,8 @@
 
 import "math"
 
+const takenWindow = 16 // attempts at warm caches over which the share of those served in time fades
+
 // slowStart keeps a cold cache to its share, whichever way a request comes to
 // it. The danger: all routers' work adds up, and a cold cache pushed over stays
 // down. A second hash of the key decides, so that routers agree and it fills steadily.
@@ -11,7 +13,7 @@
 	if r.now >= c.warmAt {
 		return true
 	}
-	if len(q.attempts) > 0 || r.spread(q.Key) > 1 || unit(mix(mix(q.Key)+1)) >= r.warmth(c) {
+	if len(q.attempts) > 0 || r.spread(q.Key) > 1 || unit(mix(mix(q.Key)+1)) >= r.coldPart(c) {
 		return false // in trouble retries are most of what is sent, and they all look for room
 	}
 	// Retries and hot keys can still add up: it gets no more than its part of what warm ones get.
@@ -36,7 +38,7 @@
 func (r *Router) mayBeHot(key uint64, c *cache) bool {
 	// Of what it was asked, the part of a cache of that size.
 	part := float64(r.asked[0]+r.asked[1]) * c.Size / (r.size * float64(len(r.ready)))
-	most := part * r.warmth(c) * max(1, (r.set.TipMultiple-1)/2)
+	most := part * r.coldPart(c) * max(1, (r.set.TipMultiple-1)/2)
 	n := r.keys[0][key] + r.keys[1][key]
 	if n == 1 {
 		most *= math.E
@@ -44,11 +46,27 @@
 	return unit(mix(key+r.own))*float64(n) >= most
 }
 
+// took notes whether a warm cache served an attempt in time.
+func (r *Router) took(a *attempt, q *request, result Result) {
+	late := r.now >= a.sent+q.class.Aim
+	if r.now >= a.to.warmAt && (late || result == Served || result == Rejected) {
+		r.taken += (float64(b2i(result == Served && !late)) - r.taken) / takenWindow
+	}
+}
+
 // recent is the number of attempts sent to a cache lately, fading within TipTime.
 func (r *Router) recent(c *cache) float64 {
 	return c.sends * math.Exp(-float64(r.now-c.lastSend)/float64(max(r.set.TipTime, 1)))
 }
 
+// coldPart is the share of its keys that a cold cache gets: as much as it can do by now.
+func (r *Router) coldPart(c *cache) float64 { return r.warmth(c) * r.relief() }
+
+// relief is what a cold cache's part is cut by in overload: to what warm ones do of what they are sent, or
+// to half of the tipping multiple where that is more. The danger: its part of what is asked for, clients'
+// retries included, is then far more than its part of what can be done.
+func (r *Router) relief() float64 { return min(1, r.taken*max(1, r.set.TipMultiple/2)) }
+
 // warmth is the least share of its capacity that a cache can have by now.
 func (r *Router) warmth(c *cache) float64 {
 	if r.now >= c.warmAt {
