Test that a cold cache gets less in overload, of all keys and of hot ones

The test feeds 300 routers what warm caches serve and counts what they send a cold one. Seen to fail when the keys are not cut (3900 of 3900), when hot keys are not (2055 of 2055), when neither is, and when broken connections count as overload (1200 of 3900).

--- a/decide/coldfleet_test.go
+++ b/decide/coldfleet_test.go
@@ -399,3 +399,46 @@
 		}
 	}
 }
+
+// The danger: in overload each router takes what is asked for as what can be done, and a cold cache gets its part
+// of that.
+func TestColdCacheGetsLessInOverload(t *testing.T) {
+	const many = 300
+	sent := func(taken Result, seen int) (n int) {
+		for i := range many {
+			r, err := New(coldSettings(many), uint64(i)*7919+1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			es := fleet(200)
+			es[3].Start = 1e9
+			r.Handle(1e9, &List{Kind: ListFull, Entries: es})
+			q := &request{Request: &Request{Key: 1, Deadline: 2e9}, class: &Class{Aim: 600 * ms}}
+			for id := range 10 * takenWindow { // one of four attempts at warm caches is served
+				result := taken
+				if id%4 == 0 {
+					result = Served
+				}
+				r.took(&attempt{to: r.caches["c00"], sent: 1e9}, q, result)
+			}
+			r.now = 1e9 + 5000*ms
+			keys := 20
+			for ; keys > 0; q.Key++ {
+				if h := unit(mix(mix(q.Key) + 1)); seen == 1 || h < .2 { // all keys, or those it always gets
+					keys--
+					r.asked[0], r.keys[0][q.Key] = 600, seen
+					n += b2i(r.slowStart(q, r.caches["c03"]))
+				}
+			}
+		}
+		return n
+	}
+	for _, seen := range []int{1, 6} {
+		if calm, over := sent(Served, seen), sent(Rejected, seen); over > calm/2 || over < calm/5 {
+			t.Errorf("keys seen %d times: sent %d times when warm caches serve a quarter, %d when all", seen, over, calm)
+		}
+	}
+	if calm, lost := sent(Served, 1), sent(ConnLost, 1); lost != calm {
+		t.Errorf("sent %d times when connections broke, %d when not", lost, calm)
+	}
+}
