--- a/decide/health.go
+++ b/decide/health.go
@@ -45,12 +45,12 @@
 	})
 }
 
-// probeDue reports whether a round probes the cache: always, until all routers together send over fleetProbes.
-// Beyond that a cache that does its work is probed less often the more routers there are, by each
-// at a time of its own; one that fails its probes is probed in each round, so that its end and its return are
-// noticed as soon as by few routers. One that this router's own traffic makes suspect is probed in the next
-// round, and later each time that its probe bore nothing out. The danger: the product of routers and caches
-// takes the caches' time, and in a crowd every cache is suspect to every router.
+// probeDue reports whether a round probes the cache: always, until all routers together send over
+// fleetProbes. Beyond that a cache that does its work is probed less often the more routers there are, by
+// each at a time of its own; one that fails its probes is probed in each round, so that its end and its
+// return are noticed as soon as by few routers. One that this router's own traffic makes suspect is probed
+// in the next round, and later each time that its probe bore nothing out. The danger: the product of
+// routers and caches takes the caches' time, and in a crowd every cache is suspect to every router.
 func (r *Router) probeDue(c *cache) bool {
 	interval := float64(r.set.ProbeInterval())
 	spread := interval * float64(r.set.Routers) / fleetProbes
