--- a/decide/requests.go
+++ b/decide/requests.go
@@ -139,7 +139,8 @@
 		})
 	}
 	r.at(r.now+r.patienceAt(c, q.class), func() {
-		if q.attempts[n].pending {
+		if a := &q.attempts[n]; a.pending {
+			a.to.suspect = a.to.suspect || a.to.answered <= a.sent
 			r.overdue(q, n)
 			r.hedge(q, n)
 		}
@@ -149,8 +150,8 @@
 // patience is how long an attempt may take before it counts as overdue.
 func (c *Class) patience() Time { return max(c.Aim/2, 1) }
 
-// patienceAt is the same at one cache: a slow one may take twice what its quicker hits take. The danger: where
-// half of its hits take half of the aim with nothing else to do, its limit falls until it does next to nothing.
+// patienceAt is the same at one cache: a slow one may take twice what its quicker hits take. The danger: half
+// of its hits take half of the aim with nothing else to do, and its limit falls until it does next to nothing.
 func (r *Router) patienceAt(c *cache, class *Class) Time {
 	if r.thin() {
 		return class.patience() // it hears too little of one cache to know
@@ -224,6 +225,7 @@
 		r.judge(true)
 	}
 	a.broke = ev.Result == ConnLost
+	a.to.suspect = a.to.suspect || a.broke || ev.Result == Errored || ev.Result == NoConnection
 	// A refusal speaks of crowding only where more is out than any cache is trusted with at first. The
 	// danger: one that stands still now and then loses its whole part of the work for good.
 	crowd := ev.Result == Rejected && float64(a.to.pending+1) > r.firstPart(a.to)
