--- a/decide/decide.go
+++ b/decide/decide.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math"
 )
 
@@ -236,11 +237,9 @@
 // unit maps a hash to [0, 1).
 func unit(x uint64) float64 { return float64(x>>11) / (1 << 53) }
 
-// hash maps an id to a number, by FNV-1a.
+// hash maps an id to a number.
 func hash(s string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := 0; i < len(s); i++ {
-		h = (h ^ uint64(s[i])) * 1099511628211
-	}
-	return mix(h)
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return mix(h.Sum64())
 }
--- a/decide/health.go
+++ b/decide/health.go
@@ -101,11 +101,7 @@
 
 func (r *Router) mark(c *cache, healthy bool) {
 	c.healthy = healthy
-	if healthy {
-		r.logf("%s healthy", c.ID)
-	} else {
-		r.logf("%s unhealthy after %d failed probes", c.ID, c.fails)
-	}
+	r.logf("%s healthy: %v, after %d failed probes in a row", c.ID, healthy, c.fails)
 }
 
 // eject notes a cache that has answered nothing for as long as an attempt may take. Where all routers
--- a/decide/limits.go
+++ b/decide/limits.go
@@ -31,14 +31,10 @@
 
 // note lets one hit move what the quicker quarter of hits takes, a quantile that is tracked sample by sample.
 func (c *cache) note(took float64) {
-	switch {
-	case c.usual == 0:
+	if c.usual == 0 {
 		c.usual = took
-	case took < c.usual:
-		c.usual -= usualStep * (1 - quicker) * c.usual
-	default:
-		c.usual += usualStep * quicker * c.usual
 	}
+	c.usual *= 1 + usualStep*(quicker-float64(b2i(took < c.usual)))
 }
 
 // hasRoom reports whether the limit lets one more attempt out. A limit under one leaves gaps between
@@ -49,13 +45,10 @@
 	if c.limit >= 1 {
 		return float64(c.pending) < c.limit
 	}
-	if c.pending > 0 {
-		return false
-	}
 	if !r.thin() {
-		return r.now >= c.lastSend+Time(float64(r.patience)*(1/c.limit-1))
+		return c.pending == 0 && r.now >= c.lastSend+Time(float64(r.patience)*(1/c.limit-1))
 	}
-	return r.earned(c) > 0
+	return c.pending == 0 && r.earned(c) > 0
 }
 
 // earned is the time at a cache that a limit under one has gained and attempts have not taken up.
--- a/decide/list.go
+++ b/decide/list.go
@@ -3,6 +3,7 @@
 package decide
 
 import (
+	"cmp"
 	"math"
 	"sort"
 )
@@ -53,12 +54,11 @@
 		}
 	}
 	sort.Slice(r.ready, func(i, j int) bool { return r.ready[i].ID < r.ready[j].ID })
-	if len(r.ready) > 0 {
-		r.size = 0
-		for _, c := range r.ready {
-			r.size += c.Size / float64(len(r.ready))
-		}
+	size := 0.0
+	for _, c := range r.ready {
+		size += c.Size / float64(len(r.ready))
 	}
+	r.size = cmp.Or(size, r.size)
 	for _, c := range r.ready {
 		if c.limit == 0 {
 			c.limit = r.firstPart(c)
--- a/decide/placement.go
+++ b/decide/placement.go
@@ -106,12 +106,9 @@
 		home = home && (!c.healthy || c.ejected || !r.isOpen(c, q.Key))
 	}
 	q.astray = false
-	if shut && anyway == nil {
+	if crowded || shut && anyway == nil {
 		return nil, crowded
 	}
-	if crowded {
-		return nil, true
-	}
 	return anyway, false
 }
 
@@ -136,10 +133,8 @@
 // overflowing keys miss wherever they go and crowd the origin. In overload none goes to a cold cache: what
 // the warm ones leave is more than it can do.
 func (r *Router) mayOverflow(q *request, c *cache) bool {
-	if r.now < c.warmAt && r.relief() < 1-tolerated {
-		return false
-	}
-	return c.knows(q.Key) || r.originIdles() || r.retryBudget >= 1
+	return (r.now >= c.warmAt || r.relief() >= 1-tolerated) &&
+		(c.knows(q.Key) || r.originIdles() || r.retryBudget >= 1)
 }
 
 // ease takes the list's word for how crowded a cache is. The danger: each of many routers sends a cache so
--- a/decide/requests.go
+++ b/decide/requests.go
@@ -2,6 +2,8 @@
 
 package decide
 
+import "slices"
+
 const (
 	holdShare  = .4 // of the aim that a request may wait for room
 	admitTries = 32 // held requests without room that are looked at for one answer
@@ -55,12 +57,9 @@
 
 // giveUp answers a request unless an attempt is still out that may do so.
 func (r *Router) giveUp(q *request) {
-	for _, a := range q.attempts {
-		if a.pending {
-			return
-		}
+	if !slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.pending }) {
+		r.answer(q)
 	}
-	r.answer(q)
 }
 
 // holdUntil is when a held request can no longer be served within its aim.
@@ -86,11 +85,8 @@
 
 func (r *Router) unhold(q *request) {
 	q.held = false
-	for i, w := range r.waiting {
-		if w == q {
-			r.waiting = append(r.waiting[:i], r.waiting[i+1:]...)
-			return
-		}
+	if i := slices.Index(r.waiting, q); i >= 0 {
+		r.waiting = slices.Delete(r.waiting, i, i+1)
 	}
 }
 
@@ -150,8 +146,8 @@
 // patience is how long an attempt may take before it counts as overdue.
 func (c *Class) patience() Time { return max(c.Aim/2, 1) }
 
-// patienceAt is the same at one cache: a slow one may take twice what its quicker hits take. The danger: half
-// of its hits take half of the aim with nothing else to do, and its limit falls until it does next to nothing.
+// patienceAt is the same at one cache: a slow one may take twice what its quicker hits take. The danger: its
+// hits take half of the aim with nothing else to do, and its limit falls until it does next to nothing.
 func (r *Router) patienceAt(c *cache, class *Class) Time {
 	if r.thin() {
 		return class.patience() // it hears too little of one cache to know
--- a/decide/retries.go
+++ b/decide/retries.go
@@ -2,6 +2,8 @@
 
 package decide
 
+import "slices"
+
 const (
 	retryShare = .05 // retries and hedges a request, in the long run
 	retryBurst = 20  // ... and in one burst, over all routers
@@ -43,13 +45,7 @@
 }
 
 func sameGroup(s Scope, a, b *cache) bool {
-	switch s {
-	case ScopeAll:
-		return true
-	case ScopeZone:
-		return a.Zone == b.Zone
-	}
-	return a.Cell == b.Cell
+	return s == ScopeAll || s == ScopeZone && a.Zone == b.Zone || s == ScopeCell && a.Cell == b.Cell
 }
 
 // mayRefuse is the one answer to "may it be refused, or only failed?": a
@@ -58,23 +54,15 @@
 	if q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
 		return true
 	}
-	for _, a := range q.attempts {
-		if !a.neverRan {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(q.attempts, func(a attempt) bool { return !a.neverRan })
 }
 
 // isRetry reports whether a further attempt could feed an overload: one that follows a connection
 // that failed or broke does not. The danger: where networks break every tenth attempt, these alone use
 // up the budget; the clients come back anyway, and the overflow and the hedges have no tokens left.
 func (r *Router) isRetry(q *request) bool {
-	if len(q.attempts) == 0 {
-		return false
-	}
-	last := &q.attempts[len(q.attempts)-1]
-	return !last.unmet && !last.broke && !last.shunned
+	n := len(q.attempts)
+	return n > 0 && !q.attempts[n-1].unmet && !q.attempts[n-1].broke && !q.attempts[n-1].shunned
 }
 
 // retryBurstPart is this router's part of the retries that all routers together may send at once. The danger:
