--- a/cmd/fleetscale/main.go
+++ b/cmd/fleetscale/main.go
@@ -22,8 +22,8 @@
 )
 
 func main() {
-	if role := os.Getenv(fleetscale.RoleEnv); role != "" {
-		if err := fleetscale.Serve(role, os.Stdin, os.Stdout); err != nil {
+	if os.Getenv(fleetscale.RoleEnv) != "" {
+		if err := fleetscale.Serve(os.Stdin, os.Stdout); err != nil {
 			fmt.Fprintln(os.Stderr, "fleetscale:", err)
 			os.Exit(1)
 		}
--- a/internal/fleetscale/agent.go
+++ b/internal/fleetscale/agent.go
@@ -17,69 +17,61 @@
 	renewMost  = 1400 * time.Millisecond
 )
 
-// mostWait is the longest that a watch may wait.
-const mostWait = time.Minute
-
 // Agent is a stand-in of discovery, with one port for each view. Make one with StartAgent.
 type Agent struct {
 	Addrs []string // by view
 
 	mu      sync.Mutex
-	hosts   []agentHost
+	hosts   []host
 	version int64
-	bodies  []agentBodies // by view, of this version
+	whole   []answer // by view
+	changes []answer // by view, since the version before
 	down    bool
 	changed chan struct{} // closed at the next change of anything above
 	views   []*agentView
 	stop    chan struct{}
 }
 
-type agentHost struct {
-	addrs   []string
+type host struct {
+	addrs   []string // by view
 	status  string
-	size    float64
+	size    float64 // the nominal weight
 	weight  float64
-	since   int64 // Unix time in milliseconds
-	version int64 // of its last change
+	since   int64 // Unix time of the last start, in milliseconds
+	version int64 // of the last change
 }
 
-// agentBodies are the answers for one view. Changes are those since the version before.
-type agentBodies struct {
-	whole, changes         []byte
-	wholeLines, changeLine int
+// answer is a list as it is sent.
+type answer struct {
+	body  []byte
+	lines int
 }
 
 type agentView struct {
-	srv                            *http.Server
-	calls, lines, in, out, waiting atomic.Int64
+	srv                   *http.Server
+	calls, lines, in, out atomic.Int64
 }
 
-// AgentCount is what discovery was asked by the routers of one view. Bytes are those of HTTP,
-// headers included, without TCP's own.
-type AgentCount struct {
-	Calls, Lines, BytesIn, BytesOut int64
-	Waiting                         int64 // watches that wait for something newer
-}
+// AgentCount is what the routers of one view asked of discovery. Bytes are those of HTTP with its
+// headers, without TCP's own.
+type AgentCount struct{ Calls, Lines, BytesIn, BytesOut int64 }
 
-// StartAgent serves the list of the cache servers at these addresses (by cache server and view).
+// StartAgent serves the list of the cache servers at these addresses, by cache server and view.
 // Nothing changes before Renew, Set or KeepRenewing.
 func StartAgent(addrs [][]string, views int) (*Agent, error) {
-	a := &Agent{changed: make(chan struct{}), stop: make(chan struct{}), bodies: make([]agentBodies, views)}
+	a := &Agent{changed: make(chan struct{}), stop: make(chan struct{}), whole: make([]answer, views), changes: make([]answer, views)}
 	for i, at := range addrs {
 		size := 1 + float64(i%3)/2
-		a.hosts = append(a.hosts, agentHost{addrs: at, status: "in_service", size: size, weight: size})
+		a.hosts = append(a.hosts, host{addrs: at, status: "in_service", size: size, weight: size})
 	}
-	a.mu.Lock()
-	a.publish(func(*agentHost) {})
-	a.mu.Unlock()
+	a.publish(func(int, *host) {})
 	for n := range views {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			a.Close()
 			return nil, err
 		}
-		v := &agentView{}
-		mux := http.NewServeMux()
+		v, mux := &agentView{}, http.NewServeMux()
 		mux.HandleFunc("GET /discovery/hosts", func(w http.ResponseWriter, r *http.Request) { a.serve(n, w, r) })
 		v.srv = &http.Server{Handler: mux}
 		a.views, a.Addrs = append(a.views, v), append(a.Addrs, ln.Addr().String())
@@ -88,49 +80,39 @@
 	return a, nil
 }
 
-// HostName is the name of a cache server on the list.
-func HostName(n int) string { return fmt.Sprintf("s-%08x", 0x5be2a07c^uint32(n)*2654435761) }
-
-// publish makes a new version of the list of what the function changes. The caller holds mu.
-func (a *Agent) publish(change func(*agentHost)) {
+// publish makes a new version of what the function changes.
+func (a *Agent) publish(change func(int, *host)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.version++
 	for i := range a.hosts {
 		h := &a.hosts[i]
-		before := *h
-		change(h)
-		if h.status != before.status || h.weight != before.weight || h.since != before.since {
+		status, weight, since := h.status, h.weight, h.since
+		if change(i, h); h.status != status || h.weight != weight || h.since != since {
 			h.version = a.version
 		}
 	}
-	for v := range a.bodies {
-		b := agentBodies{whole: a.head(true), changes: a.head(false)}
-		for i, h := range a.hosts {
-			line := fmt.Appendf(nil, `{"name":%q,"address":%q,"zone":"a","type":"m2","group":%d,"status":%q,"weight":%.3f,"since_ms":%d},`,
-				HostName(i), h.addrs[v], i/8, h.status, h.weight, h.since)
-			if h.status != "terminated" {
-				b.whole = append(b.whole, line...)
-				b.wholeLines++
-			}
-			if h.version == a.version {
-				b.changes = append(b.changes, line...)
-				b.changeLine++
-			}
-		}
-		b.whole, b.changes = endList(b.whole), endList(b.changes)
-		a.bodies[v] = b
+	for v := range a.whole {
+		a.whole[v] = a.list(v, true, func(h *host) bool { return h.status != "terminated" })
+		a.changes[v] = a.list(v, false, func(h *host) bool { return h.version == a.version })
 	}
 	a.wake()
 }
 
-func (a *Agent) head(whole bool) []byte {
-	return fmt.Appendf(nil, `{"index":%d,"snapshot":%t,"endpoints":[`, a.version, whole)
-}
-
-func endList(b []byte) []byte {
-	if b[len(b)-1] == ',' {
-		b = b[:len(b)-1]
+// list is those of the hosts, as one view sees them.
+func (a *Agent) list(view int, whole bool, those func(*host) bool) answer {
+	l := answer{body: fmt.Appendf(nil, `{"index":%d,"snapshot":%t,"endpoints":[`, a.version, whole)}
+	for i := range a.hosts {
+		if h := &a.hosts[i]; those(h) {
+			if l.lines++; l.lines > 1 {
+				l.body = append(l.body, ',')
+			}
+			l.body = fmt.Appendf(l.body, `{"name":"s-%08x","address":%q,"zone":"a","type":"m2","group":%d,"status":%q,"weight":%.3f,"since_ms":%d}`,
+				uint32(i+1)*2654435761, h.addrs[view], i/8, h.status, h.weight, h.since)
+		}
 	}
-	return append(b, "]}"...)
+	l.body = append(l.body, "]}"...)
+	return l
 }
 
 func (a *Agent) wake() {
@@ -140,9 +122,7 @@
 
 // Renew gives every cache server in service a new live weight, up to a quarter below its size.
 func (a *Agent) Renew() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.publish(func(h *agentHost) {
+	a.publish(func(_ int, h *host) {
 		if h.status == "in_service" {
 			h.weight = h.size * (1 - rand.Float64()/4)
 		}
@@ -163,10 +143,8 @@
 
 // Set changes the status of one cache server and the time of its last start.
 func (a *Agent) Set(n int, status string, since int64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.publish(func(h *agentHost) {
-		if h == &a.hosts[n] {
+	a.publish(func(i int, h *host) {
+		if i == n {
 			h.status, h.since = status, since
 		}
 	})
@@ -184,65 +162,56 @@
 func (a *Agent) Known(view int) []byte {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.bodies[view].whole
+	return a.whole[view].body
 }
 
 // serve answers a call for the whole list, or a watch.
 func (a *Agent) serve(view int, w http.ResponseWriter, r *http.Request) {
 	v := a.views[view]
 	v.calls.Add(1)
-	after, wait := int64(-1), time.Duration(0)
-	if q := r.URL.Query(); q.Has("after") {
-		var err error
-		if after, err = strconv.ParseInt(q.Get("after"), 10, 64); err == nil && q.Has("wait_ms") {
-			var ms int64
-			ms, err = strconv.ParseInt(q.Get("wait_ms"), 10, 64)
-			wait = min(mostWait, time.Duration(ms)*time.Millisecond)
-		}
-		if err != nil || after < 0 || wait < 0 {
+	after, wait, isWatch := int64(-1), int64(0), r.URL.Query().Has("after")
+	if isWatch {
+		var aerr, werr error
+		after, aerr = strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		wait, werr = strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+		if aerr != nil || werr != nil || after < 0 || wait < 0 {
 			http.Error(w, "bad after or wait_ms", http.StatusBadRequest)
 			return
 		}
 	}
-	over := time.NewTimer(wait)
-	defer over.Stop()
-	v.waiting.Add(1)
-	waited := after < 0
+	over := time.After(time.Duration(min(wait, 60_000)) * time.Millisecond)
 	a.mu.Lock()
-	for a.down || a.version == after && !waited {
+	for a.down || a.version == after && isWatch {
 		changed := a.changed
 		a.mu.Unlock()
 		select {
 		case <-changed:
-		case <-over.C:
-			waited = true
+		case <-over:
+			isWatch = false // it has waited long enough
 		case <-r.Context().Done():
-			v.waiting.Add(-1)
 			return
 		}
 		a.mu.Lock()
 	}
-	b := a.bodies[view]
-	body, lines := b.whole, b.wholeLines
+	l := a.whole[view]
 	switch after {
 	case a.version:
-		body, lines = endList(a.head(false)), 0
+		l = a.list(view, false, func(*host) bool { return false })
 	case a.version - 1:
-		body, lines = b.changes, b.changeLine
+		l = a.changes[view]
 	}
 	a.mu.Unlock()
-	v.waiting.Add(-1)
-	v.lines.Add(int64(lines))
+	v.lines.Add(int64(l.lines))
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.Write(body) // a router that has gone meanwhile needs no list
+	w.Header().Set("Content-Length", strconv.Itoa(len(l.body)))
+	w.Write(l.body) // a router that has gone needs no list
 }
 
 // Count is what each view asked so far.
 func (a *Agent) Count() []AgentCount {
 	var all []AgentCount
 	for _, v := range a.views {
-		all = append(all, AgentCount{v.calls.Load(), v.lines.Load(), v.in.Load(), v.out.Load(), v.waiting.Load()})
+		all = append(all, AgentCount{v.calls.Load(), v.lines.Load(), v.in.Load(), v.out.Load()})
 	}
 	return all
 }
@@ -278,7 +247,8 @@
 }
 
 func (c countedConn) Write(b []byte) (int, error) {
+	c.out.Add(int64(len(b))) // first, so that no reader has them before they count
 	n, err := c.Conn.Write(b)
-	c.out.Add(int64(n))
+	c.out.Add(int64(n - len(b)))
 	return n, err
 }
--- a/internal/fleetscale/caches.go
+++ b/internal/fleetscale/caches.go
@@ -12,70 +12,79 @@
 	"github.com/tidwall/redcon"
 )
 
-// How long a cache server works on a request. Both are means; a hit is exponential.
+// How long a cache server works on a request. A hit's time is exponential, with this mean.
 const (
 	hitTime   = time.Millisecond
 	missTime  = 20 * time.Millisecond
 	missShare = .08
-	valueSize = 512 // bytes of a value
+	valueSize = 512 // bytes
+	replySize = 2 * valueSize
 )
 
-// workTime is how long one request takes, and whether the cache server has to fetch for it.
-func workTime() (time.Duration, bool) {
+func workTime() (took time.Duration, miss bool) {
 	if rand.Float64() < missShare {
 		return missTime, true
 	}
 	return time.Duration(rand.ExpFloat64() * float64(hitTime)), false
 }
 
-// Caches are stand-ins of cache servers in one process. Each has an address of its own, and one
-// port for each view: the routers of one view see the cache server there, so they can be told apart.
+// Caches are stand-ins of cache servers in one process. Each has an address of its own, and there
+// a port for each view: routers of different views are told apart by the port that they use.
 type Caches struct {
-	Addrs   [][]string // by cache server and view
-	servers []*cacheServer
+	Addrs [][]string // by cache server and view
+
 	set     CachesSpec
+	servers []*cacheServer
 	conns   sync.WaitGroup
 }
 
 // CachesSpec says what the stand-ins are.
 type CachesSpec struct {
 	First, Count, Views int
-	MostConns           int64         // connections that one holds; more are closed at once
+	MostConns           int64         // connections that one holds; further ones are closed at once
 	Idle                time.Duration // after which one closes a connection
 }
 
-// CacheCount is what one cache server got from the routers of one view. Bytes are those of the
-// commands and their answers, without TCP's own.
+// CacheCount is what one cache server got from the routers of one view. Bytes are those of
+// commands and answers, without TCP's own.
 type CacheCount struct {
 	Probes, Attempts, Handshakes, TurnedAway int64
 	ProbeBytes, AttemptBytes                 int64
-	Open, MostOpen                           int64 // connections; MostOpen is over all views
+	Conns                                    int64 // open now
 }
 
 type cacheServer struct {
-	views      []*cacheView
-	open, most atomic.Int64
+	open  atomic.Int64 // connections, over all views
+	views []*cacheView
 }
 
 type cacheView struct {
-	ln                                                                   net.Listener
-	probes, attempts, handshakes, turned, probeBytes, attemptBytes, open atomic.Int64
+	mu    sync.Mutex
+	ln    net.Listener
+	count CacheCount
 }
 
-// CacheAddress is where a cache server of the address plan listens.
-func CacheAddress(n int) string { return fmt.Sprintf("127.77.%d.%d", n/250, 1+n%250) }
+func (v *cacheView) add(f func(*CacheCount)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	f(&v.count)
+}
 
-// mostCaches is how many the address plan holds.
-const mostCaches = 8 * 250
+// The address plan: 250 cache servers for each third byte.
+const (
+	perByte    = 250
+	mostCaches = 8 * perByte
+)
 
-// StartCaches has the cache servers listen, on ports that are free.
+// StartCaches has the cache servers listen, on free ports.
 func StartCaches(s CachesSpec) (*Caches, error) {
 	c := &Caches{set: s}
-	for i := range s.Count {
+	for i := s.First; i < s.First+s.Count; i++ {
 		srv := &cacheServer{}
+		c.servers = append(c.servers, srv)
 		var addrs []string
 		for range s.Views {
-			ln, err := net.Listen("tcp", CacheAddress(s.First+i)+":0")
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", i/perByte, 1+i%perByte))
 			if err != nil {
 				c.Close()
 				return nil, err
@@ -84,7 +93,7 @@
 			srv.views, addrs = append(srv.views, v), append(addrs, ln.Addr().String())
 			go c.accept(srv, v)
 		}
-		c.servers, c.Addrs = append(c.servers, srv), append(c.Addrs, addrs)
+		c.Addrs = append(c.Addrs, addrs)
 	}
 	return c, nil
 }
@@ -95,22 +104,18 @@
 		if err != nil {
 			return
 		}
-		n := srv.open.Add(1)
-		if n > c.set.MostConns {
+		if srv.open.Add(1) > c.set.MostConns {
 			srv.open.Add(-1)
-			v.turned.Add(1)
+			v.add(func(n *CacheCount) { n.TurnedAway++ })
 			nc.Close()
 			continue
 		}
-		for m := srv.most.Load(); n > m && !srv.most.CompareAndSwap(m, n); m = srv.most.Load() {
-		}
-		v.handshakes.Add(1)
-		v.open.Add(1)
+		v.add(func(n *CacheCount) { n.Handshakes, n.Conns = n.Handshakes+1, n.Conns+1 })
 		c.conns.Go(func() {
 			c.serve(nc, v)
 			nc.Close()
-			v.open.Add(-1)
 			srv.open.Add(-1)
+			v.add(func(n *CacheCount) { n.Conns-- })
 		})
 	}
 }
@@ -118,7 +123,6 @@
 var (
 	value     = strings.Repeat("v", valueSize)
 	load      = "fail_rate=0,rate=1000,busy=0.40"
-	pong      = redcon.AppendString(nil, "PONG")
 	hitReply  = command(value, "hit", load)
 	missReply = command(value, "miss", load)
 )
@@ -126,31 +130,29 @@
 // serve answers the commands of one connection, one behind the other.
 func (c *Caches) serve(nc net.Conn, v *cacheView) {
 	r := redcon.NewReader(nc)
-	for {
-		if err := nc.SetReadDeadline(time.Now().Add(c.set.Idle)); err != nil {
-			return
-		}
+	for nc.SetReadDeadline(time.Now().Add(c.set.Idle)) == nil {
 		cmd, err := r.ReadCommand()
 		if err != nil {
 			return
 		}
-		answer, messages, bytes := []byte("-ERR unknown command\r\n"), (*atomic.Int64)(nil), &v.attemptBytes
+		answer, probe := []byte("-SYNTAX\r\n"), false
 		switch word := strings.ToUpper(string(cmd.Args[0])); {
 		case word == "PING":
-			answer, messages, bytes = pong, &v.probes, &v.probeBytes
+			answer, probe = []byte("+PONG\r\n"), true
 		case word == "C.GET" && len(cmd.Args) == 4, word == "C.SET" && len(cmd.Args) == 5:
-			work, miss := workTime()
-			if answer, messages = hitReply, &v.attempts; miss {
+			took, miss := workTime()
+			if answer = hitReply; miss {
 				answer = missReply
 			}
-			time.Sleep(work)
-		case word == "C.GET" || word == "C.SET":
-			answer = []byte("-SYNTAX\r\n")
-		}
-		if messages != nil {
-			messages.Add(1)
+			time.Sleep(took)
 		}
-		bytes.Add(int64(len(cmd.Raw) + len(answer)))
+		v.add(func(n *CacheCount) {
+			if bytes := int64(len(cmd.Raw) + len(answer)); probe {
+				n.Probes, n.ProbeBytes = n.Probes+1, n.ProbeBytes+bytes
+			} else {
+				n.Attempts, n.AttemptBytes = n.Attempts+1, n.AttemptBytes+bytes
+			}
+		})
 		if _, err := nc.Write(answer); err != nil {
 			return
 		}
@@ -159,18 +161,18 @@
 
 // Count is what each cache server got so far, by cache server and view.
 func (c *Caches) Count() [][]CacheCount {
-	var all [][]CacheCount
-	for _, srv := range c.servers {
-		var views []CacheCount
+	all := make([][]CacheCount, len(c.servers))
+	for i, srv := range c.servers {
 		for _, v := range srv.views {
-			views = append(views, CacheCount{v.probes.Load(), v.attempts.Load(), v.handshakes.Load(), v.turned.Load(),
-				v.probeBytes.Load(), v.attemptBytes.Load(), v.open.Load(), srv.most.Load()})
+			v.add(func(n *CacheCount) { all[i] = append(all[i], *n) })
 		}
-		all = append(all, views)
 	}
 	return all
 }
 
+// Wait waits until every connection has ended.
+func (c *Caches) Wait() { c.conns.Wait() }
+
 // Close takes no more connections.
 func (c *Caches) Close() {
 	for _, srv := range c.servers {
@@ -179,6 +181,3 @@
 		}
 	}
 }
-
-// Wait waits until every connection has ended: the counts are whole then.
-func (c *Caches) Wait() { c.conns.Wait() }
--- a/internal/fleetscale/clients.go
+++ b/internal/fleetscale/clients.go
@@ -1,15 +1,14 @@
 package fleetscale
 
 import (
-	"bufio"
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/tidwall/redcon"
 )
 
 const (
@@ -17,6 +16,33 @@
 	longestLatency  = 5 * time.Second // that is told apart
 )
 
+// demand makes up requests.
+type demand struct {
+	rng  *rand.Rand
+	keys *rand.Zipf
+}
+
+func newDemand(seed uint64) *demand {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	return &demand{rng, rand.NewZipf(rng, 1.1, 100, 1<<21)} // two million keys; the most popular one has 0.1%
+}
+
+// gap is the time to the next request, at so many a second on average.
+func (d *demand) gap(rate float64) time.Duration {
+	return time.Duration(d.rng.ExpFloat64() / rate * float64(time.Second))
+}
+
+// next is the next request: its key, whether it writes, and how long its client waits.
+func (d *demand) next() (key uint64, write bool, patience time.Duration) {
+	limit := readLimit
+	if write = d.rng.Float64() < writeShare; write {
+		limit = writeLimit
+	}
+	// The keys are spread as a hash of their names would.
+	return (d.keys.Uint64() + 1) * 0x9e3779b97f4a7c15 >> 11, write,
+		time.Duration(float64(limit) * (patienceLeast + d.rng.Float64()*(patienceMost-patienceLeast)))
+}
+
 // Clients are the open-loop clients of one router: a request is sent when it is due, whether
 // those before it were answered or not.
 type Clients struct {
@@ -25,21 +51,14 @@
 
 	mu    sync.Mutex
 	count ClientCount
-	idle  []*clientConn
+	idle  []net.Conn
 	conns int
-	sends sync.WaitGroup
 }
 
 // ClientCount is what became of the requests that were due.
 type ClientCount struct {
 	Due, Served, Refused, Failed int64
-	Unsent                       int64                   // every connection was busy
-	Latency                      *hdrhistogram.Histogram // of those served, in microseconds from when they were due
-}
-
-type clientConn struct {
-	nc net.Conn
-	r  *bufio.Reader
+	Latency                      *hdrhistogram.Histogram // of those served, from when they were due; microseconds
 }
 
 // NewClients prepares the clients of the router at this address.
@@ -49,76 +68,65 @@
 	return c
 }
 
-// Run sends requests until ctx ends, or so many if most is not 0. It returns once all are answered or given up.
+// Run sends requests until ctx ends, or so many if most is not 0, and waits for their answers.
 func (c *Clients) Run(ctx context.Context, most int64) {
-	rng := rand.New(rand.NewPCG(rand.Uint64(), 0))
-	keys := rand.NewZipf(rng, keySkew, keyOffset, keysInAll)
-	due := time.Now()
-	for n := int64(0); ctx.Err() == nil && (most == 0 || n < most); n++ {
-		due = due.Add(time.Duration(rng.ExpFloat64() / c.rate * float64(time.Second)))
-		select {
-		case <-time.After(time.Until(due)):
-		case <-ctx.Done():
-			c.sends.Wait()
+	d, due := newDemand(rand.Uint64()), time.Now()
+	var sends sync.WaitGroup
+	defer sends.Wait()
+	for n := int64(0); most == 0 || n < most; n++ {
+		due = due.Add(d.gap(c.rate))
+		if pause(ctx, time.Until(due)) != nil {
 			return
 		}
-		limit, write := 2*time.Second, rng.Float64() < writeShare
-		if write {
-			limit = 4 * time.Second
-		}
-		patience := time.Duration(float64(limit) * (patienceLeast + rng.Float64()*(patienceMost-patienceLeast)))
-		msg := get(keys.Uint64(), fmt.Sprintf("%016x", rng.Uint64()), patience.Milliseconds())
-		if write {
-			msg = set(keys.Uint64(), fmt.Sprintf("%016x", rng.Uint64()), patience.Milliseconds())
-		}
-		at := due
-		c.sends.Go(func() { c.send(msg, at, patience) })
+		key, write, patience := d.next()
+		msg, at := requestOf(write, key, d.rng.Uint64(), patience.Milliseconds()), due
+		sends.Go(func() { c.send(msg, at, at.Add(patience)) })
 	}
-	c.sends.Wait()
 }
 
-func (c *Clients) send(msg []byte, due time.Time, patience time.Duration) {
-	k, err := c.conn()
-	var rep reply
-	if k != nil {
-		k.nc.SetDeadline(due.Add(patience + 100*time.Millisecond))
-		if _, err = k.nc.Write(msg); err == nil {
-			rep, err = readReply(k.r)
+// send sends one request. One that finds every connection busy, and there may be no more, has failed.
+func (c *Clients) send(msg []byte, due, until time.Time) {
+	nc, err := c.conn()
+	var rep redcon.RESP
+	if nc != nil {
+		nc.SetDeadline(until.Add(100 * time.Millisecond))
+		if _, err = nc.Write(msg); err == nil {
+			rep, err = readReply(nc, make([]byte, replySize))
 		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count.Due++
 	switch {
-	case k == nil && err == nil:
-		c.count.Unsent++
-		return
-	case err != nil:
+	case nc == nil || err != nil:
 		c.count.Failed++
-		c.conns--
-		if k != nil {
-			k.nc.Close()
-		}
-		return
-	case rep.kind == '$' || rep.kind == '*':
+	case rep.Type == redcon.Bulk || rep.Type == redcon.Array:
 		c.count.Served++
-		c.count.Latency.RecordValue(min(longestLatency.Microseconds(), time.Since(due).Microseconds()))
-	case rep.kind == '-' && len(rep.line) >= 4 && rep.line[:4] == "BUSY":
+		c.count.Latency.RecordValue(min(longestLatency, time.Since(due)).Microseconds())
+	case isBusy(rep):
 		c.count.Refused++
 	default:
 		c.count.Failed++
 	}
-	c.idle = append(c.idle, k)
+	switch {
+	case nc != nil && err == nil:
+		c.idle = append(c.idle, nc)
+	case err != nil:
+		c.conns--
+		if nc != nil {
+			nc.Close()
+		}
+	}
 }
 
-// conn is an idle connection or a new one; nil where there are as many as there may be.
-func (c *Clients) conn() (*clientConn, error) {
+// conn is an idle connection or a new one, or none where there are as many as there may be.
+func (c *Clients) conn() (net.Conn, error) {
 	c.mu.Lock()
 	if n := len(c.idle); n > 0 {
-		k := c.idle[n-1]
+		nc := c.idle[n-1]
 		c.idle = c.idle[:n-1]
 		c.mu.Unlock()
-		return k, nil
+		return nc, nil
 	}
 	if c.conns == mostClientConns {
 		c.mu.Unlock()
@@ -126,11 +134,7 @@
 	}
 	c.conns++
 	c.mu.Unlock()
-	nc, err := net.DialTimeout("tcp", c.addr, time.Second)
-	if err != nil {
-		return nil, err
-	}
-	return &clientConn{nc, bufio.NewReaderSize(nc, 1024)}, nil
+	return net.DialTimeout("tcp", c.addr, time.Second)
 }
 
 // Take is what became of the requests since the last Take.
@@ -141,3 +145,13 @@
 	c.count = ClientCount{Latency: hdrhistogram.New(1, longestLatency.Microseconds(), 3)}
 	return taken
 }
+
+// pause waits, or says why ctx has ended.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- a/internal/fleetscale/report.go
+++ b/internal/fleetscale/report.go
@@ -9,14 +9,7 @@
 	"gonum.org/v1/gonum/stat"
 )
 
-// What a router may spend on control.
-const (
-	budgetCPU    = 3.1 // percent of a core
-	budgetMemory = 32  // MB
-	budgetBytes  = 24  // KB/s
-)
-
-// What a figure rests on.
+// What a figure rests on: one of these, or the sample that it was counted on.
 const (
 	measured  = "measured"
 	workedOut = "worked out"
@@ -28,7 +21,7 @@
 	Name  string  `json:"name"`
 	Unit  string  `json:"unit"`
 	Value float64 `json:"value"`
-	Basis string  `json:"basis"` // measured, worked out, or the sample that it was counted on
+	Basis string  `json:"basis"`
 }
 
 // Result is what one point gave.
@@ -36,156 +29,141 @@
 	Caches      int      `json:"caches"`
 	Routers     int      `json:"routers"`
 	Rate        float64  `json:"requests_per_s"` // of the whole fleet
-	Hollow      int      `json:"hollow_routers"`
-	Working     int      `json:"hollow_routers_working"`
-	Open        int      `json:"caches_opened"`
 	Seconds     float64  `json:"window_s"`
 	Figures     []Figure `json:"figures"`
 	NotMeasured []string `json:"not_measured"`
 }
 
 func (r *Result) add(role, name, unit string, v float64, basis string) {
-	if math.IsNaN(v) || math.IsInf(v, 0) {
-		v = 0 // nothing of the kind happened
+	if math.IsNaN(v) {
+		v = 0 // a share of nothing
 	}
 	r.Figures = append(r.Figures, Figure{role, name, unit, v, basis})
 }
 
-// Value is a figure of the point.
-func (r *Result) Value(role, name string) (float64, bool) {
+// Value is a figure of the point; 0 where there is none.
+func (r *Result) Value(role, name string) float64 { return r.figure(role, name).Value }
+
+func (r *Result) figure(role, name string) Figure {
 	for _, f := range r.Figures {
 		if f.Role == role && f.Name == name {
-			return f.Value, true
+			return f
 		}
 	}
-	return 0, false
+	return Figure{}
 }
 
-// result works out what happened between two moments.
-func result(p *Point, before, after *sample, clients [views]ClientCount) *Result {
+const (
+	perSecond = "1/s"
+	kilobytes = "KB/s"
+	ofCore    = "% of a core"
+)
+
+// newResult works out what happened between two moments.
+func newResult(p *Point, before, after *sample) *Result {
 	span := after.at.Sub(before.at).Seconds()
-	r := &Result{Caches: p.Caches, Routers: p.Routers, Rate: p.Rate * float64(p.Routers), Hollow: p.hollow(),
-		Working: p.working(), Open: p.Open, Seconds: span}
-	rate := func(a, b int64) float64 { return float64(a-b) / span }
-	cpu := func(a, b usage) float64 { return 100 * (a.cpu - b.cpu).Seconds() / span }
+	r := &Result{Caches: p.Caches, Routers: p.Routers, Rate: p.Rate * float64(p.Routers), Seconds: span}
+	cpu := func(a, b usage) float64 { return 100 * (a.cpu - b.cpu) / span }
+	ofCaches := func(role string, c CacheCount, over float64, basis string) {
+		r.add(role, "probes", perSecond, float64(c.Probes)/over/span, basis)
+		r.add(role, "probe bytes", kilobytes, float64(c.ProbeBytes)/over/span/1e3, basis)
+		r.add(role, "attempts", perSecond, float64(c.Attempts)/over/span, basis)
+		r.add(role, "attempt bytes", kilobytes, float64(c.AttemptBytes)/over/span/1e3, basis)
+		r.add(role, "handshakes", perSecond, float64(c.Handshakes)/over/span, basis)
+		r.add(role, "connections", "", float64(c.Conns)/over, basis)
+		r.add(role, "connections turned away", perSecond, float64(c.TurnedAway)/over/span, basis)
+	}
+	ofList := func(role string, view int, over float64, basis string) {
+		a, b := after.agent[view], before.agent[view]
+		r.add(role, "watch calls", perSecond, float64(a.Calls-b.Calls)/over/span, basis)
+		r.add(role, "list lines", perSecond, float64(a.Lines-b.Lines)/over/span, basis)
+		r.add(role, "list bytes", kilobytes, float64(a.BytesIn-b.BytesIn+a.BytesOut-b.BytesOut)/over/span/1e3, basis)
+	}
 
-	// The real routers, one for each view.
-	var cpus, list [views]float64
 	for v := viewLoaded; v < views; v++ {
 		role := "router " + viewNames[v]
-		a, b := after.agent[v], before.agent[v]
-		list[v] = (rate(a.BytesOut, b.BytesOut) + rate(a.BytesIn, b.BytesIn)) / 1e3
-		cpus[v] = cpu(after.usage[v], before.usage[v])
-		c := sumCaches(after, before, v)
-		r.add(role, "processor time", "% of a core", cpus[v], measured)
-		r.add(role, "memory", "MB", float64(after.usage[v].rss)/1e6, measured)
-		r.add(role, "memory at most", "MB", float64(after.usage[v].hwm)/1e6, measured)
-		r.add(role, "watch calls", "1/s", rate(a.Calls, b.Calls), measured)
-		r.add(role, "list lines", "1/s", rate(a.Lines, b.Lines), measured)
-		r.add(role, "list bytes", "KB/s", list[v], measured)
-		r.add(role, "probes", "1/s", float64(c.Probes)/span, measured)
-		r.add(role, "probe bytes", "KB/s", float64(c.ProbeBytes)/span/1e3, measured)
-		r.add(role, "handshakes", "1/s", float64(c.Handshakes)/span, measured)
-		r.add(role, "connections", "", float64(c.Open), measured)
-		if v == viewIdle {
-			continue
+		r.add(role, "processor time", ofCore, cpu(after.routers[v], before.routers[v]), measured)
+		r.add(role, "memory", "MB", after.routers[v].memory/1e6, measured)
+		r.add(role, "memory at most", "MB", after.routers[v].mostMemory/1e6, measured)
+		ofList(role, v, 1, measured)
+		var c CacheCount
+		for i := range after.caches {
+			c.add(after.caches[i][v], before.caches[i][v])
+		}
+		ofCaches(role, c, 1, measured)
+		if k := after.clients[v]; k.Latency != nil {
+			r.add(role, "requests due", perSecond, float64(k.Due)/span, measured)
+			r.add(role, "served", "% of due", 100*float64(k.Served)/float64(k.Due), measured)
+			r.add(role, "refused", "% of due", 100*float64(k.Refused)/float64(k.Due), measured)
+			r.add(role, "failed", "% of due", 100*float64(k.Failed)/float64(k.Due), measured)
+			r.add(role, "latency, median", "ms", float64(k.Latency.ValueAtQuantile(50))/1e3, measured)
+			r.add(role, "latency, 99th percentile", "ms", float64(k.Latency.ValueAtQuantile(99))/1e3, measured)
 		}
-		r.add(role, "attempts", "1/s", float64(c.Attempts)/span, measured)
-		r.add(role, "attempt bytes", "KB/s", float64(c.AttemptBytes)/span/1e3, measured)
-		k := clients[v]
-		r.add(role, "requests due", "1/s", float64(k.Due)/span, measured)
-		r.add(role, "served", "% of due", 100*float64(k.Served)/float64(k.Due), measured)
-		r.add(role, "refused", "% of due", 100*float64(k.Refused)/float64(k.Due), measured)
-		r.add(role, "failed or unsent", "% of due", 100*float64(k.Failed+k.Unsent)/float64(k.Due), measured)
-		r.add(role, "latency, median", "ms", float64(k.Latency.ValueAtQuantile(50))/1e3, measured)
-		r.add(role, "latency, 99th percentile", "ms", float64(k.Latency.ValueAtQuantile(99))/1e3, measured)
 	}
-	probes, _ := r.Value("router loaded", "probe bytes")
-	r.add("router control", "processor time", "% of a core", cpus[viewIdle]+max(0, cpus[viewLoaded]-cpus[viewNoProbe]), workedOut)
-	r.add("router control", "memory", "MB", float64(after.usage[viewIdle].rss)/1e6, measured)
-	r.add("router control", "bytes", "KB/s", list[viewLoaded]+probes, measured)
+	const control = "router control"
+	probing := r.Value("router loaded", "processor time") - r.Value("router noprobe", "processor time")
+	r.add(control, "processor time", ofCore, r.Value("router idle", "processor time")+max(0, probing), workedOut+": idle, and loaded less noprobe")
+	r.add(control, "memory", "MB", r.Value("router idle", "memory at most"), measured+" without clients")
+	r.add(control, "bytes", kilobytes, r.Value("router loaded", "list bytes")+r.Value("router loaded", "probe bytes"), measured)
 
-	// The hollow routers at work.
-	f, g := after.fleet, before.fleet
-	n, scale := float64(p.working()), float64(p.Routers)/float64(p.working())
-	basis := fmt.Sprintf("counted on %d of %d", p.working(), p.Routers)
-	var all, conns CacheTally
-	for i := range f.Caches {
-		all.add(f.Caches[i])
-		conns.Conns += f.Caches[i].Conns
-		all.Probes, all.Attempts, all.Handshakes = all.Probes-g.Caches[i].Probes, all.Attempts-g.Caches[i].Attempts, all.Handshakes-g.Caches[i].Handshakes
+	// The hollow routers at work, and what they make of a cache server once the sample is scaled to the fleet.
+	a, b, n := after.fleet, before.fleet, float64(p.working())
+	var all CacheTally
+	for i := range a.Caches {
+		all.add(a.Caches[i], 1)
+		all.add(b.Caches[i], -1)
+		all.Conns += b.Caches[i].Conns // those open now count
+	}
+	r.add("router hollow", "requests", perSecond, float64(a.Requests-b.Requests)/n/span, counted(p.working(), p.Routers))
+	r.add("router hollow", "served", "% of requests", 100*float64(a.Served-b.Served)/float64(a.Requests-b.Requests), counted(p.working(), p.Routers))
+	r.add("router hollow", "timers", perSecond, float64(a.Timers-b.Timers)/n/span, counted(p.working(), p.Routers))
+	for _, of := range []struct {
+		role, basis string
+		over        float64
+	}{{"router hollow", counted(p.working(), p.Routers), n},
+		{"cache, all", workedOut + ", " + counted(p.working(), p.Routers), n / float64(p.Routers) * float64(p.Caches)}} {
+		r.add(of.role, "probes", perSecond, float64(all.Probes)/of.over/span, of.basis)
+		r.add(of.role, "attempts", perSecond, float64(all.Attempts)/of.over/span, of.basis)
+		r.add(of.role, "handshakes", perSecond, float64(all.Handshakes)/of.over/span, of.basis)
+		r.add(of.role, "connections", "", float64(all.Conns)/of.over, of.basis)
 	}
-	requests := float64(f.Requests - g.Requests)
-	r.add("router hollow", "requests", "1/s", requests/n/span, basis)
-	r.add("router hollow", "served", "% of requests", 100*float64(f.Served-g.Served)/requests, basis)
-	r.add("router hollow", "probes", "1/s", float64(all.Probes)/n/span, basis)
-	r.add("router hollow", "attempts", "1/s", float64(all.Attempts)/n/span, basis)
-	r.add("router hollow", "handshakes", "1/s", float64(all.Handshakes)/n/span, basis)
-	r.add("router hollow", "connections", "", float64(conns.Conns)/n, basis)
-	r.add("router hollow", "timers", "1/s", rate(f.Timers, g.Timers)/n, basis)
-	r.add("router hollow", "requests late, 99th percentile", "ms", float64(f.Late)/1e3, basis)
-
-	// A cache server: all of them from the sample, and those that sockets were opened to.
-	worked := workedOut + " from " + fmt.Sprintf("%d of %d", p.working(), p.Routers)
-	each := scale / float64(p.Caches)
-	r.add("cache, all", "probes", "1/s", float64(all.Probes)*each/span, worked)
-	r.add("cache, all", "attempts", "1/s", float64(all.Attempts)*each/span, worked)
-	r.add("cache, all", "handshakes", "1/s", float64(all.Handshakes)*each/span, worked)
-	r.add("cache, all", "connections", "", float64(conns.Conns)*each, worked)
 	var c CacheCount
-	opened := float64(p.Open)
-	for k := range p.Open {
-		i := k * p.Caches / p.Open
-		c.add(after.caches[i][viewHollow], before.caches[i][viewHollow])
+	for k := range p.open() {
+		c.add(after.caches[p.opened(k)][viewHollow], before.caches[p.opened(k)][viewHollow])
 	}
-	basis = fmt.Sprintf("measured at %d of %d", p.Open, p.Caches)
-	r.add("cache, opened", "probes", "1/s", float64(c.Probes)/opened/span, basis)
-	r.add("cache, opened", "probe bytes", "KB/s", float64(c.ProbeBytes)/opened/span/1e3, basis)
-	r.add("cache, opened", "attempts", "1/s", float64(c.Attempts)/opened/span, basis)
-	r.add("cache, opened", "handshakes", "1/s", float64(c.Handshakes)/opened/span, basis)
-	r.add("cache, opened", "turned away", "1/s", float64(c.TurnedAway)/opened/span, basis)
-	r.add("cache, opened", "connections", "", float64(c.Open)/opened, basis)
-	r.add("cache, opened", "messages not passed on", "1/s", rate(f.EchoesLost, g.EchoesLost)/opened, basis)
+	ofCaches("cache, opened", c, float64(p.open()), fmt.Sprintf("%s at %d of %d", measured, p.open(), p.Caches))
 
-	// Discovery, for the watches that were open and for the whole fleet.
-	a, b := after.agent[viewHollow], before.agent[viewHollow]
-	watches := float64(p.hollow())
-	bytes := rate(a.BytesIn, b.BytesIn) + rate(a.BytesOut, b.BytesOut)
-	all4 := float64(p.Routers) / watches
-	basis = fmt.Sprintf("measured for %d of %d", p.hollow(), p.Routers)
-	r.add("discovery", "calls", "1/s", rate(a.Calls, b.Calls), basis)
-	r.add("discovery", "lines", "1/s", rate(a.Lines, b.Lines), basis)
-	r.add("discovery", "bytes", "KB/s", bytes/1e3, basis)
-	r.add("discovery", "processor time", "% of a core", cpu(after.agentU, before.agentU), basis)
-	r.add("discovery", "calls, whole fleet", "1/s", rate(a.Calls, b.Calls)*all4, workedOut)
-	r.add("discovery", "lines, whole fleet", "1/s", rate(a.Lines, b.Lines)*all4, workedOut)
-	r.add("discovery", "bytes, whole fleet", "KB/s", bytes/1e3*all4, workedOut)
+	ofList("discovery", viewHollow, 1, fmt.Sprintf("%s for %d of %d", measured, p.hollow(), p.Routers))
+	r.add("discovery", "processor time", ofCore, cpu(after.standIns.agent, before.standIns.agent), measured+" for the same and the real routers")
+	ofList("discovery, whole fleet", viewHollow, float64(p.hollow())/float64(p.Routers), workedOut)
 
-	// What the play itself took.
-	r.add("stand-ins", "processor time, hollow routers", "% of a core", cpu(after.fleetU, before.fleetU), measured)
-	r.add("stand-ins", "processor time, cache servers", "% of a core", cpu(after.cachesU, before.cachesU), measured)
-	r.add("stand-ins", "memory", "MB", float64(after.fleetU.rss+after.cachesU.rss+after.agentU.rss)/1e6, measured)
+	r.add("stand-ins", "processor time, hollow routers", ofCore, cpu(after.standIns.fleet, before.standIns.fleet), measured)
+	r.add("stand-ins", "processor time, cache servers", ofCore, cpu(after.standIns.caches, before.standIns.caches), measured)
+	r.add("stand-ins", "memory", "MB", (after.standIns.fleet.memory+after.standIns.caches.memory+after.standIns.agent.memory)/1e6, measured)
+	r.add("stand-ins", "requests late, 99th percentile", "ms", float64(a.Late)/1e3, measured+" since the start")
+	r.add("stand-ins", "messages to opened caches that went wrong", perSecond, float64(a.Lost-b.Lost)/span, measured)
 
 	r.NotMeasured = []string{
-		"bytes of TCP and IP themselves, and those of handshakes: bytes are what the sockets carried",
-		"processor time and memory of a cache server for control: a stand-in does no work on a value, and many share a process",
-		"processor time of a real router's probes apart: it is the difference between two routers with clients, one of which may not probe; at or below 0 it counts as 0",
-		"the network, and discovery behind its agents",
+		"bytes of TCP and IP, and of handshakes: bytes are what the sockets carried",
+		"processor time and memory of a cache server for control: many stand-ins share a process and do no work",
+		"processor time of a real router's probes apart: the two routers that are compared have clients of their own",
+		"a real router's timers, which are counted at hollow ones; the network; discovery behind its agents",
 	}
-	if p.working() < p.Routers {
-		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("requests, probes and attempts of %d of %d routers: at the opened caches others repeat those of the %d that were played",
-			p.Routers-p.working(), p.Routers, p.working()))
+	if left := p.Routers - p.working(); left > 0 {
+		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("requests of %d routers of %d: at opened caches the sockets of the others repeat what theirs do, up to a round of probes later", left, p.Routers))
 	}
-	if p.hollow() < p.Routers {
-		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("watches of %d of %d routers", p.Routers-p.hollow(), p.Routers))
+	if left := p.Routers - p.hollow(); left > 0 {
+		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("watches of %d routers of %d", left, p.Routers))
 	}
-	if p.Open < p.Caches {
-		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("connections of hollow routers to %d of %d cache servers: counted, not opened", p.Caches-p.Open, p.Caches))
+	if left := p.Caches - p.open(); left > 0 {
+		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("connections of hollow routers to %d caches of %d: counted, not opened", left, p.Caches))
 	}
 	return r
 }
 
-// add adds what came between two counts. Open connections are those at the later one.
+func counted(n, of int) string { return fmt.Sprintf("counted on %d of %d", n, of) }
+
+// add adds what came between two counts, and the connections open at the later one.
 func (c *CacheCount) add(after, before CacheCount) {
 	c.Probes += after.Probes - before.Probes
 	c.Attempts += after.Attempts - before.Attempts
@@ -193,44 +171,25 @@
 	c.TurnedAway += after.TurnedAway - before.TurnedAway
 	c.ProbeBytes += after.ProbeBytes - before.ProbeBytes
 	c.AttemptBytes += after.AttemptBytes - before.AttemptBytes
-	c.Open += after.Open
-}
-
-// sumCaches is what all cache servers got from the routers of one view between two moments.
-func sumCaches(after, before *sample, view int) CacheCount {
-	var c CacheCount
-	for i := range after.caches {
-		c.add(after.caches[i][view], before.caches[i][view])
-	}
-	return c
+	c.Conns += after.Conns
 }
 
 // WriteTable writes a point for people.
 func (r *Result) WriteTable(out io.Writer) error {
 	fmt.Fprintf(out, "\n%d caches, %d routers, %.0f requests a second; %.1f s\n", r.Caches, r.Routers, r.Rate, r.Seconds)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	role := ""
 	for _, f := range r.Figures {
-		shown := f.Role
-		if shown == role {
-			shown = ""
-		}
-		role = f.Role
-		fmt.Fprintf(w, "%s\t%s\t%.4g\t%s\t%s\n", shown, f.Name, f.Value, f.Unit, f.Basis)
+		fmt.Fprintf(w, "%s\t%s\t%.4g\t%s\t%s\n", f.Role, f.Name, f.Value, f.Unit, f.Basis)
 	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	for _, b := range []struct {
-		name, unit string
-		most       float64
-	}{{"processor time", "% of a core", budgetCPU}, {"memory", "MB", budgetMemory}, {"bytes", "KB/s", budgetBytes}} {
-		v, _ := r.Value("router control", b.name)
-		verdict := "within"
-		if v > b.most {
+	for _, most := range []Figure{{Name: "processor time", Value: 3.1}, {Name: "memory", Value: 32}, {Name: "bytes", Value: 24}} {
+		f, verdict := r.figure("router control", most.Name), "within"
+		if f.Value > most.Value {
 			verdict = "OVER"
 		}
-		fmt.Fprintf(out, "control of a router, %s: %.4g %s, %s %.4g\n", b.name, v, b.unit, verdict, b.most)
+		fmt.Fprintf(out, "control of a router, %s: %.4g %s, %s the %.4g it may spend\n", f.Name, f.Value, f.Unit, verdict, most.Value)
 	}
 	for _, s := range r.NotMeasured {
 		fmt.Fprintln(out, "not measured:", s)
@@ -240,73 +199,53 @@
 
 // Slope is how a figure grows with the size of the fleet, by least squares.
 type Slope struct {
-	Role   string  `json:"role"`
-	Name   string  `json:"name"`
-	Unit   string  `json:"unit"`
-	Over   string  `json:"over"` // what it grows with
-	Slope  float64 `json:"slope"`
-	Error  float64 `json:"standard_error"` // of the slope
-	Start  float64 `json:"intercept"`
-	R2     float64 `json:"r_squared"`
-	Points int     `json:"points"`
+	Role      string  `json:"role"`
+	Name      string  `json:"name"`
+	Unit      string  `json:"unit"`
+	Over      string  `json:"over"` // what it grows with
+	Slope     float64 `json:"slope"`
+	Scatter   float64 `json:"standard_error"` // of the slope
+	Intercept float64 `json:"intercept"`
+	R2        float64 `json:"r_squared"`
+	Points    int     `json:"points"`
 }
 
-// leastPoints are needed for a slope with a scatter.
-const leastPoints = 3
-
-// Slopes fits the figures of control to the sizes of the points.
+// Slopes fits the figures of control to the sizes of the points. It takes three sizes at least.
 func Slopes(points []*Result) []Slope {
 	caches := func(r *Result) float64 { return float64(r.Caches) }
 	routers := func(r *Result) float64 { return float64(r.Routers) }
-	both := func(r *Result) float64 { return float64(r.Caches) * float64(r.Routers) }
 	var all []Slope
 	for _, s := range []struct {
 		role, name, over string
-		x                func(*Result) float64
+		of               func(*Result) float64
 	}{
-		{"router control", "processor time", "cache", caches},
-		{"router control", "memory", "cache", caches},
-		{"router control", "bytes", "cache", caches},
-		{"router loaded", "list bytes", "cache", caches},
-		{"router loaded", "probes", "cache", caches},
-		{"router loaded", "handshakes", "cache", caches},
-		{"router loaded", "connections", "cache", caches},
-		{"router hollow", "probes", "cache", caches},
-		{"router hollow", "timers", "cache", caches},
-		{"cache, all", "probes", "router", routers},
-		{"cache, opened", "probes", "router", routers},
-		{"cache, opened", "handshakes", "router", routers},
+		{"router control", "processor time", "cache", caches}, {"router control", "memory", "cache", caches},
+		{"router control", "bytes", "cache", caches}, {"router loaded", "list bytes", "cache", caches},
+		{"router loaded", "probes", "cache", caches}, {"router loaded", "handshakes", "cache", caches},
+		{"router loaded", "connections", "cache", caches}, {"router hollow", "probes", "cache", caches},
+		{"router hollow", "timers", "cache", caches}, {"cache, all", "probes", "router", routers},
+		{"cache, opened", "probes", "router", routers}, {"cache, opened", "handshakes", "router", routers},
 		{"cache, opened", "connections", "router", routers},
-		{"discovery", "lines, whole fleet", "cache and router", both},
-		{"discovery", "bytes, whole fleet", "cache and router", both},
+		{"discovery, whole fleet", "list lines", "cache and router", func(r *Result) float64 { return caches(r) * routers(r) }},
+		{"discovery, whole fleet", "list bytes", "cache and router", func(r *Result) float64 { return caches(r) * routers(r) }},
 	} {
 		var x, y []float64
-		unit := ""
 		for _, r := range points {
-			if v, ok := r.Value(s.role, s.name); ok {
-				x, y = append(x, s.x(r)), append(y, v)
-			}
+			x, y = append(x, s.of(r)), append(y, r.Value(s.role, s.name))
 		}
-		for _, f := range points[0].Figures {
-			if f.Role == s.role && f.Name == s.name {
-				unit = f.Unit
+		if n := float64(len(x)); n > 2 && stat.Variance(x, nil) > 0 {
+			at0, slope := stat.LinearRegression(x, y, nil, false)
+			left := 0.0
+			for i := range x {
+				left += math.Pow(y[i]-at0-slope*x[i], 2)
 			}
+			r2 := stat.RSquared(x, y, nil, at0, slope)
+			if math.IsNaN(r2) {
+				r2 = 0 // all values are the same
+			}
+			all = append(all, Slope{s.role, s.name, points[0].figure(s.role, s.name).Unit, s.over, slope,
+				math.Sqrt(left / (n - 2) / (stat.Variance(x, nil) * (n - 1))), at0, r2, len(x)})
 		}
-		if len(x) < leastPoints || stat.Variance(x, nil) == 0 {
-			continue
-		}
-		start, slope := stat.LinearRegression(x, y, nil, false)
-		r2 := stat.RSquared(x, y, nil, start, slope)
-		left := 0.0
-		for i := range x {
-			left += math.Pow(y[i]-start-slope*x[i], 2)
-		}
-		n := float64(len(x))
-		se := math.Sqrt(left / (n - 2) / (stat.Variance(x, nil) * (n - 1)))
-		if math.IsNaN(r2) {
-			r2 = 0 // all values are the same
-		}
-		all = append(all, Slope{s.role, s.name, unit, s.over, slope, se, start, r2, len(x)})
 	}
 	return all
 }
@@ -316,7 +255,7 @@
 	fmt.Fprintln(out, "\nslopes by least squares, with their standard errors")
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	for _, s := range slopes {
-		fmt.Fprintf(w, "%s\t%s\t%.4g ± %.2g\t%s a %s\tfrom %.4g\tR² %.3f of %d points\n", s.Role, s.Name, s.Slope, s.Error, s.Unit, s.Over, s.Start, s.R2, s.Points)
+		fmt.Fprintf(w, "%s\t%s\t%.4g ± %.2g\t%s a %s\tfrom %.4g\tR² %.3f, %d points\n", s.Role, s.Name, s.Slope, s.Scatter, s.Unit, s.Over, s.Intercept, s.R2, s.Points)
 	}
 	return w.Flush()
 }
--- a/internal/fleetscale/resp.go
+++ b/internal/fleetscale/resp.go
@@ -1,72 +1,14 @@
 package fleetscale
 
 import (
-	"bufio"
-	"errors"
 	"fmt"
-	"strconv"
+	"net"
+	"strings"
 
 	"github.com/tidwall/redcon"
 )
 
-// mostString is the longest bulk string that a stand-in reads, in bytes.
-const mostString = 64 << 10
-
-var errReply = errors.New("malformed answer")
-
-// reply is an answer on the wire, of a cache server or of a router.
-type reply struct {
-	kind byte   // its RESP type: + - $ or *
-	line string // of a simple string or an error; of a bulk string, how it begins
-	miss bool   // of an array: the cache server had to fetch
-	size int64  // bytes on the wire
-}
-
-// readReply reads one answer.
-func readReply(r *bufio.Reader) (reply, error) {
-	line, err := r.ReadString('\n')
-	if err != nil {
-		return reply{}, err
-	}
-	if len(line) < 3 {
-		return reply{}, errReply
-	}
-	rep := reply{kind: line[0], line: line[1 : len(line)-2], size: int64(len(line))}
-	switch rep.kind {
-	case redcon.String, redcon.Error:
-		return rep, nil
-	case redcon.Bulk:
-		n, err := strconv.Atoi(rep.line)
-		if err != nil || n > mostString {
-			return reply{}, errReply
-		}
-		if n < 0 {
-			return rep, nil
-		}
-		start, _ := r.Peek(min(n, len("pending")))
-		rep.line = string(start)
-		m, err := r.Discard(n + 2)
-		rep.size += int64(m)
-		return rep, err
-	case redcon.Array:
-		n, err := strconv.Atoi(rep.line)
-		if err != nil || n < 1 || n > 3 {
-			return reply{}, errReply
-		}
-		for i := range n {
-			item, err := readReply(r)
-			if err != nil {
-				return reply{}, err
-			}
-			rep.miss = rep.miss || i == 1 && item.line == "miss"
-			rep.size += item.size
-		}
-		return rep, nil
-	}
-	return reply{}, errReply
-}
-
-// command is a command on the wire.
+// command is a command or an array on the wire.
 func command(words ...string) []byte {
 	b := redcon.AppendArray(nil, len(words))
 	for _, w := range words {
@@ -75,12 +17,33 @@
 	return b
 }
 
-// get and set are the commands of one request; wait is in milliseconds.
-func get(key uint64, id string, wait int64) []byte {
-	return command("C.GET", fmt.Sprintf("%016x", key), id, fmt.Sprintf("c=%s,t=all,d=%d", readClass, max(1, wait)))
+// requestOf is a client's command. The client waits so many milliseconds.
+func requestOf(write bool, key, id uint64, wait int64) []byte {
+	k, i := fmt.Sprintf("%016x", key), fmt.Sprintf("%016x", id)
+	if write {
+		return command("C.SET", k, i, fmt.Sprintf("c=%s,t=all,d=%d,k=%s", writeClass, max(1, wait), i), "value")
+	}
+	return command("C.GET", k, i, fmt.Sprintf("c=%s,t=all,d=%d", readClass, max(1, wait)))
+}
+
+// readReply reads one answer, which is no longer than buf. The stand-ins have one out at a time.
+func readReply(nc net.Conn, buf []byte) (redcon.RESP, error) {
+	for n := 0; ; {
+		m, err := nc.Read(buf[n:])
+		if n += m; m > 0 {
+			if whole, rep := redcon.ReadNextRESP(buf[:n]); whole > 0 {
+				return rep, nil
+			}
+		}
+		if err != nil {
+			return redcon.RESP{}, err
+		}
+		if n == len(buf) {
+			return redcon.RESP{}, fmt.Errorf("an answer of more than %d bytes", n)
+		}
+	}
 }
 
-func set(key uint64, id string, wait int64) []byte {
-	return command("C.SET", fmt.Sprintf("%016x", key), id,
-		fmt.Sprintf("c=%s,t=all,d=%d,k=%s", writeClass, max(1, wait), id), "value")
+func isBusy(rep redcon.RESP) bool {
+	return rep.Type == redcon.Error && strings.HasPrefix(string(rep.Data), "BUSY")
 }
--- a/internal/fleetscale/settings.go
+++ b/internal/fleetscale/settings.go
@@ -5,24 +5,27 @@
 	"time"
 )
 
-// The classes of requests, and the share of all that are writes.
+// The classes of requests, how long clients wait at most, and the share of writes. For one try a
+// client waits a part of the limit that lies between the two shares.
 const (
-	readClass  = "page-view"
-	writeClass = "annotate"
-	writeShare = .07
+	readClass     = "page-view"
+	readLimit     = 2 * time.Second
+	writeClass    = "annotate"
+	writeLimit    = 4 * time.Second
+	writeShare    = .07
+	patienceLeast = .3
+	patienceMost  = .55
 )
 
-// Settings is what the stand-in fleet tells its routers, in the form of the wire.
+// Settings is what the stand-in fleet tells its routers.
 type Settings struct {
-	Routers    int
-	Subscribe  bool // the list is told only to those that ask
-	Probes     bool
-	DrainGrace time.Duration // 0 for the fleet's 1.5 s
-	Dial       time.Duration // 0 for the fleet's 250 ms
-	Keepalive  time.Duration // 0 for the fleet's 60 s
+	Routers          int
+	Subscribe        bool // the list is told only to those that ask
+	Probes           bool
+	DrainGrace, Dial time.Duration // 0 for those of the fleet: 1.5 s, and 250 ms for a new connection
 }
 
-// JSON is the settings as a router reads them. Times are in microseconds there.
+// JSON is the settings in the form of the wire.
 func (s Settings) JSON() json.RawMessage {
 	us := func(d, otherwise time.Duration) int64 {
 		if d == 0 {
@@ -30,24 +33,23 @@
 		}
 		return d.Microseconds()
 	}
-	type object = map[string]any
 	discovery := "automatic"
 	if s.Subscribe {
 		discovery = "subscribe"
 	}
+	type object = map[string]any
+	class := func(name, effect string, aim, limit, ttl time.Duration, worth int) object {
+		return object{"name": name, "effect": effect, "dedupScope": "all", "aim": aim.Microseconds(),
+			"hardLimit": limit.Microseconds(), "keyTtl": ttl.Microseconds(), "worth": worth}
+	}
 	raw, err := json.Marshal(object{
 		"instances": s.Routers, "discovery": discovery, "weights": "live",
-		"categories": []object{
-			{"name": readClass, "effect": "read_like", "dedupScope": "all", "aim": us(600*time.Millisecond, 0),
-				"hardLimit": us(2*time.Second, 0), "keyTtl": us(5*time.Second, 0), "worth": 5},
-			{"name": writeClass, "effect": "idempotency_key", "dedupScope": "all", "aim": us(1200*time.Millisecond, 0),
-				"hardLimit": us(4*time.Second, 0), "keyTtl": us(8*time.Second, 0), "worth": 10}},
+		"categories": []object{class(readClass, "read_like", 600*time.Millisecond, readLimit, 5*time.Second, 5),
+			class(writeClass, "idempotency_key", 1200*time.Millisecond, writeLimit, 8*time.Second, 10)},
 		"limits": object{"cancel": true, "probes": s.Probes, "secondCopies": true, "retryAfter": true, "maxAttempts": 3,
-			"maxRetryAfter": us(2*time.Second, 0), "maxOpen": 20000, "dialTimeout": us(s.Dial, 250*time.Millisecond),
-			"keepalive": us(s.Keepalive, time.Minute)},
-		"rules": object{"askEvery": us(10*time.Second, 0), "cold": us(9*time.Second, 0),
-			"drainGrace": us(s.DrainGrace, 1500*time.Millisecond), "fall": us(1500*time.Millisecond, 0),
-			"startCapacity": .31, "tipMultiple": 3},
+			"maxRetryAfter": 2_000_000, "maxOpen": 20_000, "dialTimeout": us(s.Dial, 250*time.Millisecond), "keepalive": 60_000_000},
+		"rules": object{"askEvery": 10_000_000, "cold": 9_000_000, "drainGrace": us(s.DrainGrace, 1500*time.Millisecond),
+			"fall": 1_500_000, "startCapacity": .31, "tipMultiple": 3},
 		"report":    object{"fields": []string{"fail_rate", "rate", "busy"}, "via": "answers"},
 		"penalties": object{"probe": .0074, "handshake": .02, "connection": 0},
 	})
@@ -56,9 +58,3 @@
 	}
 	return raw
 }
-
-// patienceShare is the part of its class's limit that a client waits for one try: between these two.
-const (
-	patienceLeast = .3
-	patienceMost  = .55
-)
