--- a/cmd/fleetscale/main.go
+++ b/cmd/fleetscale/main.go
@@ -57,7 +57,7 @@
 	flags.IntVar(&p.Routers, "routers", 0, "routers of a single point, as their settings tell them")
 	flags.StringSliceVar(&sizes, "sweep", strings.Split(sweep, ","), "points to play, as caches x routers")
 	flags.Float64Var(&p.Rate, "rate", 643, "requests a second at each router")
-	flags.IntVar(&p.Hollow, "hollow", 700, "hollow routers to play at most; each keeps a watch")
+	flags.IntVar(&p.Hollow, "hollow", 280, "hollow routers to play at most; each keeps a watch")
 	flags.IntVar(&p.Working, "working", 28, "of these, how many get requests at most")
 	flags.IntVar(&p.Open, "open", 2, "cache servers to which the whole fleet's sockets are opened")
 	flags.IntVar(&p.CacheConns, "cache-conns", 4500, "connections that a cache server holds")
--- a/internal/fleetscale/agent.go
+++ b/internal/fleetscale/agent.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// sizes is how many sizes of cache servers there are, in turn on the list.
+const sizes = 3
+
 // Live weights are renewed after a time between these two.
 const (
 	renewLeast = 500 * time.Millisecond
@@ -61,7 +64,7 @@
 func StartAgent(addrs [][]string, views int) (*Agent, error) {
 	a := &Agent{changed: make(chan struct{}), stop: make(chan struct{}), whole: make([]answer, views), changes: make([]answer, views)}
 	for i, at := range addrs {
-		size := 1 + float64(i%3)/2
+		size := 1 + float64(i%sizes)/2
 		a.hosts = append(a.hosts, host{addrs: at, status: "in_service", size: size, weight: size})
 	}
 	a.publish(func(int, *host) {})
--- a/internal/fleetscale/caches.go
+++ b/internal/fleetscale/caches.go
@@ -53,6 +53,18 @@
 	Conns                                    int64 // open now
 }
 
+func (c *CacheCount) add(o CacheCount) {
+	c.Probes, c.Attempts, c.Handshakes = c.Probes+o.Probes, c.Attempts+o.Attempts, c.Handshakes+o.Handshakes
+	c.TurnedAway, c.Conns = c.TurnedAway+o.TurnedAway, c.Conns+o.Conns
+	c.ProbeBytes, c.AttemptBytes = c.ProbeBytes+o.ProbeBytes, c.AttemptBytes+o.AttemptBytes
+}
+
+// since is what came since another count, with the connections that are open now.
+func (c CacheCount) since(o CacheCount) CacheCount {
+	return CacheCount{c.Probes - o.Probes, c.Attempts - o.Attempts, c.Handshakes - o.Handshakes, c.TurnedAway - o.TurnedAway,
+		c.ProbeBytes - o.ProbeBytes, c.AttemptBytes - o.AttemptBytes, c.Conns}
+}
+
 type cacheServer struct {
 	open  atomic.Int64 // connections, over all views
 	views []*cacheView
--- a/internal/fleetscale/hollow.go
+++ b/internal/fleetscale/hollow.go
@@ -38,34 +38,24 @@
 	Listed func(version int64) `json:"-"` // if set, called after each list that a hollow router took
 }
 
-// CacheTally is what routers ask of one cache server, and the connections that they hold to it.
-type CacheTally struct{ Probes, Attempts, Handshakes, Conns int64 }
-
-func (t *CacheTally) add(o CacheTally, sign int64) {
-	t.Probes += sign * o.Probes
-	t.Attempts += sign * o.Attempts
-	t.Handshakes += sign * o.Handshakes
-	t.Conns += sign * o.Conns
-}
-
 // FleetCount is what the hollow routers of one process did.
 type FleetCount struct {
 	Requests, Served, Timers        int64        // at the routers at work
-	Caches                          []CacheTally // of theirs, by place on the list
-	Sockets                         CacheTally   // what was opened, also for those that they stand for
+	Caches                          []CacheCount // of theirs, by place on the list; without bytes
+	Sockets                         CacheCount   // what was opened, also for those that they stand for
 	Lost                            int64        // messages of these that went wrong
 	Calls, Lines, BytesIn, BytesOut int64        // to and from discovery, by all
-	Late                            int64        // microseconds that 99% of requests were behind their plan at most
+	Late                            int64        // microseconds that 99% of requests since the last Count were behind their plan at most
 }
 
 func (c *FleetCount) add(o FleetCount) {
 	if c.Caches == nil {
-		c.Caches = make([]CacheTally, len(o.Caches))
+		c.Caches = make([]CacheCount, len(o.Caches))
 	}
 	for i, t := range o.Caches {
-		c.Caches[i].add(t, 1)
+		c.Caches[i].add(t)
 	}
-	c.Sockets.add(o.Sockets, 1)
+	c.Sockets.add(o.Sockets)
 	c.Requests, c.Served, c.Timers = c.Requests+o.Requests, c.Served+o.Served, c.Timers+o.Timers
 	c.Calls, c.Lines, c.BytesIn, c.BytesOut = c.Calls+o.Calls, c.Lines+o.Lines, c.BytesIn+o.BytesIn, c.BytesOut+o.BytesOut
 	c.Lost, c.Late = c.Lost+o.Lost, max(c.Late, o.Late)
@@ -89,11 +79,13 @@
 	calls, lines, in, out atomic.Int64
 
 	mu      sync.Mutex // guards what follows
-	sockets CacheTally
+	sockets CacheCount
 	lost    int64
 	late    *hdrhistogram.Histogram // of requests, in microseconds
-	raw     []byte                  // the last list, and what it says: most get the same
-	parsed  *list
+
+	listMu sync.Mutex // guards the last list and what it says: most get the same
+	raw    []byte
+	parsed *list
 }
 
 // StartFleet starts the hollow routers.
@@ -137,14 +129,17 @@
 
 // Count adds up what the routers did.
 func (f *Fleet) Count() FleetCount {
-	c := FleetCount{Caches: make([]CacheTally, len(f.known.Entries)), Calls: f.calls.Load(), Lines: f.lines.Load(),
+	c := FleetCount{Caches: make([]CacheCount, len(f.known.Entries)), Calls: f.calls.Load(), Lines: f.lines.Load(),
 		BytesIn: f.in.Load(), BytesOut: f.out.Load()}
-	f.locked(func() { c.Sockets, c.Lost, c.Late = f.sockets, f.lost, f.late.ValueAtQuantile(99) })
+	f.locked(func() {
+		c.Sockets, c.Lost, c.Late = f.sockets, f.lost, f.late.ValueAtQuantile(99)
+		f.late.Reset()
+	})
 	for _, h := range f.routers {
 		h.mu.Lock()
 		c.Requests, c.Served, c.Timers = c.Requests+h.asked, c.Served+h.served, c.Timers+h.timers
 		for _, l := range h.links {
-			c.Caches[l.cache].add(l.tally, 1)
+			c.Caches[l.cache].add(l.tally)
 		}
 		h.mu.Unlock()
 	}
@@ -175,8 +170,8 @@
 
 // parse reads a list, once for all the hollow routers that get it.
 func (f *Fleet) parse(raw []byte) (*list, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	f.listMu.Lock()
+	defer f.listMu.Unlock()
 	if f.parsed != nil && bytes.Equal(raw, f.raw) {
 		return f.parsed, nil
 	}
@@ -476,7 +471,8 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body := make([]byte, max(0, resp.ContentLength))
+	_, err = io.ReadFull(resp.Body, body)
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = fmt.Errorf("discovery answered %s", resp.Status)
 	}
--- a/internal/fleetscale/link.go
+++ b/internal/fleetscale/link.go
@@ -27,7 +27,7 @@
 	most       int
 	idle       []*conn // the one used last stands last
 	waiting    []*try  // for a connection
-	tally      CacheTally
+	tally      CacheCount
 }
 
 // try is one attempt of a request, or a probe where it has none.
@@ -104,7 +104,7 @@
 		c := &conn{link: l}
 		if l.opened {
 			for _, behind := range h.behind {
-				todo := make(chan message, 256)
+				todo := make(chan message, 64)
 				c.mirrors = append(c.mirrors, todo)
 				start := time.Now()
 				h.f.mirrors.Go(func() { h.f.mirror(l.addr, start, behind, todo) })
@@ -242,7 +242,7 @@
 	nc, err := net.DialTimeout("tcp", addr, 5*time.Second)
 	if err == nil {
 		defer nc.Close()
-		f.locked(func() { f.sockets.add(CacheTally{Handshakes: 1, Conns: 1}, 1) })
+		f.locked(func() { f.sockets.add(CacheCount{Handshakes: 1, Conns: 1}) })
 		defer f.locked(func() { f.sockets.Conns-- })
 	}
 	buf := make([]byte, replySize)
--- a/internal/fleetscale/report.go
+++ b/internal/fleetscale/report.go
@@ -88,7 +88,7 @@
 		ofList(role, v, 1, measured)
 		var c CacheCount
 		for i := range after.caches {
-			c.add(after.caches[i][v], before.caches[i][v])
+			c.add(after.caches[i][v].since(before.caches[i][v]))
 		}
 		ofCaches(role, c, 1, measured)
 		if k := after.clients[v]; k.Latency != nil {
@@ -108,11 +108,11 @@
 
 	// The hollow routers at work, and what they make of a cache server once the sample is scaled to the fleet.
 	a, b, n := after.fleet, before.fleet, float64(p.working())
-	var all CacheTally
+	var all, most CacheCount // most is what the cache server gets that gets most of it
 	for i := range a.Caches {
-		all.add(a.Caches[i], 1)
-		all.add(b.Caches[i], -1)
-		all.Conns += b.Caches[i].Conns // those open now count
+		t := a.Caches[i].since(b.Caches[i])
+		all.add(t)
+		most.Probes, most.Handshakes, most.Conns = max(most.Probes, t.Probes), max(most.Handshakes, t.Handshakes), max(most.Conns, t.Conns)
 	}
 	r.add("router hollow", "requests", perSecond, float64(a.Requests-b.Requests)/n/span, counted(p.working(), p.Routers))
 	r.add("router hollow", "served", "% of requests", 100*float64(a.Served-b.Served)/float64(a.Requests-b.Requests), counted(p.working(), p.Routers))
@@ -127,9 +127,14 @@
 		r.add(of.role, "handshakes", perSecond, float64(all.Handshakes)/of.over/span, of.basis)
 		r.add(of.role, "connections", "", float64(all.Conns)/of.over, of.basis)
 	}
+	scale, basis := float64(p.Routers)/n, workedOut+", "+counted(p.working(), p.Routers)
+	r.add("cache, most at one", "probes", perSecond, float64(most.Probes)*scale/span, basis)
+	r.add("cache, most at one", "handshakes", perSecond, float64(most.Handshakes)*scale/span, basis)
+	r.add("cache, most at one", "connections", "", float64(most.Conns)*scale, basis)
 	var c CacheCount
 	for k := range p.open() {
-		c.add(after.caches[p.opened(k)][viewHollow], before.caches[p.opened(k)][viewHollow])
+		i := p.opened(k)
+		c.add(after.caches[i][viewHollow].since(before.caches[i][viewHollow]))
 	}
 	ofCaches("cache, opened", c, float64(p.open()), fmt.Sprintf("%s at %d of %d", measured, p.open(), p.Caches))
 
@@ -140,7 +145,7 @@
 	r.add("stand-ins", "processor time, hollow routers", ofCore, cpu(after.standIns.fleet, before.standIns.fleet), measured)
 	r.add("stand-ins", "processor time, cache servers", ofCore, cpu(after.standIns.caches, before.standIns.caches), measured)
 	r.add("stand-ins", "memory", "MB", (after.standIns.fleet.memory+after.standIns.caches.memory+after.standIns.agent.memory)/1e6, measured)
-	r.add("stand-ins", "requests late, 99th percentile", "ms", float64(a.Late)/1e3, measured+" since the start")
+	r.add("stand-ins", "requests late, 99th percentile", "ms", float64(a.Late)/1e3, measured)
 	r.add("stand-ins", "messages to opened caches that went wrong", perSecond, float64(a.Lost-b.Lost)/span, measured)
 
 	r.NotMeasured = []string{
@@ -163,17 +168,6 @@
 
 func counted(n, of int) string { return fmt.Sprintf("counted on %d of %d", n, of) }
 
-// add adds what came between two counts, and the connections open at the later one.
-func (c *CacheCount) add(after, before CacheCount) {
-	c.Probes += after.Probes - before.Probes
-	c.Attempts += after.Attempts - before.Attempts
-	c.Handshakes += after.Handshakes - before.Handshakes
-	c.TurnedAway += after.TurnedAway - before.TurnedAway
-	c.ProbeBytes += after.ProbeBytes - before.ProbeBytes
-	c.AttemptBytes += after.AttemptBytes - before.AttemptBytes
-	c.Conns += after.Conns
-}
-
 // WriteTable writes a point for people.
 func (r *Result) WriteTable(out io.Writer) error {
 	fmt.Fprintf(out, "\n%d caches, %d routers, %.0f requests a second; %.1f s\n", r.Caches, r.Routers, r.Rate, r.Seconds)
--- a/internal/fleetscale/run.go
+++ b/internal/fleetscale/run.go
@@ -72,8 +72,15 @@
 	return max(min(2, p.working()), (p.hollow()+hollowsPerProcess-1)/hollowsPerProcess)
 }
 
-// opened is the place on the list of the k-th cache server to which sockets are opened.
-func (p *Point) opened(k int) int { return k * p.Caches / p.open() }
+// opened is the place on the list of the k-th cache server to which sockets are opened: spread out,
+// and where there are enough, all of the middle one of three sizes.
+func (p *Point) opened(k int) int {
+	i := k * p.Caches / p.open()
+	if p.Caches/p.open() >= sizes {
+		i += sizes/2 - i%sizes
+	}
+	return i
+}
 
 // The views: whose connections and calls those of a stand-in's port are.
 const (
