--- a/cmd/fleetscale/main_test.go
+++ b/cmd/fleetscale/main_test.go
@@ -99,7 +99,7 @@
 func TestShortRun(t *testing.T) {
 	results := filepath.Join(t.TempDir(), "results")
 	code, table, log := start(t, "", "--sweep", "4x8,6x8,8x8", "--hollow", "6", "--working", "2", "--open", "2", "--rate", "50",
-		"--warm", "200ms", "--window", "500ms", "--outage", "100ms", "--router", router, "-o", results)
+		"--warm", "200ms", "--window", "500ms", "--outage", "100ms", "--restart-every", "100ms", "--router", router, "-o", results)
 	if code != 0 || log != "" {
 		t.Fatalf("exit code %d, standard error %q", code, log)
 	}
@@ -154,7 +154,7 @@
 	for _, args := range [][]string{{"--nonsense"}, {"--caches", "0", "--routers", "5"}, {"--caches", "-5", "--routers", "5"},
 		{"--caches", "2001", "--routers", "5"}, {"--caches", "5"}, {"--caches", "5", "--routers", "100001"}, {"--caches", "x"},
 		{"--sweep", "5"}, {"--sweep", "5x5", "--caches", "5"}, {"--sweep", "5x5", "extra"}, {"--rate", "0"}, {"--rate", "NaN"},
-		{"--open", "0"}, {"--working", "-1"}, {"--window", "0s"}, {"--open", "2000", "--routers", "100000", "--caches", "2000"},
+		{"--open", "0"}, {"--working", "-1"}, {"--window", "0s"}, {"--restart-every", "-1s"}, {"--open", "2000", "--routers", "100000", "--caches", "2000"},
 		{"--sweep", "5x5", "--router", "/bin/true", "-o", "/nowhere/results"}} {
 		code, stdout, log := start(t, "", args...)
 		if code != 2 || strings.Count(log, "\n") != 1 || stdout != "" {
--- a/internal/fleetscale/agent.go
+++ b/internal/fleetscale/agent.go
@@ -60,7 +60,7 @@
 type AgentCount struct{ Calls, Lines, BytesIn, BytesOut int64 }
 
 // StartAgent serves the list of the cache servers at these addresses, by cache server and view.
-// Nothing changes before Renew, Set or KeepRenewing.
+// Nothing changes but by the methods.
 func StartAgent(addrs [][]string, views int) (*Agent, error) {
 	a := &Agent{changed: make(chan struct{}), stop: make(chan struct{}), whole: make([]answer, views), changes: make([]answer, views)}
 	for i, at := range addrs {
@@ -153,6 +153,21 @@
 	})
 }
 
+// KeepRestarting lists one cache server after the other as gone and started again, until Close.
+// The stand-in itself goes on.
+func (a *Agent) KeepRestarting(every time.Duration) {
+	for n := 0; ; n = (n + 1) % len(a.hosts) {
+		for _, status := range []string{"terminating", "terminated", "in_service"} {
+			select {
+			case <-time.After(every / 3):
+				a.Set(n, status, time.Now().UnixMilli())
+			case <-a.stop:
+				return
+			}
+		}
+	}
+}
+
 // SetDown has discovery fall silent, or speak again.
 func (a *Agent) SetDown(down bool) {
 	a.mu.Lock()
--- a/internal/fleetscale/process.go
+++ b/internal/fleetscale/process.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,8 +31,9 @@
 }
 
 type agentSpec struct {
-	Addrs [][]string // of the cache servers, by cache server and view
-	Views int
+	Addrs        [][]string // of the cache servers, by cache server and view
+	Views        int
+	RestartEvery time.Duration // 0 for never
 }
 
 // agentReady is what a new agent says, by view.
@@ -62,6 +64,9 @@
 			return err
 		}
 		go a.KeepRenewing()
+		if r.Agent.RestartEvery > 0 {
+			go a.KeepRestarting(r.Agent.RestartEvery)
+		}
 		said := agentReady{Addrs: a.Addrs}
 		for v := range r.Agent.Views {
 			said.Known = append(said.Known, a.Known(v))
@@ -73,6 +78,7 @@
 			return a.Count()
 		}
 	default:
+		debug.SetGCPercent(400) // memory is at hand, processor time is not
 		f, err := StartFleet(*r.Fleet)
 		if err != nil {
 			return err
--- a/internal/fleetscale/report.go
+++ b/internal/fleetscale/report.go
@@ -102,7 +102,8 @@
 	}
 	const control = "router control"
 	probing := r.Value("router loaded", "processor time") - r.Value("router noprobe", "processor time")
-	r.add(control, "processor time", ofCore, r.Value("router idle", "processor time")+max(0, probing), workedOut+": idle, and loaded less noprobe")
+	r.add(control, "processor time, loaded less noprobe", ofCore, probing, workedOut)
+	r.add(control, "processor time", ofCore, r.Value("router idle", "processor time")+max(0, probing), workedOut+": idle, and that where it is above 0")
 	r.add(control, "memory", "MB", r.Value("router idle", "memory at most"), measured+" without clients")
 	r.add(control, "bytes", kilobytes, r.Value("router loaded", "list bytes")+r.Value("router loaded", "probe bytes"), measured)
 
@@ -151,7 +152,7 @@
 	r.NotMeasured = []string{
 		"bytes of TCP and IP, and of handshakes: bytes are what the sockets carried",
 		"processor time and memory of a cache server for control: many stand-ins share a process and do no work",
-		"processor time of a real router's probes apart: the two routers that are compared have clients of their own",
+		"processor time of a real router's probes apart: the two that are compared have clients of their own, and handshakes of noprobe count as data",
 		"a real router's timers, which are counted at hollow ones; the network; discovery behind its agents",
 	}
 	if left := p.Routers - p.working(); left > 0 {
--- a/internal/fleetscale/run.go
+++ b/internal/fleetscale/run.go
@@ -26,6 +26,7 @@
 	MemoryMB        int           // memory of a router
 	Subscribe       bool          // the list is told only to those that ask
 	Warm, Window    time.Duration // before the measuring, and of it
+	RestartEvery    time.Duration // in which one cache server is listed as gone and started again; 0 for never
 	Outage          time.Duration // for which discovery is down behind the window; 0 for never
 }
 
@@ -46,7 +47,8 @@
 		{"working", float64(p.Working), 1, mostRouters}, {"open", float64(p.Open), 1, mostCaches},
 		{"cache-conns", float64(p.CacheConns), 1, 1e6}, {"sockets", float64(p.Sockets), 64, 1e6},
 		{"memory", float64(p.MemoryMB), 1, 1e6}, {"warm", p.Warm.Seconds(), 0, 3600},
-		{"window", p.Window.Seconds(), .1, 3600}, {"outage", p.Outage.Seconds(), 0, 3600}} {
+		{"window", p.Window.Seconds(), .1, 3600}, {"outage", p.Outage.Seconds(), 0, 3600},
+		{"restart-every", p.RestartEvery.Seconds(), 0, 3600}} {
 		if !(f.v >= f.low && f.v <= f.high) {
 			return fmt.Errorf("%s is %v, want %v to %v", f.name, f.v, f.low, f.high)
 		}
@@ -198,7 +200,7 @@
 	}
 	var ready agentReady
 	var err error
-	if s.agent, err = s.role("agent", role{Agent: &agentSpec{addrs, views}}, &ready); err != nil {
+	if s.agent, err = s.role("agent", role{Agent: &agentSpec{addrs, views, s.RestartEvery}}, &ready); err != nil {
 		return err
 	}
 	settings := Settings{Routers: s.Routers, Subscribe: s.Subscribe}
