--- a/internal/fleetscale/hollow.go
+++ b/internal/fleetscale/hollow.go
@@ -40,12 +40,12 @@
 
 // FleetCount is what the hollow routers of one process did.
 type FleetCount struct {
-	Requests, Served, Timers        int64        // at the routers at work
-	Caches                          []CacheCount // of theirs, by place on the list; without bytes
-	Sockets                         CacheCount   // what was opened, also for those that they stand for
-	Lost                            int64        // messages of these that went wrong
-	Calls, Lines, BytesIn, BytesOut int64        // to and from discovery, by all
-	Late                            int64        // microseconds that 99% of requests since the last Count were behind their plan at most
+	Requests, Served, Timers int64        // at the routers at work
+	Caches                   []CacheCount // of theirs, by place on the list; without bytes
+	Sockets                  CacheCount   // what was opened, also for those that they stand for
+	Lost                     int64        // messages of these that went wrong
+	Lines, BytesIn           int64        // from discovery, by all
+	Late                     int64        // microseconds that 99% of requests since the last Count were behind their plan at most
 }
 
 func (c *FleetCount) add(o FleetCount) {
@@ -57,8 +57,7 @@
 	}
 	c.Sockets.add(o.Sockets)
 	c.Requests, c.Served, c.Timers = c.Requests+o.Requests, c.Served+o.Served, c.Timers+o.Timers
-	c.Calls, c.Lines, c.BytesIn, c.BytesOut = c.Calls+o.Calls, c.Lines+o.Lines, c.BytesIn+o.BytesIn, c.BytesOut+o.BytesOut
-	c.Lost, c.Late = c.Lost+o.Lost, max(c.Late, o.Late)
+	c.Lines, c.BytesIn, c.Lost, c.Late = c.Lines+o.Lines, c.BytesIn+o.BytesIn, c.Lost+o.Lost, max(c.Late, o.Late)
 }
 
 // Fleet is the hollow routers of one process.
@@ -76,7 +75,7 @@
 	quiet     sync.WaitGroup // those with something out
 	mirrors   sync.WaitGroup
 
-	calls, lines, in, out atomic.Int64
+	lines, in, out atomic.Int64 // of discovery
 
 	mu      sync.Mutex // guards what follows
 	sockets CacheCount
@@ -129,8 +128,7 @@
 
 // Count adds up what the routers did.
 func (f *Fleet) Count() FleetCount {
-	c := FleetCount{Caches: make([]CacheCount, len(f.known.Entries)), Calls: f.calls.Load(), Lines: f.lines.Load(),
-		BytesIn: f.in.Load(), BytesOut: f.out.Load()}
+	c := FleetCount{Caches: make([]CacheCount, len(f.known.Entries)), Lines: f.lines.Load(), BytesIn: f.in.Load()}
 	f.locked(func() {
 		c.Sockets, c.Lost, c.Late = f.sockets, f.lost, f.late.ValueAtQuantile(99)
 		f.late.Reset()
@@ -465,7 +463,6 @@
 	if err != nil {
 		return nil, err
 	}
-	h.f.calls.Add(1)
 	resp, err := h.client.Do(req)
 	if err != nil {
 		return nil, err
--- a/internal/fleetscale/run.go
+++ b/internal/fleetscale/run.go
@@ -192,7 +192,7 @@
 	for first := 0; first < s.Caches; first += cachesPerProcess {
 		var ready [][]string
 		c, err := s.role("caches", role{Caches: &CachesSpec{First: first, Count: min(cachesPerProcess, s.Caches-first),
-			Views: views, MostConns: int64(s.CacheConns), Idle: time.Minute}}, &ready)
+			Views: views, MostConns: int64(s.CacheConns), Idle: keepalive}}, &ready)
 		if err != nil {
 			return err
 		}
--- a/internal/fleetscale/settings.go
+++ b/internal/fleetscale/settings.go
@@ -17,6 +17,9 @@
 	patienceMost  = .55
 )
 
+// keepalive is how long a cache server lets a connection stand idle.
+const keepalive = time.Minute
+
 // Settings is what the stand-in fleet tells its routers.
 type Settings struct {
 	Routers          int
@@ -47,7 +50,7 @@
 		"categories": []object{class(readClass, "read_like", 600*time.Millisecond, readLimit, 5*time.Second, 5),
 			class(writeClass, "idempotency_key", 1200*time.Millisecond, writeLimit, 8*time.Second, 10)},
 		"limits": object{"cancel": true, "probes": s.Probes, "secondCopies": true, "retryAfter": true, "maxAttempts": 3,
-			"maxRetryAfter": 2_000_000, "maxOpen": 20_000, "dialTimeout": us(s.Dial, 250*time.Millisecond), "keepalive": 60_000_000},
+			"maxRetryAfter": 2_000_000, "maxOpen": 20_000, "dialTimeout": us(s.Dial, 250*time.Millisecond), "keepalive": keepalive.Microseconds()},
 		"rules": object{"askEvery": 10_000_000, "cold": 9_000_000, "drainGrace": us(s.DrainGrace, 1500*time.Millisecond),
 			"fall": 1_500_000, "startCapacity": .31, "tipMultiple": 3},
 		"report":    object{"fields": []string{"fail_rate", "rate", "busy"}, "via": "answers"},
