--- a/cmd/fleetscale/main.go
+++ b/cmd/fleetscale/main.go
@@ -99,6 +99,9 @@
 		}
 		points = append(points, p)
 	}
+	if len(points) == 0 {
+		return usageError{errors.New("sweep: no points")}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return play(ctx, points, program, results, out)
--- a/cmd/fleetscale/main_test.go
+++ b/cmd/fleetscale/main_test.go
@@ -153,7 +153,7 @@
 func TestBadInput(t *testing.T) {
 	for _, args := range [][]string{{"--nonsense"}, {"--caches", "0", "--routers", "5"}, {"--caches", "-5", "--routers", "5"},
 		{"--caches", "2001", "--routers", "5"}, {"--caches", "5"}, {"--caches", "5", "--routers", "100001"}, {"--caches", "x"},
-		{"--sweep", "5"}, {"--sweep", "5x5", "--caches", "5"}, {"--sweep", "5x5", "extra"}, {"--rate", "0"}, {"--rate", "NaN"},
+		{"--sweep", "5"}, {"--sweep", ""}, {"--sweep", "5x5,"}, {"--sweep", "5x5", "--caches", "5"}, {"--sweep", "5x5", "extra"}, {"--rate", "0"}, {"--rate", "NaN"},
 		{"--open", "0"}, {"--working", "-1"}, {"--window", "0s"}, {"--restart-every", "-1s"}, {"--open", "2000", "--routers", "100000", "--caches", "2000"},
 		{"--sweep", "5x5", "--router", "/bin/true", "-o", "/nowhere/results"}} {
 		code, stdout, log := start(t, "", args...)
