--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -233,7 +233,8 @@
 	r.t.Helper()
 	r.do(func() {
 		if u := r.l.upstreams["c1"]; r.l.conns != n || len(u.conns) != n || len(u.idle) != n || u.dialing != 0 {
-			r.t.Errorf("%d descriptors, %d connections, %d idle, %d dials; want %d idle connections", r.l.conns, len(u.conns), len(u.idle), u.dialing, n)
+			r.t.Errorf("%d descriptors, %d connections, %d idle, %d dials; want %d idle", r.l.conns, len(u.conns), len(u.idle),
+				u.dialing, n)
 		}
 	})
 }
