Close idle connections that were never answered without lingering

Where idle clients fill the descriptors and queue for more, each one that gave way was kept for up to 1 s for its client to read the last answer, though it had never been given one. 48 descriptors let in 48 a second, and a client that sends, which can't be told from the others in the system's queue, came behind them. A connection on which nothing was written and nothing is unread is now closed at once. One that was answered less than 1 s ago still lingers.

The time for lingering is a field of the server now, for the test. Seen to fail without the mend, with 64, 128 and 256 descriptors. Held by the same test: a request in hand, a cache dialled again, the watch at discovery's return.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -139,6 +139,7 @@
 	commandWait time.Duration // how long a peer may take over a command
 	acceptPause time.Duration // before another try where no descriptor was free
 	firstWait   time.Duration // before a connection without a command makes room for others
+	lingerTime  time.Duration // for a client to read why its connection is closed
 }
 
 // New makes a router and opens its listener.
@@ -146,7 +147,7 @@
 	s := &Server{cfg: cfg, sockets: newSockets(cfg.Limits.Sockets), memory: newMemory(cfg.Limits.MemoryMB),
 		clients: map[*client]struct{}{}, closing: make(chan struct{}), ended: make(chan struct{}),
 		arrivals: lastArrivals, commandWait: commandWait,
-		acceptPause: acceptPause, firstWait: firstWait}
+		acceptPause: acceptPause, firstWait: firstWait, lingerTime: lingerTime}
 	var err error
 	if s.loop, err = newLoop(cfg, s.sockets); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -441,7 +442,7 @@
 		default: // of a command, or of a connection that was to be closed
 			c.nc.SetReadDeadline(time.Time{})
 			if c.lingering.Load() {
-				c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+				c.nc.SetReadDeadline(time.Now().Add(c.srv.lingerTime))
 			}
 		}
 	}
@@ -578,7 +579,7 @@
 // write sends the answers in the order of the commands.
 func (c *client) write() {
 	defer c.srv.wg.Done()
-	gone := false
+	gone, answered := false, false
 	for s := range c.queue {
 		var b []byte
 		select {
@@ -591,7 +592,7 @@
 			} else {
 				c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 				_, err := c.nc.Write(b)
-				gone = err != nil
+				gone, answered = err != nil, true
 			}
 			if gone {
 				c.nc.Close() // its reader notes that the client is gone
@@ -603,7 +604,8 @@
 			c.nc.SetReadDeadline(time.Now())
 		}
 	}
-	if !gone {
+	// The danger: idle connections that were never answered hold their descriptors while others queue.
+	if !gone && (answered || c.unread()) {
 		c.linger()
 	}
 	c.nc.Close()
@@ -616,11 +618,11 @@
 // linger lets the client read the last answer. The danger: closing while bytes still come, of an oversized
 // command or of a request that crosses the close, resets the connection, and the answer is lost with it.
 func (c *client) linger() {
-	if c.srv.loop.clock()-c.lastUsed.Load() > lingerTime.Microseconds() && !c.unread() || c.nc.CloseWrite() != nil {
+	if c.srv.loop.clock()-c.lastUsed.Load() > c.srv.lingerTime.Microseconds() && !c.unread() || c.nc.CloseWrite() != nil {
 		return
 	}
 	c.lingering.Store(true)
-	c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+	c.nc.SetReadDeadline(time.Now().Add(c.srv.lingerTime))
 	<-c.readEnded
 }
 
