Let short answers pass where the memory for answers is full

Where no memory was left, each answer became -ERR failed, also a refusal or a PONG, which are no longer than that: a refused request failed, and PING said that the router is dead. Answers no longer than -ERR failed now stay as they are.

Seen to fail without the mend: TestShortAnswersPassWhereMemoryIsFull.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -342,7 +342,10 @@
 
 // answer fills the slot; nil stands for no answer. It does not block and is called once.
 func (s *slot) answer(b []byte) {
-	if len(b) > 0 && !s.memory.take(int64(len(b))) {
+	switch n := int64(len(b)); {
+	case len(b) <= len(failedReply):
+		s.memory.force(n) // nothing smaller could stand for it
+	case !s.memory.take(n):
 		b = []byte(failedReply) // many answers wait for readers that are slow
 		s.memory.force(int64(len(b)))
 	}
--- a/internal/router/descriptors_test.go
+++ b/internal/router/descriptors_test.go
@@ -164,3 +164,14 @@
 		})
 	}
 }
+
+// TestShortAnswersPassWhereMemoryIsFull: a refusal or a PONG takes less than what would stand for it.
+func TestShortAnswersPassWhereMemoryIsFull(t *testing.T) {
+	for _, answer := range []string{busyReply, "-BUSY 1500\r\n", "+PONG\r\n"} {
+		s := newSlot(newMemory(0))
+		s.answer([]byte(answer))
+		if got := string(<-s.wire); got != answer {
+			t.Errorf("%q became %q", answer, got)
+		}
+	}
+}
