Count 1 KB for each request in hand beside its bytes

Only the bytes of a command were counted, but a request takes many times that: its arguments, its state here and in the module, its timers. Where the settings bound no open requests, 120 peers with 600 short commands each drove the program to 52 MB of resident memory with a limit of 32 MB. Each request now counts 1 KB more; past a quarter of the memory, requests are refused.

Seen to fail without the mend: TestShortCommandsCountWithTheirRequests (512 requests in 256 KB).

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -26,6 +26,7 @@
 	mostValue    = 64 << 10                // bytes of a value
 	mostWord     = 1 << 10                 // ... of a key, an id or the list of names and values
 	mostCommand  = mostValue + 4<<10       // ... of a whole command
+	requestRoom  = 1 << 10                 // ... of what is kept for a request beside its bytes
 	keptBuffer   = 8 << 10                 // bytes of room that a connection keeps between commands
 	pipelined    = 512                     // commands of one connection that may await their answers
 	writeTimeout = 5 * time.Second         // for an answer to a client that does not read
@@ -550,10 +551,12 @@
 		return said(redcon.AppendError(nil, "ERR "+err.Error()))
 	}
 	s := newSlot(c.srv.memory)
-	if !s.memory.take(int64(len(raw))) {
+	// The danger: a flood of short commands takes many times the room of its bytes.
+	charge := int64(len(raw) + requestRoom)
+	if !s.memory.take(charge) {
 		return said([]byte(busyReply))
 	}
-	s.charge = int64(len(raw))
+	s.charge = charge
 	if !c.enqueue(s) {
 		s.memory.give(s.charge)
 		return false, false
--- a/internal/router/descriptors_test.go
+++ b/internal/router/descriptors_test.go
@@ -165,6 +165,36 @@
 	}
 }
 
+// TestShortCommandsCountWithTheirRequests: many that wait for their answers stay within the memory there is.
+func TestShortCommandsCountWithTheirRequests(t *testing.T) {
+	srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
+		in["limits"].(map[string]any)["memory_mb"] = 1
+		in["settings"].(map[string]any)["limits"].(map[string]any)["maxOpen"] = 0
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv.loop.module = &script{} // answers nothing
+	r := startServer(t, srv)
+	for range 2 { // fewer than the queue of answers holds
+		dial(t, r.addr).send(strings.Repeat(get("r"), pipelined/2))
+	}
+	await(t, "commands", func() bool {
+		var due int64
+		srv.mu.Lock()
+		for c := range srv.clients {
+			due += c.due.Load()
+		}
+		srv.mu.Unlock()
+		return due == pipelined
+	})
+	open := make(chan int, 1)
+	srv.loop.post(func() { open <- srv.loop.open })
+	if n := receive(t, open, "number of requests"); n > 256 {
+		t.Errorf("%d requests are held in 256 KB", n)
+	}
+}
+
 // TestShortAnswersPassWhereMemoryIsFull: a refusal or a PONG takes less than what would stand for it.
 func TestShortAnswersPassWhereMemoryIsFull(t *testing.T) {
 	for _, answer := range []string{busyReply, "-BUSY 1500\r\n", "+PONG\r\n"} {
