--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -26,6 +26,7 @@
 	mostValue    = 64 << 10                // bytes of a value
 	mostWord     = 1 << 10                 // ... of a key, an id or the list of names and values
 	mostCommand  = mostValue + 4<<10       // ... of a whole command
+	requestRoom  = 1 << 10                 // ... of what is kept for a request beside its bytes
 	keptBuffer   = 8 << 10                 // bytes of room that a connection keeps between commands
 	pipelined    = 512                     // commands of one connection that may await their answers
 	writeTimeout = 5 * time.Second         // for an answer to a client that does not read
@@ -139,6 +140,7 @@
 	commandWait time.Duration // how long a peer may take over a command
 	acceptPause time.Duration // before another try where no descriptor was free
 	firstWait   time.Duration // before a connection without a command makes room for others
+	lingerTime  time.Duration // for a client to read why its connection is closed
 }
 
 // New makes a router and opens its listener.
@@ -146,7 +148,7 @@
 	s := &Server{cfg: cfg, sockets: newSockets(cfg.Limits.Sockets), memory: newMemory(cfg.Limits.MemoryMB),
 		clients: map[*client]struct{}{}, closing: make(chan struct{}), ended: make(chan struct{}),
 		arrivals: lastArrivals, commandWait: commandWait,
-		acceptPause: acceptPause, firstWait: firstWait}
+		acceptPause: acceptPause, firstWait: firstWait, lingerTime: lingerTime}
 	var err error
 	if s.loop, err = newLoop(cfg, s.sockets); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -341,7 +343,10 @@
 
 // answer fills the slot; nil stands for no answer. It does not block and is called once.
 func (s *slot) answer(b []byte) {
-	if len(b) > 0 && !s.memory.take(int64(len(b))) {
+	switch n := int64(len(b)); {
+	case len(b) <= len(failedReply):
+		s.memory.force(n) // nothing smaller could stand for it
+	case !s.memory.take(n):
 		b = []byte(failedReply) // many answers wait for readers that are slow
 		s.memory.force(int64(len(b)))
 	}
@@ -557,10 +562,12 @@
 		return said(redcon.AppendError(nil, "ERR "+err.Error()))
 	}
 	s := newSlot(c.srv.memory)
-	if !s.memory.take(int64(len(raw))) {
+	// The danger: a flood of short commands takes many times the room of its bytes.
+	charge := int64(len(raw) + requestRoom)
+	if !s.memory.take(charge) {
 		return said([]byte(busyReply))
 	}
-	s.charge = int64(len(raw))
+	s.charge = charge
 	if !c.enqueue(s) {
 		s.memory.give(s.charge)
 		return false, false
@@ -589,7 +596,7 @@
 // write sends the answers in the order of the commands.
 func (c *client) write() {
 	defer c.srv.wg.Done()
-	gone := false
+	gone, answered := false, false
 	for s := range c.queue {
 		var b []byte
 		select {
@@ -602,7 +609,7 @@
 			} else {
 				c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 				_, err := c.nc.Write(b)
-				gone = err != nil
+				gone, answered = err != nil, true
 			}
 			if gone {
 				c.nc.Close() // its reader notes that the client is gone
@@ -614,7 +621,8 @@
 			c.nc.SetReadDeadline(time.Now())
 		}
 	}
-	if !gone {
+	// The danger: idle connections that were never answered hold their descriptors while others queue.
+	if !gone && (answered || c.unread()) {
 		c.linger()
 	}
 	c.nc.Close()
@@ -627,7 +635,7 @@
 // linger lets the client read the last answer. The danger: closing while bytes still come, of an oversized
 // command or of a request that crosses the close, resets the connection, and the answer is lost with it.
 func (c *client) linger() {
-	rested := c.srv.loop.clock()-c.lastUsed.Load() > lingerTime.Microseconds()
+	rested := c.srv.loop.clock()-c.lastUsed.Load() > c.srv.lingerTime.Microseconds()
 	if rested && !c.unread() && !c.unsent() || c.nc.CloseWrite() != nil {
 		return
 	}
@@ -640,9 +648,9 @@
 // its connections shuts out the PING that tells whether the router is ready.
 func (c *client) lingerTime() time.Duration {
 	if c.hurried.Load() {
-		return commandGrace
+		return min(commandGrace, c.srv.lingerTime)
 	}
-	return lingerTime
+	return c.srv.lingerTime
 }
 
 // nextCommand takes one command off b. The danger: the codec panics on lengths out of range.
--- /dev/null
+++ b/internal/router/descriptors_test.go
@@ -0,0 +1,207 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// returningDiscovery answers nothing until it is up; then each watch it holds is told of.
+func returningDiscovery(t *testing.T) (addr string, up *atomic.Bool, watches chan struct{}) {
+	t.Helper()
+	up, watches = new(atomic.Bool), make(chan struct{}, 100)
+	over := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !up.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		watches <- struct{}{}
+		select {
+		case <-over:
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() {
+		close(over)
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return srv.Listener.Addr().String(), up, watches
+}
+
+// TestIdleCrowdWhileDiscoveryIsDown: idle clients that fill the descriptors and queue for more give way at once,
+// and nobody waits for them to read what they were never told. Requests are answered, also by a cache that has
+// to be dialled again, none with work in hand gives way, and the watch opens at discovery's return.
+func TestIdleCrowdWhileDiscoveryIsDown(t *testing.T) {
+	for _, descriptors := range []int{leastSockets, 128, 256} {
+		t.Run(fmt.Sprint(descriptors), func(t *testing.T) {
+			cache := newFakeCache(t)
+			discovery, up, watches := returningDiscovery(t)
+			srv, err := New(testConfig(t, discovery, func(in map[string]any) {
+				in["limits"].(map[string]any)["sockets"] = descriptors
+				in["settings"].(map[string]any)["discovery"] = "push" // else the time between calls is long
+			}, host("c1", cache.addr(), "in_service")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			srv.arrivals = 0
+			srv.firstWait = 10 * time.Millisecond
+			srv.lingerTime = 2 * patience
+			r := startServer(t, srv)
+			busy := dial(t, r.addr)
+			busy.send(get("busy"))
+			held := receive(t, cache.commands, "command")
+			for range 400 {
+				dial(t, r.addr)
+			}
+			for i := range 20 {
+				c := dial(t, r.addr)
+				c.send(get(fmt.Sprint("r", i)))
+				cmd := receive(t, cache.commands, "command")
+				cmd.reply(t, served)
+				c.want("value")
+				c.nc.Close()
+				if i == 10 {
+					cmd.conn.Close() // as the cache restarts
+					await(t, "news of it", func() bool {
+						conns := make(chan int, 1)
+						srv.loop.post(func() { conns <- srv.loop.conns })
+						return receive(t, conns, "number of connections") == 1 // the one that is held
+					})
+				}
+			}
+			up.Store(true)
+			receive(t, watches, "watch")
+			held.reply(t, served)
+			busy.want("value")
+		})
+	}
+}
+
+// TestFloods: peers that send much at once, half a command or rubbish get an answer or the end, also such that go
+// at once; meanwhile others are answered, and afterwards nothing is held.
+func TestFloods(t *testing.T) {
+	const peers = 20
+	large := words("C.SET", "k1", "r1", "c=put,k=a,d=20000", strings.Repeat("v", mostValue))
+	for name, flood := range map[string]struct {
+		part        string // is sent over and over, ...
+		bytes       int    // ... until so many have gone
+		commandWait time.Duration
+		goes        bool
+	}{
+		"without end":                {"\x01rubbish ", 60 << 20, 2 * patience, false},
+		"lines":                      {"rubbish\r\n", 60 << 20, 2 * patience, false},
+		"empty lines":                {"\r\n", 60 << 20, time.Second, false},
+		"half a command":             {large[:len(large)-2], len(large) - 2, time.Second, false},
+		"half a command, and goes":   {large[:len(large)-2], len(large) - 2, 2 * patience, true},
+		"many commands, and goes":    {get("r1"), 2 * pipelined * len(get("r1")), 2 * patience, true},
+		"large commands, and goes":   {large, 10 * len(large), 2 * patience, true},
+		"unread answers, and goes":   {words("PING"), 8 << 20, 2 * patience, true},
+		"rubbish lines, and goes":    {"rubbish\r\n", 8 << 20, 2 * patience, true},
+		"commands without a pause":   {words("PING"), 8 << 20, 2 * patience, false},
+		"what no client sends often": {words("ECHO", "a"), 8 << 20, 2 * patience, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cache := newFakeCache(t)
+			srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
+				in["limits"] = map[string]any{"cores": 1, "memory_mb": 32, "sockets": 256}
+			}, host("c1", cache.addr(), "in_service")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			srv.commandWait = flood.commandWait
+			srv.arrivals = 0
+			r := startServer(t, srv)
+			chunk := strings.Repeat(flood.part, max(1, min(flood.bytes, 64<<10)/len(flood.part)))
+			var sending sync.WaitGroup
+			var all []*testClient
+			for range peers {
+				c := dial(t, r.addr)
+				all = append(all, c)
+				sending.Add(1)
+				go func() {
+					defer sending.Done()
+					if flood.goes {
+						c.nc.SetWriteDeadline(time.Now().Add(time.Second)) // it reads nothing, and may come to a stop
+						defer c.nc.Close()
+					}
+					for sent := 0; sent < flood.bytes; sent += len(chunk) {
+						if _, err := io.WriteString(c.nc, chunk); err != nil {
+							return // the router has ended it
+						}
+					}
+				}()
+			}
+			other := dial(t, r.addr)
+			other.send(words("PING"))
+			other.want("+PONG")
+			if !flood.goes {
+				for _, c := range all {
+					if s, err := c.r.ReadString('\n'); errors.Is(err, os.ErrDeadlineExceeded) || err == nil && s[0] != '-' && s != "+PONG\r\n" {
+						t.Errorf("a peer got %q, %v", s, err)
+					}
+					c.nc.Close()
+				}
+			}
+			sending.Wait()
+			other.nc.Close()
+			await(t, "the end of all connections", func() bool { return srv.sockets.clients.Load() <= 1 }) // the next one's
+			if held := srv.memory.held.Load(); held != 0 {
+				t.Errorf("%d bytes are still counted", held)
+			}
+			(&rig{t, srv.loop, nil}).awaitOpen(0)
+			if strings.Contains(name, "rubbish") && len(cache.commands) > 0 {
+				t.Error("rubbish was sent on")
+			}
+		})
+	}
+}
+
+// TestShortCommandsCountWithTheirRequests: many that wait for their answers stay within the memory there is.
+func TestShortCommandsCountWithTheirRequests(t *testing.T) {
+	srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
+		in["limits"].(map[string]any)["memory_mb"] = 1
+		in["settings"].(map[string]any)["limits"].(map[string]any)["maxOpen"] = 0
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv.loop.module = &script{} // answers nothing
+	r := startServer(t, srv)
+	for range 2 { // fewer than the queue of answers holds
+		dial(t, r.addr).send(strings.Repeat(get("r"), pipelined/2))
+	}
+	await(t, "commands", func() bool {
+		var due int64
+		srv.mu.Lock()
+		for c := range srv.clients {
+			due += c.due.Load()
+		}
+		srv.mu.Unlock()
+		return due == pipelined
+	})
+	open := make(chan int, 1)
+	srv.loop.post(func() { open <- srv.loop.open })
+	if n := receive(t, open, "number of requests"); n > 256 {
+		t.Errorf("%d requests are held in 256 KB", n)
+	}
+}
+
+// TestShortAnswersPassWhereMemoryIsFull: a refusal or a PONG takes less than what would stand for it.
+func TestShortAnswersPassWhereMemoryIsFull(t *testing.T) {
+	for _, answer := range []string{busyReply, "-BUSY 1500\r\n", "+PONG\r\n"} {
+		s := newSlot(newMemory(0))
+		s.answer([]byte(answer))
+		if got := string(<-s.wire); got != answer {
+			t.Errorf("%q became %q", answer, got)
+		}
+	}
+}
