--- a/internal/router/descriptors_test.go
+++ b/internal/router/descriptors_test.go
@@ -176,18 +176,27 @@
 	}
 	srv.loop.module = &script{} // answers nothing
 	r := startServer(t, srv)
-	for range 2 { // fewer than the queue of answers holds
-		dial(t, r.addr).send(strings.Repeat(get("r"), pipelined/2))
-	}
-	await(t, "commands", func() bool {
-		var due int64
-		srv.mu.Lock()
-		for c := range srv.clients {
-			due += c.due.Load()
+	due := func(want int64) func() bool {
+		return func() bool {
+			var due int64
+			srv.mu.Lock()
+			for c := range srv.clients {
+				due += c.due.Load()
+			}
+			srv.mu.Unlock()
+			return due == want
 		}
-		srv.mu.Unlock()
-		return due == pipelined
-	})
+	}
+	// Both wait for the answer to their first command, else one is refused all of its own and nothing is due there.
+	clients := []*testClient{dial(t, r.addr), dial(t, r.addr)}
+	for _, c := range clients {
+		c.send(get("r"))
+	}
+	await(t, "first commands", due(2))
+	for _, c := range clients { // fewer than the queue of answers holds
+		c.send(strings.Repeat(get("r"), pipelined/2-1))
+	}
+	await(t, "commands", due(pipelined))
 	open := make(chan int, 1)
 	srv.loop.post(func() { open <- srv.loop.open })
 	if n := receive(t, open, "number of requests"); n > 256 {
