--- a/internal/fleetscale/hollow.go
+++ b/internal/fleetscale/hollow.go
@@ -16,6 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/router"
 	"starlingwinch/internal/wire"
 )
 
@@ -412,11 +413,8 @@
 	h.forget(q)
 }
 
-// How long a watch waits where the list comes by itself and where it must be asked for, and the
-// pause behind one that failed: doubled with each, and no longer than half of the drain grace.
+// The pause behind a watch that failed: doubled with each, and no longer than half of the drain grace.
 const (
-	pushedWait = 2 * time.Second
-	askedWait  = 20 * time.Second
 	watchPause = 100_000 // microseconds
 	mostDouble = 4
 )
@@ -452,10 +450,7 @@
 }
 
 func (h *hollow) call(after int64) (*list, error) {
-	wait := pushedWait
-	if h.f.settings.MustWatch {
-		wait = askedWait
-	}
+	wait := router.WatchWait(h.f.settings.MustWatch)
 	ctx, end := context.WithTimeout(h.f.ctx, wait+time.Second)
 	defer end()
 	url := fmt.Sprintf("http://%s/discovery/hosts?after=%d&wait_ms=%d", h.f.set.Discovery, after, wait.Milliseconds())
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -113,12 +113,16 @@
 	client *http.Client
 }
 
-func newDiscovery(cfg *Config) *discovery {
-	wait := pushedWait
-	if cfg.Settings.MustWatch {
-		wait = askedWait
+// WatchWait is how long discovery may hold a watch open, by whether the list is told only to those that ask.
+func WatchWait(mustWatch bool) time.Duration {
+	if mustWatch {
+		return askedWait
 	}
-	return &discovery{url: "http://" + cfg.Discovery + "/discovery/hosts", most: min(mostListSize, cfg.Limits.MemoryMB<<20/listPart), wait: wait, client: &http.Client{
+	return pushedWait
+}
+
+func newDiscovery(cfg *Config) *discovery {
+	return &discovery{url: "http://" + cfg.Discovery + "/discovery/hosts", most: min(mostListSize, cfg.Limits.MemoryMB<<20/listPart), wait: WatchWait(cfg.Settings.MustWatch), client: &http.Client{
 		Transport: &http.Transport{
 			MaxConnsPerHost:        1, // it counts against the router's descriptors
 			MaxIdleConnsPerHost:    1,
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -130,7 +130,7 @@
 	known := l.cfg.Known
 	known.full = true
 	if !known.serves() {
-		known.index = noIndex // the danger: a watch that falls silent keeps the router from being ready for 20 s
+		known.index = noIndex // the danger: a watch that falls silent keeps the router from being ready
 	}
 	l.learn(known, decide.ListStale)
 	l.tell()
