Serve HTTP, second requests and late connections in tests from one place

Cause: four tests of discovery wrote the same server and clean-up, two departures the same second request, two late connections the same check of the next request. Change: serveHTTP, departure.second and perform, rig.wantNext; all assertions stay.

--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -292,14 +292,20 @@
 	r.wantDescriptors(0)
 	cache := up()
 	r.do(func() { r.l.cfg.Transport.DialTimeout = patience.Microseconds() })
+	r.wantNext(func() *fakeCache { return cache })
+}
+
+// wantNext wants the next request to be the first that the cache is sent, and one connection to have carried it.
+func (r *rig) wantNext(cache func() *fakeCache) {
+	r.t.Helper()
 	q := r.request(nil)
 	r.do(func() { q.cmd.args[2] = []byte("last") })
 	r.send(q, long)
-	cmd := receive(t, cache.commands, "command")
+	cmd := receive(r.t, cache().commands, "command")
 	if cmd.args[2] != "last" {
-		t.Errorf("the cache was sent %q", cmd.args)
+		r.t.Errorf("the cache was sent %q", cmd.args)
 	}
-	cmd.reply(t, served)
+	cmd.reply(r.t, served)
 	r.want(decide.Served)
 	r.wantDescriptors(1)
 }
@@ -324,16 +330,7 @@
 			r.send(q, long)
 			r.do(func() { end(r, q) })
 			r.want(decide.NotSent)
-			q = r.request(nil)
-			r.do(func() { q.cmd.args[2] = []byte("last") })
-			r.send(q, long)
-			cmd := receive(t, up().commands, "command")
-			if cmd.args[2] != "last" {
-				t.Errorf("the cache was sent %q", cmd.args)
-			}
-			cmd.reply(t, served)
-			r.want(decide.Served)
-			r.wantDescriptors(1)
+			r.wantNext(up)
 		})
 	}
 }
--- a/internal/router/departure_test.go
+++ b/internal/router/departure_test.go
@@ -77,6 +77,28 @@
 	return d
 }
 
+// perform sends an attempt of a request to a cache.
+func (d *departure) perform(q *request, cache string) {
+	d.rig.l.perform(decide.Send{ID: q.id, Cache: cache})
+}
+
+// second has a client's request come beside one that is in hand, and returns what begins it.
+func (d *departure) second() (c *testClient, begin func()) {
+	c = d.dial()
+	c.send(get("r1"))
+	await(d.t, "a second request", func() (two bool) {
+		d.rig.do(func() { two = d.rig.l.open == 2 })
+		return two
+	})
+	return c, func() {
+		for _, q := range d.rig.l.requests {
+			if q.client.nc != nil {
+				d.perform(q, "c1")
+			}
+		}
+	}
+}
+
 func (d *departure) dial() *testClient {
 	d.t.Helper()
 	d.gate.in <- struct{}{}
@@ -126,9 +148,6 @@
 // TestNothingIsBegunForAClientThatHasLeft, on whatever way its attempt comes to its first byte. The news that it
 // left queues behind that, and the request was taken a moment ago.
 func TestNothingIsBegunForAClientThatHasLeft(t *testing.T) {
-	perform := func(d *departure, q *request, cache string) {
-		d.rig.l.perform(decide.Send{ID: q.id, Cache: cache})
-	}
 	paths := map[string]struct {
 		idle int
 		play func(d *departure, leave func(*testClient)) // begins with the loop free
@@ -140,7 +159,7 @@
 			d.rig.do(func() {
 				leave(c)
 				d.gone(1)
-				perform(d, q, "c1")
+				d.perform(q, "c1")
 			})
 		}},
 		"behind commands that are not read": {1, func(d *departure, leave func(*testClient)) {
@@ -155,7 +174,7 @@
 				leave(c)
 				d.gone(1)
 				for _, q := range d.rig.l.requests {
-					perform(d, q, "c1")
+					d.perform(q, "c1")
 				}
 			})
 		}},
@@ -165,7 +184,7 @@
 			q := d.rig.only()
 			d.rig.do(func() {
 				d.rig.l.module = d.send
-				perform(d, q, "c1")
+				d.perform(q, "c1")
 			})
 			first := receive(d.t, d.cache.commands, "command")
 			d.rig.do(func() {
@@ -179,12 +198,12 @@
 			c := d.dial()
 			c.send(get("r1"))
 			q := d.rig.only()
-			d.rig.do(func() { perform(d, q, "c1") })
+			d.rig.do(func() { d.perform(q, "c1") })
 			receive(d.t, d.cache.commands, "command")
 			d.rig.do(func() {
 				leave(c)
 				d.gone(1)
-				perform(d, q, "c1")
+				d.perform(q, "c1")
 			})
 		}},
 		"waits for a dial": {0, func(d *departure, leave func(*testClient)) {
@@ -192,7 +211,7 @@
 			c.send(get("r1"))
 			q := d.rig.only()
 			d.rig.do(func() {
-				perform(d, q, "c1")
+				d.perform(q, "c1")
 				d.events(1) // the connection is up
 				leave(c)
 				d.gone(1)
@@ -202,18 +221,9 @@
 			d.rig.do(func() { d.rig.l.upstreams["c1"].most = 1 })
 			d.rig.send(d.rig.request(nil), long)
 			busy := receive(d.t, d.cache.commands, "command")
-			c := d.dial()
-			c.send(get("r1"))
-			await(d.t, "a second request", func() (two bool) {
-				d.rig.do(func() { two = d.rig.l.open == 2 })
-				return two
-			})
+			c, second := d.second()
 			d.rig.do(func() {
-				for _, q := range d.rig.l.requests {
-					if q.client.nc != nil {
-						perform(d, q, "c1")
-					}
-				}
+				second()
 				busy.reply(d.t, served)
 				d.events(1)
 				leave(c)
@@ -223,20 +233,11 @@
 		"waits for a descriptor": {0, func(d *departure, leave func(*testClient)) {
 			d.rig.do(func() { d.rig.l.sockets.mostUpstreams = 1 })
 			q := d.rig.request(nil)
-			d.rig.do(func() { perform(d, q, "c2") })
+			d.rig.do(func() { d.perform(q, "c2") })
 			busy := receive(d.t, d.cache.commands, "command")
-			c := d.dial()
-			c.send(get("r1"))
-			await(d.t, "a second request", func() (two bool) {
-				d.rig.do(func() { two = d.rig.l.open == 2 })
-				return two
-			})
+			c, second := d.second()
 			d.rig.do(func() {
-				for _, q := range d.rig.l.requests {
-					if q.client.nc != nil {
-						perform(d, q, "c1")
-					}
-				}
+				second()
 				d.rig.l.conns-- // one comes free, ...
 				d.rig.l.upstreams["c1"].pump()
 				d.rig.l.conns++
@@ -252,7 +253,7 @@
 			q := d.rig.only()
 			d.rig.do(func() {
 				d.rig.l.rest = patience.Microseconds()
-				perform(d, q, "c1")
+				d.perform(q, "c1")
 				leave(c)
 				d.gone(1)
 				d.rig.l.rest = 0
--- a/internal/router/descriptors_test.go
+++ b/internal/router/descriptors_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
@@ -18,8 +17,7 @@
 func returningDiscovery(t *testing.T) (addr string, up *atomic.Bool, watches chan struct{}) {
 	t.Helper()
 	up, watches = new(atomic.Bool), make(chan struct{}, 100)
-	over := make(chan struct{})
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	addr = serveHTTP(t, func(w http.ResponseWriter, r *http.Request, over <-chan struct{}) {
 		if !up.Load() {
 			panic(http.ErrAbortHandler)
 		}
@@ -28,13 +26,8 @@
 		case <-over:
 		case <-r.Context().Done():
 		}
-	}))
-	t.Cleanup(func() {
-		close(over)
-		srv.CloseClientConnections()
-		srv.Close()
 	})
-	return srv.Listener.Addr().String(), up, watches
+	return addr, up, watches
 }
 
 // TestIdleCrowdWhileDiscoveryIsDown: idle clients that fill the descriptors and queue for more give way at once,
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -26,8 +26,7 @@
 func newFakeDiscovery(t *testing.T) (addr string, calls chan call) {
 	t.Helper()
 	calls = make(chan call)
-	over := make(chan struct{})
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	addr = serveHTTP(t, func(w http.ResponseWriter, r *http.Request, over <-chan struct{}) {
 		c := call{r.URL.String(), make(chan string, 1)}
 		select {
 		case calls <- c:
@@ -43,13 +42,8 @@
 		case <-over:
 		case <-r.Context().Done():
 		}
-	}))
-	t.Cleanup(func() {
-		close(over)
-		srv.CloseClientConnections()
-		srv.Close()
 	})
-	return srv.Listener.Addr().String(), calls
+	return addr, calls
 }
 
 // TestWatchGoesOn: each answer is followed by a call for what comes after it, and
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -112,16 +112,11 @@
 	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, full, strings.Join(lines, ","))
 }
 
-// silentDiscovery holds every watch until the test is over.
-func silentDiscovery(t *testing.T) string {
+// serveHTTP serves calls until the test is over, which the handler is told of, and returns its address.
+func serveHTTP(t *testing.T, handle func(w http.ResponseWriter, r *http.Request, over <-chan struct{})) string {
 	t.Helper()
 	over := make(chan struct{})
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-over:
-		case <-r.Context().Done():
-		}
-	}))
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handle(w, r, over) }))
 	t.Cleanup(func() {
 		close(over)
 		srv.CloseClientConnections()
@@ -130,6 +125,17 @@
 	return srv.Listener.Addr().String()
 }
 
+// silentDiscovery holds every watch until the test is over.
+func silentDiscovery(t *testing.T) string {
+	t.Helper()
+	return serveHTTP(t, func(w http.ResponseWriter, r *http.Request, over <-chan struct{}) {
+		select {
+		case <-over:
+		case <-r.Context().Done():
+		}
+	})
+}
+
 func testConfig(t *testing.T, discovery string, edit func(map[string]any), lines ...string) *Config {
 	t.Helper()
 	var settings map[string]any
--- a/internal/router/ready_test.go
+++ b/internal/router/ready_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -58,8 +57,7 @@
 func newTroubledDiscovery(t *testing.T, silent bool) *troubledDiscovery {
 	t.Helper()
 	d := &troubledDiscovery{down: make(chan string, 1000), up: make(chan struct{}), calls: make(chan call, 1000)}
-	over := make(chan struct{})
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	d.addr = serveHTTP(t, func(w http.ResponseWriter, r *http.Request, over <-chan struct{}) {
 		c := call{r.URL.String(), make(chan string, 1)}
 		select {
 		case <-d.up:
@@ -76,13 +74,7 @@
 		case <-over:
 		case <-r.Context().Done():
 		}
-	}))
-	t.Cleanup(func() {
-		close(over)
-		srv.CloseClientConnections()
-		srv.Close()
 	})
-	d.addr = srv.Listener.Addr().String()
 	return d
 }
 
