--- a/cmd/starlingwinch/main.go
+++ b/cmd/cacherouter/main.go
@@ -1,4 +1,4 @@
-// Command starlingwinch routes clients' requests to a fleet of cache servers.
+// Command cacherouter routes clients' requests to a fleet of cache servers.
 // BALANCER_CONFIG names the file with its configuration.
 package main
 
@@ -10,12 +10,12 @@
 	"os/signal"
 	"syscall"
 
-	"starlingwinch/internal/router"
+	"marlstage/internal/router"
 )
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "starlingwinch:", err)
+		fmt.Fprintln(os.Stderr, "cacherouter:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/starlingwinch/main_test.go
+++ b/cmd/cacherouter/main_test.go
@@ -31,7 +31,7 @@
 func program(t *testing.T, config string) *exec.Cmd {
 	t.Helper()
 	dir := t.TempDir()
-	bin := filepath.Join(dir, "starlingwinch")
+	bin := filepath.Join(dir, "cacherouter")
 	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
--- a/cmd/fleetscale/main.go
+++ b/cmd/scaletest/main.go
@@ -1,4 +1,4 @@
-// Command fleetscale plays fleets of routers and cache servers of several sizes on loopback and
+// Command scaletest plays fleets of routers and cache servers of several sizes on loopback and
 // measures what control costs: the list, probes, timers and connections. Without sizes it plays a
 // sweep. Standard output gets a table; -o names a file for the results as JSON lines.
 package main
@@ -18,13 +18,13 @@
 
 	"github.com/spf13/pflag"
 
-	"starlingwinch/internal/fleetscale"
+	"marlstage/internal/scaletest"
 )
 
 func main() {
-	if os.Getenv(fleetscale.RoleEnv) != "" {
-		if err := fleetscale.Serve(os.Stdin, os.Stdout); err != nil {
-			fmt.Fprintln(os.Stderr, "fleetscale:", err)
+	if os.Getenv(scaletest.RoleEnv) != "" {
+		if err := scaletest.Serve(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, "scaletest:", err)
 			os.Exit(1)
 		}
 		return
@@ -33,10 +33,10 @@
 	switch err := run(os.Args[1:], os.Stdout); {
 	case err == nil || errors.Is(err, pflag.ErrHelp):
 	case errors.As(err, &bad):
-		fmt.Fprintln(os.Stderr, "fleetscale:", err)
+		fmt.Fprintln(os.Stderr, "scaletest:", err)
 		os.Exit(2)
 	default:
-		fmt.Fprintln(os.Stderr, "fleetscale:", err)
+		fmt.Fprintln(os.Stderr, "scaletest:", err)
 		os.Exit(1)
 	}
 }
@@ -48,10 +48,10 @@
 const sweep = "75x350,150x700,300x1400,600x2800,600x700,150x2800"
 
 func run(args []string, out io.Writer) error {
-	var p fleetscale.Point
+	var p scaletest.Point
 	var sizes []string
 	var results, program string
-	flags := pflag.NewFlagSet("fleetscale", pflag.ContinueOnError)
+	flags := pflag.NewFlagSet("scaletest", pflag.ContinueOnError)
 	flags.SetOutput(out)
 	flags.IntVar(&p.Caches, "caches", 0, "cache servers of a single point")
 	flags.IntVar(&p.Routers, "routers", 0, "routers of a single point, as their settings tell them")
@@ -85,7 +85,7 @@
 		}
 		sizes = []string{fmt.Sprintf("%dx%d", p.Caches, p.Routers)}
 	}
-	var points []fleetscale.Point
+	var points []scaletest.Point
 	for _, size := range sizes {
 		caches, routers, _ := strings.Cut(size, "x")
 		var cerr, rerr error
@@ -108,7 +108,7 @@
 }
 
 // play runs the points one behind the other.
-func play(ctx context.Context, points []fleetscale.Point, program, results string, out io.Writer) error {
+func play(ctx context.Context, points []scaletest.Point, program, results string, out io.Writer) error {
 	lines := json.NewEncoder(io.Discard)
 	if results != "" {
 		file, err := os.Create(results)
@@ -119,18 +119,18 @@
 		lines = json.NewEncoder(file)
 	}
 	if program == "" {
-		dir, err := os.MkdirTemp("", "fleetscale")
+		dir, err := os.MkdirTemp("", "scaletest")
 		if err != nil {
 			return err
 		}
 		defer os.RemoveAll(dir)
-		if program, err = fleetscale.BuildRouter(ctx, dir); err != nil {
+		if program, err = scaletest.BuildRouter(ctx, dir); err != nil {
 			return err
 		}
 	}
-	var all []*fleetscale.Result
+	var all []*scaletest.Result
 	for _, p := range points {
-		r, err := fleetscale.Run(ctx, p, program)
+		r, err := scaletest.Run(ctx, p, program)
 		if err != nil {
 			return fmt.Errorf("%d caches, %d routers: %w", p.Caches, p.Routers, err)
 		}
@@ -139,7 +139,7 @@
 			return err
 		}
 	}
-	slopes := fleetscale.Slopes(all)
+	slopes := scaletest.Slopes(all)
 	if len(slopes) == 0 {
 		return nil
 	}
@@ -148,5 +148,5 @@
 			return err
 		}
 	}
-	return fleetscale.WriteSlopes(out, slopes)
+	return scaletest.WriteSlopes(out, slopes)
 }
--- a/cmd/fleetscale/main_test.go
+++ b/cmd/scaletest/main_test.go
@@ -14,11 +14,11 @@
 	"testing"
 	"time"
 
-	"starlingwinch/internal/fleetscale"
+	"marlstage/internal/scaletest"
 )
 
 const (
-	fakeEnv  = "FLEETSCALE_FAKE_ROUTER" // how the test's own program ends where it stands in for the router
+	fakeEnv  = "SCALETEST_FAKE_ROUTER" // how the test's own program ends where it stands in for the router
 	patience = 60 * time.Second
 )
 
@@ -28,11 +28,11 @@
 	if how := os.Getenv(fakeEnv); how != "" {
 		fakeRouter(how)
 	}
-	dir, err := os.MkdirTemp("", "fleetscale")
+	dir, err := os.MkdirTemp("", "scaletest")
 	if err == nil {
-		bin, router = filepath.Join(dir, "fleetscale"), filepath.Join(dir, "starlingwinch")
+		bin, router = filepath.Join(dir, "scaletest"), filepath.Join(dir, "cacherouter")
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", dir, ".", "../starlingwinch").CombinedOutput(); err != nil {
+		if out, err = exec.Command("go", "build", "-o", dir, ".", "../cacherouter").CombinedOutput(); err != nil {
 			err = fmt.Errorf("%w\n%s", err, out)
 		}
 	}
@@ -69,7 +69,7 @@
 // start runs the program to its end. It must leave none of its processes behind.
 func start(t *testing.T, fake string, args ...string) (code int, stdout, stderr string) {
 	t.Helper()
-	mark := "FLEETSCALE_TEST=" + t.TempDir()
+	mark := "SCALETEST_TEST=" + t.TempDir()
 	cmd := exec.Command(bin, args...)
 	cmd.Env = append(os.Environ(), mark, fakeEnv+"="+fake)
 	var out, log bytes.Buffer
@@ -115,7 +115,7 @@
 	defer file.Close()
 	dec := json.NewDecoder(file)
 	for _, caches := range []int{4, 6, 8} {
-		var r fleetscale.Result
+		var r scaletest.Result
 		if err := dec.Decode(&r); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/policylimit/policylimit_test.go
+++ b/internal/policylimit/policylimit_test.go
@@ -60,14 +60,14 @@
 // moduleFiles names the files of the decision module, in order, but for its interface and its tests: nothing
 // that decides may stand outside the policy.
 func moduleFiles(root string) ([]string, error) {
-	all, err := filepath.Glob(filepath.Join(root, "decide", "*.go"))
+	all, err := filepath.Glob(filepath.Join(root, "policy", "*.go"))
 	if err != nil {
 		return nil, err
 	}
 	var names []string
 	for _, path := range all {
 		if base := filepath.Base(path); base != "api.go" && !strings.HasSuffix(base, "_test.go") {
-			names = append(names, "decide/"+base)
+			names = append(names, "policy/"+base)
 		}
 	}
 	return names, nil
--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -16,7 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"starlingwinch/decide"
+	"marlstage/policy"
 )
 
 // breaks are the ways in which a connection ends under an answer.
@@ -45,7 +45,7 @@
 	"refusal without its end":  "-BUSY",
 	"refusal with half an end": "-BUSY\r",
 	"bulk string":              "$5\r\nval",
-	"large value":              "*3\r\n$65536\r\n" + strings.Repeat("v", mostValue/2),
+	"large value":              "*3\r\n$65536\r\n" + strings.Repeat("v", maxValueSize/2),
 }
 
 // TestAnswerThatBreaksOff is a reset of an attempt that may have run, however much of it has come.
@@ -60,12 +60,12 @@
 				cmd := receive(t, cache.commands, "command")
 				cmd.reply(t, wire)
 				end(cmd.conn)
-				if o := r.want(decide.ConnLost); o.Last {
+				if o := r.want(policy.ConnectionLost); o.Final {
 					t.Error("the request is over")
 				}
 				r.do(func() {
-					if len(q.slot.wire) > 0 || r.l.conns != 0 {
-						t.Errorf("%d answers to the client, %d connections", len(q.slot.wire), r.l.conns)
+					if len(q.slot.reply) > 0 || r.l.upstreamConns != 0 {
+						t.Errorf("%d answers to the client, %d connections", len(q.slot.reply), r.l.upstreamConns)
 					}
 				})
 			})
@@ -197,8 +197,8 @@
 					}
 				}
 				rig.do(func() {
-					if r.srv.loop.index != 1 || r.srv.loop.upstreams["c2"] != nil {
-						t.Errorf("the broken list was taken: version %d", r.srv.loop.index)
+					if r.srv.loop.endpointsVersion != 1 || r.srv.loop.pools["c2"] != nil {
+						t.Errorf("the broken list was taken: version %d", r.srv.loop.endpointsVersion)
 					}
 				})
 			})
@@ -232,8 +232,8 @@
 func (r *rig) wantDescriptors(n int) {
 	r.t.Helper()
 	r.do(func() {
-		if u := r.l.upstreams["c1"]; r.l.conns != n || len(u.conns) != n || len(u.idle) != n || u.dialing != 0 {
-			r.t.Errorf("%d descriptors, %d connections, %d idle, %d dials; want %d idle", r.l.conns, len(u.conns), len(u.idle),
+		if u := r.l.pools["c1"]; r.l.upstreamConns != n || len(u.conns) != n || len(u.idle) != n || u.dialing != 0 {
+			r.t.Errorf("%d descriptors, %d connections, %d idle, %d dials; want %d idle", r.l.upstreamConns, len(u.conns), len(u.idle),
 				u.dialing, n)
 		}
 	})
@@ -248,8 +248,8 @@
 		r.send(r.request(nil), long)
 	}
 	r.do(func() {
-		if u := r.l.upstreams["c1"]; u.dialing != mostDials || len(u.waiting) != burst {
-			t.Errorf("%d dials, %d attempts wait", u.dialing, len(u.waiting))
+		if u := r.l.pools["c1"]; u.dialing != maxDials || len(u.queue) != burst {
+			t.Errorf("%d dials, %d attempts wait", u.dialing, len(u.queue))
 		}
 	})
 	cache := up()
@@ -258,14 +258,14 @@
 		cmd := receive(t, cache.commands, "command")
 		conns[cmd.conn] = true
 		cmd.reply(t, served)
-		r.want(decide.Served)
+		r.want(policy.Served)
 	}
 	await(t, "an end of the dials", func() (none bool) {
-		r.do(func() { none = r.l.upstreams["c1"].dialing == 0 })
+		r.do(func() { none = r.l.pools["c1"].dialing == 0 })
 		return none
 	})
 	r.do(func() {
-		r.l.perform(decide.CloseIdle{Cache: "c1"})
+		r.l.perform(policy.CloseIdleConnections{Cache: "c1"})
 	})
 	for range conns {
 		receive(t, cache.ended, "end of an idle connection")
@@ -283,10 +283,10 @@
 		r.send(r.request(nil), long)
 	}
 	for range burst {
-		r.want(decide.NoConnection)
+		r.want(policy.ConnectFailed)
 	}
 	await(t, "an end of the dials", func() (none bool) {
-		r.do(func() { none = r.l.upstreams["c1"].dialing == 0 })
+		r.do(func() { none = r.l.pools["c1"].dialing == 0 })
 		return none
 	})
 	r.wantDescriptors(0)
@@ -299,28 +299,28 @@
 func (r *rig) wantNext(cache func() *fakeCache) {
 	r.t.Helper()
 	q := r.request(nil)
-	r.do(func() { q.cmd.args[2] = []byte("last") })
+	r.do(func() { q.command.args[2] = []byte("last") })
 	r.send(q, long)
 	cmd := receive(r.t, cache().commands, "command")
 	if cmd.args[2] != "last" {
 		r.t.Errorf("the cache was sent %q", cmd.args)
 	}
 	cmd.reply(r.t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	r.wantDescriptors(1)
 }
 
 // TestLateConnectionCarriesOnlyWhatStillWaits: what it was opened for is over, and the next request has it.
 func TestLateConnectionCarriesOnlyWhatStillWaits(t *testing.T) {
 	for name, end := range map[string]func(*rig, *request){
-		"time is up": func(_ *rig, q *request) { q.attempts[0].giveUp(decide.NoAnswer) },
+		"time is up": func(_ *rig, q *request) { q.attempts[0].abandon(policy.TimedOut) },
 		"not in the window": func(r *rig, q *request) {
-			q.attempts[0].sendBy = r.l.now
-			r.l.upstreams["c1"].pump()
+			q.attempts[0].startBefore = r.l.now
+			r.l.pools["c1"].dispatch()
 		},
-		"cancelled": func(r *rig, q *request) { r.l.perform(decide.Cancel{ID: q.id, Attempt: 0}) },
-		"refused":   func(r *rig, q *request) { r.l.perform(decide.Refuse{ID: q.id}) },
-		"departed":  func(r *rig, q *request) { r.l.depart(q.client) },
+		"cancelled": func(r *rig, q *request) { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) },
+		"refused":   func(r *rig, q *request) { r.l.perform(policy.Reject{ID: q.id}) },
+		"departed":  func(r *rig, q *request) { r.l.clientGone(q.client) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -329,7 +329,7 @@
 			q := r.request(nil)
 			r.send(q, long)
 			r.do(func() { end(r, q) })
-			r.want(decide.NotSent)
+			r.want(policy.NotSent)
 			r.wantNext(up)
 		})
 	}
@@ -342,20 +342,20 @@
 	q, later := r.request(nil), r.request(nil)
 	r.send(q, long)
 	r.do(func() {
-		u := r.l.upstreams["c1"]
-		var first *conn
+		u := r.l.pools["c1"]
+		var first *upstreamConn
 		for first = range u.conns {
 		}
-		q.attempts[0].end(decide.NoConnection, nil) // its time to connect is up
-		r.l.perform(decide.Send{ID: later.id, Cache: "c1"})
-		u.dialed(first, nil, nil, os.ErrDeadlineExceeded)
-		if later.attempts[0].state != waiting {
+		q.attempts[0].finish(policy.ConnectFailed, nil) // its time to connect is up
+		r.l.perform(policy.Send{ID: later.id, Cache: "c1"})
+		u.dialDone(first, nil, nil, os.ErrDeadlineExceeded)
+		if later.attempts[0].state != attemptQueued {
 			t.Error("the later attempt has ended")
 		}
 	})
-	r.want(decide.NoConnection)
+	r.want(policy.ConnectFailed)
 	receive(t, up().commands, "command").reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 }
 
 // TestClientsThatWriteSlowly are served where the command is whole in time, and told so where it is not: each
@@ -368,11 +368,11 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			srv.commandWait = patience
+			srv.commandTimeout = patience
 			wire := get("r1")
 			if !inTime {
-				srv.commandWait = 300 * time.Millisecond
-				wire = words("C.GET", strings.Repeat("k", mostWord), "r1", "c=read,d=20000")
+				srv.commandTimeout = 300 * time.Millisecond
+				wire = words("C.GET", strings.Repeat("k", maxArgumentSize), "r1", "c=read,d=20000")
 			}
 			c := dial(t, startServer(t, srv).addr)
 			c.send(words("PING"))
@@ -408,12 +408,12 @@
 	addr, conns := deafCache(t)
 	r := newRig(t, addr, nil)
 	q := huge(r)
-	r.do(func() { r.l.perform(decide.Send{ID: q.id, Cache: "c1", SendBy: r.l.now + 1_000_000}) })
+	r.do(func() { r.l.perform(policy.Send{ID: q.id, Cache: "c1", StartBefore: r.l.now + 1_000_000}) })
 	nc := receive(t, conns, "connection")
 	if _, err := nc.Read(make([]byte, 1)); err != nil { // it has begun
 		t.Fatal(err)
 	}
-	if o := r.want(decide.NotSent); o.Elapsed < 1_000_000 || o.Elapsed >= 10_000_000 {
+	if o := r.want(policy.NotSent); o.Elapsed < 1_000_000 || o.Elapsed >= 10_000_000 {
 		t.Errorf("given up after %d us, with a window of 1 s", o.Elapsed)
 	}
 	if n, _ := io.Copy(io.Discard, nc); n >= 64<<20 {
@@ -426,52 +426,52 @@
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
 	q := r.request([]byte("v"))
-	r.do(func() { r.l.perform(decide.Send{ID: q.id, Cache: "c1", SendBy: r.l.now + 1_000_000}) })
+	r.do(func() { r.l.perform(policy.Send{ID: q.id, Cache: "c1", StartBefore: r.l.now + 1_000_000}) })
 	cmd := receive(t, cache.commands, "command")
 	await(t, "an end of the window", func() (over bool) {
-		r.do(func() { over = r.l.now > q.attempts[0].sendBy && r.l.timers[0].at > q.attempts[0].sendBy })
+		r.do(func() { over = r.l.now > q.attempts[0].startBefore && r.l.timers[0].at > q.attempts[0].startBefore })
 		return over
 	})
 	cmd.reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 }
 
 // TestRepeatWhoseConnectionIsLate ends with the window, however short, and nothing of it is written later.
 func TestRepeatWhoseConnectionIsLate(t *testing.T) {
-	for _, window := range []decide.Time{300_000, 1_000_000} {
+	for _, window := range []policy.Time{300_000, 1_000_000} {
 		addr, up := lateCache(t)
 		r := newRig(t, addr, nil)
 		q := r.request([]byte("v"))
-		r.do(func() { r.l.perform(decide.Send{ID: q.id, Cache: "c1", SendBy: r.l.now + window}) })
-		if o := r.want(decide.NotSent); o.Elapsed < window || o.Elapsed >= 10_000_000 {
+		r.do(func() { r.l.perform(policy.Send{ID: q.id, Cache: "c1", StartBefore: r.l.now + window}) })
+		if o := r.want(policy.NotSent); o.Elapsed < window || o.Elapsed >= 10_000_000 {
 			t.Errorf("ended after %d us, with a window of %d", o.Elapsed, window)
 		}
 		q = r.request(nil)
-		r.do(func() { q.cmd.args[2] = []byte("last") })
+		r.do(func() { q.command.args[2] = []byte("last") })
 		r.send(q, long)
 		cmd := receive(t, up().commands, "command")
 		if cmd.args[2] != "last" {
 			t.Errorf("the cache was sent %q", cmd.args)
 		}
 		cmd.reply(t, served)
-		r.want(decide.Served)
+		r.want(policy.Served)
 	}
 }
 
 // TestLastLookGoesByTheClock: a turn of the loop that takes long, as on a machine that stands still, crosses the
 // end of the window or of the attempt's time; what is told to the cache is what is left.
 func TestLastLookGoesByTheClock(t *testing.T) {
-	for name, send := range map[string]func(r *rig) decide.Send{
-		"window": func(r *rig) decide.Send { return decide.Send{SendBy: r.l.now + 10_000} },
-		"time":   func(r *rig) decide.Send { return decide.Send{StopAt: r.l.now + 10_000} },
+	for name, send := range map[string]func(r *rig) policy.Send{
+		"window": func(r *rig) policy.Send { return policy.Send{StartBefore: r.l.now + 10_000} },
+		"time":   func(r *rig) policy.Send { return policy.Send{Deadline: r.l.now + 10_000} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			cache := newFakeCache(t)
 			r := newRig(t, cache.addr(), nil)
-			r.do(func() { r.l.rest = 0 })
+			r.do(func() { r.l.settleTime = 0 })
 			r.send(r.request(nil), long)
 			receive(t, cache.commands, "command").reply(t, served)
-			r.want(decide.Served)
+			r.want(policy.Served)
 			q := r.request([]byte("v"))
 			r.do(func() {
 				s := send(r)
@@ -480,21 +480,21 @@
 				await(t, "a long turn", func() bool { return r.l.clock() > late })
 				r.l.perform(s)
 			})
-			r.want(decide.NotSent)
+			r.want(policy.NotSent)
 		})
 	}
 	t.Run("told", func(t *testing.T) {
 		cache := newFakeCache(t)
 		r := newRig(t, cache.addr(), nil)
-		r.do(func() { r.l.rest = 0 })
+		r.do(func() { r.l.settleTime = 0 })
 		r.send(r.request(nil), long)
 		receive(t, cache.commands, "command").reply(t, served)
-		r.want(decide.Served)
+		r.want(policy.Served)
 		q := r.request(nil)
 		r.do(func() {
 			late := r.l.now + 500_000
 			await(t, "a long turn", func() bool { return r.l.clock() > late })
-			r.l.perform(decide.Send{ID: q.id, Cache: "c1", StopAt: late + 5_000_000})
+			r.l.perform(policy.Send{ID: q.id, Cache: "c1", Deadline: late + 5_000_000})
 		})
 		cmd := receive(t, cache.commands, "command")
 		if d, err := strconv.Atoi(strings.TrimPrefix(cmd.args[3], "c=read,d=")); err != nil || d > 5000 {
@@ -532,11 +532,11 @@
 	t.Helper()
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
-	r.do(func() { r.l.rest = 0 })
+	r.do(func() { r.l.settleTime = 0 })
 	r.send(r.request(nil), long)
 	first := receive(t, cache.commands, "command")
 	first.reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	return r, cache, first
 }
 
@@ -549,17 +549,17 @@
 			q := r.request(nil)
 			r.do(func() {
 				first.reply(t, wire)
-				c := r.l.upstreams["c1"].idle[0]
-				await(t, "bytes", func() bool { return !c.quiet() })
-				r.l.perform(decide.Send{ID: q.id, Cache: "c1"})
+				c := r.l.pools["c1"].idle[0]
+				await(t, "bytes", func() bool { return !c.isSilent() })
+				r.l.perform(policy.Send{ID: q.id, Cache: "c1"})
 			})
 			second := receive(t, cache.commands, "command")
 			if second.conn == first.conn {
 				t.Error("it went on the connection that is out of step")
 			}
 			second.reply(t, another)
-			r.want(decide.Served)
-			if got := string(receive(t, q.slot.wire, "answer")); got != "$7\r\nanother\r\n" {
+			r.want(policy.Served)
+			if got := string(receive(t, q.slot.reply, "answer")); got != "$7\r\nanother\r\n" {
 				t.Errorf("the client got %q", got)
 			}
 			receive(t, cache.ended, "end of the connection that is out of step")
@@ -582,28 +582,28 @@
 					t.Fatal(err)
 				}
 				t.Cleanup(func() { nc.Close() })
-				c := &conn{addr: cache.addr(), nc: nc, raw: raw} // without a reader
+				c := &upstreamConn{addr: cache.addr(), nc: nc, raw: raw} // without a reader
 				end(receive(t, conns, "connection"))
-				await(t, "the end", func() bool { return !c.quiet() })
+				await(t, "the end", func() bool { return !c.isSilent() })
 				r.do(func() {
-					u := r.l.upstreams["c1"]
-					c.upstream, c.since = u, r.l.now
+					u := r.l.pools["c1"]
+					c.pool, c.connectedAt = u, r.l.now
 					if !fresh {
-						u.l.rest = 0
-						c.turn.Add(1)
+						u.loop.settleTime = 0
+						c.sequence.Add(1)
 					}
-					r.l.conns++
+					r.l.upstreamConns++
 					u.conns[c] = struct{}{}
-					u.free(c)
-					r.l.perform(decide.Send{ID: q.id, Cache: "c1"})
+					u.release(c)
+					r.l.perform(policy.Send{ID: q.id, Cache: "c1"})
 				})
 				if fresh {
-					r.want(decide.NoConnection)
+					r.want(policy.ConnectFailed)
 					r.wantDescriptors(0)
 					return
 				}
 				receive(t, cache.commands, "command on another connection").reply(t, served)
-				r.want(decide.Served)
+				r.want(policy.Served)
 			})
 		}
 	}
@@ -629,11 +629,11 @@
 // TestRequestThatCrossesTheCloseOfARestingConnection is not sent on, whether the connection is closed as the
 // router ends or to make room, and the answer before it, which the client has not read yet, is not lost.
 func TestRequestThatCrossesTheCloseOfARestingConnection(t *testing.T) {
-	for name, retire := range map[string]func(*client){
-		"drain": func(c *client) { c.retire() },
-		"room": func(c *client) {
-			c.hurried.Store(true)
-			c.retire()
+	for name, retire := range map[string]func(*clientConn){
+		"drain": func(c *clientConn) { c.closeWhenIdle() },
+		"room": func(c *clientConn) {
+			c.evicting.Store(true)
+			c.closeWhenIdle()
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -646,7 +646,7 @@
 				r.srv.mu.Lock()
 				defer r.srv.mu.Unlock()
 				for cl := range r.srv.clients {
-					if cl.due.Load() == 0 && cl.used.Load() {
+					if cl.pendingReplies.Load() == 0 && cl.hasCommand.Load() {
 						retire(cl)
 						return true
 					}
@@ -679,15 +679,15 @@
 		t.Fatal(err)
 	}
 	c.send(get("r1"))
-	value := strings.Repeat("v", mostValue)
+	value := strings.Repeat("v", maxValueSize)
 	receive(t, cache.commands, "command").reply(t, "*3\r\n$65536\r\n"+value+"\r\n$3\r\nhit\r\n$-1\r\n")
 	await(t, "a resting connection", func() bool {
 		r.srv.mu.Lock()
 		defer r.srv.mu.Unlock()
 		for cl := range r.srv.clients {
-			if cl.due.Load() == 0 && cl.used.Load() {
-				cl.lastUsed.Add(-2 * lingerTime.Microseconds()) // as though it had rested for so long
-				cl.retire()
+			if cl.pendingReplies.Load() == 0 && cl.hasCommand.Load() {
+				cl.lastReplyAt.Add(-2 * lingerTime.Microseconds()) // as though it had rested for so long
+				cl.closeWhenIdle()
 				return true
 			}
 		}
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"starlingwinch/decide"
+	"marlstage/policy"
 )
 
 func TestServed(t *testing.T) {
@@ -56,13 +56,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.loop.module = &script{} // answers nothing
+	srv.loop.engine = &script{} // answers nothing
 	r := startServer(t, srv)
 	c := dial(t, r.addr)
-	c.send(strings.Repeat(get("r"), pipelined/2))
-	for taken := 0; taken < pipelined/2; {
+	c.send(strings.Repeat(get("r"), maxPipelined/2))
+	for taken := 0; taken < maxPipelined/2; {
 		turn := make(chan int, 1)
-		r.srv.loop.post(func() { turn <- r.srv.loop.open })
+		r.srv.loop.post(func() { turn <- r.srv.loop.openRequests })
 		taken = receive(t, turn, "turn of the loop")
 	}
 }
@@ -86,7 +86,7 @@
 	}, host("c1", cache.addr(), "in_service")))
 	over := make(chan struct{})
 	defer close(over)
-	large := "*3\r\n$65536\r\n" + strings.Repeat("v", mostValue) + "\r\n$-1\r\n$-1\r\n"
+	large := "*3\r\n$65536\r\n" + strings.Repeat("v", maxValueSize) + "\r\n$-1\r\n$-1\r\n"
 	var large64 atomic.Int64
 	go func() {
 		for {
@@ -151,7 +151,7 @@
 		{words("C.GET", "", "id", "c=read,d=10"), false},
 		{words("C.GET", "k", "id", "c=read,d=10", "value"), false},
 		{words("C.SET", "k", "id", "c=put,d=10"), false},
-		{words("C.GET", strings.Repeat("k", mostWord+1), "id", "c=read,d=10"), false},
+		{words("C.GET", strings.Repeat("k", maxArgumentSize+1), "id", "c=read,d=10"), false},
 		{"FLUSHALL\r\n", false},
 		{"C.GET k id c=read,d=10000\r\n", false}, // not an array of bulk strings
 		{words("C.GET", "k", "id", "c=other,d=10000"), false},
@@ -162,7 +162,7 @@
 		{"*1\r\n!3\r\n", true},
 		{"$4 PING\r\n", true},
 		{"*2\r\n$5\r\nC.GETXX", true},
-		{"*5\r\n$5\r\nC.SET\r\n$70000\r\n" + strings.Repeat("x", 2*mostCommand), true},
+		{"*5\r\n$5\r\nC.SET\r\n$70000\r\n" + strings.Repeat("x", 2*maxCommandSize), true},
 	} {
 		cl := dial(t, r.addr)
 		cl.send(c.wire)
@@ -190,8 +190,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.commandWait = time.Second
-	idle := dial(t, srv.ln.Addr().String())
+	srv.commandTimeout = time.Second
+	idle := dial(t, srv.listener.Addr().String())
 	idle.send(words("ECHO")) // there before anybody waits for it
 	r := startServer(t, srv)
 	idle.want("-ERR unknown command")
@@ -217,7 +217,7 @@
 }
 
 func TestBusyRoundsUp(t *testing.T) {
-	for wait, want := range map[decide.Time]string{0: "-BUSY\r\n", 1: "-BUSY 1\r\n", 1000: "-BUSY 1\r\n", 1001: "-BUSY 2\r\n", 600_000: "-BUSY 600\r\n"} {
+	for wait, want := range map[policy.Time]string{0: "-BUSY\r\n", 1: "-BUSY 1\r\n", 1000: "-BUSY 1\r\n", 1001: "-BUSY 2\r\n", 600_000: "-BUSY 600\r\n"} {
 		if got := string(appendBusy(nil, wait)); got != want {
 			t.Errorf("%d: %q, want %q", wait, got, want)
 		}
@@ -248,7 +248,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.arrivals = 5 * time.Second // a slow machine must not miss it
+	srv.lateAcceptTime = 5 * time.Second // a slow machine must not miss it
 	r := startServer(t, srv)
 	idle, busy := dial(t, r.addr), dial(t, r.addr)
 	idle.send(words("PING"))
@@ -278,8 +278,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.loop.module = &script{} // answers nothing
-	srv.loop.longest = 1000
+	srv.loop.engine = &script{} // answers nothing
+	srv.loop.maxTimeout = 1000
 	r := startServer(t, srv)
 	stuck, half := dial(t, r.addr), dial(t, r.addr)
 	stuck.send(words("PING") + get("r1"))
@@ -296,13 +296,13 @@
 func TestIdleClientsMakeRoom(t *testing.T) {
 	cache := newFakeCache(t)
 	r := start(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
-		in["limits"].(map[string]any)["sockets"] = leastSockets
+		in["limits"].(map[string]any)["sockets"] = minSockets
 	}, host("c1", cache.addr(), "in_service")))
 	busy := dial(t, r.addr)
 	busy.send(get("r1"))
 	cmd := receive(t, cache.commands, "command")
 	var all []*testClient
-	for range 4 * int(r.srv.sockets.mostClients) {
+	for range 4 * int(r.srv.descriptors.maxClientConns) {
 		c := dial(t, r.addr)
 		c.send(words("PING"))
 		c.want("+PONG")
@@ -316,14 +316,14 @@
 // TestRoomIsTakenAtOnce: a descriptor that comes free lets the next client in, with no pause.
 func TestRoomIsTakenAtOnce(t *testing.T) {
 	srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
-		in["limits"].(map[string]any)["sockets"] = leastSockets
+		in["limits"].(map[string]any)["sockets"] = minSockets
 	}, host("c1", "127.0.0.1:1", "in_service")))
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.acceptPause = 2 * patience
+	srv.acceptBackoff = 2 * patience
 	r := startServer(t, srv)
-	for range 4 * int(srv.sockets.mostClients) {
+	for range 4 * int(srv.descriptors.maxClientConns) {
 		c := dial(t, r.addr)
 		c.send(words("PING"))
 		c.line()
@@ -350,9 +350,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln := &exhausted{Listener: srv.ln}
+	ln := &exhausted{Listener: srv.listener}
 	ln.left.Store(3)
-	srv.ln = ln
+	srv.listener = ln
 	r := startServer(t, srv)
 	c := dial(t, r.addr)
 	c.send(words("PING"))
@@ -368,29 +368,29 @@
 	cache, other := newFakeCache(t), newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
 	r.do(func() {
-		r.l.sockets.mostUpstreams = 1
+		r.l.descriptors.maxUpstreamConns = 1
 		h, err := parseHosts([]byte(hosts(2, false, host("c2", other.addr(), "in_service"))))
 		if err != nil {
 			t.Error(err)
 		}
-		r.l.learn(h, h.kind())
+		r.l.applyEndpoints(h, h.kind())
 	})
 	r.send(r.request(nil), long)
 	cmd := receive(t, cache.commands, "command")
 	q := r.request(nil)
-	r.do(func() { r.l.perform(decide.Send{ID: q.id, Cache: "c2", StopAt: q.deadline}) })
+	r.do(func() { r.l.perform(policy.Send{ID: q.id, Cache: "c2", Deadline: q.deadline}) })
 	r.do(func() {
-		if r.l.conns != 1 || !r.l.starved {
-			t.Errorf("%d connections, starved %v", r.l.conns, r.l.starved)
+		if r.l.upstreamConns != 1 || !r.l.descriptorStarved {
+			t.Errorf("%d connections, starved %v", r.l.upstreamConns, r.l.descriptorStarved)
 		}
 	})
 	cmd.conn.Close()
-	r.want(decide.ConnLost)
+	r.want(policy.ConnectionLost)
 	receive(t, other.commands, "command").reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	r.send(r.request(nil), long) // the other cache's connection is idle now
 	receive(t, cache.commands, "command").reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	receive(t, other.ended, "end of the idle connection")
 }
 
@@ -410,8 +410,8 @@
 	defer close(stuck.release)
 	log.SetOutput(stuck)
 	r.do(func() {
-		for range 4 * logBacklog {
-			r.l.perform(decide.Log{Text: "line"})
+		for range 4 * logQueueSize {
+			r.l.perform(policy.Log{Text: "line"})
 		}
 	})
 }
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -7,8 +7,8 @@
 	"net/netip"
 	"strconv"
 
-	"starlingwinch/decide"
-	"starlingwinch/internal/wire"
+	"marlstage/internal/simprotocol"
+	"marlstage/policy"
 )
 
 // Config is what a router is told at its start.
@@ -19,8 +19,8 @@
 	Seed      uint64
 	Limits    Limits
 	Known     hostList // the caches as last known; may be old
-	Settings  decide.Settings
-	Transport wire.Transport
+	Settings  policy.Settings
+	Transport simprotocol.Transport
 }
 
 // Limits are those of the router's machine.
@@ -73,7 +73,7 @@
 		name string
 		bad  bool
 	}{{"cores", !(c.Limits.Cores >= 0)}, {"memory_mb", c.Limits.MemoryMB < 0},
-		{"sockets", c.Limits.Sockets < 0 || c.Limits.Sockets > 0 && c.Limits.Sockets < leastSockets}} {
+		{"sockets", c.Limits.Sockets < 0 || c.Limits.Sockets > 0 && c.Limits.Sockets < minSockets}} {
 		if f.bad {
 			return nil, fmt.Errorf("limits.%s: out of range", f.name)
 		}
@@ -84,7 +84,7 @@
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
-	if c.Settings, c.Transport, err = wire.ParseSettings(in.Settings); err != nil {
+	if c.Settings, c.Transport, err = simprotocol.ParseSettings(in.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if c.Transport.DialTimeout <= 0 {
--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"starlingwinch/decide"
+	"marlstage/policy"
 )
 
 // await yields until the condition holds.
@@ -32,8 +32,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &script{outcomes: make(chan *decide.Outcome, 1000)}
-	srv.loop.module = s
+	s := &script{outcomes: make(chan *policy.AttemptDone, 1000)}
+	srv.loop.engine = s
 	return startServer(t, srv), &rig{t, srv.loop, s.outcomes}
 }
 
@@ -42,7 +42,7 @@
 	r.t.Helper()
 	await(r.t, "requests that are open", func() bool {
 		open := 0
-		r.do(func() { open = r.l.open })
+		r.do(func() { open = r.l.openRequests })
 		return open == n
 	})
 }
@@ -78,9 +78,9 @@
 				c.send(get("r1") + wire)
 				q := rig.only()
 				if end == "retired" {
-					r.srv.drain()
+					r.srv.drainClients()
 				} else {
-					await(t, "answers due", func() bool { return q.client.due.Load() == 2 })
+					await(t, "answers due", func() bool { return q.client.pendingReplies.Load() == 2 })
 				}
 				leave(c)
 				rig.awaitOpen(0)
@@ -96,11 +96,11 @@
 		t.Run(how, func(t *testing.T) {
 			r, rig := silentServer(t)
 			c := dial(t, r.addr)
-			c.send(strings.Repeat(get("r"), 2*pipelined))
+			c.send(strings.Repeat(get("r"), 2*maxPipelined))
 			await(t, "a full queue", func() bool {
 				open := 0
-				rig.do(func() { open = rig.l.open })
-				return open > pipelined
+				rig.do(func() { open = rig.l.openRequests })
+				return open > maxPipelined
 			})
 			leave(c)
 			rig.awaitOpen(0)
@@ -118,23 +118,23 @@
 			c.send(get("r0"))
 			q := rig.only()
 			rig.do(func() { // a connection that stands idle takes the next at once
-				rig.l.rest = 0
-				rig.l.perform(decide.Send{ID: q.id, Cache: "c1"})
+				rig.l.settleTime = 0
+				rig.l.perform(policy.Send{ID: q.id, Cache: "c1"})
 			})
 			receive(t, cache.commands, "command").reply(t, served)
-			rig.want(decide.Served)
+			rig.want(policy.Served)
 			c.send(get("r1"))
 			q = rig.only()
 			rig.do(func() {
 				leave(c)
 				await(t, "the end of the connection", q.client.hungUp)
-				rig.l.perform(decide.Send{ID: q.id, Cache: "c1"})
+				rig.l.perform(policy.Send{ID: q.id, Cache: "c1"})
 			})
-			rig.want(decide.NotSent)
+			rig.want(policy.NotSent)
 			other := dial(t, r.addr)
 			other.send(get("r2"))
 			next := rig.only()
-			rig.do(func() { rig.l.perform(decide.Send{ID: next.id, Cache: "c1"}) })
+			rig.do(func() { rig.l.perform(policy.Send{ID: next.id, Cache: "c1"}) })
 			if cmd := receive(t, cache.commands, "command"); cmd.args[2] != "r2" {
 				t.Errorf("the cache was sent %q", cmd.args)
 			}
@@ -145,7 +145,7 @@
 // wantOpen waits for longer than a connection is given that has to make room.
 func (c *testClient) wantOpen() {
 	c.t.Helper()
-	c.nc.SetReadDeadline(time.Now().Add(3 * commandGrace))
+	c.nc.SetReadDeadline(time.Now().Add(3 * evictGrace))
 	if b, err := c.r.ReadByte(); !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.t.Fatalf("got %q, %v from a connection that is to stay open", b, err)
 	}
@@ -159,7 +159,7 @@
 	c := dial(t, r.addr)
 	c.send(get("r1"))
 	first := receive(t, cache.commands, "command")
-	r.srv.drain()
+	r.srv.drainClients()
 	c.wantOpen()
 	c.send(get("r2"))
 	second := receive(t, cache.commands, "command")
@@ -177,13 +177,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.commandWait = patience
+	srv.commandTimeout = patience
 	r := startServer(t, srv)
 	c := dial(t, r.addr)
 	wire := words("PING") + get("r1")
 	c.send(wire[:len(wire)-5])
 	c.want("+PONG")
-	r.srv.drain()
+	r.srv.drainClients()
 	c.wantOpen()
 	c.send(wire[len(wire)-5:])
 	receive(t, cache.commands, "command").reply(t, served)
@@ -195,21 +195,21 @@
 func TestDrainTakesConnectionsThatQueue(t *testing.T) {
 	cache := newFakeCache(t)
 	srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
-		in["limits"].(map[string]any)["sockets"] = leastSockets
+		in["limits"].(map[string]any)["sockets"] = minSockets
 	}, host("c1", cache.addr(), "in_service")))
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.arrivals = 0
-	srv.acceptPause = time.Millisecond
+	srv.lateAcceptTime = 0
+	srv.acceptBackoff = time.Millisecond
 	r := startServer(t, srv)
 	var clients []*testClient
 	var busy []fakeCommand
-	for i := range 2 * int(srv.sockets.mostClients) {
+	for i := range 2 * int(srv.descriptors.maxClientConns) {
 		c := dial(t, r.addr)
 		c.send(get("r"))
 		clients = append(clients, c)
-		if i < int(srv.sockets.mostClients) && i < srv.sockets.mostUpstreams {
+		if i < int(srv.descriptors.maxClientConns) && i < srv.descriptors.maxUpstreamConns {
 			busy = append(busy, receive(t, cache.commands, "command"))
 		}
 	}
@@ -244,7 +244,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.firstWait = 2 * patience
+	srv.firstCommandGrace = 2 * patience
 	r := startServer(t, srv)
 	c := dial(t, r.addr)
 	await(t, "a client", func() bool {
@@ -264,13 +264,13 @@
 func TestRequestsOfTheDrainAreAnsweredBeforeItsEnd(t *testing.T) {
 	r := newRig(t, "127.0.0.1:1", nil)
 	r.do(func() {
-		r.l.drain(r.l.now)
-		if most := r.l.now + (drainLongest + drainSlack).Microseconds(); r.l.ending >= most {
-			t.Errorf("the last answers come %d us after SIGTERM, and SIGKILL after %d", r.l.ending-r.l.now, most-r.l.now)
+		r.l.beginDrain(r.l.now)
+		if most := r.l.now + (maxDrainTimeout + drainSlack).Microseconds(); r.l.drainDeadline >= most {
+			t.Errorf("the last answers come %d us after SIGTERM, and SIGKILL after %d", r.l.drainDeadline-r.l.now, most-r.l.now)
 		}
 	})
-	if q := r.request(nil); q.deadline != r.l.ending {
-		t.Errorf("deadline %d, want %d", q.deadline, r.l.ending)
+	if q := r.request(nil); q.deadline != r.l.drainDeadline {
+		t.Errorf("deadline %d, want %d", q.deadline, r.l.drainDeadline)
 	}
 }
 
@@ -308,11 +308,11 @@
 	r.send(r.request(nil), long)
 	first := receive(t, cache.commands, "command")
 	first.reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	q := r.request(nil)
 	r.do(func() {
-		r.l.upstreams["c1"].idle[0].idleSince -= 3 * r.l.cfg.Transport.Keepalive / 4
-		r.l.perform(decide.Send{ID: q.id, Cache: "c1"})
+		r.l.pools["c1"].idle[0].idleSince -= 3 * r.l.cfg.Transport.Keepalive / 4
+		r.l.perform(policy.Send{ID: q.id, Cache: "c1"})
 	})
 	if second := receive(t, cache.commands, "command"); second.conn == first.conn {
 		t.Error("a connection was used that its cache is about to close")
@@ -321,11 +321,11 @@
 
 // TestSweepsKeepToTheIdleTime that the settings state, however short.
 func TestSweepsKeepToTheIdleTime(t *testing.T) {
-	for keepalive, most := range map[decide.Time]decide.Time{200_000: 50_000, 2_000_000: 500_000, 60_000_000: sweepInterval} {
+	for keepalive, most := range map[policy.Time]policy.Time{200_000: 50_000, 2_000_000: 500_000, 60_000_000: sweepInterval} {
 		r := newRig(t, "127.0.0.1:1", func(c *Config) { c.Transport.Keepalive = keepalive })
 		r.do(func() {
 			r.l.timers = nil
-			r.l.sweep()
+			r.l.sweepIdle()
 			if wait := r.l.timers[0].at - r.l.now; wait > most {
 				t.Errorf("idle time %d: the next look comes after %d", keepalive, wait)
 			}
@@ -339,18 +339,18 @@
 func TestSecondAnswerThatComesLate(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
-	r.do(func() { r.l.rest = patience.Microseconds() })
+	r.do(func() { r.l.settleTime = patience.Microseconds() })
 	r.send(r.request(nil), long)
 	first := receive(t, cache.commands, "command")
 	first.reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	q := r.request(nil)
 	r.send(q, long)
 	first.reply(t, another)
 	second := receive(t, cache.commands, "command")
 	second.reply(t, served)
-	r.want(decide.Served)
-	if got := string(receive(t, q.slot.wire, "answer")); second.conn == first.conn || got != "$5\r\nvalue\r\n" {
+	r.want(policy.Served)
+	if got := string(receive(t, q.slot.reply, "answer")); second.conn == first.conn || got != "$5\r\nvalue\r\n" {
 		t.Errorf("the client got %q", got)
 	}
 }
@@ -359,19 +359,19 @@
 func TestLooksForARestedConnectionSetOneTimer(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
-	r.do(func() { r.l.rest = patience.Microseconds() })
+	r.do(func() { r.l.settleTime = patience.Microseconds() })
 	r.send(r.request(nil), long)
 	receive(t, cache.commands, "command").reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	r.send(r.request(nil), long)
 	r.do(func() {
-		u := r.l.upstreams["c1"]
+		u := r.l.pools["c1"]
 		before := len(r.l.timers)
 		for range 100 {
-			u.pump()
+			u.dispatch()
 		}
-		if more := len(r.l.timers) - before; len(u.waiting) != 1 || more > 0 {
-			t.Errorf("%d attempts wait, %d more timers", len(u.waiting), more)
+		if more := len(r.l.timers) - before; len(u.queue) != 1 || more > 0 {
+			t.Errorf("%d attempts wait, %d more timers", len(u.queue), more)
 		}
 	})
 }
@@ -380,18 +380,18 @@
 func TestSecondAnswerReadBeforeTheNextRequest(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
-	r.do(func() { r.l.rest = 0 })
+	r.do(func() { r.l.settleTime = 0 })
 	r.send(r.request(nil), long)
 	first := receive(t, cache.commands, "command")
 	first.reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	q := r.request(nil)
 	r.do(func() {
 		first.reply(t, another)
 		await(t, "a second answer that was read", func() bool { return len(r.l.events) > 0 })
-		r.l.perform(decide.Send{ID: q.id, Cache: "c1"})
+		r.l.perform(policy.Send{ID: q.id, Cache: "c1"})
 	})
-	r.want(decide.ConnLost)
+	r.want(policy.ConnectionLost)
 }
 
 // TestAnswerBeforeTheLongWriteIsKnownToBeWhole counts once it is, also where the cache closes behind it.
@@ -413,16 +413,16 @@
 					t.Error(err)
 					return
 				}
-				c.answered(rep, c.turn.Load(), true)
+				c.replyReceived(rep, c.sequence.Load(), true)
 				if closes {
-					c.broken()
+					c.connectionLost()
 				}
-				if q.over {
+				if q.done {
 					t.Error("an answer to half a request was served")
 				}
-				c.wrote(a, true, nil)
+				c.writeDone(a, true, nil)
 			})
-			r.want(decide.Served)
+			r.want(policy.Served)
 		})
 	}
 }
@@ -430,7 +430,7 @@
 // TestEndedConnectionMakesRoom for what waits, at once.
 func TestEndedConnectionMakesRoom(t *testing.T) {
 	for name, end := range map[string]func(*rig, *request, fakeCommand){
-		"given up":    func(r *rig, q *request, _ fakeCommand) { r.l.perform(decide.Cancel{ID: q.id, Attempt: 0}) },
+		"given up":    func(r *rig, q *request, _ fakeCommand) { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) },
 		"out of step": func(r *rig, _ *request, cmd fakeCommand) { io.WriteString(cmd.conn, served+"trailing") },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -438,7 +438,7 @@
 			r := newRig(t, cache.addr(), func(c *Config) { c.Settings.Routers = 1000 })
 			var qs []*request
 			var cmd fakeCommand
-			for range leastConns {
+			for range minConns {
 				qs = append(qs, r.request(nil))
 				r.send(qs[len(qs)-1], long)
 				cmd = receive(t, cache.commands, "command")
@@ -447,7 +447,7 @@
 			r.do(func() { end(r, qs[len(qs)-1], cmd) })
 			receive(t, r.outcomes, "outcome")
 			receive(t, cache.commands, "command of what waited").reply(t, served)
-			r.want(decide.Served)
+			r.want(policy.Served)
 		})
 	}
 }
@@ -463,13 +463,13 @@
 		if err != nil {
 			t.Error(err)
 		}
-		r.l.learn(h, h.kind())
+		r.l.applyEndpoints(h, h.kind())
 	})
 	receive(t, moved.commands, "command").reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	r.do(func() {
-		if u := r.l.upstreams["c1"]; r.l.conns != 1 || u.dialing != 0 || len(u.conns) != 1 {
-			t.Errorf("%d descriptors, %d dials, %d connections", r.l.conns, u.dialing, len(u.conns))
+		if u := r.l.pools["c1"]; r.l.upstreamConns != 1 || u.dialing != 0 || len(u.conns) != 1 {
+			t.Errorf("%d descriptors, %d dials, %d connections", r.l.upstreamConns, u.dialing, len(u.conns))
 		}
 	})
 }
@@ -477,25 +477,25 @@
 // TestConnectionThatComesUpTooLate, when its attempt has ended, its cache drains or has moved, or the router
 // has closed it: it carries nothing, and its descriptor is given back once.
 func TestConnectionThatComesUpTooLate(t *testing.T) {
-	for name, change := range map[string]func(*rig, *upstream, *conn){
-		"drained": func(_ *rig, u *upstream, _ *conn) { u.update(u.addr, 0, false) },
-		"moved":   func(_ *rig, u *upstream, _ *conn) { u.update("127.0.0.1:1", 0, true) },
-		"restarted": func(r *rig, u *upstream, _ *conn) {
-			u.l.now++
-			u.update(u.addr, u.l.now, true)
-			u.l.now--
+	for name, change := range map[string]func(*rig, *pool, *upstreamConn){
+		"drained": func(_ *rig, u *pool, _ *upstreamConn) { u.update(u.addr, 0, false) },
+		"moved":   func(_ *rig, u *pool, _ *upstreamConn) { u.update("127.0.0.1:1", 0, true) },
+		"restarted": func(r *rig, u *pool, _ *upstreamConn) {
+			u.loop.now++
+			u.update(u.addr, u.loop.now, true)
+			u.loop.now--
 		},
-		"closed": func(_ *rig, _ *upstream, c *conn) { c.close() },
+		"closed": func(_ *rig, _ *pool, c *upstreamConn) { c.close() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			cache := newFakeCache(t)
 			r := newRig(t, cache.addr(), nil)
 			r.do(func() {
-				u := r.l.upstreams["c1"]
-				if !r.l.descriptor() {
+				u := r.l.pools["c1"]
+				if !r.l.acquireDescriptor() {
 					t.Error("no descriptor")
 				}
-				c := &conn{upstream: u, addr: u.addr}
+				c := &upstreamConn{pool: u, addr: u.addr}
 				u.conns[c] = struct{}{}
 				u.dialing++
 				nc, raw, err := dialTCP(u.addr, patience)
@@ -504,9 +504,9 @@
 					return
 				}
 				change(r, u, c)
-				u.dialed(c, nc, raw, nil)
-				if r.l.conns != 0 || u.dialing != 0 || len(u.conns) != 0 || len(u.idle) != 0 {
-					t.Errorf("%d descriptors, %d dials, %d connections, %d idle", r.l.conns, u.dialing, len(u.conns), len(u.idle))
+				u.dialDone(c, nc, raw, nil)
+				if r.l.upstreamConns != 0 || u.dialing != 0 || len(u.conns) != 0 || len(u.idle) != 0 {
+					t.Errorf("%d descriptors, %d dials, %d connections, %d idle", r.l.upstreamConns, u.dialing, len(u.conns), len(u.idle))
 				}
 			})
 			receive(t, cache.ended, "end of the connection")
@@ -520,17 +520,17 @@
 	r := newRig(t, cache.addr(), nil)
 	r.send(r.request(nil), long)
 	receive(t, cache.commands, "command").reply(t, served)
-	r.want(decide.Served)
-	r.do(func() { r.l.upstreams["c1"].update(cache.addr(), r.l.now, true) })
+	r.want(policy.Served)
+	r.do(func() { r.l.pools["c1"].update(cache.addr(), r.l.now, true) })
 	receive(t, cache.ended, "end of the idle connection")
 	r.send(r.request(nil), long)
 	receive(t, cache.commands, "command").reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	r.do(func() { // a start that the list dates in the future shuts no connection out
-		u := r.l.upstreams["c1"]
+		u := r.l.pools["c1"]
 		u.update(cache.addr(), r.l.now+1_000_000_000, true)
-		c := &conn{upstream: u, addr: u.addr, since: r.l.now}
-		if !c.usable() {
+		c := &upstreamConn{pool: u, addr: u.addr, connectedAt: r.l.now}
+		if !c.matchesEndpoint() {
 			t.Error("a connection that is up now is not used")
 		}
 	})
@@ -544,20 +544,20 @@
 	r.send(q, long)
 	cmd := receive(t, cache.commands, "command")
 	cmd.reply(t, "*3\r\n$65536\r\n")
-	r.do(func() { q.attempts[0].giveUp(decide.NoAnswer) })
-	r.want(decide.NoAnswer)
+	r.do(func() { q.attempts[0].abandon(policy.TimedOut) })
+	r.want(policy.TimedOut)
 	receive(t, cache.ended, "end of the connection")
 	r.send(r.request(nil), long)
 	flood := receive(t, cache.commands, "command")
 	go func(nc net.Conn) { // until the router closes it
 		io.WriteString(nc, "*16\r\n")
 		for {
-			if _, err := io.WriteString(nc, "$65536\r\n"+strings.Repeat("v", mostValue)+"\r\n"); err != nil {
+			if _, err := io.WriteString(nc, "$65536\r\n"+strings.Repeat("v", maxValueSize)+"\r\n"); err != nil {
 				return
 			}
 		}
 	}(flood.conn)
-	r.want(decide.ConnLost)
+	r.want(policy.ConnectionLost)
 }
 
 // TestProbeEndsWhenTheSettingsSay, not after a time that suits one site.
@@ -565,9 +565,9 @@
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), func(c *Config) { c.Settings.DrainGrace = 40_000_000 })
 	r.do(func() {
-		r.l.perform(decide.Probe{Cache: "c1"})
-		if a := r.l.upstreams["c1"].waiting[0]; a.stopAt-a.sent != 20_000_000 {
-			t.Errorf("a probe may take %d", a.stopAt-a.sent)
+		r.l.perform(policy.HealthCheck{Cache: "c1"})
+		if a := r.l.pools["c1"].queue[0]; a.deadline-a.sentAt != 20_000_000 {
+			t.Errorf("a probe may take %d", a.deadline-a.sentAt)
 		}
 	})
 }
@@ -577,11 +577,11 @@
 	r, cache, busy := busyPool(t)
 	q := r.request(nil)
 	r.do(func() {
-		r.l.perform(decide.Send{ID: q.id, Cache: "c1", SendBy: r.l.now + 1000})
-		q.attempts[0].sendBy = r.l.now // as though it had waited for so long
+		r.l.perform(policy.Send{ID: q.id, Cache: "c1", StartBefore: r.l.now + 1000})
+		q.attempts[0].startBefore = r.l.now // as though it had waited for so long
 	})
 	busy[0].reply(t, served)
-	r.want(decide.Served)
-	r.want(decide.NotSent)
+	r.want(policy.Served)
+	r.want(policy.NotSent)
 	freed(t, r, cache, busy[1:])
 }
--- a/internal/router/departure_test.go
+++ b/internal/router/departure_test.go
@@ -7,20 +7,20 @@
 	"strings"
 	"testing"
 
-	"starlingwinch/decide"
+	"marlstage/policy"
 )
 
 // sender is a module that sends each request to cache c1 at once, and again where it failed there.
 type sender struct{ script }
 
-func (s *sender) Handle(now decide.Time, ev decide.Event) []decide.Action {
+func (s *sender) Handle(now policy.Time, ev policy.Event) []policy.Action {
 	s.script.Handle(now, ev)
 	switch ev := ev.(type) {
-	case *decide.Request:
-		return []decide.Action{decide.Send{ID: ev.ID, Cache: "c1"}}
-	case *decide.Outcome:
-		if ev.Result == decide.Errored && !ev.Last {
-			return []decide.Action{decide.Send{ID: ev.ID, Cache: "c1"}}
+	case *policy.Request:
+		return []policy.Action{policy.Send{ID: ev.ID, Cache: "c1"}}
+	case *policy.AttemptDone:
+		if ev.Result == policy.ServerError && !ev.Final {
+			return []policy.Action{policy.Send{ID: ev.ID, Cache: "c1"}}
 		}
 	}
 	return nil
@@ -56,12 +56,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &departure{t: t, cache: cache, send: &sender{script{outcomes: make(chan *decide.Outcome, 1000)}},
-		gate: &gate{srv.ln, make(chan struct{}, 1000)}}
-	srv.ln = d.gate
-	srv.loop.module = &d.send.script
-	srv.loop.rest = 0
-	srv.arrivals = 0
+	d := &departure{t: t, cache: cache, send: &sender{script{outcomes: make(chan *policy.AttemptDone, 1000)}},
+		gate: &gate{srv.listener, make(chan struct{}, 1000)}}
+	srv.listener = d.gate
+	srv.loop.engine = &d.send.script
+	srv.loop.settleTime = 0
+	srv.lateAcceptTime = 0
 	d.r = startServer(t, srv)
 	d.rig = &rig{t, srv.loop, d.send.outcomes}
 	t.Cleanup(func() { close(d.gate.in) })
@@ -72,14 +72,14 @@
 	}
 	for _, cmd := range busy {
 		cmd.reply(t, served)
-		d.rig.want(decide.Served)
+		d.rig.want(policy.Served)
 	}
 	return d
 }
 
 // perform sends an attempt of a request to a cache.
 func (d *departure) perform(q *request, cache string) {
-	d.rig.l.perform(decide.Send{ID: q.id, Cache: cache})
+	d.rig.l.perform(policy.Send{ID: q.id, Cache: cache})
 }
 
 // second has a client's request come beside one that is in hand, and returns what begins it.
@@ -87,7 +87,7 @@
 	c = d.dial()
 	c.send(get("r1"))
 	await(d.t, "a second request", func() (two bool) {
-		d.rig.do(func() { two = d.rig.l.open == 2 })
+		d.rig.do(func() { two = d.rig.l.openRequests == 2 })
 		return two
 	})
 	return c, func() {
@@ -133,7 +133,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	d.rig.do(func() { d.rig.l.module = &d.send.script })
+	d.rig.do(func() { d.rig.l.engine = &d.send.script })
 	d.rig.send(d.rig.take(cmd), long)
 	for {
 		got := receive(d.t, d.cache.commands, "command")
@@ -164,11 +164,11 @@
 		}},
 		"behind commands that are not read": {1, func(d *departure, leave func(*testClient)) {
 			c := d.dial()
-			c.send(strings.Repeat(get("r1"), 2*pipelined))
+			c.send(strings.Repeat(get("r1"), 2*maxPipelined))
 			await(d.t, "a full queue", func() bool {
 				open := 0
-				d.rig.do(func() { open = d.rig.l.open })
-				return open > pipelined
+				d.rig.do(func() { open = d.rig.l.openRequests })
+				return open > maxPipelined
 			})
 			d.rig.do(func() {
 				leave(c)
@@ -183,7 +183,7 @@
 			c.send(get("r1"))
 			q := d.rig.only()
 			d.rig.do(func() {
-				d.rig.l.module = d.send
+				d.rig.l.engine = d.send
 				d.perform(q, "c1")
 			})
 			first := receive(d.t, d.cache.commands, "command")
@@ -218,7 +218,7 @@
 			})
 		}},
 		"waits for a connection": {1, func(d *departure, leave func(*testClient)) {
-			d.rig.do(func() { d.rig.l.upstreams["c1"].most = 1 })
+			d.rig.do(func() { d.rig.l.pools["c1"].maxConns = 1 })
 			d.rig.send(d.rig.request(nil), long)
 			busy := receive(d.t, d.cache.commands, "command")
 			c, second := d.second()
@@ -231,16 +231,16 @@
 			})
 		}},
 		"waits for a descriptor": {0, func(d *departure, leave func(*testClient)) {
-			d.rig.do(func() { d.rig.l.sockets.mostUpstreams = 1 })
+			d.rig.do(func() { d.rig.l.descriptors.maxUpstreamConns = 1 })
 			q := d.rig.request(nil)
 			d.rig.do(func() { d.perform(q, "c2") })
 			busy := receive(d.t, d.cache.commands, "command")
 			c, second := d.second()
 			d.rig.do(func() {
 				second()
-				d.rig.l.conns-- // one comes free, ...
-				d.rig.l.upstreams["c1"].pump()
-				d.rig.l.conns++
+				d.rig.l.upstreamConns-- // one comes free, ...
+				d.rig.l.pools["c1"].dispatch()
+				d.rig.l.upstreamConns++
 				d.events(1) // ... and the connection is up
 				leave(c)
 				d.gone(1)
@@ -252,16 +252,16 @@
 			c.send(get("r1"))
 			q := d.rig.only()
 			d.rig.do(func() {
-				d.rig.l.rest = patience.Microseconds()
+				d.rig.l.settleTime = patience.Microseconds()
 				d.perform(q, "c1")
 				leave(c)
 				d.gone(1)
-				d.rig.l.rest = 0
-				d.rig.l.upstreams["c1"].pump()
+				d.rig.l.settleTime = 0
+				d.rig.l.pools["c1"].dispatch()
 			})
 		}},
 		"left before it was let in": {1, func(d *departure, leave func(*testClient)) {
-			d.rig.do(func() { d.rig.l.module = d.send })
+			d.rig.do(func() { d.rig.l.engine = d.send })
 			c := dial(d.t, d.r.addr)
 			c.send(get("r1"))
 			leave(c)
@@ -274,7 +274,7 @@
 		"under load": {8, func(d *departure, leave func(*testClient)) {
 			const clients = 200
 			d.rig.do(func() {
-				d.rig.l.module = d.send
+				d.rig.l.engine = d.send
 				for i := range clients {
 					c := d.dial()
 					c.send(get(fmt.Sprint("r", i)))
@@ -316,7 +316,7 @@
 	if _, err := io.WriteString(other, get("r1")); err != nil {
 		b.Fatal(err)
 	}
-	c := &client{nc: nc.(*net.TCPConn)}
+	c := &clientConn{nc: nc.(*net.TCPConn)}
 	for b.Loop() {
 		if c.hungUp() {
 			b.Fatal("it has not left")
--- a/internal/router/descriptors_test.go
+++ b/internal/router/descriptors_test.go
@@ -34,7 +34,7 @@
 // and nobody waits for them to read what they were never told. Requests are answered, also by a cache that has
 // to be dialled again, none with work in hand gives way, and the watch opens at discovery's return.
 func TestIdleCrowdWhileDiscoveryIsDown(t *testing.T) {
-	for _, descriptors := range []int{leastSockets, 128, 256} {
+	for _, descriptors := range []int{minSockets, 128, 256} {
 		t.Run(fmt.Sprint(descriptors), func(t *testing.T) {
 			cache := newFakeCache(t)
 			discovery, up, watches := returningDiscovery(t)
@@ -45,8 +45,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			srv.arrivals = 0
-			srv.firstWait = 10 * time.Millisecond
+			srv.lateAcceptTime = 0
+			srv.firstCommandGrace = 10 * time.Millisecond
 			srv.lingerTime = 2 * patience
 			r := startServer(t, srv)
 			busy := dial(t, r.addr)
@@ -66,7 +66,7 @@
 					cmd.conn.Close() // as the cache restarts
 					await(t, "news of it", func() bool {
 						conns := make(chan int, 1)
-						srv.loop.post(func() { conns <- srv.loop.conns })
+						srv.loop.post(func() { conns <- srv.loop.upstreamConns })
 						return receive(t, conns, "number of connections") == 1 // the one that is held
 					})
 				}
@@ -83,7 +83,7 @@
 // at once; meanwhile others are answered, and afterwards nothing is held.
 func TestFloods(t *testing.T) {
 	const peers = 20
-	large := words("C.SET", "k1", "r1", "c=put,k=a,d=20000", strings.Repeat("v", mostValue))
+	large := words("C.SET", "k1", "r1", "c=put,k=a,d=20000", strings.Repeat("v", maxValueSize))
 	for name, flood := range map[string]struct {
 		part        string // is sent over and over, ...
 		bytes       int    // ... until so many have gone
@@ -95,7 +95,7 @@
 		"empty lines":                {"\r\n", 60 << 20, time.Second, false},
 		"half a command":             {large[:len(large)-2], len(large) - 2, time.Second, false},
 		"half a command, and goes":   {large[:len(large)-2], len(large) - 2, 2 * patience, true},
-		"many commands, and goes":    {get("r1"), 2 * pipelined * len(get("r1")), 2 * patience, true},
+		"many commands, and goes":    {get("r1"), 2 * maxPipelined * len(get("r1")), 2 * patience, true},
 		"large commands, and goes":   {large, 10 * len(large), 2 * patience, true},
 		"unread answers, and goes":   {words("PING"), 8 << 20, 2 * patience, true},
 		"rubbish lines, and goes":    {"rubbish\r\n", 8 << 20, 2 * patience, true},
@@ -110,8 +110,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			srv.commandWait = flood.commandWait
-			srv.arrivals = 0
+			srv.commandTimeout = flood.commandWait
+			srv.lateAcceptTime = 0
 			r := startServer(t, srv)
 			chunk := strings.Repeat(flood.part, max(1, min(flood.bytes, 64<<10)/len(flood.part)))
 			var sending sync.WaitGroup
@@ -146,8 +146,8 @@
 			}
 			sending.Wait()
 			other.nc.Close()
-			await(t, "the end of all connections", func() bool { return srv.sockets.clients.Load() <= 1 }) // the next one's
-			if held := srv.memory.held.Load(); held != 0 {
+			await(t, "the end of all connections", func() bool { return srv.descriptors.clientConns.Load() <= 1 }) // the next one's
+			if held := srv.memory.inUse.Load(); held != 0 {
 				t.Errorf("%d bytes are still counted", held)
 			}
 			(&rig{t, srv.loop, nil}).awaitOpen(0)
@@ -167,14 +167,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.loop.module = &script{} // answers nothing
+	srv.loop.engine = &script{} // answers nothing
 	r := startServer(t, srv)
 	due := func(want int64) func() bool {
 		return func() bool {
 			var due int64
 			srv.mu.Lock()
 			for c := range srv.clients {
-				due += c.due.Load()
+				due += c.pendingReplies.Load()
 			}
 			srv.mu.Unlock()
 			return due == want
@@ -187,11 +187,11 @@
 	}
 	await(t, "first commands", due(2))
 	for _, c := range clients { // fewer than the queue of answers holds
-		c.send(strings.Repeat(get("r"), pipelined/2-1))
+		c.send(strings.Repeat(get("r"), maxPipelined/2-1))
 	}
-	await(t, "commands", due(pipelined))
+	await(t, "commands", due(maxPipelined))
 	open := make(chan int, 1)
-	srv.loop.post(func() { open <- srv.loop.open })
+	srv.loop.post(func() { open <- srv.loop.openRequests })
 	if n := receive(t, open, "number of requests"); n > 256 {
 		t.Errorf("%d requests are held in 256 KB", n)
 	}
@@ -200,9 +200,9 @@
 // TestShortAnswersPassWhereMemoryIsFull: a refusal or a PONG takes less than what would stand for it.
 func TestShortAnswersPassWhereMemoryIsFull(t *testing.T) {
 	for _, answer := range []string{busyReply, "-BUSY 1500\r\n", "+PONG\r\n"} {
-		s := newSlot(newMemory(0))
-		s.answer([]byte(answer))
-		if got := string(<-s.wire); got != answer {
+		s := newReplySlot(newMemoryBudget(0))
+		s.fill([]byte(answer))
+		if got := string(<-s.reply); got != answer {
 			t.Errorf("%q became %q", answer, got)
 		}
 	}
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -13,43 +13,43 @@
 	"slices"
 	"time"
 
-	"starlingwinch/decide"
+	"marlstage/policy"
 )
 
 // hostList is an answer of discovery, checked.
 type hostList struct {
 	index   int64
 	full    bool
-	entries []decide.Entry
+	entries []policy.Endpoint
 	addrs   []string // of the entries, in their order
 }
 
 // kind is what the module is to make of an answer.
-func (h *hostList) kind() decide.ListKind {
+func (h *hostList) kind() policy.UpdateKind {
 	if h.full {
-		return decide.ListFull
+		return policy.UpdateSnapshot
 	}
-	return decide.ListChanges
+	return policy.UpdateDelta
 }
 
 // serves reports whether a cache is listed that takes work.
 func (h *hostList) serves() bool {
-	return slices.ContainsFunc(h.entries, func(e decide.Entry) bool { return e.Condition == decide.Up })
+	return slices.ContainsFunc(h.entries, func(e policy.Endpoint) bool { return e.State == policy.InService })
 }
 
 const (
-	noIndex      = -1              // version of a list that was never seen
-	askedWait    = 3 * time.Second // how long discovery may hold a watch open where calls are scarce
-	pushedWait   = 2 * time.Second // ... where they cost nothing: what a silent one misses counts as told (decide.ToldWithin)
-	watchSlack   = time.Second     // how much longer an answer may take
-	mostListSize = 8 << 20         // bytes of an answer at most,
-	listPart     = 16              // ... and of the memory, as one over this: reading it takes several times its size
-	mostHeader   = 64 << 10        // ... of its header
-	mostName     = 256             // bytes of a cache's name
+	noIndex             = -1              // version of a list that was never seen
+	polledWatchWait     = 3 * time.Second // how long discovery may hold a watch open where calls are scarce
+	pushedWatchWait     = 2 * time.Second // ... where they cost nothing: what a silent one misses counts as told (policy.ToldWithin)
+	replyAllowance      = time.Second     // how much longer an answer may take
+	maxUpdateSize       = 8 << 20         // bytes of an answer at most,
+	updateMemoryDivisor = 16              // ... and of the memory, as one over this: reading it takes several times its size
+	maxHeaderSize       = 64 << 10        // ... of its header
+	maxNameLength       = 256             // bytes of a cache's name
 )
 
-var conditions = map[string]decide.Condition{"in_service": decide.Up, "terminating": decide.Draining,
-	"terminated": decide.Removed}
+var conditions = map[string]policy.EndpointState{"in_service": policy.InService, "terminating": policy.Draining,
+	"terminated": policy.Removed}
 
 // parseHosts reads a list in discovery's form and checks it whole: half of a bad
 // list would be worse than the old one.
@@ -79,23 +79,23 @@
 		at := func(field string) error { return fmt.Errorf("endpoints[%d].%s: bad value", i, field) }
 		cond, ok := conditions[e.Status]
 		switch {
-		case e.Name == "" || len(e.Name) > mostName || seen[e.Name]:
+		case e.Name == "" || len(e.Name) > maxNameLength || seen[e.Name]:
 			return hostList{}, at("name")
 		case !ok:
 			return hostList{}, at("status")
 		case e.SinceMS < 0 || e.SinceMS > math.MaxInt64/1000:
 			return hostList{}, at("since_ms")
 		}
-		if _, err := netip.ParseAddrPort(e.Address); err != nil && cond != decide.Removed {
+		if _, err := netip.ParseAddrPort(e.Address); err != nil && cond != policy.Removed {
 			return hostList{}, at("address")
 		}
 		seen[e.Name] = true
-		entry := decide.Entry{ID: e.Name, Zone: e.Zone, Cell: e.Group, Size: 1, Start: e.SinceMS * 1000, Condition: cond}
+		entry := policy.Endpoint{ID: e.Name, Zone: e.Zone, Group: e.Group, Weight: 1, StartedAt: e.SinceMS * 1000, State: cond}
 		if e.Weight != nil {
 			if !(*e.Weight >= 0) || math.IsInf(*e.Weight, 0) {
 				return hostList{}, at("weight")
 			}
-			entry.Size = *e.Weight
+			entry.Weight = *e.Weight
 		}
 		h.entries, h.addrs = append(h.entries, entry), append(h.addrs, e.Address)
 	}
@@ -116,20 +116,20 @@
 // WatchWait is how long discovery may hold a watch open, by whether the list is told only to those that ask.
 func WatchWait(mustWatch bool) time.Duration {
 	if mustWatch {
-		return askedWait
+		return polledWatchWait
 	}
-	return pushedWait
+	return pushedWatchWait
 }
 
 func newDiscovery(cfg *Config) *discovery {
-	return &discovery{url: "http://" + cfg.Discovery + "/discovery/hosts", most: min(mostListSize, cfg.Limits.MemoryMB<<20/listPart), wait: WatchWait(cfg.Settings.MustWatch), client: &http.Client{
+	return &discovery{url: "http://" + cfg.Discovery + "/discovery/hosts", most: min(maxUpdateSize, cfg.Limits.MemoryMB<<20/updateMemoryDivisor), wait: WatchWait(cfg.Settings.WatchRequired), client: &http.Client{
 		Transport: &http.Transport{
 			MaxConnsPerHost:        1, // it counts against the router's descriptors
 			MaxIdleConnsPerHost:    1,
 			IdleConnTimeout:        90 * time.Second,
-			MaxResponseHeaderBytes: mostHeader,
+			MaxResponseHeaderBytes: maxHeaderSize,
 			// A machine that has vanished must not hold the call for as long as a watch may take.
-			DialContext: (&net.Dialer{Timeout: watchSlack}).DialContext,
+			DialContext: (&net.Dialer{Timeout: replyAllowance}).DialContext,
 		},
 		// A redirect would lead away from the address that was configured.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -150,9 +150,9 @@
 }
 
 func (d *discovery) call(ctx context.Context, after int64) (hostList, error) {
-	url, most := d.url, pushedWait+watchSlack // a call that may not wait
+	url, most := d.url, pushedWatchWait+replyAllowance // a call that may not wait
 	if after != noIndex {
-		url, most = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, after, d.wait.Milliseconds()), d.wait+watchSlack
+		url, most = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, after, d.wait.Milliseconds()), d.wait+replyAllowance
 	}
 	// The danger: a watch that falls silent, before its answer or within, is heard of no more.
 	ctx, end := context.WithTimeout(ctx, most)
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"starlingwinch/decide"
+	"marlstage/policy"
 )
 
 // answers is a discovery that hands each call to the test.
@@ -182,9 +182,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := []decide.Entry{{ID: "s1", Zone: "z", Cell: 3, Size: 2.5, Start: 17000, Condition: decide.Draining},
-		{ID: "s2", Zone: "z", Cell: 3, Size: 1, Condition: decide.Removed}}
-	if h.index != 43 || h.kind() != decide.ListChanges || len(h.entries) != 2 || h.entries[0] != want[0] || h.entries[1] != want[1] {
+	want := []policy.Endpoint{{ID: "s1", Zone: "z", Group: 3, Weight: 2.5, StartedAt: 17000, State: policy.Draining},
+		{ID: "s2", Zone: "z", Group: 3, Weight: 1, State: policy.Removed}}
+	if h.index != 43 || h.kind() != policy.UpdateDelta || len(h.entries) != 2 || h.entries[0] != want[0] || h.entries[1] != want[1] {
 		t.Errorf("got %+v", h)
 	}
 }
@@ -195,7 +195,7 @@
 	for _, n := range []int{1024, 20 * 1024} {
 		var lines []string
 		for i := range n {
-			lines = append(lines, host(fmt.Sprintf("%0*d", mostName, i), "127.123.123.123:65535", "in_service"))
+			lines = append(lines, host(fmt.Sprintf("%0*d", maxNameLength, i), "127.123.123.123:65535", "in_service"))
 		}
 		addr, calls := newFakeDiscovery(t)
 		told, failed := make(chan hostList, 1), make(chan error, 1)
@@ -222,13 +222,13 @@
 func TestWaitsBetweenWatchesGrow(t *testing.T) {
 	r := newRig(t, newFakeCache(t).addr(), nil)
 	r.do(func() {
-		waits := map[decide.Time]bool{}
+		waits := map[policy.Time]bool{}
 		for round := range 20 {
-			r.l.failed = 0
+			r.l.failedWatches = 0
 			for i := range 8 {
 				// ... which ends within the drain grace: what discovery tells at its return counts at once
-				most := min(decide.Time(watchPause)<<min(i, watchDoubled), r.l.cfg.Settings.DrainGrace/2)
-				wait := r.l.pause()
+				most := min(policy.Time(watchBackoffBase)<<min(i, maxWatchDoublings), r.l.cfg.Settings.DrainGrace/2)
+				wait := r.l.watchBackoff()
 				if waits[wait] = true; wait < most/2 || wait > most {
 					t.Errorf("wait %d of round %d is %d us, want %d to %d", i, round, wait, most/2, most)
 				}
@@ -238,11 +238,11 @@
 			t.Errorf("only %d of %d waits differ", len(waits), 20*8)
 		}
 		h := hostList{index: 5}
-		if r.l.learn(h, h.kind()); r.l.pause() > watchPause {
+		if r.l.applyEndpoints(h, h.kind()); r.l.watchBackoff() > watchBackoffBase {
 			t.Error("after an answer the wait is still a long one")
 		}
-		r.l.failed, r.l.cfg.Settings.DrainGrace = watchDoubled, 10*watchPause<<watchDoubled
-		if wait := r.l.pause(); wait < watchPause<<watchDoubled/2 {
+		r.l.failedWatches, r.l.cfg.Settings.DrainGrace = maxWatchDoublings, 10*watchBackoffBase<<maxWatchDoublings
+		if wait := r.l.watchBackoff(); wait < watchBackoffBase<<maxWatchDoublings/2 {
 			t.Errorf("with a long drain grace the longest wait is %d", wait)
 		}
 	})
@@ -315,7 +315,7 @@
 			io.Copy(io.Discard, nc)
 		}()
 		d := newDiscovery(testConfig(t, ln.Addr().String(), nil))
-		d.wait = -watchSlack + 50*time.Millisecond
+		d.wait = -replyAllowance + 50*time.Millisecond
 		failed := make(chan error, 1)
 		go func() {
 			_, err := d.call(context.Background(), 5)
@@ -333,12 +333,12 @@
 	for _, mode := range []string{"automatic", "subscribe"} {
 		cfg := testConfig(t, "127.0.0.1:1", func(in map[string]any) { in["settings"].(map[string]any)["discovery"] = mode })
 		d := newDiscovery(cfg)
-		pause := time.Duration(watchPause) * time.Microsecond
-		told := time.Duration(decide.ToldWithin) * time.Microsecond
+		pause := time.Duration(watchBackoffBase) * time.Microsecond
+		told := time.Duration(policy.NotificationDeadline) * time.Microsecond
 		if mode == "subscribe" {
 			pause = time.Duration(cfg.Settings.DrainGrace) * time.Microsecond // the module's at most
 		}
-		if again := d.wait + watchSlack + pause; again >= told {
+		if again := d.wait + replyAllowance + pause; again >= told {
 			t.Errorf("%s: the next watch is open %v after one that falls silent at once, and is told by %v", mode, again, told)
 		}
 	}
@@ -347,23 +347,23 @@
 // outage is what discovery does with calls while it is down.
 type outage struct {
 	name string
-	took decide.Time // until a call has failed
+	took policy.Time // until a call has failed
 }
 
 // TestFirstCallAfterAnOutageIsInTime: whatever became of the calls before, the first one that meets discovery
 // back, at whatever moment, is begun early enough to be answered within the time after which changes count as
 // told; and the calls of many routers are spread.
 func TestFirstCallAfterAnOutageIsInTime(t *testing.T) {
-	silence := (askedWait + watchSlack).Microseconds()
+	silence := (polledWatchWait + replyAllowance).Microseconds()
 	const room, routers = 500_000, 200 // microseconds that the call may take; seeds
-	for _, down := range []outage{{"refusal", 100}, {"silence", silence}, {"lost packets", watchSlack.Microseconds()}, {"503", 5000}} {
-		for _, back := range []decide.Time{1_000_000, 25_000_000, 40_000_000} {
-			first := map[decide.Time]int{}
+	for _, down := range []outage{{"refusal", 100}, {"silence", silence}, {"lost packets", replyAllowance.Microseconds()}, {"503", 5000}} {
+		for _, back := range []policy.Time{1_000_000, 25_000_000, 40_000_000} {
+			first := map[policy.Time]int{}
 			for seed := range uint64(routers) {
 				set := testConfig(t, "127.0.0.1:1", nil).Settings
-				set.AskEvery, set.DrainGrace = 10_000_000, 1_500_000
-				at := firstCall(t, set, seed, down.took, back+decide.Time(seed)*7919%5_000_000)
-				if at > decide.ToldWithin-room {
+				set.PollInterval, set.DrainGrace = 10_000_000, 1_500_000
+				at := firstCall(t, set, seed, down.took, back+policy.Time(seed)*7919%5_000_000)
+				if at > policy.NotificationDeadline-room {
 					t.Errorf("%s until %d us: seed %d called %d us after discovery's return", down.name, back, seed, at)
 				}
 				first[at/100_000]++
@@ -379,39 +379,39 @@
 
 // firstCall plays a module whose calls for the list fail until discovery is back, a call under way at that moment
 // too. It returns how long after that the first call is begun that finds it back.
-func firstCall(t *testing.T, set decide.Settings, seed uint64, took, back decide.Time) decide.Time {
+func firstCall(t *testing.T, set policy.Settings, seed uint64, took, back policy.Time) policy.Time {
 	t.Helper()
-	m, err := decide.New(set, seed)
+	m, err := policy.New(set, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
-	const started = decide.Time(1e9)
+	const started = policy.Time(1e9)
 	timers := &timerHeap{}
-	now, called, seq := started, decide.Time(-1), int64(0)
-	at := func(t decide.Time, f func()) {
+	now, called, seq := started, policy.Time(-1), int64(0)
+	at := func(t policy.Time, f func()) {
 		seq++
 		heap.Push(timers, timer{t, seq, f})
 	}
-	var feed func(ev decide.Event)
-	feed = func(ev decide.Event) {
+	var feed func(ev policy.Event)
+	feed = func(ev policy.Event) {
 		for _, a := range m.Handle(now, ev) {
 			switch a := a.(type) {
-			case decide.SetTimer:
-				at(a.At, func() { feed(&decide.Timer{Token: a.Token}) })
-			case decide.Watch:
+			case policy.SetTimer:
+				at(a.At, func() { feed(&policy.TimerFired{Token: a.Token}) })
+			case policy.Watch:
 				if now >= started+back {
 					called = now
 					return
 				}
-				at(now+took, func() { feed(&decide.List{Kind: decide.ListFailed}) })
+				at(now+took, func() { feed(&policy.EndpointsUpdate{Kind: policy.UpdateFailed}) })
 			}
 		}
 	}
-	feed(&decide.List{Kind: decide.ListStale, Entries: []decide.Entry{{ID: "c1", Size: 1}}})
+	feed(&policy.EndpointsUpdate{Kind: policy.UpdateStale, Endpoints: []policy.Endpoint{{ID: "c1", Weight: 1}}})
 	for called < 0 {
 		next := heap.Pop(timers).(timer)
 		now = next.at
-		next.f()
+		next.run()
 	}
 	return called - started - back
 }
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"starlingwinch/decide"
+	"marlstage/policy"
 )
 
 // patience is how long a test waits for an event that has to come. It is generous:
@@ -170,7 +170,7 @@
 func startServer(t *testing.T, srv *Server) *running {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{addr: srv.ln.Addr().String(), srv: srv, stop: stop, ended: make(chan error, 1)}
+	r := &running{addr: srv.listener.Addr().String(), srv: srv, stop: stop, ended: make(chan error, 1)}
 	finished := make(chan struct{})
 	go func() {
 		r.ended <- srv.Run(ctx)
@@ -256,10 +256,10 @@
 
 // script stands in for the module: it records what it is told, and tests give
 // the actions themselves.
-type script struct{ outcomes chan *decide.Outcome }
+type script struct{ outcomes chan *policy.AttemptDone }
 
-func (s *script) Handle(_ decide.Time, ev decide.Event) []decide.Action {
-	if o, ok := ev.(*decide.Outcome); ok {
+func (s *script) Handle(_ policy.Time, ev policy.Event) []policy.Action {
+	if o, ok := ev.(*policy.AttemptDone); ok {
 		copied := *o
 		s.outcomes <- &copied
 	}
@@ -269,8 +269,8 @@
 // rig is a loop without a module, with one cache "c1".
 type rig struct {
 	t        *testing.T
-	l        *loop
-	outcomes chan *decide.Outcome
+	l        *eventLoop
+	outcomes chan *policy.AttemptDone
 }
 
 func newRig(t *testing.T, addr string, edit func(*Config)) *rig {
@@ -279,12 +279,12 @@
 	if edit != nil {
 		edit(cfg)
 	}
-	l, err := newLoop(cfg, newSockets(cfg.Limits.Sockets))
+	l, err := newLoop(cfg, newDescriptorBudget(cfg.Limits.Sockets))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &script{outcomes: make(chan *decide.Outcome, 1000)}
-	l.module = s
+	s := &script{outcomes: make(chan *policy.AttemptDone, 1000)}
+	l.engine = s
 	ctx, stop := context.WithCancel(context.Background())
 	go l.run(ctx)
 	t.Cleanup(func() {
@@ -324,8 +324,8 @@
 	r.t.Helper()
 	var q *request
 	r.do(func() {
-		c := &client{open: map[int64]*request{}}
-		r.l.accept(c, newSlot(newMemory(192)), cmd, r.l.now)
+		c := &clientConn{requests: map[int64]*request{}}
+		r.l.acceptRequest(c, newReplySlot(newMemoryBudget(192)), cmd, r.l.now)
 		q = r.l.requests[r.l.lastID]
 	})
 	return q
@@ -335,11 +335,11 @@
 func (r *rig) send(q *request, wait time.Duration) {
 	r.t.Helper()
 	r.do(func() {
-		r.l.perform(decide.Send{ID: q.id, Cache: "c1", StopAt: r.l.now + wait.Microseconds()})
+		r.l.perform(policy.Send{ID: q.id, Cache: "c1", Deadline: r.l.now + wait.Microseconds()})
 	})
 }
 
-func (r *rig) want(result decide.Result) *decide.Outcome {
+func (r *rig) want(result policy.Result) *policy.AttemptDone {
 	r.t.Helper()
 	o := receive(r.t, r.outcomes, "outcome")
 	if o.Result != result {
--- a/internal/router/outcome_test.go
+++ b/internal/router/outcome_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"starlingwinch/decide"
+	"marlstage/policy"
 )
 
 const long = 20 * time.Second
@@ -20,22 +20,22 @@
 func TestAnswersAndTheirOutcomes(t *testing.T) {
 	for _, c := range []struct {
 		wire   string
-		result decide.Result
+		result policy.Result
 		miss   bool
 	}{
-		{served, decide.Served, false},
-		{"*3\r\n$5\r\nvalue\r\n$4\r\nmiss\r\n$-1\r\n", decide.Served, true},
-		{"*3\r\n$5\r\nvalue\r\n$7\r\npending\r\n$22\r\ninflight=7,util=0.61,x\r\n", decide.Served, true},
-		{"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n", decide.Served, false},
-		{"-ERR failed\r\n", decide.Errored, false},
-		{"-BUSY\r\n", decide.Rejected, false},
-		{"-SYNTAX\r\n", decide.Errored, false},
-		{"*3\r\n$-1\r\n$-1\r\n$-1\r\n", decide.Errored, false}, // a value that is null serves nobody
-		{"*1\r\n$5\r\nvalue\r\n", decide.Errored, false},
-		{"*2\r\n$5\r\nvalue\r\n$3\r\nhit\r\n", decide.Errored, false},
-		{"*4\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n$-1\r\n", decide.Errored, false},
-		{"*3\r\n$5\r\nvalue\r\n:1\r\n$-1\r\n", decide.Errored, false},
-		{"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n*0\r\n", decide.Errored, false},
+		{served, policy.Served, false},
+		{"*3\r\n$5\r\nvalue\r\n$4\r\nmiss\r\n$-1\r\n", policy.Served, true},
+		{"*3\r\n$5\r\nvalue\r\n$7\r\npending\r\n$22\r\ninflight=7,util=0.61,x\r\n", policy.Served, true},
+		{"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n", policy.Served, false},
+		{"-ERR failed\r\n", policy.ServerError, false},
+		{"-BUSY\r\n", policy.Rejected, false},
+		{"-SYNTAX\r\n", policy.ServerError, false},
+		{"*3\r\n$-1\r\n$-1\r\n$-1\r\n", policy.ServerError, false}, // a value that is null serves nobody
+		{"*1\r\n$5\r\nvalue\r\n", policy.ServerError, false},
+		{"*2\r\n$5\r\nvalue\r\n$3\r\nhit\r\n", policy.ServerError, false},
+		{"*4\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n$-1\r\n", policy.ServerError, false},
+		{"*3\r\n$5\r\nvalue\r\n:1\r\n$-1\r\n", policy.ServerError, false},
+		{"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n*0\r\n", policy.ServerError, false},
 	} {
 		cache := newFakeCache(t)
 		r := newRig(t, cache.addr(), nil)
@@ -44,11 +44,11 @@
 		cmd := receive(t, cache.commands, "command")
 		cmd.reply(t, c.wire)
 		o := r.want(c.result)
-		if o.Miss != c.miss || o.Last != (c.result == decide.Served) {
-			t.Errorf("%q: miss %v, last %v", c.wire, o.Miss, o.Last)
+		if o.Miss != c.miss || o.Final != (c.result == policy.Served) {
+			t.Errorf("%q: miss %v, last %v", c.wire, o.Miss, o.Final)
 		}
-		if c.result == decide.Served {
-			if got := string(receive(t, q.slot.wire, "answer")); got != "$5\r\nvalue\r\n" {
+		if c.result == policy.Served {
+			if got := string(receive(t, q.slot.reply, "answer")); got != "$5\r\nvalue\r\n" {
 				t.Errorf("%q: the client got %q", c.wire, got)
 			}
 		}
@@ -57,10 +57,10 @@
 
 func TestLoadReport(t *testing.T) {
 	l := parseLoad("inflight=7,util=0.61,eps=2,queue=NaN")
-	if l.Busy != 0.61 || l.Errors != 2 {
+	if l.Utilization != 0.61 || l.ErrorRate != 2 {
 		t.Errorf("load %+v", l)
 	}
-	if l := parseLoad("util=-1"); l.Busy != -1 {
+	if l := parseLoad("util=-1"); l.Utilization != -1 {
 		t.Errorf("a bad figure gave %+v", l)
 	}
 }
@@ -74,7 +74,7 @@
 	ln.Close()
 	r := newRig(t, addr, nil)
 	r.send(r.request(nil), long)
-	r.want(decide.NoConnection)
+	r.want(policy.ConnectFailed)
 }
 
 // unreachable is an address at which connections never come up: its queue is full.
@@ -121,7 +121,7 @@
 func TestConnectionThatNeverComesUpNeverRan(t *testing.T) {
 	r := newRig(t, unreachable(t), func(c *Config) { c.Transport.DialTimeout = 50_000 })
 	r.send(r.request(nil), long)
-	r.want(decide.NoConnection)
+	r.want(policy.ConnectFailed)
 }
 
 // TestDrainAgainstPendingDial: what waits for a connection is not sent once the drain is known.
@@ -134,9 +134,9 @@
 		if err != nil {
 			t.Error(err)
 		}
-		r.l.learn(h, h.kind())
+		r.l.applyEndpoints(h, h.kind())
 	})
-	r.want(decide.NotSent)
+	r.want(policy.NotSent)
 }
 
 // busyPool makes a rig whose connections to the cache are all in use.
@@ -144,7 +144,7 @@
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), func(c *Config) { c.Settings.Routers = 1000 })
 	var busy []fakeCommand
-	for range leastConns {
+	for range minConns {
 		r.send(r.request(nil), long)
 		busy = append(busy, receive(t, cache.commands, "command"))
 	}
@@ -157,7 +157,7 @@
 	t.Helper()
 	for _, cmd := range busy {
 		cmd.reply(t, served)
-		r.want(decide.Served)
+		r.want(policy.Served)
 	}
 	args := [][]byte{[]byte("C.GET"), []byte("k1"), []byte("last"), []byte("c=read,d=20000")}
 	cmd, err := parseCommand(args, 100)
@@ -173,17 +173,17 @@
 // TestWaitingAttemptIsNotSentWhenItsRequestIsOver holds the last look before the first byte.
 func TestWaitingAttemptIsNotSentWhenItsRequestIsOver(t *testing.T) {
 	for name, end := range map[string]func(*rig, *request){
-		"refused":   func(r *rig, q *request) { r.l.perform(decide.Refuse{ID: q.id}) },
-		"failed":    func(r *rig, q *request) { r.l.perform(decide.Fail{ID: q.id}) },
-		"cancelled": func(r *rig, q *request) { r.l.perform(decide.Cancel{ID: q.id, Attempt: 0}) },
-		"departed":  func(r *rig, q *request) { r.l.depart(q.client) },
+		"refused":   func(r *rig, q *request) { r.l.perform(policy.Reject{ID: q.id}) },
+		"failed":    func(r *rig, q *request) { r.l.perform(policy.Fail{ID: q.id}) },
+		"cancelled": func(r *rig, q *request) { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) },
+		"departed":  func(r *rig, q *request) { r.l.clientGone(q.client) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			r, cache, busy := busyPool(t)
 			q := r.request(nil)
 			r.send(q, long)
 			r.do(func() { end(r, q) })
-			r.want(decide.NotSent)
+			r.want(policy.NotSent)
 			freed(t, r, cache, busy)
 		})
 	}
@@ -192,20 +192,20 @@
 func TestWaitingAttemptIsNotSentAfterItsTime(t *testing.T) {
 	r, cache, busy := busyPool(t)
 	r.send(r.request(nil), time.Millisecond)
-	r.want(decide.NotSent)
+	r.want(policy.NotSent)
 	freed(t, r, cache, busy)
 }
 
 func TestFullPoolCountsAsNoConnection(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), func(c *Config) { c.Settings.Routers = 1000 })
-	for range leastConns {
+	for range minConns {
 		r.send(r.request(nil), long)
 		receive(t, cache.commands, "command")
 	}
 	r.do(func() { r.l.cfg.Transport.DialTimeout = 1000 })
 	r.send(r.request(nil), long)
-	r.want(decide.NoConnection)
+	r.want(policy.ConnectFailed)
 }
 
 // TestBurstDoesNotDialForEach: connections stay under the bound, and all is served in turn.
@@ -221,9 +221,9 @@
 		cmd := receive(t, cache.commands, "command")
 		conns[cmd.conn] = true
 		cmd.reply(t, served)
-		r.want(decide.Served)
+		r.want(policy.Served)
 	}
-	if most := fleetConns / 12; len(conns) > most {
+	if most := maxFleetConns / 12; len(conns) > most {
 		t.Errorf("%d connections for %d requests, want %d at most", len(conns), burst, most)
 	}
 }
@@ -233,7 +233,7 @@
 	r := newRig(t, cache.addr(), nil)
 	r.send(r.request(nil), long)
 	receive(t, cache.commands, "command").conn.Close()
-	r.want(decide.ConnLost)
+	r.want(policy.ConnectionLost)
 }
 
 func TestBreakOnAReusedConnectionMayHaveRun(t *testing.T) {
@@ -242,14 +242,14 @@
 	r.send(r.request(nil), long)
 	first := receive(t, cache.commands, "command")
 	first.reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	r.send(r.request(nil), long)
 	second := receive(t, cache.commands, "command")
 	if second.conn != first.conn {
 		t.Error("the idle connection was not used again")
 	}
 	second.conn.Close()
-	r.want(decide.ConnLost)
+	r.want(policy.ConnectionLost)
 }
 
 // deafCache takes connections and reads nothing.
@@ -276,7 +276,7 @@
 // huge makes a request that no socket takes at once.
 func huge(r *rig) *request {
 	q := r.request([]byte("v"))
-	r.do(func() { q.cmd.args[metaArg+1] = bytes.Repeat([]byte("v"), 64<<20) })
+	r.do(func() { q.command.args[optionsArgument+1] = bytes.Repeat([]byte("v"), 64<<20) })
 	return q
 }
 
@@ -289,7 +289,7 @@
 		t.Fatal(err)
 	}
 	nc.Close() // with bytes unread: a reset
-	r.want(decide.NoConnection)
+	r.want(policy.ConnectFailed)
 }
 
 func TestGivingUpBeforeTheLastByteNeverRan(t *testing.T) {
@@ -300,8 +300,8 @@
 	if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil { // it has begun
 		t.Fatal(err)
 	}
-	r.do(func() { r.l.perform(decide.Cancel{ID: q.id, Attempt: 0}) })
-	r.want(decide.NotSent)
+	r.do(func() { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) })
+	r.want(policy.NotSent)
 }
 
 func TestNoAnswerInTimeMayHaveRun(t *testing.T) {
@@ -309,7 +309,7 @@
 	r := newRig(t, cache.addr(), nil)
 	r.send(r.request(nil), 3*time.Second)
 	receive(t, cache.commands, "command")
-	r.want(decide.NoAnswer)
+	r.want(policy.TimedOut)
 	receive(t, cache.ended, "end of the connection")
 }
 
@@ -319,8 +319,8 @@
 	q := r.request(nil)
 	r.send(q, long)
 	receive(t, cache.commands, "command")
-	r.do(func() { r.l.perform(decide.Cancel{ID: q.id, Attempt: 0}) })
-	r.want(decide.Cancelled)
+	r.do(func() { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) })
+	r.want(policy.Cancelled)
 	receive(t, cache.ended, "end of the connection")
 }
 
@@ -328,15 +328,15 @@
 func TestMalformedAnswers(t *testing.T) {
 	for _, wire := range []string{"garbage\r\n", "$-5\r\n", "$9223372036854775807\r\n", "*9223372036854775807\r\n",
 		"*3\r\n$5\r\nvalueXX$3\r\nhit\r\n", "*1\r\n$x\r\n", "*-7\r\n", "$3\r\nabcdef\r\n",
-		"+" + strings.Repeat("x", 4*mostLine), "*2\r\n$1\r\na\r\n!\r\n", served + "trailing"} {
+		"+" + strings.Repeat("x", 4*maxLineLength), "*2\r\n$1\r\na\r\n!\r\n", served + "trailing"} {
 		cache := newFakeCache(t)
 		r := newRig(t, cache.addr(), nil)
 		r.send(r.request(nil), long)
 		receive(t, cache.commands, "command").reply(t, wire)
 		if strings.HasPrefix(wire, served) {
-			r.want(decide.Served)
+			r.want(policy.Served)
 			receive(t, cache.ended, "end of the connection that is out of step")
-		} else if o := receive(t, r.outcomes, "outcome"); o.Result.NeverRan() || o.Result == decide.Served || o.Result == decide.NoAnswer {
+		} else if o := receive(t, r.outcomes, "outcome"); o.Result.NeverRan() || o.Result == policy.Served || o.Result == policy.TimedOut {
 			t.Errorf("%.40q: outcome %d", wire, o.Result)
 		}
 	}
@@ -345,15 +345,15 @@
 func TestAnswerInPieces(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
-	value := strings.Repeat("v", mostValue)
+	value := strings.Repeat("v", maxValueSize)
 	q := r.request(nil)
 	r.send(q, long)
 	cmd := receive(t, cache.commands, "command")
 	for _, part := range []string{"*", "3\r", "\n$6553", "6\r\n" + value[:1000], value[1000:], "\r", "\n$3\r\nhit", "\r\n$-1\r\n"} {
 		cmd.reply(t, part)
 	}
-	r.want(decide.Served)
-	if got := receive(t, q.slot.wire, "answer"); string(got) != "$65536\r\n"+value+"\r\n" {
+	r.want(policy.Served)
+	if got := receive(t, q.slot.reply, "answer"); string(got) != "$65536\r\n"+value+"\r\n" {
 		t.Errorf("the client got %d bytes", len(got))
 	}
 }
@@ -363,8 +363,8 @@
 	r := newRig(t, cache.addr(), nil)
 	r.send(r.request(nil), long)
 	receive(t, cache.commands, "command").reply(t, served)
-	r.want(decide.Served)
-	r.do(func() { r.l.perform(decide.CloseIdle{Cache: "c1"}) })
+	r.want(policy.Served)
+	r.do(func() { r.l.perform(policy.CloseIdleConnections{Cache: "c1"}) })
 	receive(t, cache.ended, "end of the idle connection")
 }
 
@@ -373,7 +373,7 @@
 	r := newRig(t, cache.addr(), func(c *Config) { c.Transport.Keepalive = 1000 })
 	r.send(r.request(nil), long)
 	receive(t, cache.commands, "command").reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	receive(t, cache.ended, "end of the idle connection")
 }
 
@@ -408,9 +408,9 @@
 	if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil {
 		t.Fatal(err)
 	}
-	r.do(func() { r.l.perform(decide.Refuse{ID: q.id}) })
-	r.want(decide.NotSent)
-	if got := string(receive(t, q.slot.wire, "answer")); got != busyReply {
+	r.do(func() { r.l.perform(policy.Reject{ID: q.id}) })
+	r.want(policy.NotSent)
+	if got := string(receive(t, q.slot.reply, "answer")); got != busyReply {
 		t.Errorf("the client got %q", got)
 	}
 }
@@ -426,13 +426,13 @@
 		if err != nil {
 			t.Error(err)
 		}
-		r.l.learn(h, h.kind())
+		r.l.applyEndpoints(h, h.kind())
 	})
 	cmd.reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 	r.send(r.request(nil), long)
 	receive(t, moved.commands, "command").reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 }
 
 // TestClaimedPatienceIsBounded by what the settings say of any client.
@@ -455,21 +455,21 @@
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
 	r.do(func() {
-		r.l.sockets.mostUpstreams = 1
+		r.l.descriptors.maxUpstreamConns = 1
 		h, err := parseHosts([]byte(hosts(2, false, host("c2", cache.addr(), "in_service"))))
 		if err != nil {
 			t.Error(err)
 		}
-		r.l.learn(h, h.kind())
+		r.l.applyEndpoints(h, h.kind())
 	})
 	r.send(r.request(nil), long)
 	receive(t, cache.commands, "command")
 	q := r.request(nil)
 	r.do(func() {
 		r.l.cfg.Transport.DialTimeout = 1000
-		r.l.perform(decide.Send{ID: q.id, Cache: "c2", StopAt: q.deadline})
+		r.l.perform(policy.Send{ID: q.id, Cache: "c2", Deadline: q.deadline})
 	})
-	r.want(decide.NotSent)
+	r.want(policy.NotSent)
 }
 
 // TestGoneCachesAreForgotten, lest memory grow with every machine that ever was.
@@ -483,14 +483,14 @@
 			if err != nil {
 				t.Error(err)
 			}
-			r.l.learn(h, h.kind())
-			r.l.sweep()
+			r.l.applyEndpoints(h, h.kind())
+			r.l.sweepIdle()
 		}
-		if n := len(r.l.upstreams); n != 2 {
+		if n := len(r.l.pools); n != 2 {
 			t.Errorf("%d caches are known, of which 2 are listed", n)
 		}
 	})
 	r.send(r.request(nil), long)
 	receive(t, cache.commands, "command").reply(t, served)
-	r.want(decide.Served)
+	r.want(policy.Served)
 }
--- a/internal/router/ready_test.go
+++ b/internal/router/ready_test.go
@@ -28,13 +28,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
-				in["limits"].(map[string]any)["sockets"] = leastSockets
+				in["limits"].(map[string]any)["sockets"] = minSockets
 			}, host("c1", "127.0.0.1:1", "in_service")))
 			if err != nil {
 				t.Fatal(err)
 			}
-			addr := srv.ln.Addr().String()
-			for range 10 * srv.sockets.mostClients {
+			addr := srv.listener.Addr().String()
+			for range 10 * srv.descriptors.maxClientConns {
 				dial(t, addr).send(wire)
 			}
 			c := dial(t, addr)
--- a/internal/router/size_test.go
+++ b/internal/router/size_test.go
@@ -57,17 +57,17 @@
 		c.send(words("C.GET", fmt.Sprintf("k%d", i), fmt.Sprintf("r%d", i), "c=read,d=20000"))
 		c.want("value")
 		done := make(chan int)
-		r.srv.loop.post(func() { done <- r.srv.loop.conns })
+		r.srv.loop.post(func() { done <- r.srv.loop.upstreamConns })
 		most = max(most, receive(t, done, "number of connections"))
 	}
-	if free := newSockets(256).mostUpstreams; most > free || most < free/2 {
+	if free := newDescriptorBudget(256).maxUpstreamConns; most > free || most < free/2 {
 		t.Errorf("%d connections to caches at once, of %d", most, free)
 	}
 	if held := heldBytes() - before; held > 16<<20 {
 		t.Errorf("%d MB are held, the test's own included", held>>20)
 	}
 	done := make(chan int)
-	r.srv.loop.post(func() { done <- len(r.srv.loop.upstreams) })
+	r.srv.loop.post(func() { done <- len(r.srv.loop.pools) })
 	if n := receive(t, done, "number of caches"); n != atSize {
 		t.Errorf("%d caches are known", n)
 	}
--- a/internal/fleetscale/hollow.go
+++ b/internal/scaletest/hollow.go
@@ -1,4 +1,4 @@
-package fleetscale
+package scaletest
 
 import (
 	"bytes"
@@ -15,9 +15,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"starlingwinch/decide"
-	"starlingwinch/internal/router"
-	"starlingwinch/internal/wire"
+	"marlstage/internal/router"
+	"marlstage/internal/simprotocol"
+	"marlstage/policy"
 )
 
 // FleetSpec says what the hollow routers of one process are. A hollow router is the decision
@@ -66,8 +66,8 @@
 	Done chan struct{} // closed when all routers at work are done
 
 	set       FleetSpec
-	settings  decide.Settings
-	transport wire.Transport
+	settings  policy.Settings
+	transport simprotocol.Transport
 	known     *list
 	routers   []*hollow
 	ctx       context.Context
@@ -92,7 +92,7 @@
 func StartFleet(s FleetSpec) (*Fleet, error) {
 	f := &Fleet{Done: make(chan struct{}), set: s, late: hdrhistogram.New(1, 60e6, 3)}
 	var err error
-	if f.settings, f.transport, err = wire.ParseSettings(s.Settings); err != nil {
+	if f.settings, f.transport, err = simprotocol.ParseSettings(s.Settings); err != nil {
 		return nil, err
 	}
 	if f.known, err = f.parse(s.Known); err != nil {
@@ -161,11 +161,11 @@
 		Weight                      float64
 		SinceMS                     int64 `json:"since_ms"`
 	}
-	Entries []decide.Entry `json:"-"`
+	Entries []policy.Endpoint `json:"-"`
 }
 
-var conditions = map[string]decide.Condition{"in_service": decide.Up, "terminating": decide.Draining,
-	"terminated": decide.Removed}
+var conditions = map[string]policy.EndpointState{"in_service": policy.InService, "terminating": policy.Draining,
+	"terminated": policy.Removed}
 
 // parse reads a list, once for all the hollow routers that get it.
 func (f *Fleet) parse(raw []byte) (*list, error) {
@@ -179,8 +179,8 @@
 		return nil, fmt.Errorf("list: %w", err)
 	}
 	for _, e := range l.Endpoints {
-		l.Entries = append(l.Entries, decide.Entry{ID: e.Name, Zone: e.Zone, Cell: e.Group, Size: e.Weight,
-			Start: e.SinceMS * 1000, Condition: conditions[e.Status]})
+		l.Entries = append(l.Entries, policy.Endpoint{ID: e.Name, Zone: e.Zone, Group: e.Group, Weight: e.Weight,
+			StartedAt: e.SinceMS * 1000, State: conditions[e.Status]})
 	}
 	f.raw, f.parsed = raw, l
 	return l, nil
@@ -194,10 +194,10 @@
 	client   *http.Client
 
 	mu       sync.Mutex
-	module   *decide.Router
+	module   *policy.Engine
 	demand   *demand
-	now      decide.Time
-	backlog  []decide.Event // what the module is still to be told
+	now      policy.Time
+	backlog  []policy.Event // what the module is still to be told
 	requests map[int64]*request
 	links    []*link // in the order of the list at the start
 	byName   map[string]*link
@@ -228,9 +228,9 @@
 	h := &hollow{f: f, isAtWork: n < len(f.set.Working), demand: newDemand(f.set.Seed<<32 + uint64(n)), requests: map[int64]*request{},
 		byName: map[string]*link{}, index: f.known.Index, most: (f.set.Sockets - 48) * 2 / 5} // as a router shares them out
 	settings := f.settings
-	settings.Probes = settings.Probes && h.isAtWork
+	settings.HealthChecksAllowed = settings.HealthChecksAllowed && h.isAtWork
 	var err error
-	if h.module, err = decide.New(settings, h.demand.rng.Uint64()); err != nil {
+	if h.module, err = policy.New(settings, h.demand.rng.Uint64()); err != nil {
 		return nil, err
 	}
 	h.client = &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1,
@@ -243,7 +243,7 @@
 	}
 	h.behind = make([]time.Duration, 1+f.set.Working[n])
 	for i := range f.set.Working[n] {
-		h.behind[1+i] = time.Duration(h.demand.rng.Int64N(f.settings.ProbeInterval())) * time.Microsecond
+		h.behind[1+i] = time.Duration(h.demand.rng.Int64N(f.settings.HealthCheckInterval())) * time.Microsecond
 	}
 	for i, e := range f.known.Endpoints {
 		// The most connections are a router's part of what a cache server holds.
@@ -283,15 +283,15 @@
 }
 
 // at runs something in the router at a later time.
-func (h *hollow) at(t decide.Time, run func()) {
+func (h *hollow) at(t policy.Time, run func()) {
 	time.AfterFunc(time.Duration(t-h.now)*time.Microsecond, func() { h.do(run) })
 }
 
-func (h *hollow) tell(ev decide.Event) { h.backlog = append(h.backlog, ev) }
+func (h *hollow) tell(ev policy.Event) { h.backlog = append(h.backlog, ev) }
 
 func (h *hollow) start() {
-	h.tell(&decide.List{Kind: decide.ListStale, Entries: h.f.known.Entries})
-	if !h.f.settings.MustWatch {
+	h.tell(&policy.EndpointsUpdate{Kind: policy.UpdateStale, Endpoints: h.f.known.Entries})
+	if !h.f.settings.WatchRequired {
 		h.watch()
 	}
 	if h.isAtWork {
@@ -300,40 +300,40 @@
 	}
 }
 
-func (h *hollow) perform(a decide.Action) {
+func (h *hollow) perform(a policy.Action) {
 	switch a := a.(type) {
-	case decide.Send:
+	case policy.Send:
 		if q, l := h.requests[a.ID], h.byName[a.Cache]; q != nil && l != nil {
-			t := &try{request: q, number: len(q.tries), link: l, sent: h.now, stopAt: q.deadline, sendBy: a.SendBy}
-			if a.StopAt != 0 {
-				t.stopAt = min(a.StopAt, q.deadline)
+			t := &try{request: q, number: len(q.tries), link: l, sent: h.now, stopAt: q.deadline, sendBy: a.StartBefore}
+			if a.Deadline != 0 {
+				t.stopAt = min(a.Deadline, q.deadline)
 			}
 			q.tries = append(q.tries, t)
 			q.out++
 			l.send(t)
 		}
-	case decide.Probe:
+	case policy.HealthCheck:
 		if l := h.byName[a.Cache]; l != nil && !h.draining {
 			h.probes++
 			h.finishQuota()
-			l.send(&try{link: l, sent: h.now, stopAt: h.now + h.f.settings.ProbeTimeout()})
+			l.send(&try{link: l, sent: h.now, stopAt: h.now + h.f.settings.HealthCheckTimeout()})
 		}
-	case decide.Cancel:
+	case policy.Cancel:
 		if q := h.requests[a.ID]; q != nil && a.Attempt < len(q.tries) {
-			q.tries[a.Attempt].giveUp(decide.Cancelled)
+			q.tries[a.Attempt].giveUp(policy.Cancelled)
 		}
-	case decide.Refuse:
+	case policy.Reject:
 		h.finish(h.requests[a.ID])
-	case decide.Fail:
+	case policy.Fail:
 		h.finish(h.requests[a.ID])
-	case decide.SetTimer:
+	case policy.SetTimer:
 		h.timers++
-		h.at(a.At, func() { h.tell(&decide.Timer{Token: a.Token}) })
-	case decide.CloseIdle:
+		h.at(a.At, func() { h.tell(&policy.TimerFired{Token: a.Token}) })
+	case policy.CloseIdleConnections:
 		if l := h.byName[a.Cache]; l != nil {
 			l.closeIdle(h.now)
 		}
-	case decide.Watch:
+	case policy.Watch:
 		h.watch()
 	}
 }
@@ -360,7 +360,7 @@
 	if write {
 		class = writeClass
 	}
-	h.tell(&decide.Request{ID: q.id, Class: class, Tenant: "all", Key: key, HasKey: true, Deadline: q.deadline, Write: write})
+	h.tell(&policy.Request{ID: q.id, Class: class, Tenant: "all", Key: key, HasKey: true, Deadline: q.deadline, Write: write})
 	h.finishQuota()
 }
 
@@ -381,7 +381,7 @@
 	q.over = true
 	for _, t := range q.tries {
 		if t.conn == nil {
-			t.end(decide.NotSent, false)
+			t.end(policy.NotSent, false)
 		}
 	}
 	h.forget(q)
@@ -394,22 +394,22 @@
 }
 
 // ended tells the module how a try went.
-func (h *hollow) ended(t *try, result decide.Result, miss bool) {
+func (h *hollow) ended(t *try, result policy.Result, miss bool) {
 	h.tries--
-	q, took, report := t.request, h.now-t.sent, decide.Load{Busy: -1}
-	if result == decide.Served {
-		report.Busy = .4
+	q, took, report := t.request, h.now-t.sent, policy.LoadReport{Utilization: -1}
+	if result == policy.Served {
+		report.Utilization = .4
 	}
 	if q == nil {
-		h.tell(&decide.Probed{Cache: t.link.name, Result: result, Elapsed: took, Load: report})
+		h.tell(&policy.HealthCheckDone{Cache: t.link.name, Result: result, Elapsed: took, Load: report})
 		return
 	}
 	q.out--
-	if result == decide.Served && !q.over {
+	if result == policy.Served && !q.over {
 		h.served++
 		h.finish(q)
 	}
-	h.tell(&decide.Outcome{ID: q.id, Attempt: t.number, Result: result, Elapsed: took, Last: q.over, Miss: miss, Load: report})
+	h.tell(&policy.AttemptDone{ID: q.id, Attempt: t.number, Result: result, Elapsed: took, Final: q.over, Miss: miss, Load: report})
 	h.forget(q)
 }
 
@@ -440,17 +440,17 @@
 
 func (h *hollow) watchFailed() {
 	h.watching = false
-	if h.f.settings.MustWatch {
-		h.tell(&decide.List{Kind: decide.ListFailed})
+	if h.f.settings.WatchRequired {
+		h.tell(&policy.EndpointsUpdate{Kind: policy.UpdateFailed})
 		return
 	}
 	wait := min(watchPause<<min(h.failed, mostDouble), h.f.settings.DrainGrace/2)
 	h.failed++
-	h.at(h.now+decide.Time(float64(wait)*(.5+rand.Float64()/2)), h.watch)
+	h.at(h.now+policy.Time(float64(wait)*(.5+rand.Float64()/2)), h.watch)
 }
 
 func (h *hollow) call(after int64) (*list, error) {
-	wait := router.WatchWait(h.f.settings.MustWatch)
+	wait := router.WatchWait(h.f.settings.WatchRequired)
 	ctx, end := context.WithTimeout(h.f.ctx, wait+time.Second)
 	defer end()
 	url := fmt.Sprintf("http://%s/discovery/hosts?after=%d&wait_ms=%d", h.f.set.Discovery, after, wait.Milliseconds())
@@ -478,22 +478,22 @@
 func (h *hollow) learn(l *list) {
 	h.index, h.failed = l.Index, 0
 	h.f.lines.Add(int64(len(l.Entries)))
-	kind := decide.ListChanges
+	kind := policy.UpdateDelta
 	if l.Snapshot {
-		kind = decide.ListFull
+		kind = policy.UpdateSnapshot
 		for _, k := range h.links {
 			k.up = false // unless it is listed
 		}
 	}
 	for _, e := range l.Entries {
 		if k := h.byName[e.ID]; k != nil {
-			k.up = e.Condition == decide.Up
+			k.up = e.State == policy.InService
 		}
 	}
 	for _, k := range h.links {
 		k.pump()
 	}
-	h.tell(&decide.List{Kind: kind, Entries: l.Entries})
+	h.tell(&policy.EndpointsUpdate{Kind: kind, Endpoints: l.Entries})
 	if h.f.set.Listed != nil {
 		h.f.set.Listed(l.Index)
 	}
--- a/internal/fleetscale/link.go
+++ b/internal/scaletest/link.go
@@ -1,11 +1,11 @@
-package fleetscale
+package scaletest
 
 import (
 	"net"
 	"slices"
 	"time"
 
-	"starlingwinch/decide"
+	"marlstage/policy"
 )
 
 // restTime is the microseconds between an answer on a connection and its next request, as in the
@@ -35,14 +35,14 @@
 	request              *request
 	number               int
 	link                 *link
-	sent, stopAt, sendBy decide.Time
+	sent, stopAt, sendBy policy.Time
 	conn                 *conn // once it is sent
 	over                 bool
 }
 
 type conn struct {
 	link      *link
-	idleSince decide.Time
+	idleSince policy.Time
 	try       *try
 	closed    bool
 	mirrors   []chan message
@@ -51,7 +51,7 @@
 func (l *link) send(t *try) {
 	h := l.h
 	h.tries++
-	h.at(t.stopAt, func() { t.giveUp(decide.NoAnswer) })
+	h.at(t.stopAt, func() { t.giveUp(policy.TimedOut) })
 	l.waiting = append(l.waiting, t)
 	l.pump()
 	if t.conn == nil && !t.over {
@@ -59,9 +59,9 @@
 			switch {
 			case t.conn != nil:
 			case l.tally.Conns == 0:
-				t.end(decide.NotSent, false) // no descriptor was left
+				t.end(policy.NotSent, false) // no descriptor was left
 			default:
-				t.end(decide.NoConnection, false)
+				t.end(policy.ConnectFailed, false)
 			}
 		})
 	}
@@ -77,7 +77,7 @@
 	for len(l.waiting) > 0 {
 		t := l.waiting[0]
 		if !l.up || h.now >= t.stopAt || t.sendBy != 0 && h.now >= t.sendBy {
-			t.end(decide.NotSent, false)
+			t.end(policy.NotSent, false)
 			continue
 		}
 		c := l.conn()
@@ -167,7 +167,7 @@
 	}
 	h.at(h.now+took.Microseconds(), func() {
 		if c.try == t {
-			t.end(decide.Served, miss)
+			t.end(policy.Served, miss)
 			c.idleSince = h.now
 			l.idle = append(l.idle, c)
 			l.pump()
@@ -193,7 +193,7 @@
 	}
 }
 
-func (l *link) closeIdle(since decide.Time) {
+func (l *link) closeIdle(since policy.Time) {
 	l.idle = slices.DeleteFunc(l.idle, func(c *conn) bool {
 		if c.idleSince <= since {
 			c.close()
@@ -203,11 +203,11 @@
 }
 
 // giveUp ends the wait on a try. One that was sent takes its connection with it.
-func (t *try) giveUp(why decide.Result) {
+func (t *try) giveUp(why policy.Result) {
 	switch {
 	case t.over:
 	case t.conn == nil:
-		t.end(decide.NotSent, false)
+		t.end(policy.NotSent, false)
 	default:
 		t.conn.close()
 		t.end(why, false)
@@ -215,7 +215,7 @@
 	}
 }
 
-func (t *try) end(result decide.Result, miss bool) {
+func (t *try) end(result policy.Result, miss bool) {
 	if t.over {
 		return
 	}
--- a/internal/fleetscale/process.go
+++ b/internal/scaletest/process.go
@@ -1,4 +1,4 @@
-package fleetscale
+package scaletest
 
 import (
 	"bytes"
@@ -21,7 +21,7 @@
 )
 
 // RoleEnv is set for the processes of this program that play a part of the fleet.
-const RoleEnv = "FLEETSCALE_ROLE"
+const RoleEnv = "SCALETEST_ROLE"
 
 // role says what such a process plays: one of these.
 type role struct {
--- a/internal/fleetscale/report.go
+++ b/internal/scaletest/report.go
@@ -1,4 +1,4 @@
-package fleetscale
+package scaletest
 
 import (
 	"fmt"
--- a/internal/fleetscale/run.go
+++ b/internal/scaletest/run.go
@@ -1,7 +1,7 @@
-// Package fleetscale plays a fleet of routers before a fleet of cache servers on loopback, in
+// Package scaletest plays a fleet of routers before a fleet of cache servers on loopback, in
 // real time, and measures what control costs each of them: the list, probes, timers, connections.
 // A few routers are real; hollow ones stand in for the rest.
-package fleetscale
+package scaletest
 
 import (
 	"context"
@@ -97,8 +97,8 @@
 
 // BuildRouter builds the real router from the module around the working directory.
 func BuildRouter(ctx context.Context, dir string) (string, error) {
-	program := filepath.Join(dir, "starlingwinch")
-	out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "starlingwinch/cmd/starlingwinch").CombinedOutput()
+	program := filepath.Join(dir, "cacherouter")
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "marlstage/cmd/cacherouter").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("building the router: %w\n%s", err, out)
 	}
@@ -133,7 +133,7 @@
 	if err := p.Check(); err != nil {
 		return nil, err
 	}
-	dir, err := os.MkdirTemp("", "fleetscale")
+	dir, err := os.MkdirTemp("", "scaletest")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/wire.go
+++ b/internal/simprotocol/adapter.go
@@ -1,6 +1,6 @@
-// Package wire carries the simulator's line protocol to the decision module and
+// Package simprotocol carries the simulator's line protocol to the decision module and
 // back. It translates and checks shapes; it makes no decisions.
-package wire
+package simprotocol
 
 import (
 	"bufio"
@@ -11,20 +11,20 @@
 	"io"
 	"strconv"
 
-	"starlingwinch/decide"
+	"marlstage/policy"
 )
 
 // Host runs the routers of one process. They share nothing but the process.
 type Host struct {
-	routers map[int64]*decide.Router
-	pending map[int64]decide.Settings
-	rosters map[int64][]decide.Entry
+	routers map[int64]*policy.Engine
+	pending map[int64]policy.Settings
+	rosters map[int64][]policy.Endpoint
 	line    int
 }
 
 // NewHost returns a Host without routers.
 func NewHost() *Host {
-	return &Host{routers: map[int64]*decide.Router{}, rosters: map[int64][]decide.Entry{}}
+	return &Host{routers: map[int64]*policy.Engine{}, rosters: map[int64][]policy.Endpoint{}}
 }
 
 // Run answers each line of in with one line on out, until in ends. The error of
@@ -97,12 +97,12 @@
 
 // exception stands for a panic in the module.
 type exception struct {
-	decide.Action
+	policy.Action
 	text string
 }
 
 // message handles one event and returns the instance and what it wants done.
-func (h *Host) message(now int64, raw []byte) (inst int64, acts []decide.Action, err error) {
+func (h *Host) message(now int64, raw []byte) (inst int64, acts []policy.Action, err error) {
 	name, body, err := split(raw)
 	if err != nil {
 		return 0, nil, err
@@ -123,7 +123,7 @@
 		if err != nil {
 			return 0, nil, fmt.Errorf("%s: %w", name, err)
 		}
-		h.routers[inst], err = decide.New(set, m.Seed)
+		h.routers[inst], err = policy.New(set, m.Seed)
 		if err != nil {
 			delete(h.routers, inst)
 			return 0, nil, fmt.Errorf("%s: %w", name, err)
@@ -147,7 +147,7 @@
 	}
 	defer func() {
 		if p := recover(); p != nil {
-			acts, err = []decide.Action{exception{text: fmt.Sprint(p)}}, nil
+			acts, err = []policy.Action{exception{text: fmt.Sprint(p)}}, nil
 		}
 	}()
 	return inst, r.Handle(now, ev), nil
@@ -211,61 +211,61 @@
 	Data       string             `json:"data"`
 }
 
-func (h *Host) translate(name string, m *event) (decide.Event, error) {
+func (h *Host) translate(name string, m *event) (policy.Event, error) {
 	switch name {
 	case "Registry":
 		kind, ok := scopes[m.Scope]
 		if !ok {
 			return nil, fmt.Errorf("Registry: scope: unknown value %q", m.Scope)
 		}
-		ev := &decide.List{Kind: kind}
-		if kind != decide.ListFailed {
-			if ev.Entries, ok = h.rosters[m.Roster]; !ok {
+		ev := &policy.EndpointsUpdate{Kind: kind}
+		if kind != policy.UpdateFailed {
+			if ev.Endpoints, ok = h.rosters[m.Roster]; !ok {
 				return nil, fmt.Errorf("Registry: rosterId: list %d was never defined", m.Roster)
 			}
 		}
 		return ev, nil
 	case "WorkItem":
-		ev := &decide.Request{ID: m.ID, Class: m.Class, Deadline: m.Deadline, Cost: m.Cost, Write: m.Write}
+		ev := &policy.Request{ID: m.ID, Class: m.Class, Deadline: m.Deadline, Cost: m.Cost, Write: m.Write}
 		ev.Tenant, _ = m.Tenant.(string)
 		if m.Key != nil {
 			ev.Key, ev.HasKey = *m.Key, true
 		}
 		return ev, nil
 	case "UnderWay":
-		return &decide.Started{ID: m.ID, Attempt: m.Attempt}, nil
+		return &policy.ResponseStarted{ID: m.ID, Attempt: m.Attempt}, nil
 	case "AttemptEnd":
 		res, err := result(m)
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", name, err)
 		}
-		return &decide.Outcome{ID: m.ID, Attempt: m.Attempt, Result: res, Elapsed: m.Elapsed,
-			Last: m.Last, Miss: note(m.Info) >= 2, Load: load(m)}, nil
+		return &policy.AttemptDone{ID: m.ID, Attempt: m.Attempt, Result: res, Elapsed: m.Elapsed,
+			Final: m.Last, Miss: note(m.Info) >= 2, Load: load(m)}, nil
 	case "Left":
-		return &decide.Departed{ID: m.ID}, nil
+		return &policy.ClientGone{ID: m.ID}, nil
 	case "Fired":
-		return &decide.Timer{Token: m.Cookie}, nil
+		return &policy.TimerFired{Token: m.Cookie}, nil
 	case "Checked":
 		res, err := result(m)
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", name, err)
 		}
-		return &decide.Probed{Cache: m.Server, Result: res, Elapsed: m.Elapsed, Load: load(m)}, nil
+		return &policy.HealthCheckDone{Cache: m.Server, Result: res, Elapsed: m.Elapsed, Load: load(m)}, nil
 	case "Datagram":
-		return &decide.PeerMessage{From: m.OriginPeer, Data: m.Data}, nil
+		return &policy.PeerMessage{From: m.OriginPeer, Data: m.Data}, nil
 	}
 	return nil, fmt.Errorf("unknown message %q", name)
 }
 
-var scopes = map[string]decide.ListKind{"D": decide.ListChanges, "F": decide.ListFull, "C": decide.ListStale,
-	"X": decide.ListFailed}
+var scopes = map[string]policy.UpdateKind{"D": policy.UpdateDelta, "F": policy.UpdateSnapshot, "C": policy.UpdateStale,
+	"X": policy.UpdateFailed}
 
-var results = map[string]decide.Result{"served": decide.Served, "server_error": decide.Errored,
-	"turned_away": decide.Rejected, "no_answer": decide.NoAnswer, "no_connection": decide.NoConnection,
-	"connection_lost": decide.ConnLost, "called_off": decide.Cancelled, "not_sent": decide.NotSent,
-	"not_stored": decide.NotStored}
+var results = map[string]policy.Result{"served": policy.Served, "server_error": policy.ServerError,
+	"turned_away": policy.Rejected, "no_answer": policy.TimedOut, "no_connection": policy.ConnectFailed,
+	"connection_lost": policy.ConnectionLost, "called_off": policy.Cancelled, "not_sent": policy.NotSent,
+	"not_stored": policy.NotStored}
 
-func result(m *event) (decide.Result, error) {
+func result(m *event) (policy.Result, error) {
 	res, ok := results[m.State]
 	if !ok {
 		return 0, fmt.Errorf("stateCode: unknown outcome %q", m.State)
@@ -281,15 +281,15 @@
 	return n
 }
 
-func load(m *event) decide.Load {
-	l := decide.Load{Busy: -1, Errors: m.Feedback["fail_rate"]}
+func load(m *event) policy.LoadReport {
+	l := policy.LoadReport{Utilization: -1, ErrorRate: m.Feedback["fail_rate"]}
 	if b, ok := m.Feedback["busy"]; ok {
-		l.Busy = b
+		l.Utilization = b
 	}
 	return l
 }
 
-var conditions = map[string]decide.Condition{"up": decide.Up, "draining": decide.Draining, "removed": decide.Removed}
+var conditions = map[string]policy.EndpointState{"up": policy.InService, "draining": policy.Draining, "removed": policy.Removed}
 
 func (h *Host) defineList(body []byte) error {
 	var d struct {
@@ -309,15 +309,15 @@
 	if d.Roster == nil {
 		return errors.New("DefineList: no rosterId")
 	}
-	entries := make([]decide.Entry, 0, len(d.Hosts))
+	entries := make([]policy.Endpoint, 0, len(d.Hosts))
 	for _, s := range d.Hosts {
 		cond, ok := conditions[s.Condition]
 		if !ok || s.Server == "" {
 			return fmt.Errorf("DefineList: bad entry %q with condition %q", s.Server, s.Condition)
 		}
-		e := decide.Entry{ID: s.Server, Zone: s.Zone, Cell: s.Cell, Size: 1, Start: s.Start, Condition: cond}
+		e := policy.Endpoint{ID: s.Server, Zone: s.Zone, Group: s.Cell, Weight: 1, StartedAt: s.Start, State: cond}
 		if s.Size != nil {
-			e.Size = *s.Size
+			e.Weight = *s.Size
 		}
 		entries = append(entries, e)
 	}
@@ -325,7 +325,7 @@
 	return nil
 }
 
-func appendAction(b []byte, inst int64, a decide.Action) []byte {
+func appendAction(b []byte, inst int64, a policy.Action) []byte {
 	open := func(name string) {
 		b = append(append(b, `{"`...), name...)
 		b = strconv.AppendInt(append(b, `":{"i":`...), inst, 10)
@@ -340,40 +340,40 @@
 		b = append(b, q...)
 	}
 	switch a := a.(type) {
-	case decide.Send:
+	case policy.Send:
 		open("CallOut")
 		num("tid", a.ID)
 		text("server", a.Cache)
-		if a.StopAt != 0 {
-			num("stopAt", a.StopAt)
+		if a.Deadline != 0 {
+			num("stopAt", a.Deadline)
 		}
-	case decide.Cancel:
+	case policy.Cancel:
 		open("StopAttempt")
 		num("tid", a.ID)
 		num("sendNo", int64(a.Attempt))
-	case decide.Refuse:
+	case policy.Reject:
 		open("Bounce")
 		num("tid", a.ID)
-		if a.Wait > 0 {
-			num("notBeforeFor", a.Wait)
+		if a.RetryAfter > 0 {
+			num("notBeforeFor", a.RetryAfter)
 		}
-	case decide.Fail:
+	case policy.Fail:
 		open("Lose")
 		num("tid", a.ID)
-	case decide.SetTimer:
+	case policy.SetTimer:
 		open("Arm")
 		num("cookie", a.Token)
 		num("time", a.At)
-	case decide.Probe:
+	case policy.HealthCheck:
 		open("Sample")
 		text("server", a.Cache)
-	case decide.CloseIdle:
+	case policy.CloseIdleConnections:
 		open("DropConns")
 		text("server", a.Cache)
-	case decide.Watch:
+	case policy.Watch:
 		open("Follow")
 		b = append(b, `,"enable":true`...)
-	case decide.Log:
+	case policy.Log:
 		open("JournalLine")
 		text("reasonText", a.Text)
 	case exception:
--- a/internal/wire/wire_test.go
+++ b/internal/simprotocol/adapter_test.go
@@ -1,4 +1,4 @@
-package wire
+package simprotocol
 
 import (
 	"strings"
@@ -79,7 +79,7 @@
 		line("1", "2", start, `{"Registry":{"i":3,"scope":"F","rosterId":9}}`):                     "line 2: message 1: Registry: rosterId: list 9 was never defined",
 		line("1", "2", start, `{"Registry":{"i":3,"scope":"Q"}}`):                                  `line 2: message 1: Registry: scope: unknown value "Q"`,
 		line("1", "2", start, `{"AttemptEnd":{"i":3,"tid":1,"stateCode":"dozed"}}`):                `line 2: message 1: AttemptEnd: stateCode: unknown outcome "dozed"`,
-		line("1", "2", `{"NewInstance":{"i":3,"info":{}}}`):                                        "line 2: message 0: NewInstance: decide: Classes is empty",
+		line("1", "2", `{"NewInstance":{"i":3,"info":{}}}`):                                        "line 2: message 0: NewInstance: policy: Classes is empty",
 		line("1", "2", strings.Replace(start, `"maxAttempts":3`, `"maxAttempts":0`, 1)):            "MaxAttempts is 0",
 		line("1", "2", `{"DefineList":{"rosterId":0,"hosts":[{"server":"a","condition":"odd"}]}}`): "line 2: message 0: DefineList: bad entry",
 	} {
@@ -119,7 +119,7 @@
 // The danger: a rule's figure is not read, and the module keeps a rule that is not the site's.
 func TestSettingsOfTheColdRule(t *testing.T) {
 	s, _, err := ParseSettings([]byte(`{"rules":{"cold":9,"fall":4,"startCapacity":0.3,"tipMultiple":2.5}}`))
-	if err != nil || s.ColdTime != 9 || s.TipTime != 4 || s.ColdShare != .3 || s.TipMultiple != 2.5 {
-		t.Errorf("the cold rule is read as %d, %d, %v, %v (%v)", s.ColdTime, s.TipTime, s.ColdShare, s.TipMultiple, err)
+	if err != nil || s.WarmupTime != 9 || s.OverloadTime != 4 || s.WarmupStartShare != .3 || s.OverloadMultiple != 2.5 {
+		t.Errorf("the cold rule is read as %d, %d, %v, %v (%v)", s.WarmupTime, s.OverloadTime, s.WarmupStartShare, s.OverloadMultiple, err)
 	}
 }
--- a/internal/wire/settings.go
+++ b/internal/simprotocol/settings.go
@@ -1,11 +1,11 @@
-package wire
+package simprotocol
 
 import (
 	"encoding/json"
 	"errors"
 	"fmt"
 
-	"starlingwinch/decide"
+	"marlstage/policy"
 )
 
 // info is the wire's form of the settings. Keys it does not name are skipped.
@@ -49,47 +49,47 @@
 	} `json:"penalties"`
 }
 
-var effects = map[string]decide.Effect{"read_like": decide.Safe, "idempotency_key": decide.Keyed,
-	"non_idempotent": decide.Unsafe}
+var effects = map[string]policy.Effect{"read_like": policy.Idempotent, "idempotency_key": policy.IdempotentWithKey,
+	"non_idempotent": policy.NonIdempotent}
 
-var groups = map[string]decide.Scope{"all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell}
+var groups = map[string]policy.DedupScope{"all": policy.ScopeAll, "zone": policy.ScopeZone, "cell": policy.ScopeGroup}
 
 // Transport holds the settings that bind whoever carries out the decisions.
 // The simulator does that by itself; a real router has to. 0 stands for a
 // setting that was left out.
 type Transport struct {
 	MaxOpen     int         // requests a router may have open
-	DialTimeout decide.Time // a connection that is not up by then counts as failed
-	Keepalive   decide.Time // a cache closes a connection that has stood idle so long
+	DialTimeout policy.Time // a connection that is not up by then counts as failed
+	Keepalive   policy.Time // a cache closes a connection that has stood idle so long
 }
 
 // ParseSettings reads the settings of NewInstance. Those left out keep a value
 // that asks least of the fleet.
-func ParseSettings(raw json.RawMessage) (decide.Settings, Transport, error) {
+func ParseSettings(raw json.RawMessage) (policy.Settings, Transport, error) {
 	var in info
 	if len(raw) == 0 {
-		return decide.Settings{}, Transport{}, errors.New("no settings")
+		return policy.Settings{}, Transport{}, errors.New("no settings")
 	}
 	if err := json.Unmarshal(raw, &in); err != nil {
-		return decide.Settings{}, Transport{}, fmt.Errorf("settings: %w", plain(err))
+		return policy.Settings{}, Transport{}, fmt.Errorf("settings: %w", plain(err))
 	}
-	s := decide.Settings{
-		Routers: in.Instances, MustWatch: in.Discovery == "subscribe", LiveSizes: in.Weights == "live",
-		MaxAttempts: 1, Copies: in.Limits.Copies, Cancels: in.Limits.Cancel, Probes: in.Limits.Probes,
+	s := policy.Settings{
+		Routers: in.Instances, WatchRequired: in.Discovery == "subscribe", LiveWeights: in.Weights == "live",
+		MaxAttempts: 1, HedgingAllowed: in.Limits.Copies, CancelAllowed: in.Limits.Cancel, HealthChecksAllowed: in.Limits.Probes,
 		DrainGrace: in.Rules.DrainGrace,
-		ColdTime:   in.Rules.Cold, ColdShare: in.Rules.StartShare,
-		TipMultiple: in.Rules.Multiple, TipTime: in.Rules.Fall, AskEvery: in.Rules.AskEvery,
-		ProbePrice: in.Penalties.Probe, ConnPrice: in.Penalties.Conn, DialPrice: in.Penalties.Handshake,
+		WarmupTime: in.Rules.Cold, WarmupStartShare: in.Rules.StartShare,
+		OverloadMultiple: in.Rules.Multiple, OverloadTime: in.Rules.Fall, PollInterval: in.Rules.AskEvery,
+		HealthCheckCost: in.Penalties.Probe, ConnectionCost: in.Penalties.Conn, HandshakeCost: in.Penalties.Handshake,
 	}
 	if in.Limits.MaxAttempts != nil {
 		s.MaxAttempts = *in.Limits.MaxAttempts
 	}
 	if in.Limits.RetryAfter {
-		s.RefuseWait = in.Limits.MaxWait
+		s.MaxRetryAfter = in.Limits.MaxWait
 	}
 	for _, c := range in.Categories {
-		s.Classes = append(s.Classes, decide.Class{Name: c.Name, Effect: effects[c.Effect], Scope: groups[c.Scope],
-			KeyTTL: c.KeyTTL, Aim: c.Aim, Limit: c.Limit, Worth: c.Worth, LateWorth: c.LateWorth})
+		s.Classes = append(s.Classes, policy.Class{Name: c.Name, Effect: effects[c.Effect], DedupScope: groups[c.Scope],
+			KeyTTL: c.KeyTTL, LatencyObjective: c.Aim, Timeout: c.Limit, PriorityWeight: c.Worth, LateWeight: c.LateWorth})
 	}
 	return s, Transport{MaxOpen: in.Limits.MaxOpen, DialTimeout: in.Limits.DialTimeout,
 		Keepalive: in.Limits.Keepalive}, nil
--- a/decide/decide.go
+++ b/policy/engine.go
@@ -1,7 +1,6 @@
-// The decisions of the router: its state, events and timers. The interface stands in api.go; read that first.
-// stands in api.go; read that first.
+// The engine: its state, events and timers. The interface stands in api.go; read that first.
 
-package decide
+package policy
 
 import (
 	"fmt"
@@ -11,7 +10,7 @@
 
 // cache is what this router knows of one cache server.
 type cache struct {
-	Entry
+	Endpoint
 	zone       *zone
 	warmAt     Time // cold until then
 	coldFrom   Time // when the process is held to have started
@@ -73,8 +72,8 @@
 	astray   bool // its home had no room when it was placed
 }
 
-// Router decides for one instance. Use New.
-type Router struct {
+// Engine decides for one instance. Use New.
+type Engine struct {
 	set         Settings
 	classes     map[string]*Class
 	rng         uint64
@@ -115,11 +114,11 @@
 }
 
 // New returns a router for the settings. The error names a wrong field.
-func New(s Settings, seed uint64) (*Router, error) {
-	if err := s.check(); err != nil {
+func New(s Settings, seed uint64) (*Engine, error) {
+	if err := s.validate(); err != nil {
 		return nil, err
 	}
-	r := &Router{set: s, rng: seed, own: mix(seed + 1), admitted: 1, taken: 1, classes: map[string]*Class{},
+	r := &Engine{set: s, rng: seed, own: mix(seed + 1), admitted: 1, taken: 1, classes: map[string]*Class{},
 		caches: map[string]*cache{}, reqs: map[int64]*request{}, timers: map[int64]func(){},
 		keys: [2]map[uint64]int{{}, {}}, zones: map[string]*zone{}}
 	r.retryBudget = r.retryBurstPart()
@@ -130,62 +129,62 @@
 			r.patience = c.patience()
 		}
 	}
-	r.set.DrainGrace = s.drainGrace()
+	r.set.DrainGrace = s.drainGraceOrDefault()
 	return r, nil
 }
 
 // Handle takes one event and returns what is to be done, in order.
-func (r *Router) Handle(now Time, ev Event) []Action {
+func (r *Engine) Handle(now Time, ev Event) []Action {
 	r.now, r.out = now, nil
 	switch ev := ev.(type) {
-	case *List:
+	case *EndpointsUpdate:
 		r.list(ev)
 	case *Request:
 		r.request(ev)
-	case *Outcome:
+	case *AttemptDone:
 		r.outcome(ev)
-	case *Started:
+	case *ResponseStarted:
 		if q := r.reqs[ev.ID]; q != nil {
 			q.streams = true
 		}
-	case *Departed:
+	case *ClientGone:
 		if q := r.reqs[ev.ID]; q != nil {
 			r.finish(q)
 		}
-	case *Timer:
+	case *TimerFired:
 		if f := r.timers[ev.Token]; f != nil {
 			delete(r.timers, ev.Token)
 			f()
 		}
-	case *Probed:
+	case *HealthCheckDone:
 		r.probed(ev)
 	}
 	return r.out
 }
 
-func (r *Router) do(a Action) { r.out = append(r.out, a) }
+func (r *Engine) do(a Action) { r.out = append(r.out, a) }
 
-func (r *Router) logf(format string, args ...any) { r.do(Log{fmt.Sprintf(format, args...)}) }
+func (r *Engine) logf(format string, args ...any) { r.do(Log{fmt.Sprintf(format, args...)}) }
 
 // at runs f at the given time.
-func (r *Router) at(t Time, f func()) {
+func (r *Engine) at(t Time, f func()) {
 	r.token++
 	r.timers[r.token] = f
 	r.do(SetTimer{r.token, max(t, r.now+1)})
 }
 
-func (r *Router) random() float64 {
+func (r *Engine) random() float64 {
 	r.rng += 0x9e3779b97f4a7c15
 	return unit(mix(r.rng))
 }
 
 // window is longer where many routers each see few of a key's requests.
-func (r *Router) window() Time {
+func (r *Engine) window() Time {
 	return Time(float64(r.set.DrainGrace) * math.Sqrt(max(1, float64(r.set.Routers)/4)))
 }
 
 // turn opens a new window of the counts by key.
-func (r *Router) turn() {
+func (r *Engine) turn() {
 	r.keys = [2]map[uint64]int{{}, r.keys[0]}
 	r.asked = [2]int{0, r.asked[0]}
 	if on := r.shed != [2]int{}; on != r.shedding {
@@ -199,24 +198,24 @@
 
 // forget opens a new window of what the caches keep: a cache that warms up by
 // refilling keeps its keys for about as long as that takes.
-func (r *Router) forget() {
+func (r *Engine) forget() {
 	for id, c := range r.caches {
-		if c.Condition == Removed && c.pending == 0 && len(c.keeps[0])+len(c.keeps[1]) == 0 {
+		if c.State == Removed && c.pending == 0 && len(c.keeps[0])+len(c.keeps[1]) == 0 {
 			delete(r.caches, id) // the danger: machines come and go, and memory grows with their names
 		}
 		c.keeps = [2]map[uint64]bool{{}, c.keeps[0]}
 	}
-	r.at(r.now+max(r.set.ColdTime/4, r.window()), r.forget)
+	r.at(r.now+max(r.set.WarmupTime/4, r.window()), r.forget)
 }
 
 // alone is the limit at which all routers together keep one attempt out at a cache.
-func (r *Router) alone() float64 { return 1 / float64(max(1, r.set.Routers)) }
+func (r *Engine) alone() float64 { return 1 / float64(max(1, r.set.Routers)) }
 
 // unit is what a verdict moves a limit by: an attempt, or this router's part of the first limit.
-func (r *Router) unit() float64 { return min(1, firstLimit*r.alone()) }
+func (r *Engine) unit() float64 { return min(1, firstLimit*r.alone()) }
 
 // thin reports whether this router's part of a cache is less than an attempt, so that it hears little of it.
-func (r *Router) thin() bool { return r.unit() < 1 }
+func (r *Engine) thin() bool { return r.unit() < 1 }
 
 func b2i(b bool) int {
 	if b {
--- a/decide/decide_test.go
+++ b/policy/engine_test.go
@@ -1,4 +1,4 @@
-package decide
+package policy
 
 import (
 	"fmt"
@@ -13,15 +13,15 @@
 
 func settings() Settings {
 	return Settings{
-		Routers: 2, MaxAttempts: 3, Copies: true, Cancels: true, Probes: true,
-		DrainGrace: 1000 * ms, ColdTime: 10000 * ms, ColdShare: 0.2,
-		TipTime: 2000 * ms, TipMultiple: 3, AskEvery: 10000 * ms, ProbePrice: 0.01, RefuseWait: 1000 * ms,
+		Routers: 2, MaxAttempts: 3, HedgingAllowed: true, CancelAllowed: true, HealthChecksAllowed: true,
+		DrainGrace: 1000 * ms, WarmupTime: 10000 * ms, WarmupStartShare: 0.2,
+		OverloadTime: 2000 * ms, OverloadMultiple: 3, PollInterval: 10000 * ms, HealthCheckCost: 0.01, MaxRetryAfter: 1000 * ms,
 		Classes: []Class{
-			{Name: "read", Effect: Safe, Aim: 200 * ms, Limit: 800 * ms, Worth: 2},
-			{Name: "all", Effect: Keyed, Scope: ScopeAll, KeyTTL: 500 * ms, Aim: 200 * ms, Limit: 800 * ms, Worth: 3},
-			{Name: "zone", Effect: Keyed, Scope: ScopeZone, KeyTTL: 500 * ms, Aim: 200 * ms, Limit: 800 * ms, Worth: 3},
-			{Name: "cell", Effect: Keyed, Scope: ScopeCell, KeyTTL: 500 * ms, Aim: 200 * ms, Limit: 800 * ms, Worth: 3},
-			{Name: "once", Effect: Unsafe, Aim: 200 * ms, Limit: 800 * ms, Worth: 3},
+			{Name: "read", Effect: Idempotent, LatencyObjective: 200 * ms, Timeout: 800 * ms, PriorityWeight: 2},
+			{Name: "all", Effect: IdempotentWithKey, DedupScope: ScopeAll, KeyTTL: 500 * ms, LatencyObjective: 200 * ms, Timeout: 800 * ms, PriorityWeight: 3},
+			{Name: "zone", Effect: IdempotentWithKey, DedupScope: ScopeZone, KeyTTL: 500 * ms, LatencyObjective: 200 * ms, Timeout: 800 * ms, PriorityWeight: 3},
+			{Name: "cell", Effect: IdempotentWithKey, DedupScope: ScopeGroup, KeyTTL: 500 * ms, LatencyObjective: 200 * ms, Timeout: 800 * ms, PriorityWeight: 3},
+			{Name: "once", Effect: NonIdempotent, LatencyObjective: 200 * ms, Timeout: 800 * ms, PriorityWeight: 3},
 		},
 	}
 }
@@ -29,7 +29,7 @@
 // bench drives one router and keeps its timers.
 type bench struct {
 	t      *testing.T
-	r      *Router
+	r      *Engine
 	now    Time
 	timers []SetTimer
 	acts   []Action // of the last step
@@ -71,16 +71,16 @@
 		tm := b.timers[k]
 		b.timers = append(b.timers[:k], b.timers[k+1:]...)
 		b.now = max(b.now, tm.At)
-		all = append(all, b.feed(&Timer{tm.Token})...)
+		all = append(all, b.feed(&TimerFired{tm.Token})...)
 	}
 	b.now = end
 	return all
 }
 
-func fleet(n int) []Entry {
-	var es []Entry
+func fleet(n int) []Endpoint {
+	var es []Endpoint
 	for i := range n {
-		es = append(es, Entry{ID: fmt.Sprintf("c%02d", i), Zone: string(rune('a' + i%2)), Cell: i % 4, Size: 1})
+		es = append(es, Endpoint{ID: fmt.Sprintf("c%02d", i), Zone: string(rune('a' + i%2)), Group: i % 4, Weight: 1})
 	}
 	return es
 }
@@ -98,7 +98,7 @@
 func probes(acts []Action) []string {
 	var s []string
 	for _, a := range acts {
-		if x, ok := a.(Probe); ok {
+		if x, ok := a.(HealthCheck); ok {
 			s = append(s, x.Cache)
 		}
 	}
@@ -109,7 +109,7 @@
 	n := 0
 	for _, a := range acts {
 		switch a.(type) {
-		case Refuse, Fail:
+		case Reject, Fail:
 			n++
 		}
 	}
@@ -126,7 +126,7 @@
 
 // settle ends an attempt well so that it leaves nothing behind.
 func (b *bench) settle(id int64, attempt int) {
-	b.feed(&Outcome{ID: id, Attempt: attempt, Result: Served, Elapsed: 1, Last: true, Load: Load{Busy: -1}})
+	b.feed(&AttemptDone{ID: id, Attempt: attempt, Result: Served, Elapsed: 1, Final: true, Load: LoadReport{Utilization: -1}})
 }
 
 // rounds plays probe rounds in which the named cache gives res, or stays silent
@@ -141,22 +141,22 @@
 		for _, id := range ps {
 			switch {
 			case id != bad:
-				b.feed(&Probed{Cache: id, Result: Served, Load: Load{Busy: -1}})
+				b.feed(&HealthCheckDone{Cache: id, Result: Served, Load: LoadReport{Utilization: -1}})
 			case res != nil:
-				b.feed(&Probed{Cache: id, Result: *res, Load: Load{Busy: -1}})
+				b.feed(&HealthCheckDone{Cache: id, Result: *res, Load: LoadReport{Utilization: -1}})
 			}
 		}
 		played++
-		b.advance(b.r.set.ProbeTimeout() + ms)
+		b.advance(b.r.set.HealthCheckTimeout() + ms)
 	}
 }
 
 func result(r Result) *Result { return &r }
 
 func TestMarkAtThresholdAndRecover(t *testing.T) {
-	for _, res := range []*Result{nil, result(NoConnection), result(Errored), result(Rejected), result(NoAnswer)} {
+	for _, res := range []*Result{nil, result(ConnectFailed), result(ServerError), result(Rejected), result(TimedOut)} {
 		b := newBench(t, settings())
-		b.feed(&List{Kind: ListStale, Entries: fleet(4)})
+		b.feed(&EndpointsUpdate{Kind: UpdateStale, Endpoints: fleet(4)})
 		b.rounds(threshold-1, "c01", res)
 		if !b.r.caches["c01"].healthy {
 			t.Fatalf("%v: marked after %d failures", res, threshold-1)
@@ -175,15 +175,15 @@
 // A count that reaches the threshold within a round is judged when it completes.
 func TestJudgedWhenRoundCompletes(t *testing.T) {
 	b := newBench(t, settings())
-	b.feed(&List{Kind: ListStale, Entries: fleet(3)})
-	b.rounds(threshold-1, "c01", result(Errored))
+	b.feed(&EndpointsUpdate{Kind: UpdateStale, Endpoints: fleet(3)})
+	b.rounds(threshold-1, "c01", result(ServerError))
 	for len(probes(b.advance(1*ms))) == 0 {
 	}
-	b.feed(&Probed{Cache: "c01", Result: Errored})
+	b.feed(&HealthCheckDone{Cache: "c01", Result: ServerError})
 	if !b.r.caches["c01"].healthy {
 		t.Fatal("marked before the round completed")
 	}
-	b.advance(b.r.set.ProbeTimeout() + ms)
+	b.advance(b.r.set.HealthCheckTimeout() + ms)
 	if b.r.caches["c01"].healthy {
 		t.Fatal("not marked when the round completed")
 	}
@@ -193,7 +193,7 @@
 func TestProbesArePaidByRequests(t *testing.T) {
 	count := func(caches, requests int) (rounds float64) {
 		b := newBench(t, settings())
-		b.feed(&List{Entries: fleet(caches)})
+		b.feed(&EndpointsUpdate{Endpoints: fleet(caches)})
 		for id := range int64(requests) {
 			b.ask(id+1, "read", uint64(id))
 			b.settle(id+1, 0)
@@ -215,12 +215,12 @@
 
 func TestPlacementAgreesInAnyOrder(t *testing.T) {
 	es := fleet(9)
-	back := append([]Entry(nil), es...)
+	back := append([]Endpoint(nil), es...)
 	rand.New(rand.NewSource(1)).Shuffle(len(back), func(i, j int) { back[i], back[j] = back[j], back[i] })
 	a, b := newBench(t, settings()), newBench(t, settings())
-	a.feed(&List{Kind: ListFull, Entries: es})
+	a.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 	for _, e := range back {
-		b.feed(&List{Kind: ListChanges, Entries: []Entry{e}})
+		b.feed(&EndpointsUpdate{Kind: UpdateDelta, Endpoints: []Endpoint{e}})
 	}
 	for k := range uint64(300) {
 		x, y := a.ask(int64(k), "read", k), b.ask(int64(k), "read", k)
@@ -234,7 +234,7 @@
 
 func TestUnhealthySkippedThenUsedAnyway(t *testing.T) {
 	b := newBench(t, settings())
-	b.feed(&List{Kind: ListFull, Entries: fleet(6)})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(6)})
 	b.r.asked[1] = 1000 // so that the key is not a hot one
 	home := b.ask(1, "read", 42).Cache
 	b.settle(1, 0)
@@ -254,9 +254,9 @@
 // What each class may do after each outcome.
 func TestEffectTable(t *testing.T) {
 	for _, class := range []string{"read", "all", "zone", "cell", "once", "unheard-of"} {
-		for res := Errored; res <= NotStored; res++ {
+		for res := ServerError; res <= NotStored; res++ {
 			b := newBench(t, settings())
-			b.feed(&List{Kind: ListFull, Entries: fleet(8)})
+			b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(8)})
 			first := b.ask(1, class, 5)
 			q := b.r.reqs[1]
 			if first == nil {
@@ -272,7 +272,7 @@
 				case class == "zone":
 					want = c.Zone == from.Zone
 				case class == "cell":
-					want = c.Cell == from.Cell
+					want = c.Group == from.Group
 				}
 				if got := b.r.maySend(q, c); got != want {
 					t.Errorf("%s after %d: maySend to another = %v, want %v", class, res, got, want)
@@ -293,14 +293,14 @@
 
 func TestDrainKept(t *testing.T) {
 	b := newBench(t, settings())
-	b.feed(&List{Kind: ListFull, Entries: fleet(2)})
-	b.feed(&List{Kind: ListChanges, Entries: []Entry{{ID: "c00", Condition: Draining}}})
-	b.feed(&List{Kind: ListChanges, Entries: []Entry{{ID: "c01", Condition: Removed}}})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(2)})
+	b.feed(&EndpointsUpdate{Kind: UpdateDelta, Endpoints: []Endpoint{{ID: "c00", State: Draining}}})
+	b.feed(&EndpointsUpdate{Kind: UpdateDelta, Endpoints: []Endpoint{{ID: "c01", State: Removed}}})
 	b.advance(1001 * ms)
 	if s := b.ask(1, "read", 1); s != nil {
 		t.Fatalf("sent to %s after the grace", s.Cache)
 	}
-	b.feed(&List{Kind: ListFull, Entries: fleet(1)})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(1)})
 	if s := b.ask(2, "read", 1); s == nil || s.Cache != "c00" {
 		t.Fatalf("a cache listed up again is not used: %v", s)
 	}
@@ -310,8 +310,8 @@
 func TestColdShareGrows(t *testing.T) {
 	b := newBench(t, settings())
 	es := fleet(4)
-	es[2].Start = b.now
-	b.feed(&List{Kind: ListFull, Entries: es})
+	es[2].StartedAt = b.now
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 	count := func() int {
 		n := 0
 		for k := range uint64(4000) {
@@ -338,7 +338,7 @@
 	if b.feed(&Request{ID: 1, Class: "once", Deadline: b.now + 100*ms}); finals(b.acts)+finals(b.advance(time1)) != 1 {
 		t.Fatal("before any list: want one final answer")
 	}
-	b.feed(&List{Kind: ListFull})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot})
 	if b.feed(&Request{ID: 2, Class: "read", Deadline: b.now + 100*ms}); finals(b.acts)+finals(b.advance(time1)) != 1 {
 		t.Fatal("empty fleet: want one final answer")
 	}
@@ -348,7 +348,7 @@
 
 func TestDeadlinePast(t *testing.T) {
 	b := newBench(t, settings())
-	b.feed(&List{Kind: ListFull, Entries: fleet(3)})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(3)})
 	b.feed(&Request{ID: 1, Class: "read", Key: 1, HasKey: true, Deadline: b.now - 1})
 	if finals(b.acts) != 1 || len(sends(b.acts)) != 0 {
 		t.Fatalf("want one final answer and nothing sent, got %v", b.acts)
@@ -358,10 +358,10 @@
 // The danger: the time-out at the deadline is not the final answer.
 func TestTimeoutAtDeadlineStillOwesAnswer(t *testing.T) {
 	b := newBench(t, settings())
-	b.feed(&List{Kind: ListFull, Entries: fleet(3)})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(3)})
 	b.ask(1, "once", 1)
 	b.now += 800 * ms
-	b.feed(&Outcome{ID: 1, Result: NoAnswer})
+	b.feed(&AttemptDone{ID: 1, Result: TimedOut})
 	if len(b.acts) != 1 || b.acts[0] != (Fail{1}) {
 		t.Fatalf("got %v", b.acts)
 	}
@@ -372,9 +372,9 @@
 
 func TestUnknownEventsIgnored(t *testing.T) {
 	b := newBench(t, settings())
-	b.feed(&List{Kind: ListFull, Entries: fleet(3)})
-	for _, ev := range []Event{&Outcome{ID: 9}, &Outcome{ID: 9, Attempt: -1}, &Departed{ID: 9}, &Timer{Token: 99999},
-		&Probed{Cache: "nobody"}, &Started{ID: 9}, &PeerMessage{From: 3, Data: "x"}} {
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(3)})
+	for _, ev := range []Event{&AttemptDone{ID: 9}, &AttemptDone{ID: 9, Attempt: -1}, &ClientGone{ID: 9}, &TimerFired{Token: 99999},
+		&HealthCheckDone{Cache: "nobody"}, &ResponseStarted{ID: 9}, &PeerMessage{From: 3, Data: "x"}} {
 		if acts := b.feed(ev); len(acts) != 0 {
 			t.Errorf("%T: %v", ev, acts)
 		}
@@ -383,7 +383,7 @@
 
 func TestMissingKeyIsPlaced(t *testing.T) {
 	b := newBench(t, settings())
-	b.feed(&List{Kind: ListFull, Entries: fleet(3)})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(3)})
 	used := map[string]bool{}
 	for id := range int64(60) {
 		s := sends(b.feed(&Request{ID: id + 1, Class: "read", Deadline: b.now + 800*ms}))
@@ -400,14 +400,14 @@
 
 func TestListAskedAgainWithSpreadWaits(t *testing.T) {
 	s := settings()
-	s.MustWatch = true
+	s.WatchRequired = true
 	watches := func(seed uint64) []Time {
 		r, _ := New(s, seed)
 		b := &bench{t: t, r: r, now: 1e9}
-		b.feed(&List{Kind: ListStale, Entries: fleet(2)})
+		b.feed(&EndpointsUpdate{Kind: UpdateStale, Endpoints: fleet(2)})
 		var at []Time
 		for range 5 {
-			b.feed(&List{Kind: ListFailed})
+			b.feed(&EndpointsUpdate{Kind: UpdateFailed})
 			start := b.now
 			for done := false; !done; {
 				for _, a := range b.advance(1 * ms) {
@@ -431,17 +431,17 @@
 
 func TestWrongSettings(t *testing.T) {
 	for field, spoil := range map[string]func(*Settings){
-		"ColdTime":    func(s *Settings) { s.ColdTime = -1 },
+		"ColdTime":    func(s *Settings) { s.WarmupTime = -1 },
 		"DrainGrace":  func(s *Settings) { s.DrainGrace = -1 },
 		"Classes":     func(s *Settings) { s.Classes = nil },
-		"Classes[1]":  func(s *Settings) { s.Classes[1].Aim = -5 },
+		"Classes[1]":  func(s *Settings) { s.Classes[1].LatencyObjective = -5 },
 		"MaxAttempts": func(s *Settings) { s.MaxAttempts = 0 },
 		"Routers":     func(s *Settings) { s.Routers = -1 },
-		"ColdShare":   func(s *Settings) { s.ColdShare = 1.5 },
-		"ProbePrice":  func(s *Settings) { s.ProbePrice = math.NaN() },
-		"ConnPrice":   func(s *Settings) { s.ConnPrice = math.Inf(1) },
-		"DialPrice":   func(s *Settings) { s.DialPrice = -0.1 },
-		"LateWorth":   func(s *Settings) { s.Classes[2].LateWorth = 2 },
+		"ColdShare":   func(s *Settings) { s.WarmupStartShare = 1.5 },
+		"ProbePrice":  func(s *Settings) { s.HealthCheckCost = math.NaN() },
+		"ConnPrice":   func(s *Settings) { s.ConnectionCost = math.Inf(1) },
+		"DialPrice":   func(s *Settings) { s.HandshakeCost = -0.1 },
+		"LateWorth":   func(s *Settings) { s.Classes[2].LateWeight = 2 },
 	} {
 		s := settings()
 		spoil(&s)
--- a/decide/fleet_test.go
+++ b/policy/fleet_test.go
@@ -1,4 +1,4 @@
-package decide
+package policy
 
 import (
 	"fmt"
@@ -15,7 +15,7 @@
 func routers(t *testing.T, caches int) []*bench {
 	t.Helper()
 	s := settings()
-	s.Routers, s.Probes = manyRouters, false
+	s.Routers, s.HealthChecksAllowed = manyRouters, false
 	bs := make([]*bench, manyRouters)
 	for i := range bs {
 		r, err := New(s, uint64(i)*7919+1)
@@ -23,7 +23,7 @@
 			t.Fatal(err)
 		}
 		bs[i] = &bench{t: t, r: r, now: 1e9}
-		bs[i].feed(&List{Kind: ListFull, Entries: fleet(caches)})
+		bs[i].feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(caches)})
 	}
 	return bs
 }
@@ -60,7 +60,7 @@
 // The danger: a large cache gets the same part as a small one, too little for it or too much.
 func TestFirstLimitGoesBySize(t *testing.T) {
 	b := quietBench(t, 2, nil)
-	b.feed(&List{Kind: ListFull, Entries: []Entry{{ID: "big", Size: 6}, {ID: "small", Size: 2}}})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: []Endpoint{{ID: "big", Weight: 6}, {ID: "small", Weight: 2}}})
 	if big, small := b.r.caches["big"].limit, b.r.caches["small"].limit; big != 3*small {
 		t.Errorf("first limits of %v and %v for sizes of 6 and 2", big, small)
 	}
@@ -72,7 +72,7 @@
 	for _, b := range routers(t, 8) {
 		for id := int64(1); id <= 5; id++ {
 			if b.ask(id, "read", uint64(id)) != nil {
-				retries += len(sends(b.answer(id, 0, Errored, false)))
+				retries += len(sends(b.answer(id, 0, ServerError, false)))
 			}
 		}
 	}
@@ -95,7 +95,7 @@
 		limit, fetches := b.r.caches[to].limit, b.r.fetches
 		b.advance(50 * ms)
 		if serves {
-			b.feed(&Outcome{ID: other, Result: Served, Last: true, Miss: true, Load: Load{Busy: -1}})
+			b.feed(&AttemptDone{ID: other, Result: Served, Final: true, Miss: true, Load: LoadReport{Utilization: -1}})
 		}
 		b.advance(100 * ms)
 		if blamed := b.r.caches[to].limit < limit; blamed != serves {
@@ -112,19 +112,19 @@
 	s := settings()
 	s.Routers = manyRouters
 	b := newBench(t, s)
-	b.feed(&List{Kind: ListFull, Entries: fleet(3)})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(3)})
 	c := b.r.caches["c01"]
 	for len(probes(b.advance(1*ms))) == 0 {
 	}
 	c.limit = .01
-	b.feed(&Probed{Cache: "c01", Result: Served, Elapsed: 2 * b.r.patience})
+	b.feed(&HealthCheckDone{Cache: "c01", Result: Served, Elapsed: 2 * b.r.patience})
 	if c.limit != .01 {
 		t.Errorf("a slow probe raised the limit to %v", c.limit)
 	}
 	for len(probes(b.advance(1*ms))) == 0 {
 		b.spare()
 	}
-	b.feed(&Probed{Cache: "c01", Result: Served, Elapsed: 5 * ms})
+	b.feed(&HealthCheckDone{Cache: "c01", Result: Served, Elapsed: 5 * ms})
 	if c.limit != b.r.firstPart(c) {
 		t.Errorf("a prompt probe left the limit at %v", c.limit)
 	}
@@ -144,7 +144,7 @@
 			for n := 0; len(next) > 0; n++ {
 				if next[0].Cache < "c06" { // gone
 					refused++
-					next = sends(b.answer(id, n, NoConnection, false))
+					next = sends(b.answer(id, n, ConnectFailed, false))
 				} else {
 					served++
 					b.settle(id, n)
@@ -174,7 +174,7 @@
 		}
 		trials[(c.halfOpenAt-b.now)/(50*ms)]++
 		b.now = c.halfOpenAt
-		if b.feed(&Timer{}); b.r.circuitOpen(c) {
+		if b.feed(&TimerFired{}); b.r.circuitOpen(c) {
 			t.Fatal("no trial")
 		}
 		if b.r.reached(c, true); b.r.circuitOpen(c) {
@@ -198,7 +198,7 @@
 			b.advance(10 * ms)
 			if s := b.ask(id, "read", uint64(id)); s != nil && s.Cache == "c03" {
 				late++
-				b.answer(id, 0, Errored, true)
+				b.answer(id, 0, ServerError, true)
 			} else if s != nil {
 				elsewhere++
 				b.settle(id, 0)
@@ -270,12 +270,12 @@
 func TestMeanSizeHasOneOrder(t *testing.T) {
 	es := fleet(40)
 	for i := range es {
-		es[i].Size = 1 / float64(i+3)
+		es[i].Weight = 1 / float64(i+3)
 	}
 	var want float64
 	for i := range 20 {
 		b := quietBench(t, 1, nil)
-		b.feed(&List{Kind: ListFull, Entries: es})
+		b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 		if i == 0 {
 			want = b.r.size
 		} else if b.r.size != want {
@@ -291,7 +291,7 @@
 		c := b.r.caches[b.ask(1, "read", 1).Cache]
 		b.advance(b.r.patience + 20*ms)
 		limit := c.limit
-		b.feed(&Outcome{ID: 1, Result: Served, Last: true, Miss: miss, Load: Load{Busy: -1}})
+		b.feed(&AttemptDone{ID: 1, Result: Served, Final: true, Miss: miss, Load: LoadReport{Utilization: -1}})
 		if rose := c.limit > limit; rose != miss {
 			t.Errorf("miss: %v, limit rose: %v (%v to %v)", miss, rose, limit, c.limit)
 		}
@@ -337,10 +337,10 @@
 	es := fleet(len(b.r.ready))
 	for i := range es {
 		if es[i].ID == cache {
-			es[i].Size *= left
+			es[i].Weight *= left
 		}
 	}
-	b.feed(&List{Kind: ListChanges, Entries: es})
+	b.feed(&EndpointsUpdate{Kind: UpdateDelta, Endpoints: es})
 }
 
 // The danger: each of many routers learns of a crowd at a cache by sending it one more attempt.
@@ -370,7 +370,7 @@
 	}
 	bs := routers(t, 8)
 	for _, b := range bs {
-		b.r.set.LiveSizes = true
+		b.r.set.LiveWeights = true
 	}
 	if got := share(bs); got < .95 {
 		t.Fatalf("%.2f of a cache's keys went there before it was crowded", got)
@@ -435,13 +435,13 @@
 func TestShutKeyIsRefusedAtOnce(t *testing.T) {
 	refused := 0
 	for _, b := range routers(t, 8) {
-		b.r.set.LiveSizes = true
+		b.r.set.LiveWeights = true
 		es := fleet(8)
 		for range 20 {
 			for i := range es {
-				es[i].Size /= 2
+				es[i].Weight /= 2
 			}
-			b.feed(&List{Kind: ListChanges, Entries: es})
+			b.feed(&EndpointsUpdate{Kind: UpdateDelta, Endpoints: es})
 		}
 		for id := int64(1); id <= 10; id++ {
 			if b.ask(id, "read", uint64(id)); finals(b.acts) == 1 {
@@ -490,7 +490,7 @@
 // The danger: a router without a descriptor to probe a cache with takes it for dead.
 func TestProbeNotSentIsNoFailure(t *testing.T) {
 	b := newBench(t, settings())
-	b.feed(&List{Kind: ListFull, Entries: fleet(3)})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(3)})
 	b.rounds(3*threshold, "c01", result(NotSent))
 	if c := b.r.caches["c01"]; !c.healthy || c.fails > 0 {
 		t.Errorf("healthy is %v after probes that were not sent, %d count as failed", c.healthy, c.fails)
@@ -501,8 +501,8 @@
 func TestGoneCachesAreForgotten(t *testing.T) {
 	b := quietBench(t, 3, nil)
 	for i := range 200 {
-		es := append(fleet(3), Entry{ID: fmt.Sprint("new", i), Size: 1})
-		b.feed(&List{Kind: ListFull, Entries: es})
+		es := append(fleet(3), Endpoint{ID: fmt.Sprint("new", i), Weight: 1})
+		b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 		if s := b.ask(int64(i), "read", uint64(i)); s != nil {
 			b.settle(int64(i), 0)
 		}
@@ -525,10 +525,10 @@
 			es := fleet(40)
 			for i := range es {
 				if c.cold && i%2 == 0 {
-					es[i].Start = b.now
+					es[i].StartedAt = b.now
 				}
 			}
-			b.feed(&List{Kind: ListFull, Entries: es})
+			b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 			b.r.fetches = math.Inf(1) // limits are not what is looked at
 			for _, c := range b.r.ready {
 				c.limit = math.Inf(1)
--- a/decide/golden_test.go
+++ b/policy/golden_test.go
@@ -1,4 +1,4 @@
-package decide_test
+package policy_test
 
 import (
 	"container/heap"
@@ -14,7 +14,7 @@
 	"strings"
 	"testing"
 
-	"starlingwinch/decide"
+	"marlstage/policy"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden file of TestActionsMatchGolden")
@@ -23,7 +23,7 @@
 	goldenPath       = "testdata/actions.golden"
 	goldenBlocks     = 6   // parallel subtests, each with a digest of its own
 	goldenTimelines  = 500 // timelines of one block
-	millisecond      = decide.Time(1_000)
+	millisecond      = policy.Time(1_000)
 	second           = 1_000 * millisecond
 	goldenStart      = 1_000 * second
 	goldenDrainAfter = 3 * second // events still play for so long after the last request
@@ -107,7 +107,7 @@
 
 // goldenEvent is something that happens in a timeline at a given time.
 type goldenEvent struct {
-	at       decide.Time
+	at       policy.Time
 	sequence int // equal times keep their order
 	run      func()
 }
@@ -143,8 +143,8 @@
 
 // goldenCache is a cache server of a timeline.
 type goldenCache struct {
-	listed   decide.Entry // as the endpoint list has it
-	nominal  float64      // weight without load
+	listed   policy.Endpoint // as the endpoint list has it
+	nominal  float64         // weight without load
 	stored   map[uint64]bool
 	inFlight int
 	fault    goldenFault
@@ -155,7 +155,7 @@
 type goldenRequest struct {
 	id        int64
 	key       uint64
-	deadline  decide.Time
+	deadline  policy.Time
 	streaming bool
 	over      bool
 	attempts  []*goldenAttempt
@@ -163,17 +163,17 @@
 
 type goldenAttempt struct {
 	cache   *goldenCache
-	sent    decide.Time
+	sent    policy.Time
 	pending bool
 }
 
 // goldenTimeline is one router in a small random world.
 type goldenTimeline struct {
 	rng      *rand.Rand
-	settings decide.Settings
-	engine   *decide.Router
+	settings policy.Settings
+	engine   *policy.Engine
 	digest   hash.Hash
-	now      decide.Time
+	now      policy.Time
 	queue    goldenQueue
 	sequence int
 	totals   goldenTotals
@@ -213,12 +213,12 @@
 		timeline.hotShare = 0.4 * rng.Float64()
 	}
 	if rng.IntN(10) == 0 { // health checks that this router's requests hardly pay for
-		timeline.settings.ProbePrice, timeline.rate, timeline.left = 1, 3, 400
+		timeline.settings.HealthCheckCost, timeline.rate, timeline.left = 1, 3, 400
 	}
 	timeline.overloaded = rng.IntN(4) == 0
 	timeline.faultRate = math.Exp(rng.Float64()*4 - 2)
 	timeline.restartable = rng.IntN(2) == 0
-	engine, err := decide.New(timeline.settings, rng.Uint64())
+	engine, err := policy.New(timeline.settings, rng.Uint64())
 	if err != nil {
 		return nil, err
 	}
@@ -229,39 +229,39 @@
 	return timeline, nil
 }
 
-func goldenSettings(rng *rand.Rand, routers int) decide.Settings {
+func goldenSettings(rng *rand.Rand, routers int) policy.Settings {
 	chance := func(n int) bool { return rng.IntN(n) > 0 }
-	objective := decide.Time(50+rng.IntN(800)) * millisecond
-	limit := objective + decide.Time(rng.IntN(2_000))*millisecond
-	class := func(name string, effect decide.Effect, scope decide.Scope) decide.Class {
-		return decide.Class{Name: name, Effect: effect, Scope: scope, KeyTTL: decide.Time(rng.IntN(4_000)) * millisecond,
-			Aim: objective, Limit: limit, Worth: 1 + rng.Float64(), LateWorth: rng.Float64()}
-	}
-	settings := decide.Settings{
-		Routers: routers, MustWatch: rng.IntN(2) == 0, LiveSizes: rng.IntN(2) == 0, MaxAttempts: 1 + rng.IntN(4),
-		Copies: chance(3), Cancels: chance(4), Probes: chance(4), RefuseWait: decide.Time(rng.IntN(2_000)) * millisecond,
-		DrainGrace: decide.Time(400+rng.IntN(1_600)) * millisecond,
-		ColdTime:   decide.Time(2+rng.IntN(9)) * second, ColdShare: rng.Float64() / 2,
-		TipMultiple: 1.5 + 2*rng.Float64(), TipTime: decide.Time(300+rng.IntN(2_000)) * millisecond,
-		AskEvery: decide.Time(2+rng.IntN(10)) * second, ProbePrice: 0.02 * rng.Float64(),
-		ConnPrice: 0.1 * rng.Float64() * float64(rng.IntN(2)), DialPrice: 0.05 * rng.Float64(),
-		Classes: []decide.Class{
-			class("read", decide.Safe, decide.ScopeAll), class("fast", decide.Safe, decide.ScopeAll),
-			class("keyed", decide.Keyed, decide.ScopeAll), class("zoned", decide.Keyed, decide.ScopeZone),
-			class("grouped", decide.Keyed, decide.ScopeCell), class("once", decide.Unsafe, decide.ScopeAll)},
-	}
-	settings.Classes[1].Aim = objective/2 + 1
+	objective := policy.Time(50+rng.IntN(800)) * millisecond
+	limit := objective + policy.Time(rng.IntN(2_000))*millisecond
+	class := func(name string, effect policy.Effect, scope policy.DedupScope) policy.Class {
+		return policy.Class{Name: name, Effect: effect, DedupScope: scope, KeyTTL: policy.Time(rng.IntN(4_000)) * millisecond,
+			LatencyObjective: objective, Timeout: limit, PriorityWeight: 1 + rng.Float64(), LateWeight: rng.Float64()}
+	}
+	settings := policy.Settings{
+		Routers: routers, WatchRequired: rng.IntN(2) == 0, LiveWeights: rng.IntN(2) == 0, MaxAttempts: 1 + rng.IntN(4),
+		HedgingAllowed: chance(3), CancelAllowed: chance(4), HealthChecksAllowed: chance(4), MaxRetryAfter: policy.Time(rng.IntN(2_000)) * millisecond,
+		DrainGrace: policy.Time(400+rng.IntN(1_600)) * millisecond,
+		WarmupTime: policy.Time(2+rng.IntN(9)) * second, WarmupStartShare: rng.Float64() / 2,
+		OverloadMultiple: 1.5 + 2*rng.Float64(), OverloadTime: policy.Time(300+rng.IntN(2_000)) * millisecond,
+		PollInterval: policy.Time(2+rng.IntN(10)) * second, HealthCheckCost: 0.02 * rng.Float64(),
+		ConnectionCost: 0.1 * rng.Float64() * float64(rng.IntN(2)), HandshakeCost: 0.05 * rng.Float64(),
+		Classes: []policy.Class{
+			class("read", policy.Idempotent, policy.ScopeAll), class("fast", policy.Idempotent, policy.ScopeAll),
+			class("keyed", policy.IdempotentWithKey, policy.ScopeAll), class("zoned", policy.IdempotentWithKey, policy.ScopeZone),
+			class("grouped", policy.IdempotentWithKey, policy.ScopeGroup), class("once", policy.NonIdempotent, policy.ScopeAll)},
+	}
+	settings.Classes[1].LatencyObjective = objective/2 + 1
 	if rng.IntN(8) == 0 {
-		settings.DrainGrace, settings.ColdTime, settings.TipTime, settings.AskEvery = 0, 0, 0, 0
+		settings.DrainGrace, settings.WarmupTime, settings.OverloadTime, settings.PollInterval = 0, 0, 0, 0
 	}
 	return settings
 }
 
 func (t *goldenTimeline) addCache(id string) *goldenCache {
 	cache := &goldenCache{nominal: []float64{1, 1, 2, 0.5}[t.rng.IntN(4)], stored: map[uint64]bool{}, slow: 1}
-	cache.listed = decide.Entry{ID: id, Zone: string(rune('a' + t.rng.IntN(3))), Cell: t.rng.IntN(4), Size: cache.nominal}
+	cache.listed = policy.Endpoint{ID: id, Zone: string(rune('a' + t.rng.IntN(3))), Group: t.rng.IntN(4), Weight: cache.nominal}
 	if t.rng.IntN(4) == 0 {
-		cache.listed.Start = t.now - decide.Time(t.rng.IntN(10_000))*millisecond
+		cache.listed.StartedAt = t.now - policy.Time(t.rng.IntN(10_000))*millisecond
 	}
 	t.caches = append(t.caches, cache)
 	t.byID[id] = cache
@@ -269,25 +269,25 @@
 }
 
 // at has run called at a later time.
-func (t *goldenTimeline) at(when decide.Time, run func()) {
+func (t *goldenTimeline) at(when policy.Time, run func()) {
 	t.sequence++
 	heap.Push(&t.queue, goldenEvent{max(when, t.now), t.sequence, run})
 }
 
-func (t *goldenTimeline) after(span float64, run func()) { t.at(t.now+decide.Time(span), run) }
+func (t *goldenTimeline) after(span float64, run func()) { t.at(t.now+policy.Time(span), run) }
 
 func (t *goldenTimeline) play() {
-	t.feed(&decide.List{Kind: decide.ListStale, Entries: t.entries()})
-	if !t.settings.MustWatch {
+	t.feed(&policy.EndpointsUpdate{Kind: policy.UpdateStale, Endpoints: t.entries()})
+	if !t.settings.WatchRequired {
 		t.watching = true
-		t.after(float64(millisecond), func() { t.deliver(decide.ListFull, t.entries()) })
+		t.after(float64(millisecond), func() { t.deliver(policy.UpdateSnapshot, t.entries()) })
 	}
 	t.after(0, t.arrive)
 	t.after(t.rng.ExpFloat64()*t.faultRate*float64(second), t.trouble)
-	if t.settings.LiveSizes {
+	if t.settings.LiveWeights {
 		t.after(float64(second), t.renewWeights)
 	}
-	end := decide.Time(math.MaxInt64)
+	end := policy.Time(math.MaxInt64)
 	for len(t.queue) > 0 && t.queue[0].at < end {
 		event := heap.Pop(&t.queue).(goldenEvent)
 		t.now = event.at
@@ -299,7 +299,7 @@
 }
 
 // feed gives the engine an event, notes its actions and carries them out.
-func (t *goldenTimeline) feed(event decide.Event) {
+func (t *goldenTimeline) feed(event policy.Event) {
 	for _, action := range t.engine.Handle(t.now, event) {
 		t.perform(action)
 	}
@@ -311,40 +311,40 @@
 	io.WriteString(t.digest, "\n")
 }
 
-func (t *goldenTimeline) perform(action decide.Action) {
+func (t *goldenTimeline) perform(action policy.Action) {
 	switch a := action.(type) {
-	case decide.Send:
-		t.note("send %d %s %d %d", a.ID, a.Cache, a.StopAt, a.SendBy)
+	case policy.Send:
+		t.note("send %d %s %d %d", a.ID, a.Cache, a.Deadline, a.StartBefore)
 		t.send(a)
-	case decide.Cancel:
+	case policy.Cancel:
 		t.note("cancel %d %d", a.ID, a.Attempt)
 		t.totals.cancels++
 		if request := t.requests[a.ID]; request != nil {
-			t.after(100, func() { t.end(request, a.Attempt, decide.Cancelled, false) })
+			t.after(100, func() { t.end(request, a.Attempt, policy.Cancelled, false) })
 		}
-	case decide.Refuse:
-		t.note("reject %d %d", a.ID, a.Wait)
+	case policy.Reject:
+		t.note("reject %d %d", a.ID, a.RetryAfter)
 		t.totals.rejects++
 		t.requests[a.ID].over = true
-	case decide.Fail:
+	case policy.Fail:
 		t.note("fail %d", a.ID)
 		t.totals.fails++
 		t.requests[a.ID].over = true
-	case decide.SetTimer:
+	case policy.SetTimer:
 		t.note("timer %d %d", a.Token, a.At)
-		t.at(a.At, func() { t.feed(&decide.Timer{Token: a.Token}) })
-	case decide.Probe:
+		t.at(a.At, func() { t.feed(&policy.TimerFired{Token: a.Token}) })
+	case policy.HealthCheck:
 		t.note("check %s", a.Cache)
 		t.totals.checks++
 		t.check(t.byID[a.Cache])
-	case decide.CloseIdle:
+	case policy.CloseIdleConnections:
 		t.note("close %s", a.Cache)
 		t.totals.closes++
-	case decide.Watch:
+	case policy.Watch:
 		t.note("watch")
 		t.totals.watches++
 		t.watch()
-	case decide.Log:
+	case policy.Log:
 	default:
 		t.note("unknown %T", action)
 	}
@@ -356,7 +356,7 @@
 	t.totals.requests++
 	class := t.settings.Classes[t.class()]
 	request := &goldenRequest{id: int64(t.totals.requests), key: t.keys.Uint64() * 0x9e3779b97f4a7c15,
-		deadline: t.now + decide.Time(float64(class.Limit)*(0.3+0.7*t.rng.Float64())), streaming: t.rng.IntN(40) == 0}
+		deadline: t.now + policy.Time(float64(class.Timeout)*(0.3+0.7*t.rng.Float64())), streaming: t.rng.IntN(40) == 0}
 	if t.rng.Float64() < t.hotShare {
 		request.key = t.hotKey
 	}
@@ -364,17 +364,17 @@
 		request.deadline = t.now - millisecond
 	}
 	t.requests[request.id] = request
-	event := &decide.Request{ID: request.id, Class: class.Name, Tenant: "tenant", Key: request.key, HasKey: t.rng.IntN(50) > 0,
-		Deadline: request.deadline, Cost: decide.Time(t.rng.IntN(50)) * millisecond, Write: class.Effect != decide.Safe}
+	event := &policy.Request{ID: request.id, Class: class.Name, Tenant: "tenant", Key: request.key, HasKey: t.rng.IntN(50) > 0,
+		Deadline: request.deadline, Cost: policy.Time(t.rng.IntN(50)) * millisecond, Write: class.Effect != policy.Idempotent}
 	if t.rng.IntN(100) == 0 {
 		event.Class = "unknown"
 	}
 	t.feed(event)
 	if t.rng.IntN(30) == 0 {
-		t.after(t.rng.ExpFloat64()*float64(class.Aim), func() {
+		t.after(t.rng.ExpFloat64()*float64(class.LatencyObjective), func() {
 			if !request.over {
 				request.over = true
-				t.feed(&decide.Departed{ID: request.id})
+				t.feed(&policy.ClientGone{ID: request.id})
 			}
 		})
 	}
@@ -392,7 +392,7 @@
 }
 
 // send plays an attempt at a cache server.
-func (t *goldenTimeline) send(a decide.Send) {
+func (t *goldenTimeline) send(a policy.Send) {
 	t.totals.sends++
 	request, cache := t.requests[a.ID], t.byID[a.Cache]
 	for _, earlier := range request.attempts {
@@ -405,14 +405,14 @@
 	request.attempts = append(request.attempts, &goldenAttempt{cache: cache, sent: t.now, pending: true})
 	cache.inFlight++
 	result, took, miss := t.outcome(request, cache)
-	if took < 0 || t.now+decide.Time(took) >= a.StopAt {
-		t.at(a.StopAt, func() { t.end(request, number, decide.NoAnswer, false) })
+	if took < 0 || t.now+policy.Time(took) >= a.Deadline {
+		t.at(a.Deadline, func() { t.end(request, number, policy.TimedOut, false) })
 		return
 	}
-	if request.streaming && result == decide.Served {
+	if request.streaming && result == policy.Served {
 		t.after(took/2, func() {
 			if request.attempts[number].pending && !request.over {
-				t.feed(&decide.Started{ID: request.id, Attempt: number})
+				t.feed(&policy.ResponseStarted{ID: request.id, Attempt: number})
 			}
 		})
 	}
@@ -420,30 +420,30 @@
 }
 
 // outcome draws how an attempt ends and when; a negative time stands for no answer.
-func (t *goldenTimeline) outcome(request *goldenRequest, cache *goldenCache) (result decide.Result, took float64, miss bool) {
+func (t *goldenTimeline) outcome(request *goldenRequest, cache *goldenCache) (result policy.Result, took float64, miss bool) {
 	fast := float64(millisecond)
 	switch cache.fault {
 	case faultHang:
-		return decide.NoAnswer, -1, false
+		return policy.TimedOut, -1, false
 	case faultUnreachable:
-		return decide.NoConnection, fast * float64(1+t.rng.IntN(250)), false
+		return policy.ConnectFailed, fast * float64(1+t.rng.IntN(250)), false
 	case faultReset:
-		return decide.ConnLost, fast * float64(1+t.rng.IntN(50)), false
+		return policy.ConnectionLost, fast * float64(1+t.rng.IntN(50)), false
 	case faultErrors:
-		return decide.Errored, fast * float64(1+t.rng.IntN(50)), false
+		return policy.ServerError, fast * float64(1+t.rng.IntN(50)), false
 	case faultReject:
-		return decide.Rejected, fast, false
+		return policy.Rejected, fast, false
 	}
-	if cache.listed.Condition != decide.Up || cache.inFlight > 12 {
-		return decide.Rejected, fast, false
+	if cache.listed.State != policy.InService || cache.inFlight > 12 {
+		return policy.Rejected, fast, false
 	}
 	switch t.rng.IntN(300) {
 	case 0:
-		return decide.NotStored, fast, false
+		return policy.NotStored, fast, false
 	case 1:
-		return decide.NotSent, fast, false
+		return policy.NotSent, fast, false
 	case 2:
-		return decide.ConnLost, fast, false
+		return policy.ConnectionLost, fast, false
 	}
 	took = (0.2 + t.rng.ExpFloat64()) * t.service * cache.slow * (1 + float64(cache.inFlight)/4)
 	if miss = !cache.stored[request.key]; miss {
@@ -451,60 +451,60 @@
 		if t.originDown {
 			took += 5 * t.missTime
 			if t.rng.IntN(3) == 0 {
-				return decide.Errored, took, false
+				return policy.ServerError, took, false
 			}
 		}
 	}
-	return decide.Served, took, miss
+	return policy.Served, took, miss
 }
 
 // end ends an attempt, unless it has ended.
-func (t *goldenTimeline) end(request *goldenRequest, number int, result decide.Result, miss bool) {
+func (t *goldenTimeline) end(request *goldenRequest, number int, result policy.Result, miss bool) {
 	attempt := request.attempts[number]
 	if !attempt.pending {
 		return
 	}
 	attempt.pending = false
 	attempt.cache.inFlight--
-	if result == decide.Served {
+	if result == policy.Served {
 		request.over = true
 		attempt.cache.stored[request.key] = true
 	}
 	if miss {
 		t.totals.misses++
 	}
-	t.feed(&decide.Outcome{ID: request.id, Attempt: number, Result: result, Elapsed: t.now - attempt.sent,
-		Last: request.over, Miss: miss, Load: decide.Load{Busy: t.rng.Float64(), Errors: t.rng.Float64()}})
+	t.feed(&policy.AttemptDone{ID: request.id, Attempt: number, Result: result, Elapsed: t.now - attempt.sent,
+		Final: request.over, Miss: miss, Load: policy.LoadReport{Utilization: t.rng.Float64(), ErrorRate: t.rng.Float64()}})
 }
 
 // check plays a health check.
 func (t *goldenTimeline) check(cache *goldenCache) {
 	sent := t.now
-	result, took := decide.Served, t.rng.ExpFloat64()*t.service*cache.slow
+	result, took := policy.Served, t.rng.ExpFloat64()*t.service*cache.slow
 	switch cache.fault {
 	case faultHang:
 		return // the engine counts it by a timer of its own
 	case faultUnreachable:
-		result = decide.NoConnection
+		result = policy.ConnectFailed
 	case faultReset:
-		result = decide.ConnLost
+		result = policy.ConnectionLost
 	case faultErrors:
-		result = decide.Errored
+		result = policy.ServerError
 	}
 	if t.rng.IntN(50) == 0 {
-		result = decide.NotSent
+		result = policy.NotSent
 	}
 	t.after(took, func() {
-		t.feed(&decide.Probed{Cache: cache.listed.ID, Result: result, Elapsed: t.now - sent, Load: decide.Load{Busy: 0.5}})
+		t.feed(&policy.HealthCheckDone{Cache: cache.listed.ID, Result: result, Elapsed: t.now - sent, Load: policy.LoadReport{Utilization: 0.5}})
 	})
 }
 
 // Discovery.
 
-func (t *goldenTimeline) entries() []decide.Entry {
-	var entries []decide.Entry
+func (t *goldenTimeline) entries() []policy.Endpoint {
+	var entries []policy.Endpoint
 	for _, cache := range t.caches {
-		if cache.listed.Condition != decide.Removed {
+		if cache.listed.State != policy.Removed {
 			entries = append(entries, cache.listed)
 		}
 	}
@@ -512,9 +512,9 @@
 }
 
 // deliver tells the engine of a list, if it watches.
-func (t *goldenTimeline) deliver(kind decide.ListKind, entries []decide.Entry) {
+func (t *goldenTimeline) deliver(kind policy.UpdateKind, entries []policy.Endpoint) {
 	if t.watching && !t.discoveryOff {
-		t.feed(&decide.List{Kind: kind, Entries: entries})
+		t.feed(&policy.EndpointsUpdate{Kind: kind, Endpoints: entries})
 	}
 }
 
@@ -522,37 +522,37 @@
 	t.after(float64(20*millisecond), func() {
 		if t.discoveryOff {
 			t.watching = false
-			t.feed(&decide.List{Kind: decide.ListFailed})
+			t.feed(&policy.EndpointsUpdate{Kind: policy.UpdateFailed})
 			return
 		}
 		t.watching = true
-		t.deliver(decide.ListFull, t.entries())
+		t.deliver(policy.UpdateSnapshot, t.entries())
 	})
 }
 
 // change tells of one cache server after the time that the list takes.
 func (t *goldenTimeline) change(cache *goldenCache) {
 	t.after(float64(t.rng.IntN(500))*float64(millisecond), func() {
-		t.deliver(decide.ListChanges, []decide.Entry{cache.listed})
+		t.deliver(policy.UpdateDelta, []policy.Endpoint{cache.listed})
 	})
 }
 
 // renewWeights tells of live weights, lowered by the load of the moment.
 func (t *goldenTimeline) renewWeights() {
-	var changed []decide.Entry
+	var changed []policy.Endpoint
 	for _, cache := range t.caches {
-		if cache.listed.Condition == decide.Removed {
+		if cache.listed.State == policy.Removed {
 			continue
 		}
 		load := t.rng.ExpFloat64() * (0.3 + float64(cache.inFlight)/3)
 		if t.overloaded {
 			load += 20 + 4*t.rng.Float64()
 		}
-		cache.listed.Size = cache.nominal / (1 + load)
+		cache.listed.Weight = cache.nominal / (1 + load)
 		changed = append(changed, cache.listed)
 	}
 	if len(changed) > 0 {
-		t.deliver(decide.ListChanges, changed)
+		t.deliver(policy.UpdateDelta, changed)
 	}
 	t.after(float64(second)*(0.5+t.rng.Float64()), t.renewWeights)
 }
@@ -576,17 +576,17 @@
 		t.originDown = true
 		t.after(lasts, func() { t.originDown = false })
 	case 6:
-		t.setState(cache, decide.Draining)
-		t.after(lasts, func() { t.setState(cache, decide.Removed) })
+		t.setState(cache, policy.Draining)
+		t.after(lasts, func() { t.setState(cache, policy.Removed) })
 	case 7:
 		t.restart(cache)
 	case 8:
 		t.change(t.addCache(fmt.Sprintf("cache-new-%d", len(t.caches))))
 	case 9:
 		t.discoveryOff = true
-		if t.watching && t.settings.MustWatch {
+		if t.watching && t.settings.WatchRequired {
 			t.watching = false
-			t.feed(&decide.List{Kind: decide.ListFailed})
+			t.feed(&policy.EndpointsUpdate{Kind: policy.UpdateFailed})
 		}
 		t.after(lasts, func() { t.discoveryOff = false })
 	case 10:
@@ -595,7 +595,7 @@
 		t.after(lasts, func() { t.rate = rate })
 	}
 	if t.rng.IntN(10) == 0 {
-		t.deliver(decide.ListFull, t.entries())
+		t.deliver(policy.UpdateSnapshot, t.entries())
 	}
 	t.after(t.rng.ExpFloat64()*t.faultRate*float64(second), t.trouble)
 }
@@ -608,9 +608,9 @@
 	t.after(lasts, func() { cache.fault, cache.slow = faultNone, 1 })
 }
 
-func (t *goldenTimeline) setState(cache *goldenCache, state decide.Condition) {
-	if cache.listed.Condition != decide.Removed {
-		cache.listed.Condition = state
+func (t *goldenTimeline) setState(cache *goldenCache, state policy.EndpointState) {
+	if cache.listed.State != policy.Removed {
+		cache.listed.State = state
 		t.change(cache)
 	}
 }
@@ -620,7 +620,7 @@
 	if !t.restartable {
 		return
 	}
-	cache.listed.Condition, cache.listed.Start = decide.Up, t.now
+	cache.listed.State, cache.listed.StartedAt = policy.InService, t.now
 	cache.stored, cache.fault = map[uint64]bool{}, faultNone
 	t.change(cache)
 }
--- a/decide/health.go
+++ b/policy/health.go
@@ -1,6 +1,6 @@
 // Health: the design's mechanism of periodic probes; beside it outlier ejection and circuit breakers.
 
-package decide
+package policy
 
 import "math"
 
@@ -17,8 +17,8 @@
 // news acted upon, or as many of them as it takes this router's requests to pay for a probe of
 // each cache. The danger: probes grow with routers times caches, and cost more than they save.
 
-func (r *Router) probeRound() {
-	r.at(r.now+r.set.ProbeInterval(), r.probeRound)
+func (r *Engine) probeRound() {
+	r.at(r.now+r.set.HealthCheckInterval(), r.probeRound)
 	r.beats++
 	if r.spare < float64(len(r.ready)) && r.beats < longestInterval {
 		return
@@ -29,10 +29,10 @@
 	for _, c := range r.ready {
 		if r.probeDue(c) {
 			c.probing, c.probedAt = n, r.now
-			r.do(Probe{c.ID})
+			r.do(HealthCheck{c.ID})
 		}
 	}
-	r.at(r.now+r.set.ProbeTimeout(), func() {
+	r.at(r.now+r.set.HealthCheckTimeout(), func() {
 		for _, c := range r.ready {
 			if c.probing == n {
 				c.probing = 0
@@ -51,8 +51,8 @@
 // return are noticed as soon as by few routers. One that this router's own traffic makes suspect is probed
 // in the next round, and later each time that its probe bore nothing out. The danger: the product of
 // routers and caches takes the caches' time, and in a crowd every cache is suspect to every router.
-func (r *Router) probeDue(c *cache) bool {
-	interval := float64(r.set.ProbeInterval())
+func (r *Engine) probeDue(c *cache) bool {
+	interval := float64(r.set.HealthCheckInterval())
 	spread := interval * float64(r.set.Routers) / fleetProbes
 	if spread <= interval || c.fails > 0 || !c.healthy {
 		c.vain = 0
@@ -76,7 +76,7 @@
 	return true
 }
 
-func (r *Router) probed(ev *Probed) {
+func (r *Engine) probed(ev *HealthCheckDone) {
 	c := r.caches[ev.Cache]
 	if c == nil || c.probing == 0 {
 		return // too late: its round has been judged
@@ -99,7 +99,7 @@
 	}
 }
 
-func (r *Router) mark(c *cache, healthy bool) {
+func (r *Engine) mark(c *cache, healthy bool) {
 	c.healthy = healthy
 	r.logf("%s healthy: %v, after %d failed probes in a row", c.ID, healthy, c.fails)
 }
@@ -107,7 +107,7 @@
 // eject notes a cache that has answered nothing for as long as an attempt may take. Where all routers
 // share what it can do, its limit goes to the least at once. The danger: each of many routers learns from
 // its own few attempts that a cache hangs, and halving the limit costs one more of each every time.
-func (r *Router) eject(c *cache) {
+func (r *Engine) eject(c *cache) {
 	c.prompt, c.ejected = false, true
 	r.adjust(&c.limit, false, tolerated)
 	r.adjust(&c.limit, false, tolerated)
@@ -118,7 +118,7 @@
 
 // reached notes whether an attempt met the cache. The danger: links to a zone are cut, and a
 // router that learns it from each of its caches apart finds out when it is over.
-func (r *Router) reached(c *cache, met bool) {
+func (r *Engine) reached(c *cache, met bool) {
 	if met {
 		c.zone.fails, c.unmet = 0, 0
 		return
@@ -128,19 +128,19 @@
 	if c.zone.fails++; c.zone.fails == zoneThreshold {
 		r.logf("zone %s out of reach", c.Zone)
 	}
-	c.zone.halfOpenAt = r.now + r.set.ColdTime/4
+	c.zone.halfOpenAt = r.now + r.set.WarmupTime/4
 }
 
 // delayHalfOpen sets when a cache that could not be reached is tried again: later with each failure, and not
 // when the other routers do.
-func (r *Router) delayHalfOpen(c *cache) {
-	wait := float64(r.set.ColdTime) / 8 * math.Exp2(float64(min(c.unmet, backoffMost)))
+func (r *Engine) delayHalfOpen(c *cache) {
+	wait := float64(r.set.WarmupTime) / 8 * math.Exp2(float64(min(c.unmet, backoffMost)))
 	c.halfOpenAt = r.now + Time(wait*(0.5+r.random()/2))
 }
 
 // circuitOpen reports whether a cache or its zone is held to be out of reach. The danger: a router with old
 // news, as after a restart, sends each request to caches that are gone until its attempts are used up.
-func (r *Router) circuitOpen(c *cache) bool {
+func (r *Engine) circuitOpen(c *cache) bool {
 	return c.unmet >= awayThreshold && r.now < c.halfOpenAt ||
 		c.zone.fails >= zoneThreshold && r.now < c.zone.halfOpenAt
 }
--- a/decide/probe_test.go
+++ b/policy/health_test.go
@@ -1,4 +1,4 @@
-package decide
+package policy
 
 import (
 	"math"
@@ -15,7 +15,7 @@
 		t.Fatal(err)
 	}
 	b := &bench{t: t, r: r, now: 1e9}
-	b.feed(&List{Kind: ListFull, Entries: fleet(caches)})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(caches)})
 	return b
 }
 
@@ -24,14 +24,14 @@
 	const steps = 10 // an interval
 	for i := range n * steps {
 		b.spare()
-		told(i, probes(b.advance(b.r.set.ProbeInterval()/steps)))
+		told(i, probes(b.advance(b.r.set.HealthCheckInterval()/steps)))
 	}
 }
 
 // pong answers probes.
 func (b *bench) pong(caches []string) {
 	for _, id := range caches {
-		b.feed(&Probed{Cache: id, Result: Served, Elapsed: 5 * ms, Load: Load{Busy: -1}})
+		b.feed(&HealthCheckDone{Cache: id, Result: Served, Elapsed: 5 * ms, Load: LoadReport{Utilization: -1}})
 	}
 }
 
@@ -69,11 +69,11 @@
 
 // The danger: a cache that hangs is noticed when its turn among hundreds has come.
 func TestSuspectIsProbedInTheNextRound(t *testing.T) {
-	for _, result := range []Result{NoAnswer, ConnLost, Errored, NoConnection} {
+	for _, result := range []Result{TimedOut, ConnectionLost, ServerError, ConnectFailed} {
 		b := prober(t, 2800, 8, 3)
 		b.intervals(2, func(_ int, caches []string) { b.pong(caches) })
 		to := b.ask(1, "read", 1).Cache
-		if result == NoAnswer {
+		if result == TimedOut {
 			b.advance(100 * ms) // overdue
 		} else {
 			b.answer(1, 0, result, true)
--- a/decide/limits.go
+++ b/policy/limits.go
@@ -1,6 +1,6 @@
 // Concurrency limits of caches and admission: how much is sent on, and what waits or is shed.
 
-package decide
+package policy
 
 import "math"
 
@@ -21,10 +21,10 @@
 )
 
 // firstPart is what this router keeps out at a cache of which nothing is known but its size.
-func (r *Router) firstPart(c *cache) float64 {
+func (r *Engine) firstPart(c *cache) float64 {
 	part := firstLimit * r.alone()
-	if r.size > 0 && c.Size > 0 {
-		part *= c.Size / r.size
+	if r.size > 0 && c.Weight > 0 {
+		part *= c.Weight / r.size
 	}
 	return part
 }
@@ -41,7 +41,7 @@
 // attempts. The danger: a cache slowed down by crowding stays slow until it has been mostly idle, and one
 // attempt of every router at all times is enough to keep it so. With many routers the gap has to grow with
 // the time that attempts take: their sum is the crowd.
-func (r *Router) hasRoom(c *cache) bool {
+func (r *Engine) hasRoom(c *cache) bool {
 	if c.limit >= 1 {
 		return float64(c.pending) < c.limit
 	}
@@ -52,12 +52,12 @@
 }
 
 // earned is the time at a cache that a limit under one has gained and attempts have not taken up.
-func (r *Router) earned(c *cache) float64 {
+func (r *Engine) earned(c *cache) float64 {
 	return min(savedShare*float64(r.patience), c.credit+min(c.limit, 1)*float64(r.now-c.creditAt))
 }
 
 // spend takes the time that an attempt took off what was earned.
-func (r *Router) spend(c *cache, t Time) {
+func (r *Engine) spend(c *cache, t Time) {
 	c.credit, c.creditAt = r.earned(c)-float64(t), r.now
 }
 
@@ -65,7 +65,7 @@
 // the tolerated share of attempts is overdue: some are long by nature.
 // Its step is that of one attempt, or of this router's part of the first limit where that is less. The
 // danger: what is one step for a router alone is one for each of them.
-func (r *Router) adjust(limit *float64, good bool, tolerated float64) {
+func (r *Engine) adjust(limit *float64, good bool, tolerated float64) {
 	unit := r.unit()
 	if good {
 		*limit += unit * step * tolerated / (1 - tolerated)
@@ -78,7 +78,7 @@
 // a cache little, and learns of a surge or of a lost zone from each cache apart, when it is over. It
 // lowers none under one attempt of all routers, and where each hears little of any, moves only what lies
 // above the first limit: the many good verdicts on others would undo what took seconds to learn of one.
-func (r *Router) pool(good bool) {
+func (r *Engine) pool(good bool) {
 	weight := pooled * float64(r.set.Routers)
 	part := weight / (weight + float64(len(r.ready)))
 	for _, c := range r.ready {
@@ -95,13 +95,13 @@
 
 // admission is the share of keys that are sent on at all. It grows by itself as well, lest a router that
 // sends next to nothing on never learns that the crowd is over.
-func (r *Router) admission() float64 {
+func (r *Engine) admission() float64 {
 	return min(1, r.admitted*math.Exp(float64(r.now-r.admittedAt)/float64(readmit*r.set.DrainGrace)))
 }
 
 // judge lets the fate of an attempt move that share. The danger: one router of many learns of a crowd from
 // each cache apart, and the clients' retries, sent on like first tries, keep the crowd up.
-func (r *Router) judge(inTime bool) {
+func (r *Engine) judge(inTime bool) {
 	by := 1 - judged
 	if inTime {
 		by = 1 + judged*tolerated/(1-tolerated)
@@ -113,7 +113,7 @@
 // when this router comes back. At even shares keeping costs Routers/100 times what dialling
 // does, as 100 connections a cache cost ConnPrice; a cache used more than others earns its own
 // more often. The danger: every router keeps one to every cache, and the caches' tables are full.
-func (r *Router) closesIdle(c *cache) bool {
+func (r *Engine) closesIdle(c *cache) bool {
 	again := float64(c.uses-1) / float64(r.uses) * float64(len(r.ready))
-	return r.set.ConnPrice*float64(r.set.Routers) > 100*r.set.DialPrice*again
+	return r.set.ConnectionCost*float64(r.set.Routers) > 100*r.set.HandshakeCost*again
 }
--- a/decide/limits_test.go
+++ b/policy/limits_test.go
@@ -1,4 +1,4 @@
-package decide
+package policy
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 // answer ends an attempt with a result after the given time.
 func (b *bench) answer(id int64, attempt int, res Result, last bool) []Action {
-	return b.feed(&Outcome{ID: id, Attempt: attempt, Result: res, Last: last, Load: Load{Busy: -1}})
+	return b.feed(&AttemptDone{ID: id, Attempt: attempt, Result: res, Final: last, Load: LoadReport{Utilization: -1}})
 }
 
 func logs(acts []Action) string {
@@ -25,12 +25,12 @@
 func quietBench(t *testing.T, n int, change func(*Settings)) *bench {
 	t.Helper()
 	s := settings()
-	s.Probes = false
+	s.HealthChecksAllowed = false
 	if change != nil {
 		change(&s)
 	}
 	b := newBench(t, s)
-	b.feed(&List{Kind: ListFull, Entries: fleet(n)})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(n)})
 	return b
 }
 
@@ -137,7 +137,7 @@
 	n := 0
 	for id := range int64(200) {
 		if b.ask(id+1, "read", uint64(id)) != nil {
-			if len(sends(b.answer(id+1, 0, Errored, false))) > 0 {
+			if len(sends(b.answer(id+1, 0, ServerError, false))) > 0 {
 				n++
 			}
 		}
@@ -176,7 +176,7 @@
 	b := quietBench(t, 4, nil)
 	for id := range int64(30) {
 		if b.ask(id+1, "read", uint64(id)) != nil {
-			b.answer(id+1, 0, Errored, true)
+			b.answer(id+1, 0, ServerError, true)
 		}
 	}
 	if b.r.fetches != 1 {
@@ -217,12 +217,12 @@
 func TestColdCacheGetsNoMoreThanItsPart(t *testing.T) {
 	b := quietBench(t, 5, nil)
 	es := fleet(5)
-	es[3].Start = b.now
-	b.feed(&List{Kind: ListFull, Entries: es})
+	es[3].StartedAt = b.now
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 	n, key := 0, uint64(0)
 	for id := range int64(600) {
 		// Every third request is for a key that the second hash admits to the cold cache.
-		for key++; id%3 == 0 && (b.r.home(key) != "c03" || unit(mix(mix(key)+1)) >= b.r.set.ColdShare); key++ {
+		for key++; id%3 == 0 && (b.r.home(key) != "c03" || unit(mix(mix(key)+1)) >= b.r.set.WarmupStartShare); key++ {
 		}
 		if s := b.ask(id+1, "read", key); s != nil && s.Cache == "c03" {
 			n++
@@ -238,11 +238,11 @@
 func TestColdCacheTakesNoRetriesAndNoHotKeys(t *testing.T) {
 	b := quietBench(t, 5, nil)
 	es := fleet(5)
-	es[3].Start = b.now
-	b.feed(&List{Kind: ListFull, Entries: es})
+	es[3].StartedAt = b.now
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 	c := b.r.caches["c03"]
 	key := uint64(1)
-	for unit(mix(mix(key)+1)) >= b.r.set.ColdShare {
+	for unit(mix(mix(key)+1)) >= b.r.set.WarmupStartShare {
 		key++
 	}
 	q := &request{Request: &Request{Key: key, Deadline: b.now + 1e6}, class: &Class{}}
@@ -274,7 +274,7 @@
 
 // The gate alone, whatever pick offers it.
 func TestMaySendGate(t *testing.T) {
-	b := quietBench(t, 3, func(s *Settings) { s.Copies = false })
+	b := quietBench(t, 3, func(s *Settings) { s.HedgingAllowed = false })
 	b.ask(1, "read", 9)
 	q, c := b.r.reqs[1], b.r.ready[0]
 	if b.r.maySend(q, c) {
@@ -284,18 +284,18 @@
 	if !b.r.maySend(q, c) {
 		t.Error("a retry is not allowed")
 	}
-	for _, cond := range []Condition{Draining, Removed} {
-		if c.Condition = cond; b.r.maySend(q, c) {
+	for _, cond := range []EndpointState{Draining, Removed} {
+		if c.State = cond; b.r.maySend(q, c) {
 			t.Errorf("sent to a cache in condition %d", cond)
 		}
 	}
-	c.Condition = Up
+	c.State = InService
 	q.streams = true
 	if b.r.maySend(q, c) {
 		t.Error("sent though the answer streams")
 	}
 	// An unsafe class keeps off even where its settings speak of keys.
-	q = &request{Request: &Request{Deadline: b.now + 1e6}, class: &Class{Effect: Unsafe, Scope: ScopeAll, KeyTTL: 1e9},
+	q = &request{Request: &Request{Deadline: b.now + 1e6}, class: &Class{Effect: NonIdempotent, DedupScope: ScopeAll, KeyTTL: 1e9},
 		attempts: []attempt{{to: c, sent: b.now}}}
 	if b.r.maySend(q, c) || b.r.mayRefuse(q) {
 		t.Error("an unsafe request that may have run was sent again or refused")
@@ -316,7 +316,7 @@
 			t.Errorf("silent %v: hedged with %v", silent, got)
 		}
 	}
-	for _, change := range []func(*Settings){func(s *Settings) { s.Copies = false }, func(s *Settings) { s.MaxAttempts = 1 }} {
+	for _, change := range []func(*Settings){func(s *Settings) { s.HedgingAllowed = false }, func(s *Settings) { s.MaxAttempts = 1 }} {
 		b := quietBench(t, 4, change)
 		b.ask(1, "read", 9)
 		if got := sends(b.advance(150 * ms)); len(got) != 0 {
@@ -431,7 +431,7 @@
 		b := quietBench(t, 8, nil)
 		for id := range int64(400) {
 			if b.ask(id+1, "read", uint64(id)) != nil {
-				b.feed(&Outcome{ID: id + 1, Result: Served, Last: true, Miss: miss, Load: Load{Busy: -1}})
+				b.feed(&AttemptDone{ID: id + 1, Result: Served, Final: true, Miss: miss, Load: LoadReport{Utilization: -1}})
 			}
 		}
 		b.r.fetches = 2
@@ -451,7 +451,7 @@
 func TestLimitFallsWhereAQuarterIsOverdue(t *testing.T) {
 	limit := 8.0
 	for i := range 40 {
-		(&Router{set: Settings{Routers: 1}}).adjust(&limit, i%4 != 0, tolerated)
+		(&Engine{set: Settings{Routers: 1}}).adjust(&limit, i%4 != 0, tolerated)
 	}
 	if limit >= 8 {
 		t.Errorf("with a quarter overdue a limit of 8 went to %v", limit)
@@ -462,7 +462,7 @@
 func TestIdleConnectionsAreClosedWhereKeepingCostsMore(t *testing.T) {
 	closed := func(routers int, key func(id int64) uint64, change func(*Settings)) (n int) {
 		b := quietBench(t, 20, func(s *Settings) {
-			s.Routers, s.ConnPrice, s.DialPrice = routers, .05, .05
+			s.Routers, s.ConnectionCost, s.HandshakeCost = routers, .05, .05
 			if change != nil {
 				change(s)
 			}
@@ -471,7 +471,7 @@
 			b.ask(id+1, "read", key(id))
 			b.settle(id+1, 0)
 			for _, a := range b.acts {
-				if _, ok := a.(CloseIdle); ok {
+				if _, ok := a.(CloseIdleConnections); ok {
 					n++
 				}
 			}
@@ -493,10 +493,10 @@
 	if n := closed(600, spread, nil); n < 380 {
 		t.Errorf("many routers closed only %d of 400", n)
 	}
-	if n := closed(600, one, func(s *Settings) { s.ConnPrice = .01 }); n > 20 {
+	if n := closed(600, one, func(s *Settings) { s.ConnectionCost = .01 }); n > 20 {
 		t.Errorf("closed %d of 400 to the one cache in use", n)
 	}
-	if n := closed(600, spread, func(s *Settings) { s.ConnPrice, s.DialPrice = 0, 0 }); n > 0 {
+	if n := closed(600, spread, func(s *Settings) { s.ConnectionCost, s.HandshakeCost = 0, 0 }); n > 0 {
 		t.Errorf("closed %d where neither has a price", n)
 	}
 }
@@ -511,7 +511,7 @@
 		s := b.ask(int64(key), "read", key)
 		for n := 0; s != nil && b.r.caches[s.Cache].Zone == "a"; n++ {
 			tries++
-			if got := sends(b.answer(int64(key), n, NoConnection, false)); len(got) == 0 {
+			if got := sends(b.answer(int64(key), n, ConnectFailed, false)); len(got) == 0 {
 				t.Fatal("not sent on after a failed connection")
 			} else {
 				s = &got[0]
@@ -538,7 +538,7 @@
 		c.limit = 100
 	}
 	b.r.fetches = 1e6
-	b.advance(b.r.set.ColdTime/4 + ms)
+	b.advance(b.r.set.WarmupTime/4 + ms)
 	if n := sentTo(); n != 1 {
 		t.Errorf("%d trials, want one", n)
 	}
@@ -557,19 +557,19 @@
 // The danger: a size that falls with the load moves keys from list to list.
 func TestLiveSizesDoNotMoveKeys(t *testing.T) {
 	for _, live := range []bool{true, false} {
-		b := quietBench(t, 8, func(s *Settings) { s.LiveSizes = live })
+		b := quietBench(t, 8, func(s *Settings) { s.LiveWeights = live })
 		moved := 0
 		for key := range uint64(200) {
 			es := fleet(8)
 			for i := range es {
-				es[i].Size = 2
+				es[i].Weight = 2
 			}
-			b.feed(&List{Kind: ListFull, Entries: es})
+			b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 			home := b.r.home(key)
 			for i := range es {
-				es[i].Size /= float64(1 + (int(key)+i)%3) // as requests come and go
+				es[i].Weight /= float64(1 + (int(key)+i)%3) // as requests come and go
 			}
-			b.feed(&List{Kind: ListFull, Entries: es})
+			b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 			if b.r.home(key) != home {
 				moved++
 			}
@@ -581,7 +581,7 @@
 }
 
 // home is the id of a key's first rank.
-func (r *Router) home(key uint64) string {
+func (r *Engine) home(key uint64) string {
 	r.rank(key)
 	return r.nth(0).ID
 }
@@ -591,14 +591,14 @@
 	b := quietBench(t, 8, nil)
 	for id := range int64(100) {
 		b.ask(id+1, "read", uint64(id))
-		if len(sends(b.answer(id+1, 0, ConnLost, false))) != 1 {
+		if len(sends(b.answer(id+1, 0, ConnectionLost, false))) != 1 {
 			t.Fatalf("break %d was not followed by another attempt", id+1)
 		}
 		b.settle(id+1, 1)
 	}
 	b.r.retryBudget = 0
 	b.ask(1000, "once", 7)
-	if len(sends(b.answer(1000, 0, ConnLost, false))) != 0 || finals(b.acts) != 1 {
+	if len(sends(b.answer(1000, 0, ConnectionLost, false))) != 0 || finals(b.acts) != 1 {
 		t.Fatal("what may have run and must not be repeated was not failed at once")
 	}
 }
@@ -607,11 +607,11 @@
 func TestOneBreakDoesNotMoveAKey(t *testing.T) {
 	b := quietBench(t, 8, nil)
 	home := b.ask(1, "read", 42).Cache
-	again := sends(b.answer(1, 0, ConnLost, false))
+	again := sends(b.answer(1, 0, ConnectionLost, false))
 	if len(again) != 1 || again[0].Cache != home {
 		t.Fatalf("after one break the request went to %v, not back to %s", again, home)
 	}
-	other := sends(b.answer(1, 1, ConnLost, false))
+	other := sends(b.answer(1, 1, ConnectionLost, false))
 	if len(other) != 1 || other[0].Cache == home {
 		t.Fatalf("after two breaks at %s the request went to %v", home, other)
 	}
@@ -641,7 +641,7 @@
 	for id := range int64(50) { // each takes 3/4 of the aim
 		b.ask(id+1, "read", uint64(id))
 		b.advance(150 * ms)
-		b.feed(&Outcome{ID: id + 1, Result: Served, Last: true, Miss: true, Load: Load{Busy: -1}})
+		b.feed(&AttemptDone{ID: id + 1, Result: Served, Final: true, Miss: true, Load: LoadReport{Utilization: -1}})
 	}
 	if b.r.fetches <= 1 {
 		t.Errorf("answers within the aim left the limit at %v", b.r.fetches)
@@ -675,16 +675,16 @@
 // caches drop them, counted from the first that may have run; nothing else has such an end.
 func TestRepeatsAreBegunWhileTheyAreDropped(t *testing.T) {
 	for class, keyed := range map[string]bool{"read": false, "all": true} {
-		for result, ran := range map[Result]bool{ConnLost: true, NoConnection: false} {
+		for result, ran := range map[Result]bool{ConnectionLost: true, ConnectFailed: false} {
 			b := newBench(t, settings())
-			b.feed(&List{Kind: ListFull, Entries: fleet(8)})
+			b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(8)})
 			sent := b.now
-			if s := b.ask(1, class, 5); s == nil || s.SendBy != 0 {
+			if s := b.ask(1, class, 5); s == nil || s.StartBefore != 0 {
 				t.Fatalf("%s: first attempt %+v", class, s)
 			}
 			b.now += 10 * ms
 			var again *Send
-			for _, a := range b.feed(&Outcome{ID: 1, Result: result}) {
+			for _, a := range b.feed(&AttemptDone{ID: 1, Result: result}) {
 				if s, ok := a.(Send); ok {
 					again = &s
 				}
@@ -693,7 +693,7 @@
 			if keyed && ran {
 				want = sent + 500*ms
 			}
-			if again == nil || again.SendBy != want {
+			if again == nil || again.StartBefore != want {
 				t.Errorf("%s after result %d: next attempt %+v, want it by %d", class, result, again, want)
 			}
 		}
@@ -705,15 +705,15 @@
 func TestProbesSuitAShortDrainGrace(t *testing.T) {
 	s := settings()
 	s.DrainGrace = 50 * ms
-	if got := s.ProbeTimeout(); got != 200*ms {
+	if got := s.HealthCheckTimeout(); got != 200*ms {
 		t.Errorf("a probe may take %d", got)
 	}
-	if s.ProbeInterval() <= s.ProbeTimeout() {
-		t.Errorf("rounds every %d, judged after %d", s.ProbeInterval(), s.ProbeTimeout())
+	if s.HealthCheckInterval() <= s.HealthCheckTimeout() {
+		t.Errorf("rounds every %d, judged after %d", s.HealthCheckInterval(), s.HealthCheckTimeout())
 	}
 	s.DrainGrace = 1000 * ms
-	if s.ProbeTimeout() != 500*ms || s.ProbeInterval() != 1000*ms {
-		t.Errorf("with a long grace: %d, every %d", s.ProbeTimeout(), s.ProbeInterval())
+	if s.HealthCheckTimeout() != 500*ms || s.HealthCheckInterval() != 1000*ms {
+		t.Errorf("with a long grace: %d, every %d", s.HealthCheckTimeout(), s.HealthCheckInterval())
 	}
 }
 
@@ -721,10 +721,10 @@
 // list that may be asked for seldom must not put the next call behind the drain grace.
 func TestFirstCallAfterASilentWatchIsInTime(t *testing.T) {
 	s := settings()
-	s.MustWatch, s.AskEvery, s.DrainGrace = true, 120_000*ms, 250*ms
+	s.WatchRequired, s.PollInterval, s.DrainGrace = true, 120_000*ms, 250*ms
 	b := newBench(t, s)
-	b.feed(&List{Kind: ListFull, Entries: fleet(8)})
-	b.feed(&List{Kind: ListFailed})
+	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(8)})
+	b.feed(&EndpointsUpdate{Kind: UpdateFailed})
 	for _, a := range b.advance(s.DrainGrace) {
 		if _, ok := a.(Watch); ok {
 			return
--- a/decide/origin.go
+++ b/policy/origin.go
@@ -1,6 +1,6 @@
 // The origin: what it likely has to serve, and how much of that is let out.
 
-package decide
+package policy
 
 const (
 	leastFetches    = 1   // likely misses that one router may have out, at least
@@ -10,28 +10,28 @@
 )
 
 // fetch reports whether the origin likely has to serve a read that is sent to the cache.
-func (r *Router) fetch(q *request, c *cache) bool { return !q.Write && !c.knows(q.Key) }
+func (r *Engine) fetch(q *request, c *cache) bool { return !q.Write && !c.knows(q.Key) }
 
 // knows reports whether the cache has answered for the key lately, so that it likely keeps it.
 func (c *cache) knows(key uint64) bool { return c.keeps[0][key] || c.keeps[1][key] }
 
-func (r *Router) originIdles() bool { return float64(r.fetching) < r.fetches/2 }
+func (r *Engine) originIdles() bool { return float64(r.fetching) < r.fetches/2 }
 
 // fetchTime is how long a likely miss may take before it speaks against the origin. The danger: where
 // misses are slow by themselves, fewer of them are no faster, and the limit finds no rest until
 // nothing is fetched. Once all routers together have one out at each cache, it may take its whole aim.
-func (r *Router) fetchTime(q *request, c *cache) Time {
+func (r *Engine) fetchTime(q *request, c *cache) Time {
 	if r.fetches <= float64(len(r.ready))*r.alone() {
-		return q.class.Aim
+		return q.class.LatencyObjective
 	}
 	slow := r.patienceAt(c, q.class) - q.class.patience()
-	return min(q.class.Aim, Time(originShare*float64(q.class.Aim))+slow)
+	return min(q.class.LatencyObjective, Time(originShare*float64(q.class.LatencyObjective))+slow)
 }
 
 // overdue blames a late attempt on the origin if it is a likely miss and the cache answered the
 // last likely hit in time, else on the cache. The danger: an origin that is asked for too much serves all of
 // it late, writes too, and goes on with work that nobody waits for; a cache likewise.
-func (r *Router) overdue(q *request, n int) {
+func (r *Engine) overdue(q *request, n int) {
 	a := &q.attempts[n]
 	c := a.to
 	if a.fetch && c.prompt && r.now >= c.warmAt { // a cold one is slow itself and has few hits
@@ -58,7 +58,7 @@
 	}
 	// The danger: where all caches are slow by themselves, less load makes none of them faster,
 	// and a share of nothing is served. Alone, an attempt may take its whole aim.
-	r.at(a.sent+q.class.Aim, func() {
+	r.at(a.sent+q.class.LatencyObjective, func() {
 		if q.attempts[n].pending {
 			r.adjust(&c.limit, false, tolerated)
 		}
--- a/decide/placement.go
+++ b/policy/placement.go
@@ -1,6 +1,6 @@
 // Placement by rendezvous hashing: the home of a key, its fallbacks, the spread of hot keys.
 
-package decide
+package policy
 
 import "math"
 
@@ -17,10 +17,10 @@
 // rank orders the ready caches for a key by size-weighted rendezvous hashing: a
 // cache that leaves gives up its own keys only, and each key has its fallbacks.
 // Routers agree, as the list's contents alone decide. Ranks after the first are for nth to find.
-func (r *Router) rank(key uint64) []*cache {
+func (r *Engine) rank(key uint64) []*cache {
 	r.ranks, r.ranked = append(r.ranks[:0], r.ready...), 0
 	for _, c := range r.ranks {
-		c.score = -math.Log(unit(mix(key^c.hash))+1e-18) / c.Size
+		c.score = -math.Log(unit(mix(key^c.hash))+1e-18) / c.Weight
 	}
 	if k := min(r.spread(key), len(r.ranks)); k > 1 {
 		// The danger: a hot key drowns its cache, and the cache's other keys go elsewhere and
@@ -34,7 +34,7 @@
 
 // nth is the cache of rank i. The danger: sorting a large fleet for each request takes more time
 // than a router has; few ranks are asked for.
-func (r *Router) nth(i int) *cache {
+func (r *Engine) nth(i int) *cache {
 	for ; r.ranked <= i; r.ranked++ {
 		best := r.ranked
 		for j := best + 1; j < len(r.ranks); j++ { // equal scores stay in the order of ids
@@ -50,7 +50,7 @@
 }
 
 // spread is over how many caches a key's requests go: one, unless it is hot.
-func (r *Router) spread(key uint64) int {
+func (r *Engine) spread(key uint64) int {
 	n := r.keys[0][key] + r.keys[1][key]
 	if n < hotLeast {
 		return 1
@@ -67,7 +67,7 @@
 
 // pick names the cache for the next attempt, or nil. crowded tells that only
 // want of room stands in the way.
-func (r *Router) pick(q *request) (to *cache, crowded bool) {
+func (r *Engine) pick(q *request) (to *cache, crowded bool) {
 	var anyway *cache
 	home := true // until a cache has been passed over that the key should go to
 	tried, shut := 0, false
@@ -132,14 +132,14 @@
 // that keeps its key, or any while the origin has room or the budget a token. The danger:
 // overflowing keys miss wherever they go and crowd the origin. In overload none goes to a cold cache: what
 // the warm ones leave is more than it can do.
-func (r *Router) mayOverflow(q *request, c *cache) bool {
+func (r *Engine) mayOverflow(q *request, c *cache) bool {
 	return (r.now >= c.warmAt || r.relief() >= 1-tolerated) &&
 		(c.knows(q.Key) || r.originIdles() || r.retryBudget >= 1)
 }
 
 // ease takes the list's word for how crowded a cache is. The danger: each of many routers sends a cache so
 // little that it learns of a crowd from its own attempts when it is over, and all of them send one more.
-func (r *Router) ease(c *cache, crowd float64) {
+func (r *Engine) ease(c *cache, crowd float64) {
 	c.open, c.openAt = r.openShare(c), r.now
 	if crowd > crowdedAt && crowd > drained*c.crowd {
 		c.open = max(leastOpen, c.open*math.Sqrt(crowdedAt/crowd))
@@ -148,7 +148,7 @@
 }
 
 // openShare is the share of its keys that a cache is still sent. It grows back while there is no crowd.
-func (r *Router) openShare(c *cache) float64 {
+func (r *Engine) openShare(c *cache) float64 {
 	if c.crowd > crowdedAt {
 		return c.open
 	}
@@ -158,6 +158,6 @@
 
 // isOpen reports whether this router sends the key to the cache. Routers choose apart, so that those of a hot
 // key share it out among as many caches as it takes, and each stays with its choice.
-func (r *Router) isOpen(c *cache, key uint64) bool {
+func (r *Engine) isOpen(c *cache, key uint64) bool {
 	return !r.thin() || unit(mix(key^c.hash^r.own)) < r.openShare(c)
 }
