--- a/decide/random_test.go
+++ b/policy/random_test.go
@@ -1,4 +1,4 @@
-package decide
+package policy
 
 import (
 	"math/rand"
@@ -16,7 +16,7 @@
 	now   Time
 	reqs  map[int64]*watched
 	told  map[string]Time // since when a cache is known to drain or be gone
-	known map[string]Entry
+	known map[string]Endpoint
 }
 
 type watched struct {
@@ -27,7 +27,7 @@
 }
 
 type watchedTry struct {
-	cache   Entry
+	cache   Endpoint
 	sent    Time
 	pending bool
 	result  Result
@@ -43,7 +43,7 @@
 			if q == nil || q.done {
 				t.Fatalf("send for a request that is over: %v", a)
 			}
-			if w.now >= q.deadline || len(q.tries) >= w.set.MaxAttempts || a.StopAt <= w.now {
+			if w.now >= q.deadline || len(q.tries) >= w.set.MaxAttempts || a.Deadline <= w.now {
 				t.Fatalf("send after deadline or attempts: %v", a)
 			}
 			to, ok := w.known[a.Cache]
@@ -54,23 +54,23 @@
 				t.Fatalf("send to a draining or gone cache: %v", a)
 			}
 			for _, p := range q.tries {
-				if p.pending && !w.set.Copies {
+				if p.pending && !w.set.HedgingAllowed {
 					t.Fatalf("two pending at once: %v", a)
 				}
-				if q.class.Effect == Safe || !p.pending && p.result.NeverRan() {
+				if q.class.Effect == Idempotent || !p.pending && p.result.NeverRan() {
 					continue
 				}
-				if q.class.Effect == Unsafe || w.now > p.sent+q.class.KeyTTL ||
-					q.class.Scope == ScopeZone && p.cache.Zone != to.Zone || q.class.Scope == ScopeCell && p.cache.Cell != to.Cell {
+				if q.class.Effect == NonIdempotent || w.now > p.sent+q.class.KeyTTL ||
+					q.class.DedupScope == ScopeZone && p.cache.Zone != to.Zone || q.class.DedupScope == ScopeGroup && p.cache.Group != to.Group {
 					t.Fatalf("%s could run twice: %v", q.class.Name, a)
 				}
 			}
 			q.tries = append(q.tries, watchedTry{cache: to, sent: w.now, pending: true})
-		case Refuse:
+		case Reject:
 			q := w.reqs[a.ID]
 			w.final(a.ID)
 			for _, p := range q.tries {
-				free := q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll
+				free := q.class.Effect == Idempotent || q.class.Effect == IdempotentWithKey && q.class.DedupScope == ScopeAll
 				if !free && (p.pending || !p.result.NeverRan()) {
 					t.Fatalf("%s refused though it may have run", q.class.Name)
 				}
@@ -78,11 +78,11 @@
 		case Fail:
 			w.final(a.ID)
 		case Cancel:
-			if q := w.reqs[a.ID]; q == nil || a.Attempt >= len(q.tries) || !w.set.Cancels {
+			if q := w.reqs[a.ID]; q == nil || a.Attempt >= len(q.tries) || !w.set.CancelAllowed {
 				t.Fatalf("cancel of an attempt never sent: %v", a)
 			}
-		case Probe:
-			if _, ok := w.known[a.Cache]; !ok || !w.set.Probes {
+		case HealthCheck:
+			if _, ok := w.known[a.Cache]; !ok || !w.set.HealthChecksAllowed {
 				t.Fatalf("probe of %v", a)
 			}
 		}
@@ -104,10 +104,10 @@
 func randomSettings(rng *rand.Rand) Settings {
 	s := settings()
 	s.MaxAttempts = 1 + rng.Intn(5)
-	s.Copies, s.Cancels, s.MustWatch = rng.Intn(2) == 0, rng.Intn(3) > 0, rng.Intn(2) == 0
-	s.Probes = rng.Intn(4) > 0
+	s.HedgingAllowed, s.CancelAllowed, s.WatchRequired = rng.Intn(2) == 0, rng.Intn(3) > 0, rng.Intn(2) == 0
+	s.HealthChecksAllowed = rng.Intn(4) > 0
 	if rng.Intn(4) == 0 {
-		s.ColdTime, s.ColdShare, s.TipTime, s.AskEvery = 0, 0, 0, 0
+		s.WarmupTime, s.WarmupStartShare, s.OverloadTime, s.PollInterval = 0, 0, 0, 0
 	}
 	return s
 }
@@ -117,7 +117,7 @@
 	rng := rand.New(rand.NewSource(seed))
 	s := randomSettings(rng)
 	b := newBench(t, s)
-	w := &watcher{t: t, set: s, reqs: map[int64]*watched{}, told: map[string]Time{}, known: map[string]Entry{}}
+	w := &watcher{t: t, set: s, reqs: map[int64]*watched{}, told: map[string]Time{}, known: map[string]Endpoint{}}
 	classes := map[string]Class{}
 	for _, c := range s.Classes {
 		classes[c.Name] = c
@@ -130,8 +130,8 @@
 		w.check(acts)
 		all = append(all, acts...)
 	}
-	list := func(kind ListKind, es []Entry) {
-		if kind != ListChanges {
+	list := func(kind UpdateKind, es []Endpoint) {
+		if kind != UpdateDelta {
 			for id := range w.known {
 				if _, ok := w.told[id]; !ok {
 					w.told[id] = b.now
@@ -139,16 +139,16 @@
 			}
 		}
 		for _, e := range es {
-			if e.Condition == Up {
+			if e.State == InService {
 				delete(w.told, e.ID)
 			} else if _, ok := w.told[e.ID]; !ok {
 				w.told[e.ID] = b.now
 			}
 			w.known[e.ID] = e
 		}
-		feed(&List{Kind: kind, Entries: es})
+		feed(&EndpointsUpdate{Kind: kind, Endpoints: es})
 	}
-	list(ListStale, fleet(rng.Intn(8)))
+	list(UpdateStale, fleet(rng.Intn(8)))
 	for id := int64(1); id < int64(steps); id++ {
 		end := b.now + Time(rng.Intn(20*ms))
 		for {
@@ -164,7 +164,7 @@
 			tm := b.timers[k]
 			b.timers = append(b.timers[:k], b.timers[k+1:]...)
 			b.now = max(b.now, tm.At)
-			feed(&Timer{tm.Token})
+			feed(&TimerFired{tm.Token})
 		}
 		b.now = end
 		switch x := rng.Intn(100); {
@@ -179,20 +179,20 @@
 			if q := w.reqs[gone]; q != nil {
 				q.done = true
 			}
-			feed(&Departed{ID: gone})
+			feed(&ClientGone{ID: gone})
 		case x < 58:
 			e := fleet(10)[rng.Intn(10)]
-			e.Condition = Condition(rng.Intn(3))
+			e.State = EndpointState(rng.Intn(3))
 			if rng.Intn(2) == 0 {
-				e.Condition, e.Start = Up, b.now-Time(rng.Intn(12000*ms))
+				e.State, e.StartedAt = InService, b.now-Time(rng.Intn(12000*ms))
 			}
-			list(ListChanges, []Entry{e})
+			list(UpdateDelta, []Endpoint{e})
 		case x < 59:
-			list(ListKind(1+rng.Intn(2)), fleet(rng.Intn(10)))
+			list(UpdateKind(1+rng.Intn(2)), fleet(rng.Intn(10)))
 		case x < 60:
-			feed(&List{Kind: ListFailed})
+			feed(&EndpointsUpdate{Kind: UpdateFailed})
 		case x < 66:
-			feed(&Probed{Cache: fleet(10)[rng.Intn(10)].ID, Result: Result(rng.Intn(6)), Load: Load{Busy: rng.Float64()}})
+			feed(&HealthCheckDone{Cache: fleet(10)[rng.Intn(10)].ID, Result: Result(rng.Intn(6)), Load: LoadReport{Utilization: rng.Float64()}})
 		default:
 			endTry(rng, b, w, id, feed)
 		}
@@ -222,8 +222,8 @@
 			}
 			q.tries[i].pending, q.tries[i].result = false, res
 			q.done = q.done || res == Served
-			feed(&Outcome{ID: id - back, Attempt: i, Result: res, Elapsed: b.now - q.tries[i].sent, Last: q.done,
-				Load: Load{Busy: rng.Float64()*2 - 1}})
+			feed(&AttemptDone{ID: id - back, Attempt: i, Result: res, Elapsed: b.now - q.tries[i].sent, Final: q.done,
+				Load: LoadReport{Utilization: rng.Float64()*2 - 1}})
 			return
 		}
 	}
--- a/decide/requests.go
+++ b/policy/requests.go
@@ -1,6 +1,6 @@
 // Requests, from their arrival to the final answer.
 
-package decide
+package policy
 
 import "slices"
 
@@ -9,9 +9,9 @@
 	admitTries = 32 // held requests without room that are looked at for one answer
 )
 
-var unknownClass = Class{Effect: Unsafe}
+var unknownClass = Class{Effect: NonIdempotent}
 
-func (r *Router) request(ev *Request) {
+func (r *Engine) request(ev *Request) {
 	q := &request{Request: ev, class: r.classes[ev.Class], arrived: r.now}
 	if q.class == nil {
 		q.class = &unknownClass
@@ -34,12 +34,12 @@
 		r.answer(q)
 		return
 	}
-	r.spare += probeShare / max(r.set.ProbePrice, 1e-9)
+	r.spare += probeShare / max(r.set.HealthCheckCost, 1e-9)
 	r.forward(q)
 }
 
 // forward sends a request on, holds it for room, or answers it when neither can be.
-func (r *Router) forward(q *request) {
+func (r *Engine) forward(q *request) {
 	if r.isRetry(q) && r.retryBudget < 1 {
 		r.giveUp(q) // the danger: retries feed the overload that caused them
 		return
@@ -56,7 +56,7 @@
 }
 
 // giveUp answers a request unless an attempt is still out that may do so.
-func (r *Router) giveUp(q *request) {
+func (r *Engine) giveUp(q *request) {
 	if !slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.pending }) {
 		r.answer(q)
 	}
@@ -64,12 +64,12 @@
 
 // holdUntil is when a held request can no longer be served within its aim.
 func (q *request) holdUntil() Time {
-	return q.arrived + Time(holdShare*float64(min(q.class.Aim, q.Deadline-q.arrived)))
+	return q.arrived + Time(holdShare*float64(min(q.class.LatencyObjective, q.Deadline-q.arrived)))
 }
 
 // hold keeps a request until a cache has room. The danger it answers: a crowded
 // cache serves everything late, and late failures cost most.
-func (r *Router) hold(q *request) {
+func (r *Engine) hold(q *request) {
 	if !q.held {
 		q.held = true
 		r.waiting = append(r.waiting, q)
@@ -83,7 +83,7 @@
 	}
 }
 
-func (r *Router) unhold(q *request) {
+func (r *Engine) unhold(q *request) {
 	q.held = false
 	if i := slices.Index(r.waiting, q); i >= 0 {
 		r.waiting = slices.Delete(r.waiting, i, i+1)
@@ -92,7 +92,7 @@
 
 // admit sends held requests on when there is room again, the latest first: the danger of
 // the fair order is that in overload each one waits until it is too late.
-func (r *Router) admit() {
+func (r *Engine) admit() {
 	failed := 0
 	for i := len(r.waiting) - 1; i >= 0 && failed < admitTries; i-- {
 		q := r.waiting[i]
@@ -105,7 +105,7 @@
 	}
 }
 
-func (r *Router) send(q *request, c *cache) {
+func (r *Engine) send(q *request, c *cache) {
 	if r.isRetry(q) || len(q.attempts) == 0 && q.astray && !r.originIdles() && !c.knows(q.Key) {
 		r.retryBudget--
 	}
@@ -123,11 +123,11 @@
 		r.delayHalfOpen(c)
 	}
 	if c.zone.fails >= zoneThreshold {
-		c.zone.halfOpenAt = r.now + r.set.ColdTime/4 // the trial is one request
+		c.zone.halfOpenAt = r.now + r.set.WarmupTime/4 // the trial is one request
 	}
-	r.do(Send{ID: q.ID, Cache: c.ID, StopAt: q.Deadline, SendBy: q.repeatBy(n)})
+	r.do(Send{ID: q.ID, Cache: c.ID, Deadline: q.Deadline, StartBefore: q.repeatBy(n)})
 	if r.thin() {
-		r.at(min(r.now+q.class.Aim, q.Deadline-1), func() {
+		r.at(min(r.now+q.class.LatencyObjective, q.Deadline-1), func() {
 			a := &q.attempts[n]
 			if a.pending && !(a.fetch && r.prompt > a.sent && r.refilling()) {
 				r.judge(false)
@@ -144,24 +144,24 @@
 }
 
 // patience is how long an attempt may take before it counts as overdue.
-func (c *Class) patience() Time { return max(c.Aim/2, 1) }
+func (c *Class) patience() Time { return max(c.LatencyObjective/2, 1) }
 
 // patienceAt is the same at one cache: a slow one may take twice what its quicker hits take. The danger: its
 // hits take half of the aim with nothing else to do, and its limit falls until it does next to nothing.
-func (r *Router) patienceAt(c *cache, class *Class) Time {
+func (r *Engine) patienceAt(c *cache, class *Class) Time {
 	if r.thin() {
 		return class.patience() // it hears too little of one cache to know
 	}
-	return max(class.patience(), min(Time(slowBy*c.usual), Time(slowest*float64(class.Aim))))
+	return max(class.patience(), min(Time(slowBy*c.usual), Time(slowest*float64(class.LatencyObjective))))
 }
 
 // answer gives the final answer, once.
-func (r *Router) answer(q *request) {
+func (r *Engine) answer(q *request) {
 	if q.done || q.streams {
 		return
 	}
 	if r.mayRefuse(q) {
-		r.do(Refuse{ID: q.ID, Wait: min(r.set.RefuseWait, q.class.Aim)})
+		r.do(Reject{ID: q.ID, RetryAfter: min(r.set.MaxRetryAfter, q.class.LatencyObjective)})
 	} else {
 		r.do(Fail{ID: q.ID})
 	}
@@ -169,7 +169,7 @@
 }
 
 // finish stops what is still out for a request that is over.
-func (r *Router) finish(q *request) {
+func (r *Engine) finish(q *request) {
 	q.done = true
 	if q.held {
 		r.unhold(q)
@@ -178,7 +178,7 @@
 	for i := range q.attempts {
 		if a := &q.attempts[i]; a.pending {
 			out = true
-			if r.set.Cancels && !q.streams && !a.stopped {
+			if r.set.CancelAllowed && !q.streams && !a.stopped {
 				a.stopped = true
 				r.do(Cancel{q.ID, i})
 			}
@@ -189,7 +189,7 @@
 	}
 }
 
-func (r *Router) outcome(ev *Outcome) {
+func (r *Engine) outcome(ev *AttemptDone) {
 	q := r.reqs[ev.ID]
 	if q == nil || ev.Attempt < 0 || ev.Attempt >= len(q.attempts) || !q.attempts[ev.Attempt].pending {
 		return
@@ -206,28 +206,28 @@
 	if a.fetch {
 		r.fetching--
 	}
-	if ev.Result == Served || ev.Result == Errored || ev.Result == Rejected {
+	if ev.Result == Served || ev.Result == ServerError || ev.Result == Rejected {
 		a.to.answered = r.now
 		if a.to.ejected && ev.Result == Served {
 			a.to.ejected = false
 			a.to.limit = max(a.to.limit, r.firstPart(a.to)/2) // half, lest all come back at once
 		}
 		r.reached(a.to, true)
-	} else if ev.Result == NoConnection {
+	} else if ev.Result == ConnectFailed {
 		a.unmet = true
 		r.reached(a.to, false)
 	}
-	if r.thin() && ev.Result == Served && r.now < a.sent+q.class.Aim {
+	if r.thin() && ev.Result == Served && r.now < a.sent+q.class.LatencyObjective {
 		r.judge(true)
 	}
-	a.broke = ev.Result == ConnLost
-	a.to.suspect = a.to.suspect || a.broke || ev.Result == Errored || ev.Result == NoConnection
+	a.broke = ev.Result == ConnectionLost
+	a.to.suspect = a.to.suspect || a.broke || ev.Result == ServerError || ev.Result == ConnectFailed
 	// A refusal speaks of crowding only where more is out than any cache is trusted with at first. The
 	// danger: one that stands still now and then loses its whole part of the work for good.
 	crowd := ev.Result == Rejected && float64(a.to.pending+1) > r.firstPart(a.to)
 	a.shunned = ev.Result == Rejected && !crowd
 	if a.to.pending == 0 && r.closesIdle(a.to) {
-		r.do(CloseIdle{a.to.ID})
+		r.do(CloseIdleConnections{a.to.ID})
 	}
 	good := ev.Result == Served && r.now-a.sent < r.patienceAt(a.to, q.class)
 	if r.thin() && ev.Result == Served && ev.Miss {
@@ -244,19 +244,19 @@
 	if fetched && ev.Miss {
 		r.fetched = r.now
 	}
-	if ev.Result == Errored || fetched && float64(r.fetching+1) > r.fetches/2 {
+	if ev.Result == ServerError || fetched && float64(r.fetching+1) > r.fetches/2 {
 		r.adjust(&r.fetches, fetched, originTolerated)
 		r.fetches = max(1, r.fetches)
 	}
-	if crowd || ev.Result == NoConnection || good && float64(a.to.pending+1) > a.to.limit/2 {
+	if crowd || ev.Result == ConnectFailed || good && float64(a.to.pending+1) > a.to.limit/2 {
 		r.pool(good)
 		r.adjust(&a.to.limit, good, tolerated)
-	} else if ev.Result == Served && a.to.limit < r.alone() && r.now-a.sent < q.class.Aim {
+	} else if ev.Result == Served && a.to.limit < r.alone() && r.now-a.sent < q.class.LatencyObjective {
 		r.adjust(&a.to.limit, true, tolerated)
 	}
-	if a.fetch && (ev.Result == Served || ev.Result == Errored) {
+	if a.fetch && (ev.Result == Served || ev.Result == ServerError) {
 		r.missing -= r.missing / missWindow
-		if ev.Miss || ev.Result == Errored {
+		if ev.Miss || ev.Result == ServerError {
 			r.missing += 1.0 / missWindow
 		}
 	}
@@ -267,7 +267,7 @@
 		a.to.keeps[0][q.Key] = true
 	}
 	defer r.admit()
-	if ev.Last || q.done {
+	if ev.Final || q.done {
 		r.finish(q)
 		return
 	}
--- a/decide/slow_test.go
+++ b/policy/slow_test.go
@@ -1,4 +1,4 @@
-package decide
+package policy
 
 import (
 	"math/rand"
@@ -11,7 +11,7 @@
 	const cores, span = 4, 30_000 * ms // a request comes each 15 ms
 	b := quietBench(t, 1, nil)
 	rng := rand.New(rand.NewSource(1))
-	aim := b.r.classes["read"].Aim
+	aim := b.r.classes["read"].LatencyObjective
 	c := b.r.caches["c00"]
 	for key := range uint64(64) {
 		c.keeps[0][key] = true
@@ -44,7 +44,7 @@
 				i--
 				all++
 				good += b2i(b.now-p.at <= aim)
-				took(b.feed(&Outcome{ID: p.id, Attempt: p.attempt, Result: Served, Elapsed: b.now - p.at, Last: true, Load: Load{Busy: -1}}))
+				took(b.feed(&AttemptDone{ID: p.id, Attempt: p.attempt, Result: Served, Elapsed: b.now - p.at, Final: true, Load: LoadReport{Utilization: -1}}))
 			}
 		}
 	}
--- a/decide/cold_test.go
+++ b/policy/slowstart_test.go
@@ -1,4 +1,4 @@
-package decide
+package policy
 
 import (
 	"container/heap"
@@ -28,7 +28,7 @@
 
 // coldCache is a cache of the day.
 type coldCache struct {
-	Entry
+	Endpoint
 	busyTo Time // when it will have done what it took
 	sends  []coldSend
 	served int
@@ -41,9 +41,9 @@
 }
 
 func (c *coldCache) rate(s *Settings, now Time) float64 {
-	rate := cacheRate * c.Size
-	if c.Start > 0 {
-		rate *= min(1, s.ColdShare+(1-s.ColdShare)*float64(now-c.Start)/float64(s.ColdTime))
+	rate := cacheRate * c.Weight
+	if c.StartedAt > 0 {
+		rate *= min(1, s.WarmupStartShare+(1-s.WarmupStartShare)*float64(now-c.StartedAt)/float64(s.WarmupTime))
 	}
 	return rate
 }
@@ -56,13 +56,13 @@
 	for i, sent := range c.sends {
 		at := sent.at
 		told += b2i(sent.told)
-		for ; c.sends[from].at <= at-s.TipTime; from++ {
+		for ; c.sends[from].at <= at-s.OverloadTime; from++ {
 			told -= b2i(c.sends[from].told)
 		}
 		if 3*told < 2*(i-from+1) {
 			continue
 		}
-		most := s.TipMultiple * c.rate(s, max(at-s.TipTime/2, c.Start)) * float64(s.TipTime) / 1e6
+		most := s.OverloadMultiple * c.rate(s, max(at-s.OverloadTime/2, c.StartedAt)) * float64(s.OverloadTime) / 1e6
 		most += math.Sqrt(most)
 		if sent := float64(i - from + 1); budget == 0 || sent/most > worst/budget {
 			worst, budget = sent, most
@@ -73,8 +73,8 @@
 
 func coldSettings(routers int) Settings {
 	s := settings()
-	s.Routers, s.Probes, s.TipMultiple = routers, false, 3
-	s.ColdTime, s.ColdShare, s.TipTime, s.DrainGrace = 9000*ms, .31, 1500*ms, 1500*ms
+	s.Routers, s.HealthChecksAllowed, s.OverloadMultiple = routers, false, 3
+	s.WarmupTime, s.WarmupStartShare, s.OverloadTime, s.DrainGrace = 9000*ms, .31, 1500*ms, 1500*ms
 	return s
 }
 
@@ -113,14 +113,14 @@
 			heap.Push(&plan, due{when, n, f})
 		}
 	}
-	caches, entries := map[string]*coldCache{}, []Entry{}
+	caches, entries := map[string]*coldCache{}, []Endpoint{}
 	size := 0.
 	for i := range d.caches {
-		e := Entry{ID: fmt.Sprintf("c%03d", i), Size: []float64{1, .5, 1.5}[i%3]}
-		size += e.Size
-		caches[e.ID], entries = &coldCache{Entry: e}, append(entries, e)
+		e := Endpoint{ID: fmt.Sprintf("c%03d", i), Weight: []float64{1, .5, 1.5}[i%3]}
+		size += e.Weight
+		caches[e.ID], entries = &coldCache{Endpoint: e}, append(entries, e)
 	}
-	rs := make([]*Router, d.routers)
+	rs := make([]*Engine, d.routers)
 	var feed func(i int, ev Event)
 	start := func(i int) {
 		r, err := New(s, rng.Uint64())
@@ -128,7 +128,7 @@
 			t.Fatal(err)
 		}
 		rs[i] = r
-		feed(i, &List{Kind: ListFull, Entries: entries})
+		feed(i, &EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: entries})
 	}
 	feed = func(i int, ev Event) {
 		r := rs[i]
@@ -137,24 +137,24 @@
 			case SetTimer:
 				at(a.At, func() {
 					if rs[i] == r {
-						feed(i, &Timer{a.Token})
+						feed(i, &TimerFired{a.Token})
 					}
 				})
 			case Send:
 				c := caches[a.Cache]
-				c.sends = append(c.sends, coldSend{now, r.caches[a.Cache].Start == c.Start})
+				c.sends = append(c.sends, coldSend{now, r.caches[a.Cache].StartedAt == c.StartedAt})
 				c.busyTo = max(c.busyTo, now)
-				o := &Outcome{ID: a.ID, Attempt: len(r.reqs[a.ID].attempts) - 1, Result: Rejected, Load: Load{Busy: -1}}
+				o := &AttemptDone{ID: a.ID, Attempt: len(r.reqs[a.ID].attempts) - 1, Result: Rejected, Load: LoadReport{Utilization: -1}}
 				wait := Time(1 * ms)
 				if c.busyTo < now+cacheQueue {
 					c.busyTo += Time(1e6 / c.rate(&s, now))
-					o.Result, o.Last, wait = Served, true, max(c.busyTo-now, 20*ms)
+					o.Result, o.Final, wait = Served, true, max(c.busyTo-now, 20*ms)
 				}
 				at(now+wait, func() {
 					if rs[i] != r {
 						return
 					}
-					if q := r.reqs[o.ID]; o.Last && q != nil && !q.done {
+					if q := r.reqs[o.ID]; o.Final && q != nil && !q.done {
 						c.served++
 						if now > end-coldSpan {
 							served++
@@ -188,9 +188,9 @@
 	at(now+coldStart, func() {
 		for i := range entries {
 			if e := &entries[i]; float64(i%10) < 10*d.cold {
-				e.Start = now
+				e.StartedAt = now
 				c := caches[e.ID]
-				c.Start, c.sends, c.busyTo, c.served = now, nil, now, 0
+				c.StartedAt, c.sends, c.busyTo, c.served = now, nil, now, 0
 				cold = append(cold, c)
 			}
 		}
@@ -198,7 +198,7 @@
 			if float64(i%10) < 10*d.fresh {
 				start(i)
 			} else {
-				at(now+Time(rng.Float64()*float64(d.late)), func() { feed(i, &List{Kind: ListFull, Entries: entries}) })
+				at(now+Time(rng.Float64()*float64(d.late)), func() { feed(i, &EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: entries}) })
 			}
 		}
 	})
@@ -230,10 +230,10 @@
 			did, could := 0., 0.
 			for _, c := range cold {
 				if worst, budget := c.worst(&s); worst > budget {
-					t.Errorf("%s of size %v was sent %.0f in %v us, more than %.0f", c.ID, c.Size, worst, s.TipTime, budget)
+					t.Errorf("%s of size %v was sent %.0f in %v us, more than %.0f", c.ID, c.Weight, worst, s.OverloadTime, budget)
 				}
 				did += float64(c.served)
-				could += c.rate(&s, c.Start+coldSpan/2) * coldSpan / 1e6
+				could += c.rate(&s, c.StartedAt+coldSpan/2) * coldSpan / 1e6
 			}
 			t.Logf("cold caches did %.2f of what they could; %d of %d requests were served", did/could, served, asked)
 			if did < could*d.load/8 {
@@ -258,10 +258,10 @@
 				t.Fatal(err)
 			}
 			es := fleet(200)
-			es[3].Start = 1e9
-			r.Handle(1e9, &List{Kind: ListFull, Entries: es})
+			es[3].StartedAt = 1e9
+			r.Handle(1e9, &EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 			key := uint64(1)
-			for unit(mix(mix(key)+1)) >= r.set.ColdShare {
+			for unit(mix(mix(key)+1)) >= r.set.WarmupStartShare {
 				key++ // of those that any cold cache may have
 			}
 			r.asked[0], r.keys[0][key] = 600, c.seen
@@ -296,8 +296,8 @@
 		es, zero := fleet(3), b.now
 		b.now += told
 		for _, at := range c.starts {
-			es[1].Start = zero + at
-			b.feed(&List{Kind: ListFull, Entries: es})
+			es[1].StartedAt = zero + at
+			b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 			b.now += 1000 * ms
 		}
 		cold := b.r.caches["c01"]
--- a/decide/coldfleet_test.go
+++ b/policy/slowstartfleet_test.go
@@ -1,4 +1,4 @@
-package decide
+package policy
 
 import (
 	"container/heap"
@@ -40,7 +40,7 @@
 
 // fleetCache is a cache of the day.
 type fleetCache struct {
-	Entry
+	Endpoint
 	i       int
 	busy    [fleetCores]Time // when each core will have done what it took
 	arrived []arrival        // since its start
@@ -56,11 +56,11 @@
 
 // capacity is how many requests of mean work a second the cache can do.
 func (c *fleetCache) capacity(s *Settings, now Time) float64 {
-	full := fleetRate * c.Size
-	if c.Start == 0 {
+	full := fleetRate * c.Weight
+	if c.StartedAt == 0 {
 		return full
 	}
-	return full * min(1, s.ColdShare+(1-s.ColdShare)*float64(now-c.Start)/float64(s.ColdTime))
+	return full * min(1, s.WarmupStartShare+(1-s.WarmupStartShare)*float64(now-c.StartedAt)/float64(s.WarmupTime))
 }
 
 // slack is how much of n requests beyond them is put down to chance.
@@ -74,14 +74,14 @@
 	for _, a := range c.arrived {
 		sum += a.work
 		told += float64(b2i(a.told)) * a.work
-		for ; c.arrived[from].at <= a.at-s.TipTime; from++ {
+		for ; c.arrived[from].at <= a.at-s.OverloadTime; from++ {
 			old := c.arrived[from]
 			sum -= old.work
 			told -= float64(b2i(old.told)) * old.work
 		}
-		most := s.TipMultiple * c.capacity(s, max(a.at-s.TipTime/2, c.Start)) * float64(s.TipTime) / 1e6
+		most := s.OverloadMultiple * c.capacity(s, max(a.at-s.OverloadTime/2, c.StartedAt)) * float64(s.OverloadTime) / 1e6
 		most += slack(most)
-		if a.at >= c.Start+s.ColdTime {
+		if a.at >= c.StartedAt+s.WarmupTime {
 			break // it is warm
 		}
 		if 3*told > 2*sum && (budget == 0 || sum*budget > work*most) {
@@ -97,9 +97,9 @@
 func (d fleetDay) settings() Settings {
 	s := coldSettings(d.routers)
 	if d.tip > 0 {
-		s.TipMultiple = d.tip
+		s.OverloadMultiple = d.tip
 	}
-	s.Classes = []Class{{Name: "read", Effect: Safe, Aim: 600 * ms, Limit: 2000 * ms, Worth: 5}}
+	s.Classes = []Class{{Name: "read", Effect: Idempotent, LatencyObjective: 600 * ms, Timeout: 2000 * ms, PriorityWeight: 5}}
 	return s
 }
 
@@ -122,8 +122,8 @@
 	byID := map[string]*fleetCache{}
 	size := 0.
 	for i := range d.caches {
-		c := &fleetCache{Entry: Entry{ID: fmt.Sprintf("c%03d", i), Size: []float64{1, .5, 1.5}[i%3]}, i: i}
-		size += c.Size
+		c := &fleetCache{Endpoint: Endpoint{ID: fmt.Sprintf("c%03d", i), Weight: []float64{1, .5, 1.5}[i%3]}, i: i}
+		size += c.Weight
 		caches, byID[c.ID] = append(caches, c), c
 	}
 	startsCold := func(c *fleetCache) bool { return float64(c.i%10) < 10*d.cold }
@@ -131,19 +131,19 @@
 		at := (float64(9-c.i%10) + .5) / 10
 		return now >= starts && !startsCold(c) && at >= from && at < from+share
 	}
-	list := func(old bool) []Entry {
-		var es []Entry
+	list := func(old bool) []Endpoint {
+		var es []Endpoint
 		for _, c := range caches {
-			if e := c.Entry; !old || !d.joins || !startsCold(c) {
+			if e := c.Endpoint; !old || !d.joins || !startsCold(c) {
 				if old {
-					e.Start = 0
+					e.StartedAt = 0
 				}
 				es = append(es, e)
 			}
 		}
 		return es
 	}
-	rs := make([]*Router, d.routers)
+	rs := make([]*Engine, d.routers)
 	tries, answered, asked := map[int64]int{}, 0, 0
 	keyOf := map[int64]uint64{}
 	var feed func(i int, ev Event)
@@ -169,12 +169,12 @@
 			t.Fatal(err)
 		}
 		rs[i] = r
-		feed(i, &List{Kind: ListFull, Entries: list(old)})
+		feed(i, &EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: list(old)})
 	}
 	failure := 0
 	feed = func(i int, ev Event) {
 		r := rs[i]
-		outcome := func(after Time, o *Outcome) {
+		outcome := func(after Time, o *AttemptDone) {
 			at(now+after, func() {
 				if rs[i] != r {
 					return
@@ -190,20 +190,20 @@
 			case SetTimer:
 				at(a.At, func() {
 					if rs[i] == r {
-						feed(i, &Timer{a.Token})
+						feed(i, &TimerFired{a.Token})
 					}
 				})
-			case Refuse:
+			case Reject:
 				again(a.ID)
 			case Fail:
 				again(a.ID)
 			case Cancel:
-				outcome(1*ms, &Outcome{ID: a.ID, Attempt: a.Attempt, Result: Cancelled, Last: true})
+				outcome(1*ms, &AttemptDone{ID: a.ID, Attempt: a.Attempt, Result: Cancelled, Final: true})
 			case Send:
 				c := byID[a.Cache]
 				work := .5 + rng.Float64()
-				c.arrived = append(c.arrived, arrival{now, work, r.caches[a.Cache].Start == c.Start})
-				o := &Outcome{ID: a.ID, Attempt: len(r.reqs[a.ID].attempts) - 1, Load: Load{Busy: -1}}
+				c.arrived = append(c.arrived, arrival{now, work, r.caches[a.Cache].StartedAt == c.StartedAt})
+				o := &AttemptDone{ID: a.ID, Attempt: len(r.reqs[a.ID].attempts) - 1, Load: LoadReport{Utilization: -1}}
 				core := 0
 				for k := range c.busy {
 					if c.busy[k] = max(c.busy[k], now); c.busy[k] < c.busy[core] {
@@ -213,18 +213,18 @@
 				takes := Time(work * fleetCores * 1e6 / c.capacity(&s, now))
 				switch {
 				case in(c, 0, d.hangs):
-					o.Result = NoAnswer
-					outcome(a.StopAt-now, o)
+					o.Result = TimedOut
+					outcome(a.Deadline-now, o)
 				case in(c, d.hangs, d.fails):
 					failure++
-					o.Result = []Result{Errored, Rejected, ConnLost}[failure%3]
+					o.Result = []Result{ServerError, Rejected, ConnectionLost}[failure%3]
 					outcome(2*ms, o)
 				case c.busy[core] > now+fleetQueue/fleetCores*takes:
 					o.Result = Rejected
 					outcome(1*ms, o)
 				default:
 					c.busy[core] += takes
-					o.Result, o.Last = Served, true
+					o.Result, o.Final = Served, true
 					outcome(c.busy[core]-now, o)
 				}
 			}
@@ -236,26 +236,26 @@
 	keys := rand.NewZipf(rng, 1.1, 2, 1<<20)
 	hot, hotHome := uint64(0), ""
 	for _, c := range list(false) { // the key is at home at the largest of those that will be cold
-		if cc := byID[c.ID]; startsCold(cc) && (hotHome == "" || c.Size > byID[hotHome].Size) {
+		if cc := byID[c.ID]; startsCold(cc) && (hotHome == "" || c.Weight > byID[hotHome].Weight) {
 			hotHome = c.ID
 		}
 	}
 	home := func(key uint64) (id string) {
 		best := math.Inf(1)
 		for _, c := range caches {
-			if score := -math.Log(unit(mix(key^hash(c.ID)))+1e-18) / c.Size; score < best {
+			if score := -math.Log(unit(mix(key^hash(c.ID)))+1e-18) / c.Weight; score < best {
 				best, id = score, c.ID
 			}
 		}
 		return id
 	}
-	for d.hot > 0 && (hot == 0 || home(hot) != hotHome || unit(mix(mix(hot)+1)) >= s.ColdShare) {
+	for d.hot > 0 && (hot == 0 || home(hot) != hotHome || unit(mix(mix(hot)+1)) >= s.WarmupStartShare) {
 		hot++
 	}
 	warm := 0. // of the sizes, before the start
 	for _, c := range caches {
 		if !d.joins || !startsCold(c) {
-			warm += c.Size
+			warm += c.Weight
 		}
 	}
 	var arrive func()
@@ -287,7 +287,7 @@
 	at(starts, func() {
 		for _, c := range caches {
 			if c.arrived = nil; startsCold(c) {
-				c.Start, c.busy = now, [fleetCores]Time{}
+				c.StartedAt, c.busy = now, [fleetCores]Time{}
 				cold = append(cold, c)
 			}
 		}
@@ -296,7 +296,7 @@
 				launch(i, true)
 			}
 			hears := Time(rng.Float64() * float64(d.late))
-			at(now+hears, func() { feed(i, &List{Kind: ListFull, Entries: list(false)}) })
+			at(now+hears, func() { feed(i, &EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: list(false)}) })
 		}
 	})
 	for len(plan) > 0 {
@@ -353,7 +353,7 @@
 					fair += c.fair
 					w, b := c.worst(&s)
 					if w > b {
-						t.Errorf("%s of size %v got %.1f in %v us, more than %.1f", c.ID, c.Size, w, s.TipTime, b)
+						t.Errorf("%s of size %v got %.1f in %v us, more than %.1f", c.ID, c.Weight, w, s.OverloadTime, b)
 					}
 					if b > 0 && (budget == 0 || w*budget > work*b) {
 						work, budget = w, b
@@ -369,7 +369,7 @@
 // The danger: the check holds every day, as it passes over what it should see.
 func TestWorstWindowOfAColdCache(t *testing.T) {
 	s := coldSettings(1)
-	most := s.TipMultiple * fleetRate * s.ColdShare * 1.5 // a budget right after the start
+	most := s.OverloadMultiple * fleetRate * s.WarmupStartShare * 1.5 // a budget right after the start
 	full := int(most + slack(most))
 	for _, c := range []struct {
 		name        string
@@ -385,7 +385,7 @@
 		{"it was down by then", 60, 60, 300, false, false},
 		{"both windows count as one", full, 0, full, true, true},
 	} {
-		cold := fleetCache{Entry: Entry{Size: 1, Start: 1e9}}
+		cold := fleetCache{Endpoint: Endpoint{Weight: 1, StartedAt: 1e9}}
 		for i := range c.n + c.then {
 			a := arrival{1e9 + 1, 1, i >= c.untold}
 			if i >= c.n {
@@ -411,9 +411,9 @@
 				t.Fatal(err)
 			}
 			es := fleet(200)
-			es[3].Start = 1e9
-			r.Handle(1e9, &List{Kind: ListFull, Entries: es})
-			q := &request{Request: &Request{Key: 1, Deadline: 2e9}, class: &Class{Aim: 600 * ms}}
+			es[3].StartedAt = 1e9
+			r.Handle(1e9, &EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
+			q := &request{Request: &Request{Key: 1, Deadline: 2e9}, class: &Class{LatencyObjective: 600 * ms}}
 			for id := range 10 * takenWindow { // one of four attempts at warm caches is served
 				result := taken
 				if id%4 == 0 {
@@ -438,7 +438,7 @@
 			t.Errorf("keys seen %d times: sent %d times when warm caches serve a quarter, %d when all", seen, over, calm)
 		}
 	}
-	if calm, lost := sent(Served, 1), sent(ConnLost, 1); lost != calm {
+	if calm, lost := sent(Served, 1), sent(ConnectionLost, 1); lost != calm {
 		t.Errorf("sent %d times when connections broke, %d when not", lost, calm)
 	}
 }
