Split the simulator's adapter into messages, replies, endpoints and errors

Cause: translate, message and appendAction each did several jobs, the errors were bare strings, and Host with its unused field pending said nothing of its purpose.

Change: Host becomes Adapter. One function decodes each message, found in a table by name; a reply builder encodes actions; LineError, MessageError, FieldError, EndpointError and TypeError report what is malformed. Words on the wire stay. TestGolden becomes TestRepliesToBatches, TestBadInput TestMalformedInput.

Measured: go test ./internal/simprotocol passes.

--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -1,5 +1,6 @@
-// Command simadapter runs routers on the simulator's wire: batches of events on
-// standard input, one reply a line on standard output.
+// Command simadapter runs routers under the simulator. It reads batches of
+// events from standard input, one a line, and answers each with a line of
+// decisions on standard output.
 package main
 
 import (
@@ -10,7 +11,7 @@
 )
 
 func main() {
-	if err := simprotocol.NewHost().Run(os.Stdin, os.Stdout); err != nil {
+	if err := simprotocol.NewAdapter().Run(os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "simadapter:", err)
 		os.Exit(1)
 	}
--- a/internal/simprotocol/adapter.go
+++ b/internal/simprotocol/adapter.go
@@ -1,5 +1,7 @@
-// Package simprotocol carries the simulator's line protocol to the decision module and
-// back. It translates and checks shapes; it makes no decisions.
+// Package simprotocol translates between the simulator's line protocol and the
+// policy. Each line from the simulator is a batch of messages; the reply to it
+// is a line with the actions that the policy takes. The package checks the
+// form of what it reads and makes no decisions.
 package simprotocol
 
 import (
@@ -9,379 +11,188 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 
+	"marlstage/internal/settings"
 	"marlstage/policy"
 )
 
-// Host runs the routers of one process. They share nothing but the process.
-type Host struct {
-	routers map[int64]*policy.Engine
-	pending map[int64]policy.Settings
-	rosters map[int64][]policy.Endpoint
-	line    int
+// bufferSize is the initial size of the buffers for lines, in bytes.
+const bufferSize = 1 << 20
+
+// Adapter runs the routers of one process. They share nothing but the process
+// and the endpoint lists that the simulator defines.
+type Adapter struct {
+	engines       map[int64]*policy.Engine    // by instance
+	endpointLists map[int64][]policy.Endpoint // by the simulator's number
+	lines         int                         // read so far
 }
 
-// NewHost returns a Host without routers.
-func NewHost() *Host {
-	return &Host{routers: map[int64]*policy.Engine{}, rosters: map[int64][]policy.Endpoint{}}
+// NewAdapter returns an Adapter without routers.
+func NewAdapter() *Adapter {
+	return &Adapter{engines: map[int64]*policy.Engine{}, endpointLists: map[int64][]policy.Endpoint{}}
 }
 
-// Run answers each line of in with one line on out, until in ends. The error of
-// a malformed line names the line.
-func (h *Host) Run(in io.Reader, out io.Writer) error {
-	r := bufio.NewReaderSize(in, 1<<20)
-	w := bufio.NewWriterSize(out, 1<<20)
+// Run replies to each line of in with one line on out, until in ends. A line
+// that is malformed ends it with a *LineError.
+func (a *Adapter) Run(in io.Reader, out io.Writer) error {
+	r := bufio.NewReaderSize(in, bufferSize)
+	w := bufio.NewWriterSize(out, bufferSize)
 	for {
-		line, err := r.ReadBytes('\n')
-		if len(bytes.TrimSpace(line)) > 0 {
-			h.line++
-			reply, perr := h.batch(line)
-			if perr != nil {
-				return fmt.Errorf("line %d: %w", h.line, perr)
-			}
-			if _, werr := w.Write(reply); werr != nil {
-				return werr
-			}
-			if werr := w.Flush(); werr != nil {
-				return werr
-			}
-		} else if len(line) > 0 {
-			h.line++
-			return fmt.Errorf("line %d: empty line, want a batch", h.line)
+		line, readErr := r.ReadBytes('\n')
+		if err := a.replyTo(line, w); err != nil {
+			return err
 		}
-		if err == io.EOF {
+		if errors.Is(readErr, io.EOF) {
 			return nil
 		}
-		if err != nil {
-			return err
+		if readErr != nil {
+			return readErr
 		}
 	}
 }
 
+// replyTo handles a line and writes the reply, which the simulator waits for.
+// The end of the input reads as a line of no bytes.
+func (a *Adapter) replyTo(line []byte, w *bufio.Writer) error {
+	if len(line) == 0 {
+		return nil
+	}
+	a.lines++
+	if len(bytes.TrimSpace(line)) == 0 {
+		return &LineError{Line: a.lines, Err: errEmptyLine}
+	}
+	reply, err := a.handleBatch(line)
+	if err != nil {
+		return &LineError{Line: a.lines, Err: err}
+	}
+	if _, err := w.Write(reply); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// batch is the form of a line from the simulator.
 type batch struct {
-	Now   *int64              `json:"now"`
-	Batch *int64              `json:"batch"`
-	Msgs  *[]*json.RawMessage `json:"msgs"`
+	Now      *int64              `json:"now"`
+	Number   *int64              `json:"batch"`
+	Messages *[]*json.RawMessage `json:"msgs"`
 }
 
-// batch decodes one line, feeds its events in order and encodes the reply.
-func (h *Host) batch(line []byte) ([]byte, error) {
+// handleBatch decodes one line, handles its messages in order and encodes the
+// actions of all of them.
+func (a *Adapter) handleBatch(line []byte) ([]byte, error) {
 	var b batch
 	if err := json.Unmarshal(line, &b); err != nil {
-		return nil, plain(err)
+		return nil, decodeError(err)
 	}
-	if b.Now == nil || b.Batch == nil || b.Msgs == nil {
-		return nil, errors.New("a batch needs now, batch and msgs")
+	if b.Now == nil || b.Number == nil || b.Messages == nil {
+		return nil, errIncompleteBatch
 	}
-	buf := append(strconv.AppendInt([]byte(`{"batch":`), *b.Batch, 10), `,"decisions":[`...)
-	first := true
-	for k, raw := range *b.Msgs {
+	reply := newReply(*b.Number)
+	for i, raw := range *b.Messages {
 		if raw == nil {
-			return nil, fmt.Errorf("message %d is null", k)
+			return nil, fmt.Errorf("message %d is null", i)
 		}
-		inst, acts, err := h.message(*b.Now, *raw)
+		instance, actions, err := a.handleMessage(*b.Now, *raw)
 		if err != nil {
-			return nil, fmt.Errorf("message %d: %w", k, err)
+			return nil, &MessageError{Index: i, Err: err}
 		}
-		for _, a := range acts {
-			if !first {
-				buf = append(buf, ',')
-			}
-			first = false
-			buf = appendAction(buf, inst, a)
+		for _, action := range actions {
+			reply.appendAction(instance, action)
 		}
 	}
-	return append(buf, "]}\n"...), nil
-}
-
-// exception stands for a panic in the module.
-type exception struct {
-	policy.Action
-	text string
+	return reply.finish(), nil
 }
 
-// message handles one event and returns the instance and what it wants done.
-func (h *Host) message(now int64, raw []byte) (inst int64, acts []policy.Action, err error) {
-	name, body, err := split(raw)
+// handleMessage handles one message and returns the instance that it is for
+// and the actions to take.
+func (a *Adapter) handleMessage(now int64, raw []byte) (instance int64, actions []policy.Action, err error) {
+	name, body, err := splitMessage(raw)
 	if err != nil {
 		return 0, nil, err
 	}
-	if name == "DefineList" {
-		return 0, nil, h.defineList(body)
-	}
-	var m event
-	if err := json.Unmarshal(body, &m); err != nil {
-		return 0, nil, fmt.Errorf("%s: %w", name, plain(err))
-	}
-	if m.Inst == nil {
-		return 0, nil, fmt.Errorf("%s: i: no instance", name)
+	if name == defineListMessage {
+		err = a.defineList(body)
+	} else {
+		instance, actions, err = a.handleInstanceMessage(now, name, body)
 	}
-	inst = *m.Inst
-	if name == "NewInstance" {
-		set, _, err := ParseSettings(m.Info)
-		if err != nil {
-			return 0, nil, fmt.Errorf("%s: %w", name, err)
-		}
-		h.routers[inst], err = policy.New(set, m.Seed)
-		if err != nil {
-			delete(h.routers, inst)
-			return 0, nil, fmt.Errorf("%s: %w", name, err)
-		}
-		return inst, nil, nil
-	}
-	r := h.routers[inst]
-	if r == nil {
-		if known[name] {
-			return 0, nil, fmt.Errorf("%s: instance %d was never started", name, inst)
-		}
-		return 0, nil, fmt.Errorf("unknown message %q", name)
-	}
-	if name == "Exit" {
-		delete(h.routers, inst)
-		return inst, nil, nil
-	}
-	ev, err := h.translate(name, &m)
 	if err != nil {
-		return 0, nil, err
+		return 0, nil, fmt.Errorf("%s: %w", name, err)
 	}
-	defer func() {
-		if p := recover(); p != nil {
-			acts, err = []policy.Action{exception{text: fmt.Sprint(p)}}, nil
-		}
-	}()
-	return inst, r.Handle(now, ev), nil
+	return instance, actions, nil
 }
 
-// split takes an object with a single key apart.
-func split(raw []byte) (string, json.RawMessage, error) {
-	var m map[string]json.RawMessage
-	if err := json.Unmarshal(raw, &m); err != nil {
-		return "", nil, plain(err)
+// handleInstanceMessage handles a message to an instance.
+func (a *Adapter) handleInstanceMessage(now int64, name string, body []byte) (int64, []policy.Action, error) {
+	var m message
+	if err := json.Unmarshal(body, &m); err != nil {
+		return 0, nil, decodeError(err)
 	}
-	if len(m) != 1 {
-		return "", nil, fmt.Errorf("want an object with one key, got %d", len(m))
+	if m.Instance == nil {
+		return 0, nil, &FieldError{Field: "i", Reason: "no instance"}
 	}
-	for name, body := range m {
-		if len(body) == 0 || body[0] != '{' {
-			return "", nil, fmt.Errorf("%s: want an object", name)
-		}
-		if !known[name] {
-			return "", nil, fmt.Errorf("unknown message %q", name)
-		}
-		return name, body, nil
+	instance := *m.Instance
+	if name == newInstanceMessage {
+		return instance, nil, a.startInstance(instance, &m)
 	}
-	panic("unreachable")
-}
-
-// plain turns a decoder's error into words that don't name Go types.
-func plain(err error) error {
-	var t *json.UnmarshalTypeError
-	if errors.As(err, &t) {
-		return fmt.Errorf("wrong shape: %s where %q is read", t.Value, t.Field)
+	engine := a.engines[instance]
+	if engine == nil {
+		return 0, nil, fmt.Errorf("instance %d was never started", instance)
 	}
-	return fmt.Errorf("not JSON: %w", err)
-}
-
-var known = map[string]bool{"NewInstance": true, "Exit": true, "DefineList": true, "Registry": true,
-	"WorkItem": true, "UnderWay": true, "AttemptEnd": true, "Left": true, "Fired": true, "Checked": true, "Datagram": true}
-
-// event holds the fields of all messages to an instance; each uses its own.
-type event struct {
-	Inst       *int64             `json:"i"`
-	Seed       uint64             `json:"seed"`
-	Info       json.RawMessage    `json:"info"`
-	Roster     int64              `json:"rosterId"`
-	Scope      string             `json:"scope"`
-	ID         int64              `json:"tid"`
-	Class      string             `json:"tierClass"`
-	Tenant     any                `json:"tenant"`
-	Key        *uint64            `json:"entity"`
-	Deadline   int64              `json:"dropDead"`
-	Cost       int64              `json:"costGuess"`
-	Write      bool               `json:"isWrite"`
-	Server     string             `json:"server"`
-	Attempt    int                `json:"sendNo"`
-	State      string             `json:"stateCode"`
-	Elapsed    int64              `json:"elapsed"`
-	Last       bool               `json:"last"`
-	Feedback   map[string]float64 `json:"feedback"`
-	Cookie     int64              `json:"cookie"`
-	OriginPeer int                `json:"originPeer"`
-	Data       string             `json:"data"`
-}
-
-func (h *Host) translate(name string, m *event) (policy.Event, error) {
-	switch name {
-	case "Registry":
-		kind, ok := scopes[m.Scope]
-		if !ok {
-			return nil, fmt.Errorf("Registry: scope: unknown value %q", m.Scope)
-		}
-		ev := &policy.EndpointsUpdate{Kind: kind}
-		if kind != policy.UpdateFailed {
-			if ev.Endpoints, ok = h.rosters[m.Roster]; !ok {
-				return nil, fmt.Errorf("Registry: rosterId: list %d was never defined", m.Roster)
-			}
-		}
-		return ev, nil
-	case "WorkItem":
-		ev := &policy.Request{ID: m.ID, Class: m.Class, Deadline: m.Deadline, Cost: m.Cost, Write: m.Write}
-		ev.Tenant, _ = m.Tenant.(string)
-		if m.Key != nil {
-			ev.Key, ev.HasKey = *m.Key, true
-		}
-		return ev, nil
-	case "UnderWay":
-		return &policy.ResponseStarted{ID: m.ID, Attempt: m.Attempt}, nil
-	case "AttemptEnd":
-		res, err := result(m)
-		if err != nil {
-			return nil, fmt.Errorf("%s: %w", name, err)
-		}
-		return &policy.AttemptDone{ID: m.ID, Attempt: m.Attempt, Result: res, Elapsed: m.Elapsed,
-			Final: m.Last, Miss: note(m.Info) >= 2, Load: load(m)}, nil
-	case "Left":
-		return &policy.ClientGone{ID: m.ID}, nil
-	case "Fired":
-		return &policy.TimerFired{Token: m.Cookie}, nil
-	case "Checked":
-		res, err := result(m)
-		if err != nil {
-			return nil, fmt.Errorf("%s: %w", name, err)
-		}
-		return &policy.HealthCheckDone{Cache: m.Server, Result: res, Elapsed: m.Elapsed, Load: load(m)}, nil
-	case "Datagram":
-		return &policy.PeerMessage{From: m.OriginPeer, Data: m.Data}, nil
+	if name == exitMessage {
+		delete(a.engines, instance)
+		return instance, nil, nil
 	}
-	return nil, fmt.Errorf("unknown message %q", name)
-}
-
-var scopes = map[string]policy.UpdateKind{"D": policy.UpdateDelta, "F": policy.UpdateSnapshot, "C": policy.UpdateStale,
-	"X": policy.UpdateFailed}
-
-var results = map[string]policy.Result{"served": policy.Served, "server_error": policy.ServerError,
-	"turned_away": policy.Rejected, "no_answer": policy.TimedOut, "no_connection": policy.ConnectFailed,
-	"connection_lost": policy.ConnectionLost, "called_off": policy.Cancelled, "not_sent": policy.NotSent,
-	"not_stored": policy.NotStored}
-
-func result(m *event) (policy.Result, error) {
-	res, ok := results[m.State]
-	if !ok {
-		return 0, fmt.Errorf("stateCode: unknown outcome %q", m.State)
+	event, err := eventDecoders[name](a, &m)
+	if err != nil {
+		return 0, nil, err
 	}
-	return res, nil
+	return instance, handleEvent(engine, now, event), nil
 }
 
-func note(raw json.RawMessage) int {
-	n, err := strconv.Atoi(string(raw))
+// startInstance starts a router. It replaces one that runs as the same instance.
+func (a *Adapter) startInstance(instance int64, m *message) error {
+	set, _, err := settings.Parse(m.Info)
 	if err != nil {
-		return 0
+		return fmt.Errorf("info: %w", err)
 	}
-	return n
-}
-
-func load(m *event) policy.LoadReport {
-	l := policy.LoadReport{Utilization: -1, ErrorRate: m.Feedback["fail_rate"]}
-	if b, ok := m.Feedback["busy"]; ok {
-		l.Utilization = b
+	engine, err := policy.New(set, m.Seed)
+	if err != nil {
+		return err
 	}
-	return l
+	a.engines[instance] = engine
+	return nil
 }
 
-var conditions = map[string]policy.EndpointState{"up": policy.InService, "draining": policy.Draining, "removed": policy.Removed}
-
-func (h *Host) defineList(body []byte) error {
-	var d struct {
-		Roster *int64 `json:"rosterId"`
-		Hosts  []struct {
-			Cell      int      `json:"unitGroup"`
-			Start     int64    `json:"startTime"`
-			Size      *float64 `json:"size"`
-			Zone      string   `json:"failureDomain"`
-			Condition string   `json:"condition"`
-			Server    string   `json:"server"`
-		} `json:"hosts"`
-	}
-	if err := json.Unmarshal(body, &d); err != nil {
-		return fmt.Errorf("DefineList: %w", plain(err))
-	}
-	if d.Roster == nil {
-		return errors.New("DefineList: no rosterId")
-	}
-	entries := make([]policy.Endpoint, 0, len(d.Hosts))
-	for _, s := range d.Hosts {
-		cond, ok := conditions[s.Condition]
-		if !ok || s.Server == "" {
-			return fmt.Errorf("DefineList: bad entry %q with condition %q", s.Server, s.Condition)
-		}
-		e := policy.Endpoint{ID: s.Server, Zone: s.Zone, Group: s.Cell, Weight: 1, StartedAt: s.Start, State: cond}
-		if s.Size != nil {
-			e.Weight = *s.Size
+// handleEvent hands an event to the policy. A panic there becomes an action,
+// so that the simulator can report it.
+func handleEvent(engine *policy.Engine, now policy.Time, event policy.Event) (actions []policy.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			actions = []policy.Action{exception{text: fmt.Sprint(p)}}
 		}
-		entries = append(entries, e)
-	}
-	h.rosters[*d.Roster] = entries
-	return nil
+	}()
+	return engine.Handle(now, event)
 }
 
-func appendAction(b []byte, inst int64, a policy.Action) []byte {
-	open := func(name string) {
-		b = append(append(b, `{"`...), name...)
-		b = strconv.AppendInt(append(b, `":{"i":`...), inst, 10)
+// splitMessage takes a message apart: an object whose only key is its name.
+func splitMessage(raw []byte) (name string, body json.RawMessage, err error) {
+	var m map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return "", nil, decodeError(err)
 	}
-	num := func(name string, v int64) {
-		b = append(append(append(b, `,"`...), name...), `":`...)
-		b = strconv.AppendInt(b, v, 10)
+	if len(m) != 1 {
+		return "", nil, fmt.Errorf("want an object with one key, got %d", len(m))
 	}
-	text := func(name, v string) {
-		b = append(append(append(b, `,"`...), name...), `":`...)
-		q, _ := json.Marshal(v) // a string always encodes
-		b = append(b, q...)
+	for key := range m {
+		name = key
 	}
-	switch a := a.(type) {
-	case policy.Send:
-		open("CallOut")
-		num("tid", a.ID)
-		text("server", a.Cache)
-		if a.Deadline != 0 {
-			num("stopAt", a.Deadline)
-		}
-	case policy.Cancel:
-		open("StopAttempt")
-		num("tid", a.ID)
-		num("sendNo", int64(a.Attempt))
-	case policy.Reject:
-		open("Bounce")
-		num("tid", a.ID)
-		if a.RetryAfter > 0 {
-			num("notBeforeFor", a.RetryAfter)
-		}
-	case policy.Fail:
-		open("Lose")
-		num("tid", a.ID)
-	case policy.SetTimer:
-		open("Arm")
-		num("cookie", a.Token)
-		num("time", a.At)
-	case policy.HealthCheck:
-		open("Sample")
-		text("server", a.Cache)
-	case policy.CloseIdleConnections:
-		open("DropConns")
-		text("server", a.Cache)
-	case policy.Watch:
-		open("Follow")
-		b = append(b, `,"enable":true`...)
-	case policy.Log:
-		open("JournalLine")
-		text("reasonText", a.Text)
-	case exception:
-		open("Exception")
-		text("reasonText", a.text)
-	default:
-		open("Exception")
-		text("reasonText", fmt.Sprintf("no wire form for %T", a))
+	body = m[name]
+	if len(body) == 0 || body[0] != '{' {
+		return "", nil, fmt.Errorf("%s: want an object", name)
+	}
+	if !isKnownMessage(name) {
+		return "", nil, fmt.Errorf("unknown message %q", name)
 	}
-	return append(b, "}}"...)
+	return name, body, nil
 }
--- a/internal/simprotocol/adapter_test.go
+++ b/internal/simprotocol/adapter_test.go
@@ -5,28 +5,33 @@
 	"testing"
 )
 
-const start = `{"NewInstance":{"i":3,"seed":11,"info":{"az":"east","instances":2,"me":0,"discovery":"subscribe",` +
+// newInstance starts instance 3.
+const newInstance = `{"NewInstance":{"i":3,"seed":11,"info":{"az":"east","instances":2,"me":0,"discovery":"subscribe",` +
 	`"newSetting":[1,2],"categories":[{"name":"get","effect":"read_like","aim":300000,"hardLimit":900000,"worth":1}],` +
 	`"limits":{"cancel":true,"maxAttempts":3,"probes":true,"secondCopies":true},` +
 	`"rules":{"askEvery":10000000,"cold":8000000,"drainGrace":1000000,"graceToAnswer":20000,"startCapacity":0.2}}}}`
 
-const list = `{"DefineList":{"rosterId":0,"hosts":[{"unitGroup":0,"size":1,"model":"m","failureDomain":"east",` +
+// defineList defines an endpoint list and hands it to instance 3.
+const defineList = `{"DefineList":{"rosterId":0,"hosts":[{"unitGroup":0,"size":1,"model":"m","failureDomain":"east",` +
 	`"condition":"up","server":"s-one","later":true}]}},{"Registry":{"i":3,"serial":4,"rosterId":0,"scope":"C"}}`
 
-func line(now, n string, msgs ...string) string {
-	return `{"now":` + now + `,"batch":` + n + `,"msgs":[` + strings.Join(msgs, ",") + "]}\n"
+// line is a batch with the given time and number.
+func line(now, number string, messages ...string) string {
+	return `{"now":` + now + `,"batch":` + number + `,"msgs":[` + strings.Join(messages, ",") + "]}\n"
 }
 
+// run returns what an adapter replies to the given lines.
 func run(t *testing.T, in string) (string, error) {
 	t.Helper()
 	var out strings.Builder
-	err := NewHost().Run(strings.NewReader(in), &out)
+	err := NewAdapter().Run(strings.NewReader(in), &out)
 	return out.String(), err
 }
 
-func TestGolden(t *testing.T) {
+// TestRepliesToBatches: each line gets a reply with the actions of its messages.
+func TestRepliesToBatches(t *testing.T) {
 	in := line("1000", "1") +
-		line("2000", "2", start, list) +
+		line("2000", "2", newInstance, defineList) +
 		line("3000", "3", `{"WorkItem":{"i":3,"tid":8,"tierClass":"get","entity":77,"dropDead":403000,"repeat":true}}`) +
 		line("9000", "4", `{"AttemptEnd":{"i":3,"tid":8,"server":"s-one","stateCode":"served","elapsed":6000,"last":true,"info":1}}`) +
 		line("9500", "5", `{"Left":{"i":3,"tid":8}}`, `{"Datagram":{"i":3,"originPeer":1,"data":"x"}}`) +
@@ -54,15 +59,17 @@
 	}
 }
 
+// TestRestartInOneBatch: an instance that exits and starts again in one batch serves requests.
 func TestRestartInOneBatch(t *testing.T) {
-	in := line("1", "1", start, list) + line("2", "2", `{"Exit":{"i":3}}`, start, list) +
+	in := line("1", "1", newInstance, defineList) + line("2", "2", `{"Exit":{"i":3}}`, newInstance, defineList) +
 		line("3", "3", `{"WorkItem":{"i":3,"tid":1,"tierClass":"get","dropDead":400003}}`)
 	if out, err := run(t, in); err != nil || !strings.Contains(out, `"CallOut":{"i":3,"tid":1,"server":"s-one"`) {
 		t.Fatalf("%v\n%s", err, out)
 	}
 }
 
-func TestBadInput(t *testing.T) {
+// TestMalformedInput ends the run with an error in one line that names the place; batches before it get replies.
+func TestMalformedInput(t *testing.T) {
 	good := line("1", "1")
 	for in, want := range map[string]string{
 		"nonsense\n":                           "line 2: not JSON",
@@ -76,11 +83,11 @@
 		line("1", "2", `{"Left":7}`):                                                               "line 2: message 0: Left: want an object",
 		line("1", "2", `null`):                                                                     "line 2: message 0 is null",
 		line("1", "2", `{"Left":{"i":"x"}}`):                                                       "line 2: message 0: Left: wrong shape",
-		line("1", "2", start, `{"Registry":{"i":3,"scope":"F","rosterId":9}}`):                     "line 2: message 1: Registry: rosterId: list 9 was never defined",
-		line("1", "2", start, `{"Registry":{"i":3,"scope":"Q"}}`):                                  `line 2: message 1: Registry: scope: unknown value "Q"`,
-		line("1", "2", start, `{"AttemptEnd":{"i":3,"tid":1,"stateCode":"dozed"}}`):                `line 2: message 1: AttemptEnd: stateCode: unknown outcome "dozed"`,
+		line("1", "2", newInstance, `{"Registry":{"i":3,"scope":"F","rosterId":9}}`):               "line 2: message 1: Registry: rosterId: list 9 was never defined",
+		line("1", "2", newInstance, `{"Registry":{"i":3,"scope":"Q"}}`):                            `line 2: message 1: Registry: scope: unknown value "Q"`,
+		line("1", "2", newInstance, `{"AttemptEnd":{"i":3,"tid":1,"stateCode":"dozed"}}`):          `line 2: message 1: AttemptEnd: stateCode: unknown outcome "dozed"`,
 		line("1", "2", `{"NewInstance":{"i":3,"info":{}}}`):                                        "line 2: message 0: NewInstance: policy: Classes is empty",
-		line("1", "2", strings.Replace(start, `"maxAttempts":3`, `"maxAttempts":0`, 1)):            "MaxAttempts is 0",
+		line("1", "2", strings.Replace(newInstance, `"maxAttempts":3`, `"maxAttempts":0`, 1)):      "MaxAttempts is 0",
 		line("1", "2", `{"DefineList":{"rosterId":0,"hosts":[{"server":"a","condition":"odd"}]}}`): "line 2: message 0: DefineList: bad entry",
 	} {
 		out, err := run(t, good+in)
@@ -93,6 +100,7 @@
 	}
 }
 
+// TestEndOfInput: the last line may lack its newline.
 func TestEndOfInput(t *testing.T) {
 	if out, err := run(t, ""); err != nil || out != "" {
 		t.Fatal(out, err)
@@ -102,16 +110,17 @@
 	}
 }
 
+// FuzzRun: whatever the input, errors take one line and the policy does not panic.
 func FuzzRun(f *testing.F) {
-	f.Add(line("1", "1", start, list))
-	f.Add(line("1", "1", start, list, `{"Checked":{"i":3,"server":"s-one","stateCode":"served","feedback":{"busy":0.5}}}`))
+	f.Add(line("1", "1", newInstance, defineList))
+	f.Add(line("1", "1", newInstance, defineList, `{"Checked":{"i":3,"server":"s-one","stateCode":"served","feedback":{"busy":0.5}}}`))
 	f.Fuzz(func(t *testing.T, in string) {
 		var out strings.Builder
-		if err := NewHost().Run(strings.NewReader(in), &out); err != nil && strings.Contains(err.Error(), "\n") {
-			t.Errorf("an error of several lines: %q", err)
+		if err := NewAdapter().Run(strings.NewReader(in), &out); err != nil && strings.Contains(err.Error(), "\n") {
+			t.Errorf("error takes several lines: %q", err)
 		}
 		if strings.Contains(out.String(), `"Exception"`) {
-			t.Errorf("the module panicked: %s", out.String())
+			t.Errorf("the policy panicked: %s", out.String())
 		}
 	})
 }
--- /dev/null
+++ b/internal/simprotocol/errors.go
@@ -0,0 +1,75 @@
+package simprotocol
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+var (
+	errEmptyLine       = errors.New("empty line, want a batch")
+	errIncompleteBatch = errors.New("a batch needs now, batch and msgs")
+)
+
+// LineError reports a line that cannot be handled.
+type LineError struct {
+	Line int // from 1
+	Err  error
+}
+
+// Error names the line.
+func (e *LineError) Error() string { return fmt.Sprintf("line %d: %v", e.Line, e.Err) }
+
+// Unwrap returns what is wrong with the line.
+func (e *LineError) Unwrap() error { return e.Err }
+
+// MessageError reports a message that cannot be handled.
+type MessageError struct {
+	Index int // in its batch, from 0
+	Err   error
+}
+
+// Error names the place of the message.
+func (e *MessageError) Error() string { return fmt.Sprintf("message %d: %v", e.Index, e.Err) }
+
+// Unwrap returns what is wrong with the message.
+func (e *MessageError) Unwrap() error { return e.Err }
+
+// FieldError reports a field that is missing or wrong.
+type FieldError struct {
+	Field  string // its key
+	Reason string
+}
+
+// Error names the field and the reason.
+func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
+
+// EndpointError reports an endpoint without an ID or with an unknown state.
+type EndpointError struct {
+	ID, State string
+}
+
+// Error names the endpoint.
+func (e *EndpointError) Error() string {
+	return fmt.Sprintf("bad entry %q with condition %q", e.ID, e.State)
+}
+
+// TypeError reports a field with the wrong JSON type.
+type TypeError struct {
+	Field string // its path
+	Got   string // JSON type of the value
+}
+
+// Error names the field and the type of its value.
+func (e *TypeError) Error() string {
+	return fmt.Sprintf("wrong shape: %s where %q is read", e.Got, e.Field)
+}
+
+// decodeError describes an error of the JSON decoder without naming Go types.
+func decodeError(err error) error {
+	var typeError *json.UnmarshalTypeError
+	if errors.As(err, &typeError) {
+		return &TypeError{Field: typeError.Field, Got: typeError.Value}
+	}
+	return fmt.Errorf("not JSON: %w", err)
+}
