Name the tests of the programs, the policy limits and the settings by the field's terms

Unchecked errors in tests are checked or marked. No assertion, bound or literal expectation changes. TestStartServeAndEnd becomes TestServeUntilSIGTERM, TestHangupMovesDiscovery TestSIGHUPMovesDiscovery, TestSignalsThatCross TestSignalsDuringShutdown, TestBadConfigurationEndsWithOneLine TestInvalidConfiguration, TestPolicyKeepsItsLimits TestPolicyFilesKeepLimits, TestLimitsFailWhenBroken TestViolations, TestOtherSettings TestRetriesFollowSettings.

--- a/cmd/cacherouter/main_test.go
+++ b/cmd/cacherouter/main_test.go
@@ -18,8 +18,10 @@
 	"time"
 )
 
-const patience = 30 * time.Second
+// testTimeout bounds each wait for an event that must come. Only a failing test waits so long.
+const testTimeout = 30 * time.Second
 
+// configFormat takes the address for clients and that of the discovery service.
 const configFormat = `{"name":"n0","listen":%q,"discovery":%q,"seed":"1f",
  "limits":{"cores":1,"memory_mb":192,"sockets":1024},
  "known":{"index":1,"snapshot":true,"endpoints":[
@@ -27,8 +29,8 @@
  "settings":{"instances":1,"discovery":"automatic","categories":[{"name":"read","effect":"read_like","dedupScope":"all",
   "aim":500000,"hardLimit":1000000,"worth":1}],"limits":{"maxAttempts":1},"rules":{"drainGrace":1000000}}}`
 
-// program builds the router and prepares a start with the given configuration.
-func program(t *testing.T, config string) *exec.Cmd {
+// newCommand builds the program and prepares a start with the given configuration.
+func newCommand(t *testing.T, config string) *exec.Cmd {
 	t.Helper()
 	dir := t.TempDir()
 	bin := filepath.Join(dir, "cacherouter")
@@ -44,8 +46,8 @@
 	return cmd
 }
 
-// serving starts a program and returns its address and its log once it serves.
-func serving(t *testing.T, cmd *exec.Cmd) (addr string, log *bufio.Reader) {
+// startServing starts the program and returns its address and the rest of its log once it serves.
+func startServing(t *testing.T, cmd *exec.Cmd) (addr string, log *bufio.Reader) {
 	t.Helper()
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
@@ -54,13 +56,17 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	kill := time.AfterFunc(patience, func() { cmd.Process.Kill() }) // a program that hangs must not hang the test
-	t.Cleanup(func() { kill.Stop(); cmd.Process.Kill() })
+	kill := func() { _ = cmd.Process.Kill() }     // fails only if the program has ended
+	watchdog := time.AfterFunc(testTimeout, kill) // a hung program must not block the test
+	t.Cleanup(func() {
+		watchdog.Stop()
+		kill()
+	})
 	log = bufio.NewReader(stderr)
 	line, err := log.ReadString('\n')
 	_, addr, ok := strings.Cut(strings.TrimSpace(line), "serving on ")
 	if !ok {
-		t.Fatalf("the program said %q, %v", line, err)
+		t.Fatalf("the program logged %q, %v", line, err)
 	}
 	return addr, log
 }
@@ -72,14 +78,16 @@
 		t.Fatal(err)
 	}
 	defer nc.Close()
-	nc.SetDeadline(time.Now().Add(patience))
-	fmt.Fprint(nc, "*1\r\n$4\r\nPING\r\n")
+	nc.SetDeadline(time.Now().Add(testTimeout))
+	if _, err := fmt.Fprint(nc, "*1\r\n$4\r\nPING\r\n"); err != nil {
+		t.Fatalf("PING: %v", err)
+	}
 	if line, err := bufio.NewReader(nc).ReadString('\n'); line != "+PONG\r\n" {
 		t.Fatalf("PING: %q, %v", line, err)
 	}
 }
 
-// terminate sends SIGTERM and waits for a good end.
+// terminate sends SIGTERM and waits until the program ends, which must be without an error.
 func terminate(t *testing.T, cmd *exec.Cmd, log *bufio.Reader) {
 	t.Helper()
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
@@ -91,24 +99,38 @@
 	}
 }
 
-func TestStartServeAndEnd(t *testing.T) {
-	cmd := program(t, fmt.Sprintf(configFormat, "127.0.0.1:0", "127.0.0.1:1"))
-	addr, log := serving(t, cmd)
+func TestServeUntilSIGTERM(t *testing.T) {
+	cmd := newCommand(t, fmt.Sprintf(configFormat, "127.0.0.1:0", "127.0.0.1:1"))
+	addr, log := startServing(t, cmd)
 	ping(t, addr)
 	terminate(t, cmd, log)
 }
 
-// TestHangupMovesDiscovery: SIGHUP ends nothing, a bad file changes nothing, and a good one has
-// the router ask at the address that it names.
-func TestHangupMovesDiscovery(t *testing.T) {
-	called := make(chan struct{}, 100)
+// awaitReload waits until the program has logged what came of a SIGHUP.
+func awaitReload(t *testing.T, log *bufio.Reader) {
+	t.Helper()
+	for {
+		line, err := log.ReadString('\n')
+		if err != nil {
+			t.Fatalf("the program ended: %v", err)
+		}
+		if strings.Contains(line, "SIGHUP: ") || strings.Contains(line, "moves to") {
+			return
+		}
+	}
+}
+
+// TestSIGHUPMovesDiscovery: an invalid file changes nothing, a valid one moves the router to the discovery service
+// that it names, and neither ends the program.
+func TestSIGHUPMovesDiscovery(t *testing.T) {
+	calls := make(chan struct{}, 100)
 	moved := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		called <- struct{}{}
+		calls <- struct{}{}
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	defer moved.Close()
-	cmd := program(t, fmt.Sprintf(configFormat, "127.0.0.1:0", "127.0.0.1:1"))
-	addr, log := serving(t, cmd)
+	cmd := newCommand(t, fmt.Sprintf(configFormat, "127.0.0.1:0", "127.0.0.1:1"))
+	addr, log := startServing(t, cmd)
 	for _, discovery := range []string{"nowhere", moved.Listener.Addr().String()} {
 		if err := os.WriteFile(configPath(cmd), fmt.Appendf(nil, configFormat, "127.0.0.1:0", discovery), 0o600); err != nil {
 			t.Fatal(err)
@@ -116,29 +138,21 @@
 		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
 			t.Fatal(err)
 		}
-		for { // the file must not change again before it was read
-			line, err := log.ReadString('\n')
-			if err != nil {
-				t.Fatalf("the program ended: %v", err)
-			}
-			if strings.Contains(line, "SIGHUP: ") || strings.Contains(line, "moves to") {
-				break
-			}
-		}
+		awaitReload(t, log) // the file must not change again before it was read
 	}
 	select {
-	case <-called:
-	case <-time.After(patience):
-		t.Error("nobody called at the new address")
+	case <-calls:
+	case <-time.After(testTimeout):
+		t.Error("no call at the new address")
 	}
 	ping(t, addr)
 	terminate(t, cmd, log)
 }
 
-// TestSignalsThatCross: signals that come while the router ends change nothing about its end.
-func TestSignalsThatCross(t *testing.T) {
-	cmd := program(t, fmt.Sprintf(configFormat, "127.0.0.1:0", "127.0.0.1:1"))
-	addr, log := serving(t, cmd)
+// TestSignalsDuringShutdown do not change its outcome.
+func TestSignalsDuringShutdown(t *testing.T) {
+	cmd := newCommand(t, fmt.Sprintf(configFormat, "127.0.0.1:0", "127.0.0.1:1"))
+	addr, log := startServing(t, cmd)
 	ping(t, addr)
 	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
 		if err := cmd.Process.Signal(s); err != nil {
@@ -148,19 +162,21 @@
 	terminate(t, cmd, log)
 }
 
+// configPath returns the path of the configuration that newCommand wrote.
 func configPath(cmd *exec.Cmd) string {
 	_, path, _ := strings.Cut(cmd.Env[len(cmd.Env)-1], "=")
 	return path
 }
 
-func TestBadConfigurationEndsWithOneLine(t *testing.T) {
-	cmd := program(t, fmt.Sprintf(configFormat, "nowhere", "127.0.0.1:1"))
+// TestInvalidConfiguration ends the program with exit code 1 and one line that names the field.
+func TestInvalidConfiguration(t *testing.T) {
+	cmd := newCommand(t, fmt.Sprintf(configFormat, "nowhere", "127.0.0.1:1"))
 	var stderr bytes.Buffer
 	cmd.Stderr = &stderr
 	err := cmd.Run()
 	var exit *exec.ExitError
 	if !errors.As(err, &exit) || exit.ExitCode() != 1 {
-		t.Errorf("ended with %v, want exit code 1", err)
+		t.Errorf("exited with %v, want exit code 1", err)
 	}
 	text := stderr.String()
 	if strings.Count(text, "\n") != 1 || !strings.Contains(text, "listen") {
--- a/internal/policylimit/policylimit_test.go
+++ b/internal/policylimit/policylimit_test.go
@@ -1,5 +1,5 @@
-// Package policylimit holds the check of the limits that the operators put on the policy
-// files: what two of their engineers can read in an hour.
+// Package policylimit tests the size limits that the operators put on the
+// policy files: what two of their engineers can read in an hour.
 package policylimit
 
 import (
@@ -14,31 +14,31 @@
 )
 
 const (
-	mostLines = 1200 // non-blank, over all policy files, comments too
-	mostWidth = 110  // characters a line
+	maxLines     = 1200 // non-blank, over all policy files, comments too
+	maxLineWidth = 110  // characters
 )
 
-// violations returns what is wrong with the policy files, by name.
+// violations describes each violation of a limit by the named files with the given texts.
 func violations(names []string, texts map[string]string) []string {
-	var bad []string
-	lines := 0
+	var found []string
+	nonBlank := 0
 	for _, name := range names {
-		for i, l := range strings.Split(texts[name], "\n") {
-			if strings.TrimSpace(l) != "" {
-				lines++
+		for i, line := range strings.Split(texts[name], "\n") {
+			if strings.TrimSpace(line) != "" {
+				nonBlank++
 			}
-			if n := utf8.RuneCountInString(l); n > mostWidth {
-				bad = append(bad, fmt.Sprintf("%s:%d: %d characters, at most %d", name, i+1, n, mostWidth))
+			if n := utf8.RuneCountInString(line); n > maxLineWidth {
+				found = append(found, fmt.Sprintf("%s:%d: %d characters, at most %d", name, i+1, n, maxLineWidth))
 			}
 		}
 	}
-	if lines > mostLines {
-		bad = append(bad, fmt.Sprintf("%d non-blank lines in %v, at most %d", lines, names, mostLines))
+	if nonBlank > maxLines {
+		found = append(found, fmt.Sprintf("%d non-blank lines in %v, at most %d", nonBlank, names, maxLines))
 	}
-	if lines == 0 {
-		bad = append(bad, "no policy lines found")
+	if nonBlank == 0 {
+		found = append(found, "no policy lines found")
 	}
-	return bad
+	return found
 }
 
 var (
@@ -57,9 +57,9 @@
 	return names
 }
 
-// moduleFiles names the files of the decision module, in order, but for its interface and its tests: nothing
-// that decides may stand outside the policy.
-func moduleFiles(root string) ([]string, error) {
+// packageFiles names the files of package policy, in order, without its interface and its tests: no decision may
+// be made outside the policy files.
+func packageFiles(root string) ([]string, error) {
 	all, err := filepath.Glob(filepath.Join(root, "policy", "*.go"))
 	if err != nil {
 		return nil, err
@@ -73,19 +73,19 @@
 	return names, nil
 }
 
-func TestPolicyKeepsItsLimits(t *testing.T) {
+func TestPolicyFilesKeepLimits(t *testing.T) {
 	root := filepath.Join("..", "..")
 	deploy, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	names := policyFiles(string(deploy))
-	want, err := moduleFiles(root)
+	want, err := packageFiles(root)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if !slices.Equal(names, want) {
-		t.Errorf("policy files are %v, want all of the module but its interface: %v", names, want)
+		t.Errorf("policy files are %v, want all of the package but its interface: %v", names, want)
 	}
 	texts := map[string]string{}
 	for _, n := range names {
@@ -100,19 +100,19 @@
 	}
 }
 
-func TestLimitsFailWhenBroken(t *testing.T) {
+func TestViolations(t *testing.T) {
 	for _, c := range []struct {
 		name, text string
 		want       int
 	}{
-		{"as long as allowed", strings.Repeat("x\n\n", mostLines), 0},
-		{"a line too many", strings.Repeat("x\n\n", mostLines+1), 1},
-		{"as wide as allowed, in characters", strings.Repeat("ä", mostWidth), 0},
-		{"too wide", strings.Repeat("ä", mostWidth+1), 1},
+		{"as long as allowed", strings.Repeat("x\n\n", maxLines), 0},
+		{"a line too many", strings.Repeat("x\n\n", maxLines+1), 1},
+		{"as wide as allowed, in characters", strings.Repeat("ä", maxLineWidth), 0},
+		{"too wide", strings.Repeat("ä", maxLineWidth+1), 1},
 		{"empty", "\n\n", 1},
 	} {
 		if got := violations([]string{"f"}, map[string]string{"f": c.text}); len(got) != c.want {
-			t.Errorf("%s: %v, want %d complaints", c.name, got, c.want)
+			t.Errorf("%s: %v, want %d violations", c.name, got, c.want)
 		}
 	}
 }
--- a/internal/router/settings_test.go
+++ b/internal/router/settings_test.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// otherSettings are far from those of the other tests: a class that must not run twice, a keyed read inside its
-// cell, two attempts, no second copies, no probes, reports under other names, a short idle time.
+// otherSettings differ from testSettings in as much as they can: a class that must not run twice, a request with an
+// idempotency key that is deduplicated in its group only, two attempts, no hedged requests, no health checks, load
+// reports with other names, a short idle time.
 const otherSettings = `{"instances":3,"discovery":"automatic","weights":"none",
  "categories":[{"name":"seat-map","effect":"read_like","dedupScope":"all","aim":5000000,"hardLimit":20000000,"keyTtl":5000000,"worth":3},
   {"name":"hold-check","effect":"idempotency_key","dedupScope":"cell","aim":5000000,"hardLimit":20000000,"keyTtl":20000000,"worth":4},
@@ -17,66 +18,80 @@
  "report":{"fields":["lat_ms","rif"],"via":"answers"},
  "rules":{"drainGrace":700000,"cold":3000000,"fall":2000000,"startCapacity":0.2,"tipMultiple":2,"askEvery":10000000}}`
 
-// TestOtherSettings: what may go again, and where, comes from the settings alone.
-func TestOtherSettings(t *testing.T) {
-	const broken = "" // the cache ends the connection instead
-	for name, c := range map[string]struct {
-		class   string
-		replies []string // of the attempts in their order
-		answer  string
-		stays   bool // in the first attempt's cell
-	}{
-		"read again":                    {"seat-map", []string{broken, served}, "value", false},
-		"no more than two attempts":     {"seat-map", []string{broken, broken}, "-BUSY 900", false},
-		"may have run":                  {"seat-buy", []string{broken}, "-ERR failed", false},
-		"failed, may have run":          {"seat-buy", []string{"-ERR failed\r\n"}, "-ERR failed", false},
-		"proven never to have run":      {"seat-buy", []string{"-BUSY\r\n", served}, "value", false},
-		"never run by either":           {"seat-buy", []string{"-BUSY\r\n", "-BUSY\r\n"}, "-BUSY 900", false},
-		"a spoilt answer may have run":  {"seat-buy", []string{"*3\r\n$5\r\nvalueXX"}, "-ERR failed", false},
-		"keyed read inside its cell":    {"hold-check", []string{broken, served}, "value", true},
-		"keyed read that may have run":  {"hold-check", []string{broken, broken}, "-ERR failed", true},
-		"report under other names":      {"seat-map", []string{"*3\r\n$5\r\nvalue\r\n$4\r\nmiss\r\n$14\r\nlat_ms=3,rif=2\r\n"}, "value", false},
-		"report behind an error's text": {"seat-map", []string{"-ERR failed lat_ms=3,rif=2\r\n", served}, "value", false},
+// closeConnection stands for a reply: the cache closes the connection instead.
+const closeConnection = ""
+
+// settingsCase is a request under otherSettings.
+type settingsCase struct {
+	class     string
+	replies   []string // to the attempts in their order
+	want      string
+	sameGroup bool // all attempts go to the group of the first
+}
+
+// TestRetriesFollowSettings: whether and where a request is retried comes from the settings alone.
+func TestRetriesFollowSettings(t *testing.T) {
+	for name, c := range map[string]settingsCase{
+		"idempotent, retried":                 {"seat-map", []string{closeConnection, served}, "value", false},
+		"attempts are limited":                {"seat-map", []string{closeConnection, closeConnection}, "-BUSY 900", false},
+		"not idempotent, may have run":        {"seat-buy", []string{closeConnection}, "-ERR failed", false},
+		"not idempotent, failed":              {"seat-buy", []string{"-ERR failed\r\n"}, "-ERR failed", false},
+		"not idempotent, rejected once":       {"seat-buy", []string{"-BUSY\r\n", served}, "value", false},
+		"not idempotent, rejected twice":      {"seat-buy", []string{"-BUSY\r\n", "-BUSY\r\n"}, "-BUSY 900", false},
+		"not idempotent, malformed reply":     {"seat-buy", []string{"*3\r\n$5\r\nvalueXX"}, "-ERR failed", false},
+		"idempotency key, retried in group":   {"hold-check", []string{closeConnection, served}, "value", true},
+		"idempotency key, may have run":       {"hold-check", []string{closeConnection, closeConnection}, "-ERR failed", true},
+		"load report with other names":        {"seat-map", []string{"*3\r\n$5\r\nvalue\r\n$4\r\nmiss\r\n$14\r\nlat_ms=3,rif=2\r\n"}, "value", false},
+		"load report behind an error message": {"seat-map", []string{"-ERR failed lat_ms=3,rif=2\r\n", served}, "value", false},
 	} {
-		t.Run(name, func(t *testing.T) {
-			caches := map[string]*fakeCache{"c1": newFakeCache(t), "c2": newFakeCache(t)}
-			r := start(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
-				in["settings"] = json.RawMessage(otherSettings)
-			}, host("c1", caches["c1"].addr(), "in_service"),
-				strings.Replace(host("c2", caches["c2"].addr(), "in_service"), `"group":1`, `"group":2`, 1)))
-			client := dial(t, r.addr)
-			client.send(words("C.GET", "k1", "r1", "c="+c.class+",t=hall,d=20000,k=ab12"))
-			first := ""
-			for i, reply := range c.replies {
-				var cmd fakeCommand
-				at := ""
-				select {
-				case cmd = <-caches["c1"].commands:
-					at = "c1"
-				case cmd = <-caches["c2"].commands:
-					at = "c2"
-				case <-time.After(patience):
-					t.Fatalf("attempt %d did not come", i)
-				}
-				if i == 0 {
-					first = at
-				} else if c.stays && at != first {
-					t.Errorf("attempt %d went to %s, the first to %s", i, at, first)
-				}
-				if reply == broken {
-					cmd.conn.Close()
-				} else {
-					cmd.reply(t, reply)
-				}
-			}
-			client.want(c.answer)
-			for id, cache := range caches {
-				select {
-				case cmd := <-cache.commands:
-					t.Errorf("%s was sent %q too", id, cmd.args)
-				default:
-				}
-			}
-		})
+		t.Run(name, func(t *testing.T) { c.run(t) })
+	}
+}
+
+// run sends the request to a router with two caches in groups of their own.
+func (c settingsCase) run(t *testing.T) {
+	t.Helper()
+	caches := map[string]*fakeCache{"c1": newFakeCache(t), "c2": newFakeCache(t)}
+	otherGroup := strings.Replace(host("c2", caches["c2"].addr(), "in_service"), `"group":1`, `"group":2`, 1)
+	r := start(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
+		in["settings"] = json.RawMessage(otherSettings)
+	}, host("c1", caches["c1"].addr(), "in_service"), otherGroup))
+	client := dial(t, r.addr)
+	client.send(words("C.GET", "k1", "r1", "c="+c.class+",t=hall,d=20000,k=ab12"))
+	first := ""
+	for i, reply := range c.replies {
+		id, cmd := receiveAttempt(t, caches["c1"], caches["c2"], i)
+		if i == 0 {
+			first = id
+		} else if c.sameGroup && id != first {
+			t.Errorf("attempt %d went to %s, the first to %s", i, id, first)
+		}
+		if reply == closeConnection {
+			cmd.conn.Close()
+		} else {
+			cmd.reply(t, reply)
+		}
+	}
+	client.want(c.want)
+	for id, cache := range caches {
+		select {
+		case cmd := <-cache.commands:
+			t.Errorf("%s was sent %q too", id, cmd.args)
+		default:
+		}
+	}
+}
+
+// receiveAttempt returns the next attempt at either cache and the cache's name.
+func receiveAttempt(t *testing.T, c1, c2 *fakeCache, attempt int) (id string, cmd fakeCommand) {
+	t.Helper()
+	select {
+	case cmd = <-c1.commands:
+		return "c1", cmd
+	case cmd = <-c2.commands:
+		return "c2", cmd
+	case <-time.After(patience):
+		t.Fatalf("attempt %d did not come", attempt)
+		panic("unreachable")
 	}
 }
