--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -15,17 +15,16 @@
 )
 
 // Backoff is the delay before a watch is opened again after a failure. It is
-// for watches that the policy did not ask for: those are retried at the
-// policy's own pace. The zero value is ready for use.
+// for watches that the router opens by itself; one that the policy asked for is
+// retried at the policy's own pace. The zero value is ready for use.
 type Backoff struct {
 	failures int // in a row
 }
 
-// Next returns the delay after one more failure. It doubles with each, and
-// takes a random part of that, since routers that all retry at once would
-// overload the service again. It stays well within the drain grace: what
-// changed during an outage counts as notified soon after it ends. A drain
-// grace of 0 sets no bound.
+// Next returns the delay after one more failure. It doubles with each failure,
+// with jitter, since routers that all retry at once would overload the service
+// again. It ends well within the drain grace, as changes during an outage count
+// as notified soon after its end. A drain grace of 0 sets no bound.
 func (b *Backoff) Next(drainGrace policy.Time) policy.Time {
 	delay := BackoffBase << min(b.failures, MaxBackoffDoublings)
 	if drainGrace > 0 {
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -139,7 +139,7 @@
 	return list, checkOrder(&list, version)
 }
 
-// timeout bounds a whole call. One for a snapshot is answered without a wait.
+// timeout bounds a call with its response. One for a snapshot involves no wait.
 func (c *Client) timeout(version int64) time.Duration {
 	if version == NoVersion {
 		return optionalWatchWait + ResponseAllowance
--- a/internal/discovery/endpointlist.go
+++ b/internal/discovery/endpointlist.go
@@ -74,7 +74,7 @@
 }
 
 // ParseEndpointList reads an endpoint list as the discovery service sends it.
-// One wrong endpoint fails the whole list: a list applied in part would be
+// One invalid endpoint fails all of the list: a list applied in part would be
 // worse than the previous one.
 func ParseEndpointList(raw []byte) (EndpointList, error) {
 	var doc listDocument
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -257,7 +257,7 @@
 }
 
 // TestFirstCallAfterOutageIsInTime: whatever became of the calls before, the first call after the service is back
-// starts early enough to be answered by the notification deadline, and the calls of many routers are spread.
+// starts early enough to end by the notification deadline, and the calls of many routers are spread.
 func TestFirstCallAfterOutageIsInTime(t *testing.T) {
 	stall := (discovery.WatchWait(true) + discovery.ResponseAllowance).Microseconds()
 	outages := []outage{{"refusal", 100}, {"stall", stall}, {"lost packets", discovery.ResponseAllowance.Microseconds()}, {"503", 5000}}
