--- a/cmd/scaletest/main_test.go
+++ b/cmd/scaletest/main_test.go
@@ -17,89 +17,125 @@
 	"marlstage/internal/scaletest"
 )
 
+// fakeRouterEnv is set where the test's own program stands in for the router, to one of the ways
+// in which it behaves after the first PING.
 const (
-	fakeEnv  = "SCALETEST_FAKE_ROUTER" // how the test's own program ends where it stands in for the router
-	patience = 60 * time.Second
+	fakeRouterEnv  = "SCALETEST_FAKE_ROUTER"
+	fakeExits      = "exit"
+	fakeInterrupts = "interrupt"
 )
 
-var bin, router string // the programs, as built
+const runTimeout = 60 * time.Second
+
+// The programs, as built.
+var scaletestProgram, routerProgram string
 
 func TestMain(m *testing.M) {
-	if how := os.Getenv(fakeEnv); how != "" {
-		fakeRouter(how)
+	if behavior := os.Getenv(fakeRouterEnv); behavior != "" {
+		runFakeRouter(behavior)
 	}
 	dir, err := os.MkdirTemp("", "scaletest")
 	if err == nil {
-		bin, router = filepath.Join(dir, "scaletest"), filepath.Join(dir, "cacherouter")
-		var out []byte
-		if out, err = exec.Command("go", "build", "-o", dir, ".", "../cacherouter").CombinedOutput(); err != nil {
-			err = fmt.Errorf("%w\n%s", err, out)
-		}
+		err = buildPrograms(dir)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "build:", err)
 		os.Exit(1)
 	}
 	code := m.Run()
-	os.RemoveAll(dir)
+	if err := os.RemoveAll(dir); err != nil {
+		fmt.Fprintln(os.Stderr, "clean up:", err)
+	}
 	os.Exit(code)
 }
 
-// fakeRouter answers the first PING. Then it ends, or interrupts the program that has started it.
-func fakeRouter(how string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func buildPrograms(dir string) error {
+	scaletestProgram = filepath.Join(dir, "scaletest")
+	routerProgram = filepath.Join(dir, "cacherouter")
+	out, err := exec.Command("go", "build", "-o", dir, ".", "../cacherouter").CombinedOutput()
 	if err != nil {
-		os.Exit(1)
+		return fmt.Errorf("%w\n%s", err, out)
 	}
-	fmt.Fprintln(os.Stderr, "serving on", ln.Addr())
-	nc, err := ln.Accept()
-	if err != nil {
+	return nil
+}
+
+// runFakeRouter answers the first PING. Then it exits, or interrupts the program that has started
+// it.
+func runFakeRouter(behavior string) {
+	if err := answerPing(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	nc.Read(make([]byte, 100))
-	fmt.Fprint(nc, "+PONG\r\n")
-	if how == "die" {
+	if behavior == fakeExits {
 		fmt.Fprintln(os.Stderr, "last words")
 		os.Exit(3)
 	}
-	syscall.Kill(os.Getppid(), syscall.SIGINT)
+	if err := syscall.Kill(os.Getppid(), syscall.SIGINT); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	select {}
 }
 
-// start runs the program to its end. It must leave none of its processes behind.
-func start(t *testing.T, fake string, args ...string) (code int, stdout, stderr string) {
+func answerPing() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(os.Stderr, "serving on", listener.Addr())
+	nc, err := listener.Accept()
+	if err != nil {
+		return err
+	}
+	if _, err := nc.Read(make([]byte, 100)); err != nil {
+		return err
+	}
+	_, err = fmt.Fprint(nc, "+PONG\r\n")
+	return err
+}
+
+// runProgram runs the program to its end. It must leave none of its processes behind.
+func runProgram(t *testing.T, fakeRouter string, args ...string) (code int, stdout, stderr string) {
 	t.Helper()
 	mark := "SCALETEST_TEST=" + t.TempDir()
-	cmd := exec.Command(bin, args...)
-	cmd.Env = append(os.Environ(), mark, fakeEnv+"="+fake)
+	cmd := exec.Command(scaletestProgram, args...)
+	cmd.Env = append(os.Environ(), mark, fakeRouterEnv+"="+fakeRouter)
 	var out, log bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &out, &log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	kill := time.AfterFunc(patience, func() { cmd.Process.Kill() })
+	kill := time.AfterFunc(runTimeout, func() {
+		_ = cmd.Process.Kill() // it fails only where the program has ended
+	})
 	defer kill.Stop()
 	err := cmd.Wait()
 	var exit *exec.ExitError
 	if err != nil && !errors.As(err, &exit) {
 		t.Fatal(err)
 	}
-	left, err := filepath.Glob("/proc/[0-9]*/environ")
+	checkNoProcessLeft(t, mark)
+	return cmd.ProcessState.ExitCode(), out.String(), log.String()
+}
+
+// checkNoProcessLeft looks for processes whose environment has the mark.
+func checkNoProcessLeft(t *testing.T, mark string) {
+	t.Helper()
+	paths, err := filepath.Glob("/proc/[0-9]*/environ")
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, path := range left {
+	for _, path := range paths {
 		if env, err := os.ReadFile(path); err == nil && bytes.Contains(env, []byte(mark+"\x00")) {
 			t.Errorf("left behind: %s", path)
 		}
 	}
-	return cmd.ProcessState.ExitCode(), out.String(), log.String()
 }
 
 func TestShortRun(t *testing.T) {
 	results := filepath.Join(t.TempDir(), "results")
-	code, table, log := start(t, "", "--sweep", "4x8,6x8,8x8", "--hollow", "6", "--working", "2", "--open", "2", "--rate", "50",
-		"--warm", "200ms", "--window", "500ms", "--outage", "100ms", "--restart-every", "100ms", "--router", router, "-o", results)
+	code, table, log := runProgram(t, "", "--sweep", "4x8,6x8,8x8", "--hollow", "6", "--working", "2", "--open", "2", "--rate", "50",
+		"--warm", "200ms", "--window", "500ms", "--outage", "100ms", "--restart-every", "100ms", "--router", routerProgram, "-o", results)
 	if code != 0 || log != "" {
 		t.Fatalf("exit code %d, standard error %q", code, log)
 	}
@@ -112,51 +148,58 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer file.Close()
-	dec := json.NewDecoder(file)
+	defer func() { _ = file.Close() }() // it was only read
+	decoder := json.NewDecoder(file)
 	for _, caches := range []int{4, 6, 8} {
-		var r scaletest.Result
-		if err := dec.Decode(&r); err != nil {
+		var result scaletest.Result
+		if err := decoder.Decode(&result); err != nil {
 			t.Fatal(err)
 		}
-		if r.Caches != caches || r.Routers != 8 || r.Rate != 400 {
-			t.Errorf("point %+v", r)
-		}
-		if p, c := r.Value("router noprobe", "probes"), r.Value("router idle", "connections"); p != 0 || c != 0 {
-			t.Errorf("%d caches: %v probes where none may be, %v connections without clients", caches, p, c)
-		}
-		// A watch that began before the window may be answered within.
-		l, c := r.Value("router idle", "list lines")*r.Seconds, r.Value("router idle", "watch calls")*r.Seconds
-		if l > (c+1.01)*float64(caches) {
-			t.Errorf("%d caches: %v lines in %v calls", caches, l, c)
-		}
-		if w := r.Value("stand-ins", "messages to opened caches that went wrong"); w != 0 {
-			t.Errorf("%d caches: %v messages a second went wrong", caches, w)
-		}
+		checkResult(t, &result, caches)
+	}
+}
+
+// checkResult checks a point of the short run.
+func checkResult(t *testing.T, r *scaletest.Result, caches int) {
+	t.Helper()
+	if r.CacheServers != caches || r.Routers != 8 || r.RequestRate != 400 {
+		t.Errorf("point %+v", r)
+	}
+	probes, connections := r.Value("router noprobe", "probes"), r.Value("router idle", "connections")
+	if probes != 0 || connections != 0 {
+		t.Errorf("%d caches: %v probes where none may be, %v connections without clients", caches, probes, connections)
+	}
+	// A watch that began before the window may be answered within.
+	lines, calls := r.Value("router idle", "list lines")*r.WindowSeconds, r.Value("router idle", "watch calls")*r.WindowSeconds
+	if lines > (calls+1.01)*float64(caches) {
+		t.Errorf("%d caches: %v lines in %v calls", caches, lines, calls)
+	}
+	if failures := r.Value("stand-ins", "messages to opened caches that went wrong"); failures != 0 {
+		t.Errorf("%d caches: %v messages a second went wrong", caches, failures)
 	}
 }
 
-func TestRouterThatDies(t *testing.T) {
-	code, _, log := start(t, "die", "--caches", "2", "--routers", "2", "--rate", "1", "--window", "1m", "--router", os.Args[0])
+func TestRouterExit(t *testing.T) {
+	code, _, log := runProgram(t, fakeExits, "--caches", "2", "--routers", "2", "--rate", "1", "--window", "1m", "--router", os.Args[0])
 	if code != 1 || !strings.Contains(log, "last words") {
 		t.Errorf("exit code %d, standard error %q", code, log)
 	}
 }
 
 func TestInterrupt(t *testing.T) {
-	code, _, log := start(t, "interrupt", "--caches", "2", "--routers", "2", "--rate", "1", "--window", "1m", "--router", os.Args[0])
+	code, _, log := runProgram(t, fakeInterrupts, "--caches", "2", "--routers", "2", "--rate", "1", "--window", "1m", "--router", os.Args[0])
 	if code != 1 || !strings.Contains(log, "interrupt") {
 		t.Errorf("exit code %d, standard error %q", code, log)
 	}
 }
 
-func TestBadInput(t *testing.T) {
+func TestUsageErrors(t *testing.T) {
 	for _, args := range [][]string{{"--nonsense"}, {"--caches", "0", "--routers", "5"}, {"--caches", "-5", "--routers", "5"},
 		{"--caches", "2001", "--routers", "5"}, {"--caches", "5"}, {"--caches", "5", "--routers", "100001"}, {"--caches", "x"},
 		{"--sweep", "5"}, {"--sweep", ""}, {"--sweep", "5x5,"}, {"--sweep", "5x5", "--caches", "5"}, {"--sweep", "5x5", "extra"}, {"--rate", "0"}, {"--rate", "NaN"},
 		{"--open", "0"}, {"--working", "-1"}, {"--window", "0s"}, {"--restart-every", "-1s"}, {"--open", "2000", "--routers", "100000", "--caches", "2000"},
 		{"--sweep", "5x5", "--router", "/bin/true", "-o", "/nowhere/results"}} {
-		code, stdout, log := start(t, "", args...)
+		code, stdout, log := runProgram(t, "", args...)
 		if code != 2 || strings.Count(log, "\n") != 1 || stdout != "" {
 			t.Errorf("%v: exit code %d, standard error %q, standard output %q", args, code, log, stdout)
 		}
--- /dev/null
+++ b/internal/scaletest/cache_server.go
@@ -0,0 +1,213 @@
+package scaletest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+// How long a cache server works on a request, and the sizes of its replies. The time of a hit is
+// distributed exponentially, with this mean.
+const (
+	meanHitTime = time.Millisecond
+	missTime    = 20 * time.Millisecond
+	missRatio   = .08
+	valueSize   = 512           // bytes
+	replySize   = 2 * valueSize // bytes, at most
+)
+
+// workTime draws how long a cache server works on a request.
+func workTime() (elapsed time.Duration, miss bool) {
+	if rand.Float64() < missRatio {
+		return missTime, true
+	}
+	return time.Duration(rand.ExpFloat64() * float64(meanHitTime)), false
+}
+
+// CacheServers are stand-ins for cache servers in one process. Each has an address of its own, and
+// there a port for each group of routers.
+type CacheServers struct {
+	Addrs [][]string // by cache server and group
+
+	spec    CacheServersSpec
+	servers []*cacheServer
+	conns   sync.WaitGroup
+}
+
+// CacheServersSpec says what the stand-ins are.
+type CacheServersSpec struct {
+	First, Count int           // positions on the endpoint list
+	Groups       int           // groups of routers
+	MaxConns     int64         // connections that one holds; further ones are closed at once
+	IdleTimeout  time.Duration // after which one closes a connection
+}
+
+// cacheServer is one stand-in.
+type cacheServer struct {
+	openConns atomic.Int64 // over all groups
+	ports     []*cachePort
+}
+
+// cachePort is the port of a cache server for one group of routers.
+type cachePort struct {
+	mu       sync.Mutex
+	listener net.Listener
+	count    CacheCount
+}
+
+func (p *cachePort) updateCount(update func(*CacheCount)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	update(&p.count)
+}
+
+// The address plan: so many cache servers for each value of an address's third byte.
+const (
+	serversPerSubnet = 250
+	maxCacheServers  = 8 * serversPerSubnet
+)
+
+// StartCacheServers has the cache servers listen, on free ports.
+func StartCacheServers(spec CacheServersSpec) (*CacheServers, error) {
+	c := &CacheServers{spec: spec}
+	for position := spec.First; position < spec.First+spec.Count; position++ {
+		if err := c.startServer(position); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *CacheServers) startServer(position int) error {
+	server := &cacheServer{}
+	c.servers = append(c.servers, server)
+	var addrs []string
+	for range c.spec.Groups {
+		addr := fmt.Sprintf("127.77.%d.%d:0", position/serversPerSubnet, 1+position%serversPerSubnet)
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			return err
+		}
+		port := &cachePort{listener: listener}
+		server.ports = append(server.ports, port)
+		addrs = append(addrs, listener.Addr().String())
+		go c.accept(server, port)
+	}
+	c.Addrs = append(c.Addrs, addrs)
+	return nil
+}
+
+func (c *CacheServers) accept(server *cacheServer, port *cachePort) {
+	for {
+		nc, err := port.listener.Accept()
+		if err != nil {
+			return
+		}
+		if server.openConns.Add(1) > c.spec.MaxConns {
+			server.openConns.Add(-1)
+			port.updateCount(func(count *CacheCount) { count.RejectedConns++ })
+			nc.Close()
+			continue
+		}
+		port.updateCount(func(count *CacheCount) {
+			count.Handshakes++
+			count.OpenConns++
+		})
+		c.conns.Go(func() {
+			c.serve(nc, port)
+			nc.Close()
+			server.openConns.Add(-1)
+			port.updateCount(func(count *CacheCount) { count.OpenConns-- })
+		})
+	}
+}
+
+// serve answers the commands of one connection in turn.
+func (c *CacheServers) serve(nc net.Conn, port *cachePort) {
+	reader := redcon.NewReader(nc)
+	for nc.SetReadDeadline(time.Now().Add(c.spec.IdleTimeout)) == nil {
+		cmd, err := reader.ReadCommand()
+		if err != nil {
+			return
+		}
+		reply, healthCheck := execute(cmd)
+		port.countCommand(len(cmd.Raw)+len(reply), healthCheck)
+		if _, err := nc.Write(reply); err != nil {
+			return
+		}
+	}
+}
+
+// The number of a command's arguments, with its name.
+const (
+	getArguments = 4
+	setArguments = 5
+)
+
+var (
+	value       = strings.Repeat("v", valueSize)
+	loadReport  = "fail_rate=0,rate=1000,busy=0.40"
+	hitReply    = command(value, "hit", loadReport)
+	missReply   = command(value, "miss", loadReport)
+	pongMessage = []byte("+" + pongReply + "\r\n")
+	syntaxError = []byte("-SYNTAX\r\n")
+)
+
+// execute returns the reply to a command, after the time that the work on it takes.
+func execute(cmd redcon.Command) (reply []byte, healthCheck bool) {
+	switch name := strings.ToUpper(string(cmd.Args[0])); {
+	case name == pingCommand:
+		return pongMessage, true
+	case name == getCommand && len(cmd.Args) == getArguments, name == setCommand && len(cmd.Args) == setArguments:
+		elapsed, miss := workTime()
+		time.Sleep(elapsed)
+		if miss {
+			return missReply, false
+		}
+		return hitReply, false
+	default:
+		return syntaxError, false
+	}
+}
+
+func (p *cachePort) countCommand(bytes int, healthCheck bool) {
+	p.updateCount(func(count *CacheCount) {
+		if healthCheck {
+			count.HealthChecks++
+			count.HealthCheckBytes += int64(bytes)
+		} else {
+			count.Attempts++
+			count.AttemptBytes += int64(bytes)
+		}
+	})
+}
+
+// Count is what each cache server got so far, by cache server and group.
+func (c *CacheServers) Count() [][]CacheCount {
+	counts := make([][]CacheCount, len(c.servers))
+	for i, server := range c.servers {
+		for _, port := range server.ports {
+			port.updateCount(func(count *CacheCount) { counts[i] = append(counts[i], *count) })
+		}
+	}
+	return counts
+}
+
+// Wait waits until every connection has ended.
+func (c *CacheServers) Wait() { c.conns.Wait() }
+
+// Close takes no more connections.
+func (c *CacheServers) Close() {
+	for _, server := range c.servers {
+		for _, port := range server.ports {
+			port.listener.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/scaletest/cache_server_test.go
@@ -0,0 +1,68 @@
+package scaletest
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+func TestCacheServersReplyAndCount(t *testing.T) {
+	servers := startTestCacheServers(t, CacheServersSpec{First: 249, Count: 2, Groups: 2, MaxConns: 2, IdleTimeout: time.Minute})
+	if a, b := servers.Addrs[0][0], servers.Addrs[1][0]; !strings.HasPrefix(a, "127.77.0.250:") || !strings.HasPrefix(b, "127.77.1.1:") {
+		t.Errorf("addresses %s and %s", a, b)
+	}
+	first, second := dialCacheServer(t, servers.Addrs[0][0]), dialCacheServer(t, servers.Addrs[0][1])
+	attemptBytes := exchangeReadAndWrite(t, first)
+	for _, nc := range []net.Conn{first, second} {
+		if reply := exchange(t, nc, command("PING")); string(reply.Raw) != "+PONG\r\n" {
+			t.Errorf("PING: %q", reply.Raw)
+		}
+	}
+	if reply := exchange(t, second, command("C.GET", "k")); string(reply.Raw) != "-SYNTAX\r\n" {
+		t.Errorf("half a command: %q", reply.Raw)
+	}
+	if n, err := dialCacheServer(t, servers.Addrs[0][0]).Read(make([]byte, 1)); err == nil {
+		t.Errorf("one connection too many read %d bytes", n)
+	}
+	counts := servers.Count()
+	want := CacheCount{HealthChecks: 1, Attempts: 2, Handshakes: 1, RejectedConns: 1, HealthCheckBytes: 21, AttemptBytes: int64(attemptBytes), OpenConns: 1}
+	if counts[0][0] != want {
+		t.Errorf("first group %+v, want %+v", counts[0][0], want)
+	}
+	if c := counts[0][1]; c.HealthChecks != 1 || c.Attempts != 1 || c.Handshakes != 1 || counts[1][0] != (CacheCount{}) {
+		t.Errorf("second group %+v, other cache server %+v", c, counts[1][0])
+	}
+	first.Close()
+	second.Close()
+	servers.Wait()
+	if counts := servers.Count()[0]; counts[0].OpenConns+counts[1].OpenConns != 0 {
+		t.Errorf("connections that have ended count: %+v", counts)
+	}
+}
+
+// exchangeReadAndWrite returns the bytes of a read and a write with their replies.
+func exchangeReadAndWrite(t *testing.T, nc net.Conn) int {
+	t.Helper()
+	bytes := 0
+	for _, write := range []bool{false, true} {
+		message := requestCommand(write, 1, 2, 1000)
+		reply := exchange(t, nc, message)
+		bytes += len(message) + len(reply.Raw)
+		if reply.Type != redcon.Array || reply.Count != 3 {
+			t.Errorf("write %v: %q", write, reply.Raw)
+		}
+	}
+	return bytes
+}
+
+func TestCacheServerClosesIdleConnections(t *testing.T) {
+	servers := startTestCacheServers(t, CacheServersSpec{Count: 1, Groups: 1, MaxConns: 1, IdleTimeout: time.Millisecond})
+	if n, err := dialCacheServer(t, servers.Addrs[0][0]).Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+}
--- /dev/null
+++ b/internal/scaletest/clients_test.go
@@ -0,0 +1,61 @@
+package scaletest
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/tidwall/redcon"
+)
+
+// startBarrierRouter starts a router that rejects so many requests, and none before the last has
+// arrived. The channel is closed then.
+func startBarrierRouter(t *testing.T, requests int) (addr string, allArrived <-chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	arrived, all := make(chan struct{}, requests), make(chan struct{})
+	go func() {
+		for {
+			nc, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go rejectAfter(nc, arrived, all)
+		}
+	}()
+	go func() {
+		for range requests {
+			<-arrived
+		}
+		close(all)
+	}()
+	return listener.Addr().String(), all
+}
+
+// rejectAfter rejects the first request of a connection once all have arrived.
+func rejectAfter(nc net.Conn, arrived chan<- struct{}, all <-chan struct{}) {
+	defer nc.Close()
+	if cmd, err := redcon.NewReader(nc).ReadCommand(); err == nil && len(cmd.Args) >= 4 {
+		arrived <- struct{}{}
+		<-all
+		_, _ = fmt.Fprint(nc, "-BUSY 10\r\n") // a client that has gone counts the request as failed
+	}
+}
+
+// TestClientsDoNotWaitForReplies checks that all requests arrive at a router that answers none
+// before the last.
+func TestClientsDoNotWaitForReplies(t *testing.T) {
+	const requests = 20
+	addr, allArrived := startBarrierRouter(t, requests)
+	clients := NewClients(addr, 5000)
+	clients.Run(context.Background(), requests)
+	<-allArrived
+	if count := clients.TakeCount(); count.Due != requests || count.Rejected+count.Failed != requests || count.Served != 0 {
+		t.Errorf("%+v", count)
+	}
+}
--- /dev/null
+++ b/internal/scaletest/discovery_agent_test.go
@@ -0,0 +1,99 @@
+package scaletest
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// callDiscovery calls discovery and returns the list, or nil where the reply is not one.
+func callDiscovery(t *testing.T, agent *DiscoveryAgent, group int, query string) *endpointList {
+	t.Helper()
+	resp, err := http.Get("http://" + agent.Addrs[group] + "/discovery/hosts" + query)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil
+	}
+	list, err := parseEndpointList(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
+// expectedList is what a call is to return.
+type expectedList struct {
+	snapshot  bool
+	version   int64
+	endpoints int
+}
+
+func expectList(t *testing.T, agent *DiscoveryAgent, group int, query string, want expectedList) *endpointList {
+	t.Helper()
+	list := callDiscovery(t, agent, group, query)
+	if list == nil || list.Snapshot != want.snapshot || list.Version != want.version || len(list.Policy) != want.endpoints {
+		t.Fatalf("%q: got %+v, want snapshot %v, version %d, %d endpoints", query, list, want.snapshot, want.version, want.endpoints)
+	}
+	return list
+}
+
+func TestDiscoveryAgentServesSnapshotsAndDeltas(t *testing.T) {
+	agent := startTestDiscoveryAgent(t, [][]string{{"127.0.0.1:1", "127.0.0.1:2"}, {"127.0.0.1:3", "127.0.0.1:4"}, {"127.0.0.1:5", "127.0.0.1:6"}}, 2)
+	for group, port := range []string{":3", ":4"} {
+		list := expectList(t, agent, group, "", expectedList{snapshot: true, version: 1, endpoints: 3})
+		if !strings.HasSuffix(list.Endpoints[1].Address, port) {
+			t.Errorf("group %d gets address %s", group, list.Endpoints[1].Address)
+		}
+	}
+	expectList(t, agent, 0, "?after=1&wait_ms=1", expectedList{version: 1})
+	watched := make(chan *endpointList, 1)
+	go func() { watched <- callDiscovery(t, agent, 0, "?after=1&wait_ms=60000") }()
+	agent.RenewWeights() // before or after the call: the reply is the same
+	if list := <-watched; list.Snapshot || list.Version != 2 || len(list.Policy) != 3 {
+		t.Errorf("a watch got %+v", list)
+	}
+	agent.SetStatus(1, "terminated", 0)
+	delta := expectList(t, agent, 0, "?after=2&wait_ms=60000", expectedList{version: 3, endpoints: 1})
+	if delta.Endpoints[0].Status != "terminated" {
+		t.Errorf("a delta: %+v", delta.Endpoints)
+	}
+	expectList(t, agent, 0, "?after=1&wait_ms=60000", expectedList{snapshot: true, version: 3, endpoints: 2})
+	for _, query := range []string{"?after=x&wait_ms=1", "?after=1", "?after=-1&wait_ms=1", "?after=1&wait_ms=-1"} {
+		if list := callDiscovery(t, agent, 1, query); list != nil {
+			t.Errorf("%q got a list", query)
+		}
+	}
+	checkDiscoveryCounts(t, agent.Count())
+}
+
+func checkDiscoveryCounts(t *testing.T, counts []DiscoveryCount) {
+	t.Helper()
+	first, second := counts[0], counts[1]
+	if first.Calls != 5 || first.Endpoints != 3+0+3+1+2 || second.Calls != 5 || second.Endpoints != 3 || first.BytesOut <= second.BytesOut {
+		t.Errorf("counts %+v", counts)
+	}
+}
+
+func TestDiscoveryAgentDoesNotReplyWhileDown(t *testing.T) {
+	agent := startTestDiscoveryAgent(t, [][]string{{"127.0.0.1:1"}}, 1)
+	agent.SetDown(true)
+	client := http.Client{Timeout: 50 * time.Millisecond}
+	if resp, err := client.Get("http://" + agent.Addrs[0] + "/discovery/hosts"); err == nil {
+		t.Errorf("the reply was %s while down", resp.Status)
+	}
+	watched := make(chan *endpointList, 1)
+	go func() { watched <- callDiscovery(t, agent, 0, "?after=1&wait_ms=0") }()
+	agent.SetDown(false)
+	if list := <-watched; list == nil || len(list.Policy) != 0 {
+		t.Errorf("at its return the reply was %+v", list)
+	}
+}
--- /dev/null
+++ b/internal/scaletest/figures.go
@@ -0,0 +1,268 @@
+package scaletest
+
+import "fmt"
+
+// The roles whose figures are reported. They stand in recorded results, which must stay comparable.
+const (
+	roleLoaded           = "router loaded"
+	roleNoHealthChecks   = "router noprobe"
+	roleIdle             = "router idle"
+	roleControl          = "router control"
+	roleHollow           = "router hollow"
+	roleAllServers       = "cache, all"
+	roleBusiestServer    = "cache, most at one"
+	roleConnectedServers = "cache, opened"
+	roleDiscovery        = "discovery"
+	roleDiscoveryOfFleet = "discovery, whole fleet"
+	roleStandIns         = "stand-ins"
+)
+
+// The names of figures that several roles have, or that others are derived from.
+const (
+	figureProcessorTime    = "processor time"
+	figureMemory           = "memory"
+	figureMaxMemory        = "memory at most"
+	figureControlBytes     = "bytes"
+	figureHealthChecks     = "probes"
+	figureHealthCheckBytes = "probe bytes"
+	figureAttempts         = "attempts"
+	figureAttemptBytes     = "attempt bytes"
+	figureHandshakes       = "handshakes"
+	figureConnections      = "connections"
+	figureRejectedConns    = "connections turned away"
+	figureWatchCalls       = "watch calls"
+	figureListLines        = "list lines"
+	figureListBytes        = "list bytes"
+	figureServed           = "served"
+	figureTimers           = "timers"
+)
+
+// The units of figures.
+const (
+	unitNone               = "" // a number of things
+	unitPerSecond          = "1/s"
+	unitKilobytesPerSecond = "KB/s"
+	unitMegabytes          = "MB"
+	unitMilliseconds       = "ms"
+	unitPercentOfCore      = "% of a core"
+	unitPercentOfDue       = "% of due"
+	unitPercentOfRequests  = "% of requests"
+)
+
+// By what bytes are divided for a unit.
+const (
+	bytesPerKilobyte = 1e3
+	bytesPerMegabyte = 1e6
+)
+
+// What a figure rests on, where it is not the sample that it was counted on.
+const (
+	basisMeasured = "measured"
+	basisDerived  = "worked out"
+)
+
+func countedOn(n, of int) string { return fmt.Sprintf("counted on %d of %d", n, of) }
+
+// reporter works out the figures of what happened between two samples.
+type reporter struct {
+	*Result
+	point         *Point
+	before, after *sample
+	span          float64 // seconds
+}
+
+// newResult works out what happened between two samples.
+func newResult(p *Point, before, after *sample) *Result {
+	span := after.at.Sub(before.at).Seconds()
+	result := &Result{
+		CacheServers:  p.CacheServers,
+		Routers:       p.Routers,
+		RequestRate:   p.RequestRate * float64(p.Routers),
+		WindowSeconds: span,
+	}
+	r := &reporter{Result: result, point: p, before: before, after: after, span: span}
+	for group := firstRealGroup; group < groupCount; group++ {
+		r.addRealRouter(group)
+	}
+	r.addControl()
+	r.addHollowRouters()
+	r.addConnectedServers()
+	r.addDiscovery()
+	r.addStandIns()
+	r.listNotMeasured()
+	return result
+}
+
+// rate is how often something happened a second at each of so many.
+func (r *reporter) rate(events int64, among float64) float64 { return float64(events) / among / r.span }
+
+func (r *reporter) kilobyteRate(bytes int64, among float64) float64 {
+	return r.rate(bytes, among) / bytesPerKilobyte
+}
+
+func (r *reporter) cpuPercent(after, before usage) float64 {
+	return 100 * (after.cpu - before.cpu) / r.span
+}
+
+func percent(part, whole int64) float64 { return 100 * float64(part) / float64(whole) }
+
+// addCacheCount adds what each of so many had of a count.
+func (r *reporter) addCacheCount(role string, c CacheCount, among float64, basis string) {
+	r.add(role, figureHealthChecks, unitPerSecond, r.rate(c.HealthChecks, among), basis)
+	r.add(role, figureHealthCheckBytes, unitKilobytesPerSecond, r.kilobyteRate(c.HealthCheckBytes, among), basis)
+	r.add(role, figureAttempts, unitPerSecond, r.rate(c.Attempts, among), basis)
+	r.add(role, figureAttemptBytes, unitKilobytesPerSecond, r.kilobyteRate(c.AttemptBytes, among), basis)
+	r.add(role, figureHandshakes, unitPerSecond, r.rate(c.Handshakes, among), basis)
+	r.add(role, figureConnections, unitNone, float64(c.OpenConns)/among, basis)
+	r.add(role, figureRejectedConns, unitPerSecond, r.rate(c.RejectedConns, among), basis)
+}
+
+// addDiscoveryCount adds what each of so many had of the calls of a group of routers.
+func (r *reporter) addDiscoveryCount(role string, group routerGroup, among float64, basis string) {
+	after, before := r.after.discovery[group], r.before.discovery[group]
+	bytes := after.BytesIn - before.BytesIn + after.BytesOut - before.BytesOut
+	r.add(role, figureWatchCalls, unitPerSecond, r.rate(after.Calls-before.Calls, among), basis)
+	r.add(role, figureListLines, unitPerSecond, r.rate(after.Endpoints-before.Endpoints, among), basis)
+	r.add(role, figureListBytes, unitKilobytesPerSecond, r.kilobyteRate(bytes, among), basis)
+}
+
+func (r *reporter) addRealRouter(group routerGroup) {
+	role := "router " + group.String()
+	r.add(role, figureProcessorTime, unitPercentOfCore, r.cpuPercent(r.after.routers[group], r.before.routers[group]), basisMeasured)
+	r.add(role, figureMemory, unitMegabytes, r.after.routers[group].memory/bytesPerMegabyte, basisMeasured)
+	r.add(role, figureMaxMemory, unitMegabytes, r.after.routers[group].maxMemory/bytesPerMegabyte, basisMeasured)
+	r.addDiscoveryCount(role, group, 1, basisMeasured)
+	var total CacheCount
+	for position := range r.after.cacheServers {
+		total.add(r.cacheCount(position, group))
+	}
+	r.addCacheCount(role, total, 1, basisMeasured)
+	r.addClients(role, r.after.clients[group])
+}
+
+// cacheCount is what one cache server got from a group of routers between the samples.
+func (r *reporter) cacheCount(position int, group routerGroup) CacheCount {
+	return r.after.cacheServers[position][group].since(r.before.cacheServers[position][group])
+}
+
+func (r *reporter) addClients(role string, c ClientCount) {
+	if c.Latency == nil {
+		return
+	}
+	r.add(role, "requests due", unitPerSecond, r.rate(c.Due, 1), basisMeasured)
+	r.add(role, figureServed, unitPercentOfDue, percent(c.Served, c.Due), basisMeasured)
+	r.add(role, "refused", unitPercentOfDue, percent(c.Rejected, c.Due), basisMeasured)
+	r.add(role, "failed", unitPercentOfDue, percent(c.Failed, c.Due), basisMeasured)
+	r.add(role, "latency, median", unitMilliseconds, toMilliseconds(c.Latency.ValueAtQuantile(medianQuantile)), basisMeasured)
+	r.add(role, "latency, 99th percentile", unitMilliseconds, toMilliseconds(c.Latency.ValueAtQuantile(p99Quantile)), basisMeasured)
+}
+
+func toMilliseconds(microseconds int64) float64 {
+	return float64(microseconds) / microsecondsPerMillisecond
+}
+
+// addControl derives what control costs one router. Its health checks cost what the loaded router
+// uses beyond one that makes none.
+func (r *reporter) addControl() {
+	checking := r.Value(roleLoaded, figureProcessorTime) - r.Value(roleNoHealthChecks, figureProcessorTime)
+	total := r.Value(roleIdle, figureProcessorTime) + max(0, checking)
+	bytes := r.Value(roleLoaded, figureListBytes) + r.Value(roleLoaded, figureHealthCheckBytes)
+	r.add(roleControl, "processor time, loaded less noprobe", unitPercentOfCore, checking, basisDerived)
+	r.add(roleControl, figureProcessorTime, unitPercentOfCore, total, basisDerived+": idle, and that where it is above 0")
+	r.add(roleControl, figureMemory, unitMegabytes, r.Value(roleIdle, figureMaxMemory), basisMeasured+" without clients")
+	r.add(roleControl, figureControlBytes, unitKilobytesPerSecond, bytes, basisMeasured)
+}
+
+// addHollowRouters adds the figures of the active hollow routers, and what they make of a cache
+// server once the sample is scaled to the fleet.
+func (r *reporter) addHollowRouters() {
+	active, fleet := r.point.activeRouters(), float64(r.point.Routers)
+	basis := countedOn(active, r.point.Routers)
+	derivedBasis := basisDerived + ", " + basis
+	after, before := r.after.fleet, r.before.fleet
+	requests := after.Requests - before.Requests
+	total, busiest := r.simulatedCounts()
+
+	r.add(roleHollow, "requests", unitPerSecond, r.rate(requests, float64(active)), basis)
+	r.add(roleHollow, figureServed, unitPercentOfRequests, percent(after.Served-before.Served, requests), basis)
+	r.add(roleHollow, figureTimers, unitPerSecond, r.rate(after.Timers-before.Timers, float64(active)), basis)
+	r.addSimulatedCount(roleHollow, total, float64(active), basis)
+	r.addSimulatedCount(roleAllServers, total, float64(active)/fleet*float64(r.point.CacheServers), derivedBasis)
+
+	scale := fleet / float64(active)
+	r.add(roleBusiestServer, figureHealthChecks, unitPerSecond, float64(busiest.HealthChecks)*scale/r.span, derivedBasis)
+	r.add(roleBusiestServer, figureHandshakes, unitPerSecond, float64(busiest.Handshakes)*scale/r.span, derivedBasis)
+	r.add(roleBusiestServer, figureConnections, unitNone, float64(busiest.OpenConns)*scale, derivedBasis)
+}
+
+// simulatedCounts is what the active hollow routers did at all cache servers, and the most of each
+// kind at one of them.
+func (r *reporter) simulatedCounts() (total, busiest CacheCount) {
+	for i := range r.after.fleet.CacheServers {
+		c := r.after.fleet.CacheServers[i].since(r.before.fleet.CacheServers[i])
+		total.add(c)
+		busiest.HealthChecks = max(busiest.HealthChecks, c.HealthChecks)
+		busiest.Handshakes = max(busiest.Handshakes, c.Handshakes)
+		busiest.OpenConns = max(busiest.OpenConns, c.OpenConns)
+	}
+	return total, busiest
+}
+
+// addSimulatedCount adds what each of so many had of a count without bytes.
+func (r *reporter) addSimulatedCount(role string, c CacheCount, among float64, basis string) {
+	r.add(role, figureHealthChecks, unitPerSecond, r.rate(c.HealthChecks, among), basis)
+	r.add(role, figureAttempts, unitPerSecond, r.rate(c.Attempts, among), basis)
+	r.add(role, figureHandshakes, unitPerSecond, r.rate(c.Handshakes, among), basis)
+	r.add(role, figureConnections, unitNone, float64(c.OpenConns)/among, basis)
+}
+
+// addConnectedServers adds what came over the sockets of the hollow routers.
+func (r *reporter) addConnectedServers() {
+	connected := r.point.connectedServers()
+	var total CacheCount
+	for k := range connected {
+		total.add(r.cacheCount(r.point.connectedPosition(k), groupHollow))
+	}
+	basis := fmt.Sprintf("%s at %d of %d", basisMeasured, connected, r.point.CacheServers)
+	r.addCacheCount(roleConnectedServers, total, float64(connected), basis)
+}
+
+func (r *reporter) addDiscovery() {
+	hollow, routers := r.point.hollowRouters(), r.point.Routers
+	basis := fmt.Sprintf("%s for %d of %d", basisMeasured, hollow, routers)
+	cpu := r.cpuPercent(r.after.standIns.discovery, r.before.standIns.discovery)
+	r.addDiscoveryCount(roleDiscovery, groupHollow, 1, basis)
+	r.add(roleDiscovery, figureProcessorTime, unitPercentOfCore, cpu, basisMeasured+" for the same and the real routers")
+	r.addDiscoveryCount(roleDiscoveryOfFleet, groupHollow, float64(hollow)/float64(routers), basisDerived)
+}
+
+func (r *reporter) addStandIns() {
+	after, before := &r.after.standIns, &r.before.standIns
+	totalMemory := after.fleet.memory + after.cacheServers.memory + after.discovery.memory
+	failures := r.after.fleet.MirrorFailures - r.before.fleet.MirrorFailures
+	r.add(roleStandIns, "processor time, hollow routers", unitPercentOfCore, r.cpuPercent(after.fleet, before.fleet), basisMeasured)
+	r.add(roleStandIns, "processor time, cache servers", unitPercentOfCore, r.cpuPercent(after.cacheServers, before.cacheServers), basisMeasured)
+	r.add(roleStandIns, figureMemory, unitMegabytes, totalMemory/bytesPerMegabyte, basisMeasured)
+	r.add(roleStandIns, "requests late, 99th percentile", unitMilliseconds, toMilliseconds(r.after.fleet.LatenessP99), basisMeasured)
+	r.add(roleStandIns, "messages to opened caches that went wrong", unitPerSecond, r.rate(failures, 1), basisMeasured)
+}
+
+// listNotMeasured says what the figures leave out.
+func (r *reporter) listNotMeasured() {
+	p := r.point
+	r.NotMeasured = []string{
+		"bytes of TCP and IP, and of handshakes: bytes are what the sockets carried",
+		"processor time and memory of a cache server for control: many stand-ins share a process and do no work",
+		"processor time of a real router's probes apart: the two that are compared have clients of their own, and handshakes of noprobe count as data",
+		"a real router's timers, which are counted at hollow ones; the network; discovery behind its agents",
+	}
+	if left := p.Routers - p.activeRouters(); left > 0 {
+		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("requests of %d routers of %d: at opened caches the sockets of the others repeat what theirs do, up to a round of probes later", left, p.Routers))
+	}
+	if left := p.Routers - p.hollowRouters(); left > 0 {
+		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("watches of %d routers of %d", left, p.Routers))
+	}
+	if left := p.CacheServers - p.connectedServers(); left > 0 {
+		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("connections of hollow routers to %d caches of %d: counted, not opened", left, p.CacheServers))
+	}
+}
--- /dev/null
+++ b/internal/scaletest/fleet_test.go
@@ -0,0 +1,145 @@
+package scaletest
+
+import (
+	"testing"
+	"time"
+)
+
+// The fleet of the test below.
+const (
+	testServers      = 4
+	testActive       = 3
+	testRepresented  = 2 // by each active router
+	testWatchOnly    = 2
+	testRenewals     = 3 // of the live weights
+	testRequestQuota = 300
+)
+
+// testFleet is a fleet of hollow routers with its stand-ins.
+type testFleet struct {
+	*Fleet
+	servers *CacheServers
+	agent   *DiscoveryAgent
+	applied chan int64 // versions of the endpoint lists that were applied
+}
+
+func startTestFleet(t *testing.T) *testFleet {
+	t.Helper()
+	f := &testFleet{applied: make(chan int64, 1000)}
+	f.servers = startTestCacheServers(t, CacheServersSpec{Count: testServers, Groups: 1, MaxConns: 1000, IdleTimeout: time.Minute})
+	f.agent = startTestDiscoveryAgent(t, f.servers.Addrs, 1)
+	settings := Settings{
+		Routers:      testActive * (1 + testRepresented),
+		HealthChecks: true,
+		DrainGrace:   20 * time.Millisecond,
+		DialTimeout:  testTimeout,
+	}
+	var err error
+	f.Fleet, err = StartFleet(FleetSpec{
+		RepresentedRouters: []int{testRepresented, testRepresented, testRepresented},
+		WatchOnlyRouters:   testWatchOnly,
+		RequestRate:        2000,
+		RequestQuota:       testRequestQuota,
+		HealthCheckQuota:   2 * testServers,
+		ConnectedServers:   []int{0, 2},
+		RouterDescriptors:  1024,
+		DiscoveryAddr:      f.agent.Addrs[0],
+		InitialEndpoints:   f.agent.Snapshot(0),
+		Settings:           settings.JSON(),
+		OnEndpoints:        func(version int64) { f.applied <- version },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// renewWeights renews the live weights and waits until all routers have applied each new version.
+// It returns how many bytes of lists that takes at least.
+func (f *testFleet) renewWeights(t *testing.T) (bytes int) {
+	t.Helper()
+	for version := int64(2); version < 2+testRenewals; version++ {
+		f.agent.RenewWeights()
+		bytes += len(f.agent.deltas[0].body) * (testActive + testWatchOnly)
+		for n := 0; n < testActive+testWatchOnly; {
+			select {
+			case applied := <-f.applied:
+				if applied == version { // else a reply without changes
+					n++
+				}
+			case <-time.After(testTimeout):
+				t.Fatalf("not all routers got version %d", version)
+			}
+		}
+	}
+	return bytes
+}
+
+// TestFleetCountsMatchStandIns checks that what hollow routers send, by their count, is what arrives.
+func TestFleetCountsMatchStandIns(t *testing.T) {
+	f := startTestFleet(t)
+	listBytes := f.renewWeights(t)
+	select {
+	case <-f.Done:
+	case <-time.After(testTimeout):
+		t.Fatalf("the routers are not done: %+v", f.Count())
+	}
+	f.Drain()
+	f.servers.Wait()
+	count := f.Count()
+	f.checkServers(t, count)
+	if count.Requests < testRequestQuota*testActive || count.Served == 0 || count.Timers < count.Requests {
+		t.Errorf("requests %d, served %d, timers %d", count.Requests, count.Served, count.Timers)
+	}
+	f.checkDiscovery(t, count, int64(listBytes))
+}
+
+// checkServers compares the cache servers' counts with the simulated ones.
+func (f *testFleet) checkServers(t *testing.T, fleet FleetCount) {
+	t.Helper()
+	var arrived CacheCount
+	for position, counts := range f.servers.Count() {
+		got, simulated := counts[0], fleet.CacheServers[position]
+		if simulated.HealthChecks < testActive || simulated.Attempts == 0 || simulated.Handshakes == 0 || simulated.OpenConns != 0 {
+			t.Errorf("cache server %d: simulated %+v", position, simulated)
+		}
+		if connected := position%2 == 0; !connected {
+			if got != (CacheCount{}) {
+				t.Errorf("cache server %d is not to be connected and got %+v", position, got)
+			}
+			continue
+		}
+		arrived.add(checkConnectedServer(t, position, got, simulated))
+	}
+	if arrived != fleet.Mirrored || fleet.MirrorFailures != 0 {
+		t.Errorf("the cache servers got %+v, the fleet sent %+v with %d failures", arrived, fleet.Mirrored, fleet.MirrorFailures)
+	}
+}
+
+// checkConnectedServer returns what is to have arrived, without the bytes: the fleet counts none.
+func checkConnectedServer(t *testing.T, position int, got, simulated CacheCount) CacheCount {
+	t.Helper()
+	want := CacheCount{
+		HealthChecks: simulated.HealthChecks * (1 + testRepresented),
+		Attempts:     simulated.Attempts * (1 + testRepresented),
+		Handshakes:   simulated.Handshakes * (1 + testRepresented),
+	}
+	withBytes := want
+	withBytes.HealthCheckBytes = 21 * want.HealthChecks
+	withBytes.AttemptBytes = got.AttemptBytes
+	if got != withBytes || got.AttemptBytes == 0 {
+		t.Errorf("cache server %d got %+v, want %+v", position, got, withBytes)
+	}
+	return want
+}
+
+// checkDiscovery compares the discovery agent's counts with those of the fleet.
+func (f *testFleet) checkDiscovery(t *testing.T, fleet FleetCount, minBytes int64) {
+	t.Helper()
+	sent, endpoints := f.agent.Count()[0], int64(testServers*testRenewals*(testActive+testWatchOnly))
+	if sent.Endpoints != endpoints || fleet.Endpoints != endpoints || sent.BytesOut < fleet.DiscoveryBytes || fleet.DiscoveryBytes < minBytes {
+		t.Errorf("discovery sent %d endpoints in %d bytes, the fleet got %d in %d; want %d in %d or more",
+			sent.Endpoints, sent.BytesOut, fleet.Endpoints, fleet.DiscoveryBytes, endpoints, minBytes)
+	}
+}
--- /dev/null
+++ b/internal/scaletest/helpers_test.go
@@ -0,0 +1,56 @@
+package scaletest
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+// testTimeout is how long a test waits for what has to come; only a failing test waits so long.
+const testTimeout = 30 * time.Second
+
+func startTestCacheServers(t *testing.T, spec CacheServersSpec) *CacheServers {
+	t.Helper()
+	servers, err := StartCacheServers(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(servers.Close)
+	return servers
+}
+
+func startTestDiscoveryAgent(t *testing.T, addrs [][]string, groups int) *DiscoveryAgent {
+	t.Helper()
+	agent, err := StartDiscoveryAgent(addrs, groups)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	return agent
+}
+
+func dialCacheServer(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(testTimeout))
+	return nc
+}
+
+// exchange sends a command and returns the reply as it is on the wire.
+func exchange(t *testing.T, nc net.Conn, message []byte) redcon.RESP {
+	t.Helper()
+	if _, err := nc.Write(message); err != nil {
+		t.Fatal(err)
+	}
+	reply, err := readReply(nc, make([]byte, replySize))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/scaletest/hollow_router.go
@@ -0,0 +1,344 @@
+package scaletest
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"marlstage/policy"
+)
+
+// How a router shares out its file descriptors: some are reserved for what is not counted, and of
+// the rest this fraction may be connections to cache servers.
+const (
+	reservedDescriptors    = 48
+	serverShareNumerator   = 2
+	serverShareDenominator = 5
+)
+
+// fleetSeedShift puts the seed of the fleet above the number of the router, so that no two routers of
+// a run share a seed.
+const fleetSeedShift = 32
+
+// simulatedUtilization is the load that the simulated cache servers report.
+const simulatedUtilization = .4
+
+// hollowRouter is the policy engine with a watch, and with simulated connections where it is
+// active. Whatever runs in it holds its lock: see run.
+type hollowRouter struct {
+	fleet        *Fleet
+	active       bool            // whether it gets requests
+	mirrorDelays []time.Duration // by which each router that its sockets represent follows; the first is itself
+	client       *http.Client    // of discovery
+
+	mu                  sync.Mutex
+	engine              *policy.Engine
+	workload            *workload
+	now                 policy.Time
+	pendingEvents       []policy.Event // to be delivered to the engine
+	requests            map[int64]*request
+	pools               []*pool // in the order of the initial endpoint list
+	poolsByName         map[string]*pool
+	openConns           int // to all cache servers
+	maxConns            int // bound of openConns
+	descriptorShortage  bool
+	outstandingAttempts int // attempts and health checks without an outcome
+	nextArrival         time.Time
+	watching            bool
+	endpointsVersion    int64
+	failedWatches       int // in a row
+	quotaMet            bool
+	draining, drained   bool
+
+	requestCount, servedCount, timerCount, healthCheckCount int64
+}
+
+// request is one that the engine has not forgotten yet.
+type request struct {
+	id          int64
+	deadline    policy.Time
+	key         uint64
+	write       bool
+	answered    bool
+	attempts    []*attempt
+	outstanding int // attempts without an outcome
+}
+
+func newHollowRouter(f *Fleet, number int) (*hollowRouter, error) {
+	h := &hollowRouter{
+		fleet:            f,
+		active:           number < len(f.spec.RepresentedRouters),
+		workload:         newWorkload(f.spec.Seed<<fleetSeedShift + uint64(number)),
+		client:           newDiscoveryClient(f),
+		requests:         map[int64]*request{},
+		poolsByName:      map[string]*pool{},
+		endpointsVersion: f.initial.Version,
+		maxConns:         (f.spec.RouterDescriptors - reservedDescriptors) * serverShareNumerator / serverShareDenominator,
+	}
+	settings := f.settings
+	settings.HealthChecksAllowed = settings.HealthChecksAllowed && h.active
+	var err error
+	if h.engine, err = policy.New(settings, h.workload.rng.Uint64()); err != nil {
+		return nil, err
+	}
+	if h.active {
+		h.chooseMirrorDelays(f.spec.RepresentedRouters[number])
+		h.createPools()
+	}
+	return h, nil
+}
+
+// chooseMirrorDelays spreads the represented routers over an interval between health checks.
+func (h *hollowRouter) chooseMirrorDelays(represented int) {
+	h.mirrorDelays = make([]time.Duration, 1+represented)
+	for i := range represented {
+		delay := h.workload.rng.Int64N(h.fleet.settings.HealthCheckInterval())
+		h.mirrorDelays[1+i] = time.Duration(delay) * time.Microsecond
+	}
+}
+
+func (h *hollowRouter) createPools() {
+	for position, endpoint := range h.fleet.initial.Endpoints {
+		p := newPool(h, position, endpoint)
+		h.pools = append(h.pools, p)
+		h.poolsByName[endpoint.Name] = p
+	}
+	for _, position := range h.fleet.spec.ConnectedServers {
+		h.pools[position].connected = true
+	}
+}
+
+// run runs a task in the router, and then delivers the events that came of it to the engine.
+func (h *hollowRouter) run(task func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.fleet.ctx.Err() != nil {
+		return
+	}
+	h.now = time.Now().UnixMicro()
+	task()
+	h.deliverEvents()
+	if h.draining && !h.drained && h.outstandingAttempts == 0 {
+		h.finishDrain()
+	}
+}
+
+// deliverEvents hands the pending events to the engine, with those that its actions give rise to.
+func (h *hollowRouter) deliverEvents() {
+	for len(h.pendingEvents) > 0 {
+		event := h.pendingEvents[0]
+		h.pendingEvents = h.pendingEvents[1:]
+		for _, action := range h.engine.Handle(h.now, event) {
+			h.perform(action)
+		}
+	}
+	h.pendingEvents = nil
+}
+
+func (h *hollowRouter) finishDrain() {
+	for _, p := range h.pools {
+		p.closeIdle(h.now)
+	}
+	h.drained = true
+	h.fleet.undrained.Done()
+}
+
+// scheduleAt runs a task in the router at a later time.
+func (h *hollowRouter) scheduleAt(t policy.Time, task func()) {
+	time.AfterFunc(time.Duration(t-h.now)*time.Microsecond, func() { h.run(task) })
+}
+
+// notify has an event delivered to the engine before run returns.
+func (h *hollowRouter) notify(event policy.Event) { h.pendingEvents = append(h.pendingEvents, event) }
+
+func (h *hollowRouter) start() {
+	h.notify(&policy.EndpointsUpdate{Kind: policy.UpdateStale, Endpoints: h.fleet.initial.Policy})
+	if !h.fleet.settings.WatchRequired {
+		h.startWatch()
+	}
+	if h.active {
+		h.nextArrival = time.Now()
+		h.scheduleArrival()
+	}
+}
+
+// perform carries out an action of the engine.
+func (h *hollowRouter) perform(action policy.Action) {
+	switch action := action.(type) {
+	case policy.Send:
+		h.sendAttempt(action)
+	case policy.HealthCheck:
+		h.sendHealthCheck(action)
+	case policy.Cancel:
+		h.cancelAttempt(action)
+	case policy.Reject:
+		h.answer(h.requests[action.ID])
+	case policy.Fail:
+		h.answer(h.requests[action.ID])
+	case policy.SetTimer:
+		h.timerCount++
+		h.scheduleAt(action.At, func() { h.notify(&policy.TimerFired{Token: action.Token}) })
+	case policy.CloseIdleConnections:
+		if p := h.poolsByName[action.Cache]; p != nil {
+			p.closeIdle(h.now)
+		}
+	case policy.Watch:
+		h.startWatch()
+	}
+}
+
+func (h *hollowRouter) sendAttempt(action policy.Send) {
+	r, p := h.requests[action.ID], h.poolsByName[action.Cache]
+	if r == nil || p == nil {
+		return
+	}
+	a := &attempt{
+		request:     r,
+		number:      len(r.attempts),
+		pool:        p,
+		startedAt:   h.now,
+		deadline:    r.deadline,
+		startBefore: action.StartBefore,
+	}
+	if action.Deadline != 0 {
+		a.deadline = min(action.Deadline, r.deadline)
+	}
+	r.attempts = append(r.attempts, a)
+	r.outstanding++
+	p.send(a)
+}
+
+func (h *hollowRouter) sendHealthCheck(action policy.HealthCheck) {
+	p := h.poolsByName[action.Cache]
+	if p == nil || h.draining {
+		return
+	}
+	h.healthCheckCount++
+	h.checkQuota()
+	p.send(&attempt{
+		pool:      p,
+		startedAt: h.now,
+		deadline:  h.now + h.fleet.settings.HealthCheckTimeout(),
+	})
+}
+
+func (h *hollowRouter) cancelAttempt(action policy.Cancel) {
+	r := h.requests[action.ID]
+	if r != nil && action.Attempt < len(r.attempts) {
+		r.attempts[action.Attempt].giveUp(policy.Cancelled)
+	}
+}
+
+// scheduleArrival has the next request arrive when it is due, whatever became of those before.
+func (h *hollowRouter) scheduleArrival() {
+	h.nextArrival = h.nextArrival.Add(h.workload.interval(h.fleet.spec.RequestRate))
+	h.scheduleAt(h.nextArrival.UnixMicro(), func() {
+		if h.draining {
+			return
+		}
+		h.fleet.recordLateness(h.now - h.nextArrival.UnixMicro())
+		h.arrive()
+		h.scheduleArrival()
+	})
+}
+
+// arrive takes the next request of the workload.
+func (h *hollowRouter) arrive() {
+	next := h.workload.next()
+	h.requestCount++
+	r := &request{
+		id:       h.requestCount,
+		deadline: h.now + next.timeout.Microseconds(),
+		key:      next.key,
+		write:    next.write,
+	}
+	h.requests[r.id] = r
+	class := readClass
+	if r.write {
+		class = writeClass
+	}
+	h.notify(&policy.Request{
+		ID:       r.id,
+		Class:    class,
+		Tenant:   tenant,
+		Key:      r.key,
+		HasKey:   true,
+		Deadline: r.deadline,
+		Write:    r.write,
+	})
+	h.checkQuota()
+}
+
+// checkQuota marks the router as done once it has had its requests and health checks.
+func (h *hollowRouter) checkQuota() {
+	spec := &h.fleet.spec
+	if h.quotaMet || spec.RequestQuota <= 0 {
+		return
+	}
+	if h.requestCount >= spec.RequestQuota && h.healthCheckCount >= spec.HealthCheckQuota {
+		h.quotaMet = true
+		h.fleet.routerDone()
+	}
+}
+
+// answer gives a request its final answer. Attempts that wait for a connection end here.
+func (h *hollowRouter) answer(r *request) {
+	if r == nil || r.answered {
+		return
+	}
+	r.answered = true
+	for _, a := range r.attempts {
+		if a.conn == nil {
+			a.finish(policy.NotSent, false)
+		}
+	}
+	h.forgetIfDone(r)
+}
+
+func (h *hollowRouter) forgetIfDone(r *request) {
+	if r.answered && r.outstanding == 0 {
+		delete(h.requests, r.id)
+	}
+}
+
+// attemptDone notifies the engine of the outcome of an attempt or a health check.
+func (h *hollowRouter) attemptDone(a *attempt, result policy.Result, miss bool) {
+	h.outstandingAttempts--
+	elapsed := h.now - a.startedAt
+	report := policy.LoadReport{Utilization: -1}
+	if result == policy.Served {
+		report.Utilization = simulatedUtilization
+	}
+	if a.isHealthCheck() {
+		h.notify(&policy.HealthCheckDone{Cache: a.pool.name, Result: result, Elapsed: elapsed, Load: report})
+		return
+	}
+	r := a.request
+	r.outstanding--
+	if result == policy.Served && !r.answered {
+		h.servedCount++
+		h.answer(r)
+	}
+	h.notify(&policy.AttemptDone{
+		ID:      r.id,
+		Attempt: a.number,
+		Result:  result,
+		Elapsed: elapsed,
+		Final:   r.answered,
+		Miss:    miss,
+		Load:    report,
+	})
+	h.forgetIfDone(r)
+}
+
+// addTo adds what the router has done to a count of the fleet.
+func (h *hollowRouter) addTo(count *FleetCount) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	count.Requests += h.requestCount
+	count.Served += h.servedCount
+	count.Timers += h.timerCount
+	for _, p := range h.pools {
+		count.CacheServers[p.position].add(p.count)
+	}
+}
--- /dev/null
+++ b/internal/scaletest/runner.go
@@ -0,0 +1,82 @@
+package scaletest
+
+import (
+	"context"
+	"os"
+	"time"
+)
+
+// outageAftermath is the time over which the calls at discovery's return are counted.
+const outageAftermath = 2 * time.Second
+
+// Run plays one point with the given program as the real router.
+func Run(ctx context.Context, p Point, program string) (*Result, error) {
+	if err := p.Validate(); err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "scaletest")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // the result stands also where files are left behind
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	t := &testbed{Point: p, onExit: cancel}
+	defer t.stop()
+	result, err := t.run(ctx, dir, program)
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx) // it says more than what failed because of it
+	}
+	return result, err
+}
+
+func (t *testbed) run(ctx context.Context, dir, program string) (*Result, error) {
+	if err := t.start(ctx, dir, program); err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, t.Warmup); err != nil {
+		return nil, err
+	}
+	before, err := t.takeSample()
+	if err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, t.Window); err != nil {
+		return nil, err
+	}
+	after, err := t.takeSample()
+	if err != nil {
+		return nil, err
+	}
+	result := newResult(&t.Point, before, after)
+	if t.Outage > 0 {
+		return result, t.measureOutage(ctx, result)
+	}
+	return result, nil
+}
+
+// measureOutage has discovery answer no calls for a while, and counts those at its return.
+func (t *testbed) measureOutage(ctx context.Context, result *Result) error {
+	var down, up, after []DiscoveryCount
+	if err := t.discovery.do(commandDiscoveryDown, &down); err != nil {
+		return err
+	}
+	if err := sleep(ctx, t.Outage); err != nil {
+		return err
+	}
+	if err := t.discovery.do(commandDiscoveryUp, &up); err != nil {
+		return err
+	}
+	if err := sleep(ctx, outageAftermath); err != nil {
+		return err
+	}
+	if err := t.discovery.do(commandCount, &after); err != nil {
+		return err
+	}
+	callsPerRouter := func(from, to []DiscoveryCount, span time.Duration) float64 {
+		return float64(to[groupHollow].Calls-from[groupHollow].Calls) / float64(t.hollowRouters()) / span.Seconds()
+	}
+	result.add(roleDiscovery, "calls a router while it is down", unitPerSecond, callsPerRouter(down, up, t.Outage), basisMeasured)
+	result.add(roleDiscovery, "calls a router at its return", unitPerSecond, callsPerRouter(up, after, outageAftermath), basisMeasured)
+	return nil
+}
--- /dev/null
+++ b/internal/scaletest/sample.go
@@ -0,0 +1,66 @@
+package scaletest
+
+import (
+	"errors"
+	"time"
+)
+
+// sample is what everything had done by one moment.
+type sample struct {
+	at           time.Time
+	cacheServers [][]CacheCount // by cache server and group
+	discovery    []DiscoveryCount
+	fleet        FleetCount
+	clients      [groupCount]ClientCount // since the sample before
+	routers      [groupCount]usage
+	standIns     standInUsage
+}
+
+// standInUsage is what the processes of the stand-ins have used.
+type standInUsage struct{ cacheServers, discovery, fleet usage }
+
+func (t *testbed) takeSample() (*sample, error) {
+	s := &sample{at: time.Now()}
+	err := errors.Join(
+		t.sampleRealRouters(s),
+		t.sampleCacheServers(s),
+		t.sampleDiscovery(s),
+		t.sampleFleets(s),
+	)
+	return s, err
+}
+
+func (t *testbed) sampleRealRouters(s *sample) error {
+	var errs []error
+	for group := firstRealGroup; group < groupCount; group++ {
+		errs = append(errs, s.routers[group].add(t.routers[group]))
+		if t.clients[group] != nil {
+			s.clients[group] = t.clients[group].TakeCount()
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (t *testbed) sampleCacheServers(s *sample) error {
+	var errs []error
+	for _, p := range t.cacheServers {
+		var counts [][]CacheCount
+		errs = append(errs, p.do(commandCount, &counts), s.standIns.cacheServers.add(p))
+		s.cacheServers = append(s.cacheServers, counts...)
+	}
+	return errors.Join(errs...)
+}
+
+func (t *testbed) sampleDiscovery(s *sample) error {
+	return errors.Join(t.discovery.do(commandCount, &s.discovery), s.standIns.discovery.add(t.discovery))
+}
+
+func (t *testbed) sampleFleets(s *sample) error {
+	var errs []error
+	for _, p := range t.fleets {
+		var count FleetCount
+		errs = append(errs, p.do(commandCount, &count), s.standIns.fleet.add(p))
+		s.fleet.add(count)
+	}
+	return errors.Join(errs...)
+}
--- a/internal/scaletest/settings.go
+++ b/internal/scaletest/settings.go
@@ -5,59 +5,160 @@
 	"time"
 )
 
-// The classes of requests, how long clients wait at most, and the share of writes. For one try a
-// client waits a part of the limit that lies between the two shares.
+// The classes of requests, and how long their clients wait at most.
 const (
-	readClass     = "page-view"
-	readLimit     = 2 * time.Second
-	writeClass    = "annotate"
-	writeLimit    = 4 * time.Second
-	writeShare    = .07
-	patienceLeast = .3
-	patienceMost  = .55
+	readClass    = "page-view"
+	readTimeout  = 2 * time.Second
+	writeClass   = "annotate"
+	writeTimeout = 4 * time.Second
 )
 
-// keepalive is how long a cache server lets a connection stand idle.
+// tenant is the only one of the fleet.
+const tenant = "all"
+
+// keepalive is how long a cache server keeps an idle connection open.
 const keepalive = time.Minute
 
-// Settings is what the stand-in fleet tells its routers.
+// What Settings stands for where it leaves a time out.
+const (
+	defaultDrainGrace  = 1500 * time.Millisecond
+	defaultDialTimeout = 250 * time.Millisecond
+)
+
+// Settings is the settings of the fleet that its routers are given.
 type Settings struct {
-	Routers          int
-	Subscribe        bool // the list is told only to those that ask
-	Probes           bool
-	DrainGrace, Dial time.Duration // 0 for those of the fleet: 1.5 s, and 250 ms for a new connection
+	Routers       int
+	WatchRequired bool // the endpoint list goes only to routers that ask for it
+	HealthChecks  bool
+	DrainGrace    time.Duration // 0 for 1.5 s
+	DialTimeout   time.Duration // for a new connection; 0 for 250 ms
 }
 
-// JSON is the settings in the form of the wire.
+// The settings on the wire; times are in microseconds. The keys are those that discovery uses.
+type (
+	wireSettings struct {
+		Routers   int           `json:"instances"`
+		Discovery string        `json:"discovery"`
+		Weights   string        `json:"weights"`
+		Classes   []wireClass   `json:"categories"`
+		Limits    wireLimits    `json:"limits"`
+		Rules     wireRules     `json:"rules"`
+		Report    wireReport    `json:"report"`
+		Penalties wirePenalties `json:"penalties"`
+	}
+
+	wireClass struct {
+		Name             string `json:"name"`
+		Effect           string `json:"effect"`
+		DedupScope       string `json:"dedupScope"`
+		LatencyObjective int64  `json:"aim"`
+		Timeout          int64  `json:"hardLimit"`
+		KeyTTL           int64  `json:"keyTtl"`
+		PriorityWeight   int    `json:"worth"`
+	}
+
+	wireLimits struct {
+		Cancel        bool  `json:"cancel"`
+		HealthChecks  bool  `json:"probes"`
+		Hedging       bool  `json:"secondCopies"`
+		RetryAfter    bool  `json:"retryAfter"`
+		MaxAttempts   int   `json:"maxAttempts"`
+		MaxRetryAfter int64 `json:"maxRetryAfter"`
+		MaxOpen       int   `json:"maxOpen"`
+		DialTimeout   int64 `json:"dialTimeout"`
+		Keepalive     int64 `json:"keepalive"`
+	}
+
+	wireRules struct {
+		PollInterval     int64   `json:"askEvery"`
+		WarmupTime       int64   `json:"cold"`
+		DrainGrace       int64   `json:"drainGrace"`
+		OverloadTime     int64   `json:"fall"`
+		WarmupStartShare float64 `json:"startCapacity"`
+		OverloadMultiple float64 `json:"tipMultiple"`
+	}
+
+	wireReport struct {
+		Fields []string `json:"fields"`
+		Via    string   `json:"via"`
+	}
+
+	wirePenalties struct {
+		HealthCheck float64 `json:"probe"`
+		Handshake   float64 `json:"handshake"`
+		Connection  float64 `json:"connection"`
+	}
+)
+
+// JSON is the settings on the wire.
 func (s Settings) JSON() json.RawMessage {
-	us := func(d, otherwise time.Duration) int64 {
-		if d == 0 {
-			d = otherwise
-		}
-		return d.Microseconds()
+	raw, err := json.Marshal(s.wire())
+	if err != nil {
+		panic(err) // cannot be: every field can be encoded
 	}
+	return raw
+}
+
+func (s Settings) wire() wireSettings {
 	discovery := "automatic"
-	if s.Subscribe {
+	if s.WatchRequired {
 		discovery = "subscribe"
 	}
-	type object = map[string]any
-	class := func(name, effect string, aim, limit, ttl time.Duration, worth int) object {
-		return object{"name": name, "effect": effect, "dedupScope": "all", "aim": aim.Microseconds(),
-			"hardLimit": limit.Microseconds(), "keyTtl": ttl.Microseconds(), "worth": worth}
-	}
-	raw, err := json.Marshal(object{
-		"instances": s.Routers, "discovery": discovery, "weights": "live",
-		"categories": []object{class(readClass, "read_like", 600*time.Millisecond, readLimit, 5*time.Second, 5),
-			class(writeClass, "idempotency_key", 1200*time.Millisecond, writeLimit, 8*time.Second, 10)},
-		"limits": object{"cancel": true, "probes": s.Probes, "secondCopies": true, "retryAfter": true, "maxAttempts": 3,
-			"maxRetryAfter": 2_000_000, "maxOpen": 20_000, "dialTimeout": us(s.Dial, 250*time.Millisecond), "keepalive": keepalive.Microseconds()},
-		"rules": object{"askEvery": 10_000_000, "cold": 9_000_000, "drainGrace": us(s.DrainGrace, 1500*time.Millisecond),
-			"fall": 1_500_000, "startCapacity": .31, "tipMultiple": 3},
-		"report":    object{"fields": []string{"fail_rate", "rate", "busy"}, "via": "answers"},
-		"penalties": object{"probe": .0074, "handshake": .02, "connection": 0},
-	})
-	if err != nil {
-		panic(err) // of constants alone
+	return wireSettings{
+		Routers:   s.Routers,
+		Discovery: discovery,
+		Weights:   "live",
+		Classes:   wireClasses(),
+		Limits: wireLimits{
+			Cancel:        true,
+			HealthChecks:  s.HealthChecks,
+			Hedging:       true,
+			RetryAfter:    true,
+			MaxAttempts:   3,
+			MaxRetryAfter: (2 * time.Second).Microseconds(),
+			MaxOpen:       20_000,
+			DialTimeout:   microsecondsOr(s.DialTimeout, defaultDialTimeout),
+			Keepalive:     keepalive.Microseconds(),
+		},
+		Rules: wireRules{
+			PollInterval:     (10 * time.Second).Microseconds(),
+			WarmupTime:       (9 * time.Second).Microseconds(),
+			DrainGrace:       microsecondsOr(s.DrainGrace, defaultDrainGrace),
+			OverloadTime:     (1500 * time.Millisecond).Microseconds(),
+			WarmupStartShare: .31,
+			OverloadMultiple: 3,
+		},
+		Report:    wireReport{Fields: []string{"fail_rate", "rate", "busy"}, Via: "answers"},
+		Penalties: wirePenalties{HealthCheck: .0074, Handshake: .02},
 	}
-	return raw
+}
+
+func wireClasses() []wireClass {
+	return []wireClass{
+		{
+			Name:             readClass,
+			Effect:           "read_like",
+			DedupScope:       "all",
+			LatencyObjective: (600 * time.Millisecond).Microseconds(),
+			Timeout:          readTimeout.Microseconds(),
+			KeyTTL:           (5 * time.Second).Microseconds(),
+			PriorityWeight:   5,
+		},
+		{
+			Name:             writeClass,
+			Effect:           "idempotency_key",
+			DedupScope:       "all",
+			LatencyObjective: (1200 * time.Millisecond).Microseconds(),
+			Timeout:          writeTimeout.Microseconds(),
+			KeyTTL:           (8 * time.Second).Microseconds(),
+			PriorityWeight:   10,
+		},
+	}
+}
+
+func microsecondsOr(d, fallback time.Duration) int64 {
+	if d == 0 {
+		d = fallback
+	}
+	return d.Microseconds()
 }
--- /dev/null
+++ b/internal/scaletest/simulated_conn.go
@@ -0,0 +1,79 @@
+package scaletest
+
+import (
+	"time"
+
+	"marlstage/policy"
+)
+
+// pingTime is how long a simulated cache server takes for a health check.
+const pingTime = 100 * time.Microsecond
+
+// mirrorQueueSize is how many messages may wait for one mirror. Further ones count as failures.
+const mirrorQueueSize = 64
+
+// simulatedConn is a connection that carries nothing itself. Its mirrors, if any, send on sockets
+// what it would have carried.
+type simulatedConn struct {
+	pool      *pool
+	idleSince policy.Time
+	attempt   *attempt // the one that awaits its reply
+	closed    bool
+	mirrors   []chan mirroredMessage
+}
+
+// startMirrors opens a socket for the router itself and for each one that it represents.
+func (c *simulatedConn) startMirrors() {
+	f := c.pool.router.fleet
+	for _, delay := range c.pool.router.mirrorDelays {
+		messages := make(chan mirroredMessage, mirrorQueueSize)
+		c.mirrors = append(c.mirrors, messages)
+		openedAt := time.Now()
+		f.mirrors.Go(func() { f.mirror(c.pool.addr, openedAt, delay, messages) })
+	}
+}
+
+// carry sends an attempt, which is answered after the time that a cache server works on it.
+func (c *simulatedConn) carry(a *attempt) {
+	p, h := c.pool, c.pool.router
+	c.attempt, a.conn = a, c
+	message := mirroredMessage{sentAt: time.Now(), healthCheck: a.isHealthCheck()}
+	elapsed, miss := pingTime, false
+	if a.isHealthCheck() {
+		p.count.HealthChecks++
+		message.bytes = command(pingCommand)
+	} else {
+		p.count.Attempts++
+		elapsed, miss = workTime()
+		if p.connected {
+			message.bytes = a.command(h.now)
+		}
+	}
+	c.mirrorMessage(message)
+	h.scheduleAt(h.now+elapsed.Microseconds(), func() {
+		if c.attempt == a {
+			a.finish(policy.Served, miss)
+			p.release(c)
+		}
+	})
+}
+
+func (c *simulatedConn) mirrorMessage(message mirroredMessage) {
+	f := c.pool.router.fleet
+	for _, messages := range c.mirrors {
+		select {
+		case messages <- message:
+		default:
+			f.locked(func() { f.mirrorFailures++ })
+		}
+	}
+}
+
+func (c *simulatedConn) close() {
+	c.closed = true
+	for _, messages := range c.mirrors {
+		close(messages)
+	}
+	c.pool.count.OpenConns--
+	c.pool.router.returnDescriptor()
+}
--- /dev/null
+++ b/internal/scaletest/slopes.go
@@ -0,0 +1,122 @@
+package scaletest
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Slope is how a figure grows with the size of the fleet, by least squares.
+type Slope struct {
+	Role          string  `json:"role"`
+	Name          string  `json:"name"`
+	Unit          string  `json:"unit"`
+	Over          string  `json:"over"` // what it grows with
+	Slope         float64 `json:"slope"`
+	StandardError float64 `json:"standard_error"` // of the slope
+	Intercept     float64 `json:"intercept"`
+	R2            float64 `json:"r_squared"`
+	Points        int     `json:"points"`
+}
+
+// fleetSize is a size of the fleet with which figures grow.
+type fleetSize struct {
+	name string
+	of   func(*Result) float64
+}
+
+var (
+	byCacheServers = fleetSize{"cache", func(r *Result) float64 { return float64(r.CacheServers) }}
+	byRouters      = fleetSize{"router", func(r *Result) float64 { return float64(r.Routers) }}
+	byPairs        = fleetSize{"cache and router", func(r *Result) float64 { return float64(r.CacheServers) * float64(r.Routers) }}
+)
+
+// slopeFigures are the figures of control, with what they grow with.
+var slopeFigures = []struct {
+	role, name string
+	size       fleetSize
+}{
+	{roleControl, figureProcessorTime, byCacheServers},
+	{roleControl, figureMemory, byCacheServers},
+	{roleControl, figureControlBytes, byCacheServers},
+	{roleLoaded, figureListBytes, byCacheServers},
+	{roleLoaded, figureHealthChecks, byCacheServers},
+	{roleLoaded, figureHandshakes, byCacheServers},
+	{roleLoaded, figureConnections, byCacheServers},
+	{roleHollow, figureHealthChecks, byCacheServers},
+	{roleHollow, figureTimers, byCacheServers},
+	{roleAllServers, figureHealthChecks, byRouters},
+	{roleConnectedServers, figureHealthChecks, byRouters},
+	{roleConnectedServers, figureHandshakes, byRouters},
+	{roleConnectedServers, figureConnections, byRouters},
+	{roleDiscoveryOfFleet, figureListLines, byPairs},
+	{roleDiscoveryOfFleet, figureListBytes, byPairs},
+}
+
+// minSlopePoints is how many points a standard error takes.
+const minSlopePoints = 3
+
+// Slopes fits the figures of control to the sizes of the points. It takes three sizes at least.
+func Slopes(points []*Result) []Slope {
+	var slopes []Slope
+	if len(points) < minSlopePoints {
+		return slopes
+	}
+	for _, f := range slopeFigures {
+		var sizes, values []float64
+		for _, r := range points {
+			sizes = append(sizes, f.size.of(r))
+			values = append(values, r.Value(f.role, f.name))
+		}
+		if stat.Variance(sizes, nil) <= 0 {
+			continue
+		}
+		slope := fitLine(sizes, values)
+		slope.Role = f.role
+		slope.Name = f.name
+		slope.Unit = points[0].figure(f.role, f.name).Unit
+		slope.Over = f.size.name
+		slopes = append(slopes, slope)
+	}
+	return slopes
+}
+
+// fitLine fits a line through the points by least squares.
+func fitLine(x, y []float64) Slope {
+	intercept, slope := stat.LinearRegression(x, y, nil, false)
+	squaredResiduals := 0.0
+	for i := range x {
+		residual := y[i] - intercept - slope*x[i]
+		squaredResiduals += residual * residual
+	}
+	r2 := stat.RSquared(x, y, nil, intercept, slope)
+	if math.IsNaN(r2) {
+		r2 = 0 // all values are the same
+	}
+	n := float64(len(x))
+	return Slope{
+		Slope:         slope,
+		StandardError: math.Sqrt(squaredResiduals / (n - 2) / (stat.Variance(x, nil) * (n - 1))),
+		Intercept:     intercept,
+		R2:            r2,
+		Points:        len(x),
+	}
+}
+
+// WriteSlopes writes slopes for people.
+func WriteSlopes(out io.Writer, slopes []Slope) error {
+	var text, rows bytes.Buffer
+	fmt.Fprintln(&text, "\nslopes by least squares, with their standard errors")
+	for _, s := range slopes {
+		fmt.Fprintf(&rows, "%s\t%s\t%.4g ± %.2g\t%s a %s\tfrom %.4g\tR² %.3f, %d points\n",
+			s.Role, s.Name, s.Slope, s.StandardError, s.Unit, s.Over, s.Intercept, s.R2, s.Points)
+	}
+	if err := alignColumns(&text, rows.Bytes()); err != nil {
+		return err
+	}
+	_, err := out.Write(text.Bytes())
+	return err
+}
--- /dev/null
+++ b/internal/scaletest/slopes_test.go
@@ -0,0 +1,30 @@
+package scaletest
+
+import (
+	"math"
+	"testing"
+)
+
+func TestSlopes(t *testing.T) {
+	var points []*Result
+	for i, value := range []float64{3, 5, 7, 13} {
+		r := &Result{CacheServers: i + 1, Routers: 10}
+		r.add("router loaded", "probes", "1/s", value, basisMeasured)
+		points = append(points, r)
+	}
+	for _, s := range Slopes(points) {
+		if s.Over == "router" {
+			t.Errorf("a slope over routers, whose number is always the same: %+v", s)
+		}
+		if s.Role != "router loaded" || s.Name != "probes" {
+			continue
+		}
+		// By hand: 16/5, from -1; the squares of the residuals sum up to 4.8.
+		if math.Abs(s.Slope-3.2) > 1e-9 || math.Abs(s.Intercept+1) > 1e-9 || math.Abs(s.StandardError-math.Sqrt(4.8/2/5)) > 1e-9 || s.Unit != "1/s" {
+			t.Errorf("%+v", s)
+		}
+	}
+	if s := Slopes(points[:2]); len(s) != 0 {
+		t.Errorf("slopes of two points: %+v", s)
+	}
+}
