Take the list parser, backoff and codec of scaletest from their packages

The hollow routers had copies of the router's settings parser, list parser, watch wait, backoff, and of the RESP command writer and reply reader. They now use internal/settings, internal/discovery and internal/resp. The list parser there also checks each field, which the agent's lists pass. The backoff there has no bound at a drain grace of 0, which this tool never sets. The bounds of the connection pool and the share of descriptors stay copies: internal/router does not export them.

--- a/internal/scaletest/cache_server.go
+++ b/internal/scaletest/cache_server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"marlstage/internal/resp"
 )
 
 // How long a cache server works on a request, and the sizes of its replies. The time of a hit is
@@ -147,25 +149,25 @@
 
 // The number of a command's arguments, with its name.
 const (
-	getArguments = 4
-	setArguments = 5
+	getArguments = resp.OptionsArgument + 1
+	setArguments = resp.ValueArgument + 1
 )
 
 var (
 	value       = strings.Repeat("v", valueSize)
 	loadReport  = "fail_rate=0,rate=1000,busy=0.40"
-	hitReply    = command(value, "hit", loadReport)
-	missReply   = command(value, "miss", loadReport)
-	pongMessage = []byte("+" + pongReply + "\r\n")
+	hitReply    = resp.AppendCommand(nil, value, "hit", loadReport)
+	missReply   = resp.AppendCommand(nil, value, "miss", loadReport)
+	pongReply   = []byte(resp.PongReply)
 	syntaxError = []byte("-SYNTAX\r\n")
 )
 
 // execute returns the reply to a command, after the time that the work on it takes.
 func execute(cmd redcon.Command) (reply []byte, healthCheck bool) {
 	switch name := strings.ToUpper(string(cmd.Args[0])); {
-	case name == pingCommand:
-		return pongMessage, true
-	case name == getCommand && len(cmd.Args) == getArguments, name == setCommand && len(cmd.Args) == setArguments:
+	case name == resp.VerbPing:
+		return pongReply, true
+	case name == resp.VerbGet && len(cmd.Args) == getArguments, name == resp.VerbSet && len(cmd.Args) == setArguments:
 		elapsed, miss := workTime()
 		time.Sleep(elapsed)
 		if miss {
--- a/internal/scaletest/cache_server_test.go
+++ b/internal/scaletest/cache_server_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"marlstage/internal/resp"
 )
 
 func TestCacheServersReplyAndCount(t *testing.T) {
@@ -19,11 +21,11 @@
 	first, second := dialCacheServer(t, servers.Addrs[0][0]), dialCacheServer(t, servers.Addrs[0][1])
 	attemptBytes := exchangeReadAndWrite(t, first)
 	for _, nc := range []net.Conn{first, second} {
-		if reply := exchange(t, nc, command("PING")); string(reply.Raw) != "+PONG\r\n" {
+		if reply := exchange(t, nc, resp.AppendCommand(nil, "PING")); string(reply.Raw) != "+PONG\r\n" {
 			t.Errorf("PING: %q", reply.Raw)
 		}
 	}
-	if reply := exchange(t, second, command("C.GET", "k")); string(reply.Raw) != "-SYNTAX\r\n" {
+	if reply := exchange(t, second, resp.AppendCommand(nil, "C.GET", "k")); string(reply.Raw) != "-SYNTAX\r\n" {
 		t.Errorf("half a command: %q", reply.Raw)
 	}
 	if n, err := dialCacheServer(t, servers.Addrs[0][0]).Read(make([]byte, 1)); err == nil {
--- /dev/null
+++ b/internal/scaletest/commands.go
@@ -0,0 +1,36 @@
+package scaletest
+
+import (
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/tidwall/redcon"
+
+	"marlstage/internal/resp"
+)
+
+// requestCommand is the command of a request whose client waits so many milliseconds.
+func requestCommand(write bool, key, id uint64, timeout int64) []byte {
+	keyText, idText := fmt.Sprintf("%016x", key), fmt.Sprintf("%016x", id)
+	timeout = max(1, timeout)
+	if write {
+		options := fmt.Sprintf("c=%s,t=%s,d=%d,k=%s", writeClass, tenant, timeout, idText)
+		return resp.AppendCommand(nil, resp.VerbSet, keyText, idText, options, "value")
+	}
+	options := fmt.Sprintf("c=%s,t=%s,d=%d", readClass, tenant, timeout)
+	return resp.AppendCommand(nil, resp.VerbGet, keyText, idText, options)
+}
+
+// roundTrip sends a command and reads its reply into buf. There is one outstanding at a time.
+func roundTrip(nc net.Conn, message, buf []byte) (redcon.RESP, error) {
+	if _, err := nc.Write(message); err != nil {
+		return redcon.RESP{}, err
+	}
+	return resp.ReadRaw(nc, buf)
+}
+
+// isBusy reports whether a router rejected the request.
+func isBusy(reply redcon.RESP) bool {
+	return reply.Type == redcon.Error && strings.HasPrefix(string(reply.Data), resp.BusyCode)
+}
--- a/internal/scaletest/discovery_agent.go
+++ b/internal/scaletest/discovery_agent.go
@@ -15,6 +15,13 @@
 // discoveryPath is where discovery serves the endpoint list.
 const discoveryPath = "/discovery/hosts"
 
+// The states of an endpoint on the wire.
+const (
+	statusInService   = "in_service"
+	statusTerminating = "terminating"
+	statusTerminated  = "terminated"
+)
+
 // The cache servers come in so many sizes, in turn on the list, and each size is larger than the
 // one before by the step.
 const (
--- a/internal/scaletest/discovery_agent_test.go
+++ b/internal/scaletest/discovery_agent_test.go
@@ -1,15 +1,25 @@
 package scaletest
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"marlstage/internal/discovery"
 )
 
+// receivedList is an endpoint list as it arrives.
+type receivedList struct {
+	Version   int64 `json:"index"`
+	Snapshot  bool
+	Endpoints []struct{ Address, Status string }
+}
+
 // callDiscovery calls discovery and returns the list, or nil where the reply is not one.
-func callDiscovery(t *testing.T, agent *DiscoveryAgent, group int, query string) *endpointList {
+func callDiscovery(t *testing.T, agent *DiscoveryAgent, group int, query string) *receivedList {
 	t.Helper()
 	resp, err := http.Get("http://" + agent.Addrs[group] + "/discovery/hosts" + query)
 	if err != nil {
@@ -23,8 +33,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil
 	}
-	list, err := parseEndpointList(body)
-	if err != nil {
+	if _, err := discovery.ParseEndpointList(body); err != nil {
+		t.Fatal(err)
+	}
+	list := &receivedList{}
+	if err := json.Unmarshal(body, list); err != nil {
 		t.Fatal(err)
 	}
 	return list
@@ -37,10 +50,10 @@
 	endpoints int
 }
 
-func expectList(t *testing.T, agent *DiscoveryAgent, group int, query string, want expectedList) *endpointList {
+func expectList(t *testing.T, agent *DiscoveryAgent, group int, query string, want expectedList) *receivedList {
 	t.Helper()
 	list := callDiscovery(t, agent, group, query)
-	if list == nil || list.Snapshot != want.snapshot || list.Version != want.version || len(list.Policy) != want.endpoints {
+	if list == nil || list.Snapshot != want.snapshot || list.Version != want.version || len(list.Endpoints) != want.endpoints {
 		t.Fatalf("%q: got %+v, want snapshot %v, version %d, %d endpoints", query, list, want.snapshot, want.version, want.endpoints)
 	}
 	return list
@@ -55,10 +68,10 @@
 		}
 	}
 	expectList(t, agent, 0, "?after=1&wait_ms=1", expectedList{version: 1})
-	watched := make(chan *endpointList, 1)
+	watched := make(chan *receivedList, 1)
 	go func() { watched <- callDiscovery(t, agent, 0, "?after=1&wait_ms=60000") }()
 	agent.RenewWeights() // before or after the call: the reply is the same
-	if list := <-watched; list.Snapshot || list.Version != 2 || len(list.Policy) != 3 {
+	if list := <-watched; list.Snapshot || list.Version != 2 || len(list.Endpoints) != 3 {
 		t.Errorf("a watch got %+v", list)
 	}
 	agent.SetStatus(1, "terminated", 0)
@@ -90,10 +103,10 @@
 	if resp, err := client.Get("http://" + agent.Addrs[0] + "/discovery/hosts"); err == nil {
 		t.Errorf("the reply was %s while down", resp.Status)
 	}
-	watched := make(chan *endpointList, 1)
+	watched := make(chan *receivedList, 1)
 	go func() { watched <- callDiscovery(t, agent, 0, "?after=1&wait_ms=0") }()
 	agent.SetDown(false)
-	if list := <-watched; list == nil || len(list.Policy) != 0 {
+	if list := <-watched; list == nil || len(list.Endpoints) != 0 {
 		t.Errorf("at its return the reply was %+v", list)
 	}
 }
--- a/internal/scaletest/fleet.go
+++ b/internal/scaletest/fleet.go
@@ -9,7 +9,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"marlstage/internal/simprotocol"
+	"marlstage/internal/discovery"
+	"marlstage/internal/settings"
 	"marlstage/policy"
 )
 
@@ -76,8 +77,8 @@
 
 	spec       FleetSpec
 	settings   policy.Settings
-	transport  simprotocol.Transport
-	initial    *endpointList
+	transport  settings.Transport
+	initial    *discovery.EndpointList
 	routers    []*hollowRouter
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -103,7 +104,7 @@
 		lateness: newHistogram(maxLateness),
 	}
 	var err error
-	if f.settings, f.transport, err = simprotocol.ParseSettings(spec.Settings); err != nil {
+	if f.settings, f.transport, err = settings.Parse(spec.Settings); err != nil {
 		return nil, err
 	}
 	if f.initial, err = f.lists.parse(spec.InitialEndpoints); err != nil {
@@ -142,7 +143,7 @@
 // Count adds up what the routers have done.
 func (f *Fleet) Count() FleetCount {
 	count := FleetCount{
-		CacheServers:   make([]CacheCount, len(f.initial.Policy)),
+		CacheServers:   make([]CacheCount, len(f.initial.Endpoints)),
 		Endpoints:      f.endpoints.Load(),
 		DiscoveryBytes: f.bytesIn.Load(),
 	}
--- a/internal/scaletest/helpers_test.go
+++ b/internal/scaletest/helpers_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"marlstage/internal/resp"
 )
 
 // testTimeout is how long a test waits for what has to come; only a failing test waits so long.
@@ -48,7 +50,7 @@
 	if _, err := nc.Write(message); err != nil {
 		t.Fatal(err)
 	}
-	reply, err := readReply(nc, make([]byte, replySize))
+	reply, err := resp.ReadRaw(nc, make([]byte, replySize))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/scaletest/hollow_router.go
+++ b/internal/scaletest/hollow_router.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"marlstage/internal/discovery"
 	"marlstage/policy"
 )
 
@@ -46,7 +47,7 @@
 	nextArrival         time.Time
 	watching            bool
 	endpointsVersion    int64
-	failedWatches       int // in a row
+	watchBackoff        discovery.Backoff
 	quotaMet            bool
 	draining, drained   bool
 
@@ -98,10 +99,11 @@
 }
 
 func (h *hollowRouter) createPools() {
-	for position, endpoint := range h.fleet.initial.Endpoints {
-		p := newPool(h, position, endpoint)
+	initial := h.fleet.initial
+	for position, endpoint := range initial.Endpoints {
+		p := newPool(h, position, endpoint.ID, initial.Addresses[position])
 		h.pools = append(h.pools, p)
-		h.poolsByName[endpoint.Name] = p
+		h.poolsByName[endpoint.ID] = p
 	}
 	for _, position := range h.fleet.spec.ConnectedServers {
 		h.pools[position].connected = true
@@ -152,7 +154,7 @@
 func (h *hollowRouter) notify(event policy.Event) { h.pendingEvents = append(h.pendingEvents, event) }
 
 func (h *hollowRouter) start() {
-	h.notify(&policy.EndpointsUpdate{Kind: policy.UpdateStale, Endpoints: h.fleet.initial.Policy})
+	h.notify(&policy.EndpointsUpdate{Kind: policy.UpdateStale, Endpoints: h.fleet.initial.Endpoints})
 	if !h.fleet.settings.WatchRequired {
 		h.startWatch()
 	}
--- a/internal/scaletest/hollow_watch.go
+++ b/internal/scaletest/hollow_watch.go
@@ -4,24 +4,13 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"time"
 
-	"marlstage/internal/router"
+	"marlstage/internal/discovery"
 	"marlstage/policy"
 )
 
-// The backoff after a failed watch: doubled with each in a row, and at most half of the drain grace.
-const (
-	watchBackoffBase  = 100_000 // microseconds
-	maxWatchDoublings = 4
-)
-
-// watchReplyAllowance is how much longer than discovery may hold a watch open its reply may take.
-const watchReplyAllowance = time.Second
-
 // newDiscoveryClient makes a client whose bytes are counted at the fleet.
 func newDiscoveryClient(f *Fleet) *http.Client {
 	return &http.Client{Transport: &http.Transport{
@@ -66,20 +55,14 @@
 		h.notify(&policy.EndpointsUpdate{Kind: policy.UpdateFailed})
 		return
 	}
-	h.scheduleAt(h.now+h.watchBackoff(), h.startWatch)
-}
-
-// watchBackoff differs between the routers, so that they do not all call again at the same time.
-func (h *hollowRouter) watchBackoff() policy.Time {
-	backoff := min(watchBackoffBase<<min(h.failedWatches, maxWatchDoublings), h.fleet.settings.DrainGrace/2)
-	h.failedWatches++
-	return policy.Time(float64(backoff) * (.5 + rand.Float64()/2))
+	backoff := h.watchBackoff.Next(h.fleet.settings.DrainGrace)
+	h.scheduleAt(h.now+backoff, h.startWatch)
 }
 
 // callDiscovery waits for what has changed after a version of the endpoint list.
-func (h *hollowRouter) callDiscovery(version int64) (*endpointList, error) {
-	wait := router.WatchWait(h.fleet.settings.WatchRequired)
-	ctx, cancel := context.WithTimeout(h.fleet.ctx, wait+watchReplyAllowance)
+func (h *hollowRouter) callDiscovery(version int64) (*discovery.EndpointList, error) {
+	wait := discovery.WatchWait(h.fleet.settings.WatchRequired)
+	ctx, cancel := context.WithTimeout(h.fleet.ctx, wait+discovery.ResponseAllowance)
 	defer cancel()
 	url := fmt.Sprintf("http://%s%s?after=%d&wait_ms=%d", h.fleet.spec.DiscoveryAddr, discoveryPath, version, wait.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -96,24 +79,22 @@
 		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("discovery answered %s", resp.Status)
+		return nil, &discovery.StatusError{Code: resp.StatusCode, Status: resp.Status}
 	}
 	return h.fleet.lists.parse(body)
 }
 
 // applyEndpoints takes over an endpoint list.
-func (h *hollowRouter) applyEndpoints(list *endpointList) {
+func (h *hollowRouter) applyEndpoints(list *discovery.EndpointList) {
 	h.endpointsVersion = list.Version
-	h.failedWatches = 0
-	h.fleet.endpoints.Add(int64(len(list.Policy)))
-	kind := policy.UpdateDelta
+	h.watchBackoff.Reset()
+	h.fleet.endpoints.Add(int64(len(list.Endpoints)))
 	if list.Snapshot {
-		kind = policy.UpdateSnapshot
 		for _, p := range h.pools {
 			p.inService = false // unless it is listed
 		}
 	}
-	for _, endpoint := range list.Policy {
+	for _, endpoint := range list.Endpoints {
 		if p := h.poolsByName[endpoint.ID]; p != nil {
 			p.inService = endpoint.State == policy.InService
 		}
@@ -121,7 +102,7 @@
 	for _, p := range h.pools {
 		p.dispatch()
 	}
-	h.notify(&policy.EndpointsUpdate{Kind: kind, Endpoints: list.Policy})
+	h.notify(&policy.EndpointsUpdate{Kind: list.Kind(), Endpoints: list.Endpoints})
 	if h.fleet.spec.OnEndpoints != nil {
 		h.fleet.spec.OnEndpoints(list.Version)
 	}
--- a/internal/scaletest/pool.go
+++ b/internal/scaletest/pool.go
@@ -33,12 +33,12 @@
 	count            CacheCount
 }
 
-func newPool(h *hollowRouter, position int, endpoint listedEndpoint) *pool {
+func newPool(h *hollowRouter, position int, name, addr string) *pool {
 	return &pool{
 		router:    h,
 		position:  position,
-		name:      endpoint.Name,
-		addr:      endpoint.Address,
+		name:      name,
+		addr:      addr,
 		inService: true,
 		maxConns:  max(minConns, maxFleetConns/max(1, h.fleet.settings.Routers)),
 	}
--- a/internal/scaletest/router_process.go
+++ b/internal/scaletest/router_process.go
@@ -11,6 +11,8 @@
 	"path/filepath"
 	"strings"
 	"time"
+
+	"marlstage/internal/resp"
 )
 
 const (
@@ -19,6 +21,7 @@
 	servingLogMessage  = "serving on " // its address follows
 	routerStartTimeout = 30 * time.Second
 	routerConfigMode   = 0o600
+	pongText           = "PONG"
 )
 
 // Why a router did not start.
@@ -112,11 +115,11 @@
 	}
 	defer nc.Close()
 	nc.SetDeadline(time.Now().Add(routerStartTimeout))
-	reply, err := roundTrip(nc, command(pingCommand), make([]byte, replySize))
+	reply, err := roundTrip(nc, resp.AppendPing(nil), make([]byte, replySize))
 	if err != nil {
 		return err
 	}
-	if string(reply.Data) != pongReply {
+	if string(reply.Data) != pongText {
 		return fmt.Errorf("PING was answered %q", reply.Data)
 	}
 	return nil
--- a/internal/scaletest/simulated_conn.go
+++ b/internal/scaletest/simulated_conn.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"marlstage/internal/resp"
 	"marlstage/policy"
 )
 
@@ -41,7 +42,7 @@
 	elapsed, miss := pingTime, false
 	if a.isHealthCheck() {
 		p.count.HealthChecks++
-		message.bytes = command(pingCommand)
+		message.bytes = resp.AppendPing(nil)
 	} else {
 		p.count.Attempts++
 		elapsed, miss = workTime()
--- a/internal/scaletest/workload.go
+++ b/internal/scaletest/workload.go
@@ -28,6 +28,8 @@
 	keyShift      = 11
 )
 
+const microsecondsPerMillisecond = 1000
+
 // workload makes up requests.
 type workload struct {
 	rng  *rand.Rand
