Give scaletest a file for each concern and its workers a name

The agent's calls and its hosts, the requests and the descriptors of a hollow router, and the names of figures have files of their own, each file says what it holds, and the processes that run a role are workers. Further bounds are named constants.

--- a/cmd/scaletest/main.go
+++ b/cmd/scaletest/main.go
@@ -1,6 +1,6 @@
-// Command scaletest plays fleets of routers and cache servers of several sizes on loopback and
+// Command scaletest runs fleets of routers and cache servers of several sizes on loopback and
 // measures what the control traffic costs: the endpoint list, health checks, timers and
-// connections. Without sizes it plays a sweep. Standard output gets a table; -o names a file for
+// connections. Without sizes it runs a sweep. Standard output gets a table; -o names a file for
 // the results as JSON lines.
 package main
 
@@ -52,17 +52,17 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if opts.resultsFile == "" {
-		return play(ctx, opts, io.Discard, out)
+		return runPoints(ctx, opts, io.Discard, out)
 	}
 	file, err := os.Create(opts.resultsFile)
 	if err != nil {
 		return &usageError{err}
 	}
-	return errors.Join(play(ctx, opts, file, out), file.Close())
+	return errors.Join(runPoints(ctx, opts, file, out), file.Close())
 }
 
-// play plays the points one after the other, and writes their results as JSON lines and as tables.
-func play(ctx context.Context, opts *options, results, tables io.Writer) error {
+// runPoints runs the points one after the other, and writes their results as JSON lines and as tables.
+func runPoints(ctx context.Context, opts *options, results, tables io.Writer) error {
 	program := opts.routerProgram
 	if program == "" {
 		dir, err := os.MkdirTemp("", "scaletest")
--- a/cmd/scaletest/options.go
+++ b/cmd/scaletest/options.go
@@ -13,8 +13,8 @@
 	"marlstage/internal/scaletest"
 )
 
-// defaultSweep is caches by routers: four points of one shape, and two that tell caches from
-// routers.
+// defaultSweep is caches by routers: four points of one shape, and two that separate the
+// influence of caches from that of routers.
 const defaultSweep = "75x350,150x700,300x1400,600x2800,600x700,150x2800"
 
 // usageError is bad input.
--- a/internal/scaletest/attempt.go
+++ b/internal/scaletest/attempt.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file implements attempts and health checks of hollow routers.
+
 import (
 	"slices"
 
--- a/internal/scaletest/cache_count.go
+++ b/internal/scaletest/cache_count.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file defines the counters of traffic at a cache server.
+
 // CacheCount is what one cache server got from the routers of one group. Bytes are those of
 // commands and replies, without TCP's own.
 type CacheCount struct {
--- a/internal/scaletest/cache_server.go
+++ b/internal/scaletest/cache_server.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file implements the stand-ins for cache servers.
+
 import (
 	"fmt"
 	"math/rand/v2"
--- a/internal/scaletest/clients.go
+++ b/internal/scaletest/clients.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file implements the open-loop clients of a real router.
+
 import (
 	"context"
 	"errors"
@@ -16,7 +18,7 @@
 	maxClientConns    = 300                    // connections of clients to one router
 	clientDialTimeout = time.Second            // for one of them to come up
 	replyGrace        = 100 * time.Millisecond // after a client's timeout, for a reply that is under way
-	maxLatency        = 5 * time.Second        // that is told apart
+	maxLatency        = 5 * time.Second        // that the histogram distinguishes
 )
 
 // errNoClientConn says that every connection is busy and there may be no more.
--- a/internal/scaletest/commands.go
+++ b/internal/scaletest/commands.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file builds the commands of clients and exchanges them for replies.
+
 import (
 	"fmt"
 	"net"
--- a/internal/scaletest/counted_conn.go
+++ b/internal/scaletest/counted_conn.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file implements connections that count their bytes.
+
 import (
 	"net"
 	"sync/atomic"
--- /dev/null
+++ b/internal/scaletest/discovery_hosts.go
@@ -0,0 +1,99 @@
+package scaletest
+
+// This file holds the state of the discovery agent and encodes its lists.
+
+import (
+	"fmt"
+	"math/rand/v2"
+)
+
+// The states of an endpoint on the wire.
+const (
+	statusInService   = "in_service"
+	statusTerminating = "terminating"
+	statusTerminated  = "terminated"
+)
+
+// serversPerPlacementGroup is how many cache servers in a row are listed with the same group.
+const serversPerPlacementGroup = 8
+
+// host is a cache server as discovery knows it.
+type host struct {
+	addrs          []string // by group
+	status         string
+	nominalWeight  float64
+	weight         float64
+	startedAt      int64 // Unix time in milliseconds
+	changedVersion int64 // of the list at the last change
+}
+
+// encodedList is an endpoint list as it is sent.
+type encodedList struct {
+	body      []byte
+	endpoints int
+}
+
+// publish makes a new version of the list, with what the function changes.
+func (a *DiscoveryAgent) publish(change func(position int, h *host)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.version++
+	for i := range a.hosts {
+		h := &a.hosts[i]
+		status, weight, startedAt := h.status, h.weight, h.startedAt
+		change(i, h)
+		if h.status != status || h.weight != weight || h.startedAt != startedAt {
+			h.changedVersion = a.version
+		}
+	}
+	for group := range a.snapshots {
+		a.snapshots[group] = a.encode(group, true, func(h *host) bool { return h.status != statusTerminated })
+		a.deltas[group] = a.encode(group, false, func(h *host) bool { return h.changedVersion == a.version })
+	}
+	a.notifyChange()
+}
+
+// nameMultiplier scatters the names of the cache servers over 32 bits.
+const nameMultiplier = 2654435761
+
+// encode makes a list of the hosts that are included, as one group of routers sees them.
+func (a *DiscoveryAgent) encode(group int, snapshot bool, include func(*host) bool) encodedList {
+	list := encodedList{body: fmt.Appendf(nil, `{"index":%d,"snapshot":%t,"endpoints":[`, a.version, snapshot)}
+	for i := range a.hosts {
+		h := &a.hosts[i]
+		if !include(h) {
+			continue
+		}
+		list.endpoints++
+		if list.endpoints > 1 {
+			list.body = append(list.body, ',')
+		}
+		list.body = fmt.Appendf(list.body,
+			`{"name":"s-%08x","address":%q,"zone":"a","type":"m2","group":%d,"status":%q,"weight":%.3f,"since_ms":%d}`,
+			uint32(i+1)*nameMultiplier, h.addrs[group], i/serversPerPlacementGroup, h.status, h.weight, h.startedAt)
+	}
+	list.body = append(list.body, "]}"...)
+	return list
+}
+
+// maxWeightReduction is by which part of the nominal weight a live one is lower at most.
+const maxWeightReduction = .25
+
+// RenewWeights gives every cache server in service a new live weight.
+func (a *DiscoveryAgent) RenewWeights() {
+	a.publish(func(_ int, h *host) {
+		if h.status == statusInService {
+			h.weight = h.nominalWeight * (1 - rand.Float64()*maxWeightReduction)
+		}
+	})
+}
+
+// SetStatus changes the status of one cache server and the time of its last start, in milliseconds.
+func (a *DiscoveryAgent) SetStatus(position int, status string, startedAt int64) {
+	a.publish(func(i int, h *host) {
+		if i == position {
+			h.status = status
+			h.startedAt = startedAt
+		}
+	})
+}
--- a/internal/scaletest/endpoint_list_cache.go
+++ b/internal/scaletest/endpoint_list_cache.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file shares parsed endpoint lists between hollow routers.
+
 import (
 	"bytes"
 	"sync"
--- a/internal/scaletest/figures.go
+++ b/internal/scaletest/figures.go
@@ -1,67 +1,8 @@
 package scaletest
 
-import "fmt"
-
-// The roles whose figures are reported. They stand in recorded results, which must stay comparable.
-const (
-	roleLoaded           = "router loaded"
-	roleNoHealthChecks   = "router noprobe"
-	roleIdle             = "router idle"
-	roleControl          = "router control"
-	roleHollow           = "router hollow"
-	roleAllServers       = "cache, all"
-	roleBusiestServer    = "cache, most at one"
-	roleConnectedServers = "cache, opened"
-	roleDiscovery        = "discovery"
-	roleDiscoveryOfFleet = "discovery, whole fleet"
-	roleStandIns         = "stand-ins"
-)
-
-// The names of figures that several roles have, or that others are derived from.
-const (
-	figureProcessorTime    = "processor time"
-	figureMemory           = "memory"
-	figureMaxMemory        = "memory at most"
-	figureControlBytes     = "bytes"
-	figureHealthChecks     = "probes"
-	figureHealthCheckBytes = "probe bytes"
-	figureAttempts         = "attempts"
-	figureAttemptBytes     = "attempt bytes"
-	figureHandshakes       = "handshakes"
-	figureConnections      = "connections"
-	figureRejectedConns    = "connections turned away"
-	figureWatchCalls       = "watch calls"
-	figureListLines        = "list lines"
-	figureListBytes        = "list bytes"
-	figureServed           = "served"
-	figureTimers           = "timers"
-)
-
-// The units of figures.
-const (
-	unitNone               = "" // a number of things
-	unitPerSecond          = "1/s"
-	unitKilobytesPerSecond = "KB/s"
-	unitMegabytes          = "MB"
-	unitMilliseconds       = "ms"
-	unitPercentOfCore      = "% of a core"
-	unitPercentOfDue       = "% of due"
-	unitPercentOfRequests  = "% of requests"
-)
+// This file derives the figures of a point from two samples.
 
-// By what bytes are divided for a unit.
-const (
-	bytesPerKilobyte = 1e3
-	bytesPerMegabyte = 1e6
-)
-
-// What a figure rests on, where it is not the sample that it was counted on.
-const (
-	basisMeasured = "measured"
-	basisDerived  = "worked out"
-)
-
-func countedOn(n, of int) string { return fmt.Sprintf("counted on %d of %d", n, of) }
+import "fmt"
 
 // reporter works out the figures of what happened between two samples.
 type reporter struct {
@@ -128,9 +69,10 @@
 
 func (r *reporter) addRealRouter(group routerGroup) {
 	role := "router " + group.String()
-	r.add(role, figureProcessorTime, unitPercentOfCore, r.cpuPercent(r.after.routers[group], r.before.routers[group]), basisMeasured)
-	r.add(role, figureMemory, unitMegabytes, r.after.routers[group].memory/bytesPerMegabyte, basisMeasured)
-	r.add(role, figureMaxMemory, unitMegabytes, r.after.routers[group].maxMemory/bytesPerMegabyte, basisMeasured)
+	after, before := r.after.routers[group], r.before.routers[group]
+	r.add(role, figureProcessorTime, unitPercentOfCore, r.cpuPercent(after, before), basisMeasured)
+	r.add(role, figureMemory, unitMegabytes, after.memory/bytesPerMegabyte, basisMeasured)
+	r.add(role, figureMaxMemory, unitMegabytes, after.maxMemory/bytesPerMegabyte, basisMeasured)
 	r.addDiscoveryCount(role, group, 1, basisMeasured)
 	var total CacheCount
 	for position := range r.after.cacheServers {
@@ -153,8 +95,10 @@
 	r.add(role, figureServed, unitPercentOfDue, percent(c.Served, c.Due), basisMeasured)
 	r.add(role, "refused", unitPercentOfDue, percent(c.Rejected, c.Due), basisMeasured)
 	r.add(role, "failed", unitPercentOfDue, percent(c.Failed, c.Due), basisMeasured)
-	r.add(role, "latency, median", unitMilliseconds, toMilliseconds(c.Latency.ValueAtQuantile(medianQuantile)), basisMeasured)
-	r.add(role, "latency, 99th percentile", unitMilliseconds, toMilliseconds(c.Latency.ValueAtQuantile(p99Quantile)), basisMeasured)
+	median := toMilliseconds(c.Latency.ValueAtQuantile(medianQuantile))
+	p99 := toMilliseconds(c.Latency.ValueAtQuantile(p99Quantile))
+	r.add(role, "latency, median", unitMilliseconds, median, basisMeasured)
+	r.add(role, "latency, 99th percentile", unitMilliseconds, p99, basisMeasured)
 }
 
 func toMilliseconds(microseconds int64) float64 {
@@ -238,12 +182,15 @@
 
 func (r *reporter) addStandIns() {
 	after, before := &r.after.standIns, &r.before.standIns
+	fleetCPU := r.cpuPercent(after.fleet, before.fleet)
+	cacheServerCPU := r.cpuPercent(after.cacheServers, before.cacheServers)
 	totalMemory := after.fleet.memory + after.cacheServers.memory + after.discovery.memory
 	failures := r.after.fleet.MirrorFailures - r.before.fleet.MirrorFailures
-	r.add(roleStandIns, "processor time, hollow routers", unitPercentOfCore, r.cpuPercent(after.fleet, before.fleet), basisMeasured)
-	r.add(roleStandIns, "processor time, cache servers", unitPercentOfCore, r.cpuPercent(after.cacheServers, before.cacheServers), basisMeasured)
+	r.add(roleStandIns, "processor time, hollow routers", unitPercentOfCore, fleetCPU, basisMeasured)
+	r.add(roleStandIns, "processor time, cache servers", unitPercentOfCore, cacheServerCPU, basisMeasured)
 	r.add(roleStandIns, figureMemory, unitMegabytes, totalMemory/bytesPerMegabyte, basisMeasured)
-	r.add(roleStandIns, "requests late, 99th percentile", unitMilliseconds, toMilliseconds(r.after.fleet.LatenessP99), basisMeasured)
+	lateness := toMilliseconds(r.after.fleet.LatenessP99)
+	r.add(roleStandIns, "requests late, 99th percentile", unitMilliseconds, lateness, basisMeasured)
 	r.add(roleStandIns, "messages to opened caches that went wrong", unitPerSecond, r.rate(failures, 1), basisMeasured)
 }
 
@@ -257,12 +204,14 @@
 		"a real router's timers, which are counted at hollow ones; the network; discovery behind its agents",
 	}
 	if left := p.Routers - p.activeRouters(); left > 0 {
-		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("requests of %d routers of %d: at opened caches the sockets of the others repeat what theirs do, up to a round of probes later", left, p.Routers))
+		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("requests of %d routers of %d: "+
+			"at opened caches the sockets of the others repeat what theirs do, up to a round of probes later", left, p.Routers))
 	}
 	if left := p.Routers - p.hollowRouters(); left > 0 {
 		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("watches of %d routers of %d", left, p.Routers))
 	}
 	if left := p.CacheServers - p.connectedServers(); left > 0 {
-		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("connections of hollow routers to %d caches of %d: counted, not opened", left, p.CacheServers))
+		r.NotMeasured = append(r.NotMeasured, fmt.Sprintf("connections of hollow routers to %d caches of %d: "+
+			"counted, not opened", left, p.CacheServers))
 	}
 }
--- a/internal/scaletest/fleet.go
+++ b/internal/scaletest/fleet.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file implements the hollow routers of one process.
+
 import (
 	"context"
 	"encoding/json"
@@ -19,7 +21,7 @@
 // connections to all cache servers as a router does: simulated to most, on sockets to some.
 type FleetSpec struct {
 	// RepresentedRouters has an element for each active router: how many further routers of the
-	// fleet, which are not played, its sockets represent.
+	// fleet, which are not simulated, its sockets represent.
 	RepresentedRouters []int
 	WatchOnlyRouters   int     // hollow routers beside the active ones, which only keep a watch
 	RequestRate        float64 // requests a second at each active router
@@ -48,7 +50,7 @@
 	MirrorFailures           int64        // messages on these sockets that went wrong
 	Endpoints                int64        // list lines received from discovery by all hollow routers
 	DiscoveryBytes           int64        // bytes received from discovery by all hollow routers
-	LatenessP99              int64        // 99th percentile of how late requests arrived since the last Count, microseconds
+	LatenessP99              int64        // 99th percentile of requests' delays since the last Count, microseconds
 }
 
 func (c *FleetCount) add(other FleetCount) {
@@ -68,7 +70,7 @@
 	c.LatenessP99 = max(c.LatenessP99, other.LatenessP99)
 }
 
-// maxLateness is the latest arrival of a request that is told apart.
+// maxLateness is the largest delay of a request that the histogram distinguishes.
 const maxLateness = time.Minute
 
 // Fleet is the hollow routers of one process.
--- a/internal/scaletest/histogram.go
+++ b/internal/scaletest/histogram.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file configures the histograms of times.
+
 import (
 	"time"
 
--- /dev/null
+++ b/internal/scaletest/hollow_requests.go
@@ -0,0 +1,166 @@
+package scaletest
+
+// This file implements the requests of a hollow router, from arrival to answer.
+
+import (
+	"marlstage/internal/resp"
+	"marlstage/policy"
+)
+
+// simulatedUtilization is the load that the simulated cache servers report.
+const simulatedUtilization = .4
+
+// request is a request from its arrival until it is answered and none of its attempts is outstanding.
+type request struct {
+	id          int64
+	deadline    policy.Time
+	key         uint64
+	write       bool
+	answered    bool
+	attempts    []*attempt
+	outstanding int // attempts without an outcome
+}
+
+// scheduleArrival has the next request arrive when it is due, whatever became of those before.
+func (h *hollowRouter) scheduleArrival() {
+	h.nextArrival = h.nextArrival.Add(h.workload.interval(h.fleet.spec.RequestRate))
+	h.scheduleAt(h.nextArrival.UnixMicro(), func() {
+		if h.draining {
+			return
+		}
+		h.fleet.recordLateness(h.now - h.nextArrival.UnixMicro())
+		h.arrive()
+		h.scheduleArrival()
+	})
+}
+
+// arrive takes the next request of the workload.
+func (h *hollowRouter) arrive() {
+	next := h.workload.next()
+	h.requestCount++
+	r := &request{
+		id:       h.requestCount,
+		deadline: h.now + next.timeout.Microseconds(),
+		key:      next.key,
+		write:    next.write,
+	}
+	h.requests[r.id] = r
+	class := readClass
+	if r.write {
+		class = writeClass
+	}
+	h.notify(&policy.Request{
+		ID:       r.id,
+		Class:    class,
+		Tenant:   tenant,
+		Key:      r.key,
+		HasKey:   true,
+		Deadline: r.deadline,
+		Write:    r.write,
+	})
+	h.checkQuota()
+}
+
+// checkQuota marks the router as done once it has had its requests and health checks.
+func (h *hollowRouter) checkQuota() {
+	spec := &h.fleet.spec
+	if h.quotaMet || spec.RequestQuota <= 0 {
+		return
+	}
+	if h.requestCount >= spec.RequestQuota && h.healthCheckCount >= spec.HealthCheckQuota {
+		h.quotaMet = true
+		h.fleet.routerDone()
+	}
+}
+
+func (h *hollowRouter) sendAttempt(action policy.Send) {
+	r, p := h.requests[action.ID], h.poolsByName[action.Cache]
+	if r == nil || p == nil {
+		return
+	}
+	a := &attempt{
+		request:     r,
+		number:      len(r.attempts),
+		pool:        p,
+		startedAt:   h.now,
+		deadline:    r.deadline,
+		startBefore: action.StartBefore,
+	}
+	if action.Deadline != 0 {
+		a.deadline = min(action.Deadline, r.deadline)
+	}
+	r.attempts = append(r.attempts, a)
+	r.outstanding++
+	p.send(a)
+}
+
+func (h *hollowRouter) sendHealthCheck(action policy.HealthCheck) {
+	p := h.poolsByName[action.Cache]
+	if p == nil || h.draining {
+		return
+	}
+	h.healthCheckCount++
+	h.checkQuota()
+	p.send(&attempt{
+		pool:      p,
+		startedAt: h.now,
+		deadline:  h.now + h.fleet.settings.HealthCheckTimeout(),
+	})
+}
+
+func (h *hollowRouter) cancelAttempt(action policy.Cancel) {
+	r := h.requests[action.ID]
+	if r != nil && action.Attempt < len(r.attempts) {
+		r.attempts[action.Attempt].giveUp(policy.Cancelled)
+	}
+}
+
+// attemptDone notifies the engine of the outcome of an attempt or a health check.
+func (h *hollowRouter) attemptDone(a *attempt, result policy.Result, miss bool) {
+	h.outstandingAttempts--
+	elapsed := h.now - a.startedAt
+	report := policy.LoadReport{Utilization: resp.UnknownUtilization}
+	if result == policy.Served {
+		report.Utilization = simulatedUtilization
+	}
+	if a.isHealthCheck() {
+		h.notify(&policy.HealthCheckDone{Cache: a.pool.name, Result: result, Elapsed: elapsed, Load: report})
+		return
+	}
+	r := a.request
+	r.outstanding--
+	if result == policy.Served && !r.answered {
+		h.servedCount++
+		h.answer(r)
+	}
+	h.notify(&policy.AttemptDone{
+		ID:      r.id,
+		Attempt: a.number,
+		Result:  result,
+		Elapsed: elapsed,
+		Final:   r.answered,
+		Miss:    miss,
+		Load:    report,
+	})
+	h.forgetIfDone(r)
+}
+
+// answer gives a request its final answer. Attempts that wait for a connection end here.
+func (h *hollowRouter) answer(r *request) {
+	if r == nil || r.answered {
+		return
+	}
+	r.answered = true
+	for _, a := range r.attempts {
+		if a.conn == nil {
+			a.finish(policy.NotSent, false)
+		}
+	}
+	h.forgetIfDone(r)
+}
+
+func (h *hollowRouter) forgetIfDone(r *request) {
+	if r.answered && r.outstanding == 0 {
+		delete(h.requests, r.id)
+	}
+}
--- a/internal/scaletest/hollow_router.go
+++ b/internal/scaletest/hollow_router.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file implements a hollow router around the policy engine.
+
 import (
 	"net/http"
 	"sync"
@@ -9,21 +11,10 @@
 	"marlstage/policy"
 )
 
-// How a router shares out its file descriptors: some are reserved for what is not counted, and of
-// the rest this fraction may be connections to cache servers.
-const (
-	reservedDescriptors    = 48
-	serverShareNumerator   = 2
-	serverShareDenominator = 5
-)
-
 // fleetSeedShift puts the seed of the fleet above the number of the router, so that no two routers of
 // a run share a seed.
 const fleetSeedShift = 32
 
-// simulatedUtilization is the load that the simulated cache servers report.
-const simulatedUtilization = .4
-
 // hollowRouter is the policy engine with a watch, and with simulated connections where it is
 // active. Whatever runs in it holds its lock: see run.
 type hollowRouter struct {
@@ -32,7 +23,7 @@
 	mirrorDelays []time.Duration // by which each router that its sockets represent follows; the first is itself
 	client       *http.Client    // of discovery
 
-	mu                  sync.Mutex
+	mu                  sync.Mutex // guards what follows
 	engine              *policy.Engine
 	workload            *workload
 	now                 policy.Time
@@ -54,17 +45,6 @@
 	requestCount, servedCount, timerCount, healthCheckCount int64
 }
 
-// request is one that the engine has not forgotten yet.
-type request struct {
-	id          int64
-	deadline    policy.Time
-	key         uint64
-	write       bool
-	answered    bool
-	attempts    []*attempt
-	outstanding int // attempts without an outcome
-}
-
 func newHollowRouter(f *Fleet, number int) (*hollowRouter, error) {
 	h := &hollowRouter{
 		fleet:            f,
@@ -189,150 +169,6 @@
 	}
 }
 
-func (h *hollowRouter) sendAttempt(action policy.Send) {
-	r, p := h.requests[action.ID], h.poolsByName[action.Cache]
-	if r == nil || p == nil {
-		return
-	}
-	a := &attempt{
-		request:     r,
-		number:      len(r.attempts),
-		pool:        p,
-		startedAt:   h.now,
-		deadline:    r.deadline,
-		startBefore: action.StartBefore,
-	}
-	if action.Deadline != 0 {
-		a.deadline = min(action.Deadline, r.deadline)
-	}
-	r.attempts = append(r.attempts, a)
-	r.outstanding++
-	p.send(a)
-}
-
-func (h *hollowRouter) sendHealthCheck(action policy.HealthCheck) {
-	p := h.poolsByName[action.Cache]
-	if p == nil || h.draining {
-		return
-	}
-	h.healthCheckCount++
-	h.checkQuota()
-	p.send(&attempt{
-		pool:      p,
-		startedAt: h.now,
-		deadline:  h.now + h.fleet.settings.HealthCheckTimeout(),
-	})
-}
-
-func (h *hollowRouter) cancelAttempt(action policy.Cancel) {
-	r := h.requests[action.ID]
-	if r != nil && action.Attempt < len(r.attempts) {
-		r.attempts[action.Attempt].giveUp(policy.Cancelled)
-	}
-}
-
-// scheduleArrival has the next request arrive when it is due, whatever became of those before.
-func (h *hollowRouter) scheduleArrival() {
-	h.nextArrival = h.nextArrival.Add(h.workload.interval(h.fleet.spec.RequestRate))
-	h.scheduleAt(h.nextArrival.UnixMicro(), func() {
-		if h.draining {
-			return
-		}
-		h.fleet.recordLateness(h.now - h.nextArrival.UnixMicro())
-		h.arrive()
-		h.scheduleArrival()
-	})
-}
-
-// arrive takes the next request of the workload.
-func (h *hollowRouter) arrive() {
-	next := h.workload.next()
-	h.requestCount++
-	r := &request{
-		id:       h.requestCount,
-		deadline: h.now + next.timeout.Microseconds(),
-		key:      next.key,
-		write:    next.write,
-	}
-	h.requests[r.id] = r
-	class := readClass
-	if r.write {
-		class = writeClass
-	}
-	h.notify(&policy.Request{
-		ID:       r.id,
-		Class:    class,
-		Tenant:   tenant,
-		Key:      r.key,
-		HasKey:   true,
-		Deadline: r.deadline,
-		Write:    r.write,
-	})
-	h.checkQuota()
-}
-
-// checkQuota marks the router as done once it has had its requests and health checks.
-func (h *hollowRouter) checkQuota() {
-	spec := &h.fleet.spec
-	if h.quotaMet || spec.RequestQuota <= 0 {
-		return
-	}
-	if h.requestCount >= spec.RequestQuota && h.healthCheckCount >= spec.HealthCheckQuota {
-		h.quotaMet = true
-		h.fleet.routerDone()
-	}
-}
-
-// answer gives a request its final answer. Attempts that wait for a connection end here.
-func (h *hollowRouter) answer(r *request) {
-	if r == nil || r.answered {
-		return
-	}
-	r.answered = true
-	for _, a := range r.attempts {
-		if a.conn == nil {
-			a.finish(policy.NotSent, false)
-		}
-	}
-	h.forgetIfDone(r)
-}
-
-func (h *hollowRouter) forgetIfDone(r *request) {
-	if r.answered && r.outstanding == 0 {
-		delete(h.requests, r.id)
-	}
-}
-
-// attemptDone notifies the engine of the outcome of an attempt or a health check.
-func (h *hollowRouter) attemptDone(a *attempt, result policy.Result, miss bool) {
-	h.outstandingAttempts--
-	elapsed := h.now - a.startedAt
-	report := policy.LoadReport{Utilization: -1}
-	if result == policy.Served {
-		report.Utilization = simulatedUtilization
-	}
-	if a.isHealthCheck() {
-		h.notify(&policy.HealthCheckDone{Cache: a.pool.name, Result: result, Elapsed: elapsed, Load: report})
-		return
-	}
-	r := a.request
-	r.outstanding--
-	if result == policy.Served && !r.answered {
-		h.servedCount++
-		h.answer(r)
-	}
-	h.notify(&policy.AttemptDone{
-		ID:      r.id,
-		Attempt: a.number,
-		Result:  result,
-		Elapsed: elapsed,
-		Final:   r.answered,
-		Miss:    miss,
-		Load:    report,
-	})
-	h.forgetIfDone(r)
-}
-
 // addTo adds what the router has done to a count of the fleet.
 func (h *hollowRouter) addTo(count *FleetCount) {
 	h.mu.Lock()
--- a/internal/scaletest/hollow_watch.go
+++ b/internal/scaletest/hollow_watch.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file implements a hollow router's watch of the endpoint list.
+
 import (
 	"context"
 	"fmt"
@@ -64,7 +66,8 @@
 	wait := discovery.WatchWait(h.fleet.settings.WatchRequired)
 	ctx, cancel := context.WithTimeout(h.fleet.ctx, wait+discovery.ResponseAllowance)
 	defer cancel()
-	url := fmt.Sprintf("http://%s%s?after=%d&wait_ms=%d", h.fleet.spec.DiscoveryAddr, discoveryPath, version, wait.Milliseconds())
+	url := fmt.Sprintf("http://%s%s?after=%d&wait_ms=%d",
+		h.fleet.spec.DiscoveryAddr, discoveryPath, version, wait.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
--- a/internal/scaletest/log_tail.go
+++ b/internal/scaletest/log_tail.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file keeps the end of the log of a process.
+
 import (
 	"bytes"
 	"strings"
--- a/internal/scaletest/mirror.go
+++ b/internal/scaletest/mirror.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file implements the sockets that repeat the traffic of simulated connections.
+
 import (
 	"net"
 	"time"
@@ -15,7 +17,7 @@
 }
 
 // mirror repeats on a socket what a simulated connection does, with a delay: for the hollow router
-// itself, or for another router of the fleet that is not played.
+// itself, or for another router of the fleet that is not simulated.
 func (f *Fleet) mirror(addr string, openedAt time.Time, delay time.Duration, messages <-chan mirroredMessage) {
 	time.Sleep(time.Until(openedAt.Add(delay)))
 	nc, err := net.DialTimeout("tcp", addr, mirrorDialTimeout)
--- a/internal/scaletest/point.go
+++ b/internal/scaletest/point.go
@@ -1,17 +1,19 @@
 package scaletest
 
+// This file defines the size and the options of one run, and validates them.
+
 import (
 	"fmt"
 	"syscall"
 	"time"
 )
 
-// Point says what one run plays.
+// Point is the size and the options of one run.
 type Point struct {
 	CacheServers, Routers int
 
 	RequestRate       float64       // requests a second at each router
-	HollowRouters     int           // hollow routers that are played, at most; each keeps a watch
+	HollowRouters     int           // hollow routers to simulate, at most; each keeps a watch
 	ActiveRouters     int           // of these, how many get requests, at most
 	ConnectedServers  int           // cache servers to which the whole fleet's sockets are opened, at most
 	MaxServerConns    int           // connections that a cache server holds
@@ -58,7 +60,8 @@
 }
 
 func (e *DescriptorError) Error() string {
-	return fmt.Sprintf("up to %d descriptors in a process, of %d: give less for open, hollow or cache-conns", e.Needed, e.Limit)
+	return fmt.Sprintf("up to %d descriptors in a process, of %d: give less for open, hollow or cache-conns",
+		e.Needed, e.Limit)
 }
 
 // Validate checks that everything is in range and that the point fits into this machine's limit of
@@ -145,5 +148,5 @@
 	return position
 }
 
-// share is the i-th of n parts of a whole number, as even as can be.
-func share(whole, n, i int) int { return whole*(i+1)/n - whole*i/n }
+// share is the i-th of n nearly equal parts of a total.
+func share(total, n, i int) int { return total*(i+1)/n - total*i/n }
--- a/internal/scaletest/pool.go
+++ b/internal/scaletest/pool.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file implements a hollow router's connection pool for one cache server.
+
 import (
 	"slices"
 
@@ -70,7 +72,7 @@
 // dispatch gives connections to the attempts that wait for one.
 func (p *pool) dispatch() {
 	h := p.router
-	p.closeIdle(h.now - h.fleet.transport.Keepalive*3/4)
+	p.closeIdle(h.now - p.idleCutoff())
 	if !p.inService {
 		p.closeIdle(h.now)
 	}
@@ -89,6 +91,10 @@
 	}
 }
 
+// idleCutoff is how long a connection may be idle. The cache server closes it only later, so that no
+// request meets a connection on its way down.
+func (p *pool) idleCutoff() policy.Time { return p.router.fleet.transport.Keepalive * 3 / 4 }
+
 // acquire returns the settled connection that was used last, or a new one, or nil.
 func (p *pool) acquire() *simulatedConn {
 	if c := p.takeSettled(); c != nil {
@@ -151,44 +157,3 @@
 		return c.closed
 	})
 }
-
-// takeDescriptor takes a descriptor for a connection. Where none is left, it closes the connection
-// that has been idle for longest, and reports false if there is none.
-func (h *hollowRouter) takeDescriptor() bool {
-	if h.openConns >= h.maxConns && !h.closeLongestIdle() {
-		h.descriptorShortage = true
-		return false
-	}
-	h.openConns++
-	return true
-}
-
-func (h *hollowRouter) closeLongestIdle() bool {
-	var oldest *pool
-	for _, p := range h.pools {
-		if len(p.idle) > 0 && (oldest == nil || p.idle[0].idleSince < oldest.idle[0].idleSince) {
-			oldest = p
-		}
-	}
-	if oldest == nil {
-		return false
-	}
-	c := oldest.idle[0]
-	oldest.idle = slices.Delete(oldest.idle, 0, 1)
-	c.close()
-	return true
-}
-
-// returnDescriptor has the pools dispatch again if there was a shortage.
-func (h *hollowRouter) returnDescriptor() {
-	h.openConns--
-	if !h.descriptorShortage {
-		return
-	}
-	h.descriptorShortage = false
-	h.scheduleAt(h.now, func() {
-		for _, p := range h.pools {
-			p.dispatch()
-		}
-	})
-}
--- a/internal/scaletest/process.go
+++ b/internal/scaletest/process.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file starts processes, exchanges messages with them and reads their usage.
+
 import (
 	"encoding/json"
 	"fmt"
@@ -54,9 +56,9 @@
 	}
 }
 
-// startRole starts this program in a role and reads its reply when it is ready. The process is
+// startWorker starts this program as a worker and reads its reply when it is ready. The process is
 // returned also where it did not become ready, and has to be stopped then.
-func startRole(name string, r role, ready any, onExit func(error)) (*process, error) {
+func startWorker(name string, r role, ready any, onExit func(error)) (*process, error) {
 	program, err := os.Executable()
 	if err != nil {
 		return nil, err
@@ -80,7 +82,7 @@
 }
 
 // do has a process carry out a command and reads its reply.
-func (p *process) do(command processCommand, reply any) error { return p.exchange(command, reply) }
+func (p *process) do(command workerCommand, reply any) error { return p.exchange(command, reply) }
 
 func (p *process) exchange(message, reply any) error {
 	err := p.encoder.Encode(message)
--- a/internal/scaletest/report.go
+++ b/internal/scaletest/report.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file defines the result of a point and writes it as a table.
+
 import (
 	"bytes"
 	"fmt"
@@ -61,7 +63,8 @@
 // WriteTable writes a point for people.
 func (r *Result) WriteTable(out io.Writer) error {
 	var text bytes.Buffer
-	fmt.Fprintf(&text, "\n%d caches, %d routers, %.0f requests a second; %.1f s\n", r.CacheServers, r.Routers, r.RequestRate, r.WindowSeconds)
+	fmt.Fprintf(&text, "\n%d caches, %d routers, %.0f requests a second; %.1f s\n",
+		r.CacheServers, r.Routers, r.RequestRate, r.WindowSeconds)
 	var rows bytes.Buffer
 	for _, f := range r.Figures {
 		fmt.Fprintf(&rows, "%s\t%s\t%.4g\t%s\t%s\n", f.Role, f.Name, f.Value, f.Unit, f.Basis)
@@ -74,7 +77,8 @@
 		if f.Value > budget.max {
 			verdict = "OVER"
 		}
-		fmt.Fprintf(&text, "control of a router, %s: %.4g %s, %s the %.4g it may spend\n", f.Name, f.Value, f.Unit, verdict, budget.max)
+		fmt.Fprintf(&text, "control of a router, %s: %.4g %s, %s the %.4g it may spend\n",
+			f.Name, f.Value, f.Unit, verdict, budget.max)
 	}
 	for _, left := range r.NotMeasured {
 		fmt.Fprintln(&text, "not measured:", left)
--- a/internal/scaletest/router_group.go
+++ b/internal/scaletest/router_group.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file defines the groups of routers whose traffic is counted apart.
+
 // routerGroup says which routers use a port of a stand-in. Every stand-in has a port for each
 // group, so that what the groups cost is counted apart.
 type routerGroup int
--- a/internal/scaletest/router_process.go
+++ b/internal/scaletest/router_process.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file builds and starts real routers.
+
 import (
 	"context"
 	"encoding/json"
@@ -61,13 +63,15 @@
 
 // startRouter starts a real router, with its configuration in dir, and returns its address once it
 // answers PING. The process is returned also where it does not, and has to be stopped then.
-func startRouter(ctx context.Context, program, dir string, config routerConfig, onExit func(error)) (*process, string, error) {
+func startRouter(
+	ctx context.Context, program, dir string, config routerConfig, onExit func(error),
+) (p *process, addr string, err error) {
 	path, err := writeRouterConfig(dir, config)
 	if err != nil {
 		return nil, "", err
 	}
 	serving := make(chan string, 1)
-	p := &process{name: "router " + config.Name, cmd: exec.Command("/bin/sh", "-c", `exec "$0"`, program)}
+	p = &process{name: "router " + config.Name, cmd: exec.Command("/bin/sh", "-c", `exec "$0"`, program)}
 	p.log.onLine = func(line string) {
 		if _, addr, ok := strings.Cut(line, servingLogMessage); ok && len(serving) == 0 {
 			serving <- addr
@@ -78,7 +82,7 @@
 	if err := p.start(onExit); err != nil {
 		return nil, "", err
 	}
-	addr, err := p.waitUntilServing(ctx, serving)
+	addr, err = p.waitUntilServing(ctx, serving)
 	if err != nil {
 		return p, "", fmt.Errorf("%s did not start: %w; its log ends with:\n%s", p.name, err, &p.log)
 	}
--- a/internal/scaletest/runner.go
+++ b/internal/scaletest/runner.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file runs one point from start to result.
+
 import (
 	"context"
 	"os"
@@ -9,7 +11,7 @@
 // outageAftermath is the time over which the calls at discovery's return are counted.
 const outageAftermath = 2 * time.Second
 
-// Run plays one point with the given program as the real router.
+// Run measures one point with the given program as the real router.
 func Run(ctx context.Context, p Point, program string) (*Result, error) {
 	if err := p.Validate(); err != nil {
 		return nil, err
@@ -76,7 +78,8 @@
 	callsPerRouter := func(from, to []DiscoveryCount, span time.Duration) float64 {
 		return float64(to[groupHollow].Calls-from[groupHollow].Calls) / float64(t.hollowRouters()) / span.Seconds()
 	}
-	result.add(roleDiscovery, "calls a router while it is down", unitPerSecond, callsPerRouter(down, up, t.Outage), basisMeasured)
-	result.add(roleDiscovery, "calls a router at its return", unitPerSecond, callsPerRouter(up, after, outageAftermath), basisMeasured)
+	whileDown, atReturn := callsPerRouter(down, up, t.Outage), callsPerRouter(up, after, outageAftermath)
+	result.add(roleDiscovery, "calls a router while it is down", unitPerSecond, whileDown, basisMeasured)
+	result.add(roleDiscovery, "calls a router at its return", unitPerSecond, atReturn, basisMeasured)
 	return nil
 }
--- a/internal/scaletest/sample.go
+++ b/internal/scaletest/sample.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file reads the counters of every process at one moment.
+
 import (
 	"errors"
 	"time"
--- a/internal/scaletest/settings.go
+++ b/internal/scaletest/settings.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file defines the settings of the fleet and their JSON form.
+
 import (
 	"encoding/json"
 	"time"
--- a/internal/scaletest/simulated_conn.go
+++ b/internal/scaletest/simulated_conn.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file implements simulated connections to cache servers.
+
 import (
 	"time"
 
--- a/internal/scaletest/slopes.go
+++ b/internal/scaletest/slopes.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file fits the growth of figures with the size of the fleet.
+
 import (
 	"bytes"
 	"fmt"
@@ -29,11 +31,14 @@
 }
 
 var (
-	byCacheServers = fleetSize{"cache", func(r *Result) float64 { return float64(r.CacheServers) }}
-	byRouters      = fleetSize{"router", func(r *Result) float64 { return float64(r.Routers) }}
-	byPairs        = fleetSize{"cache and router", func(r *Result) float64 { return float64(r.CacheServers) * float64(r.Routers) }}
+	byCacheServers = fleetSize{"cache", cacheServerCount}
+	byRouters      = fleetSize{"router", routerCount}
+	byPairs        = fleetSize{"cache and router", func(r *Result) float64 { return cacheServerCount(r) * routerCount(r) }}
 )
 
+func cacheServerCount(r *Result) float64 { return float64(r.CacheServers) }
+func routerCount(r *Result) float64      { return float64(r.Routers) }
+
 // slopeFigures are the figures of control, with what they grow with.
 var slopeFigures = []struct {
 	role, name string
--- a/internal/scaletest/testbed.go
+++ b/internal/scaletest/testbed.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file starts and stops the processes of one run.
+
 import (
 	"context"
 	"encoding/json"
@@ -42,9 +44,9 @@
 	return t.startFleets(discovery)
 }
 
-// startRole starts a process that plays a part, and reads its reply when it is ready.
-func (t *testbed) startRole(name string, r role, ready any) (*process, error) {
-	p, err := startRole(name, r, ready, t.onExit)
+// startWorker starts a worker process and reads its reply when it is ready.
+func (t *testbed) startWorker(name string, r role, ready any) (*process, error) {
+	p, err := startWorker(name, r, ready, t.onExit)
 	if p != nil {
 		t.processes = append(t.processes, p)
 	}
@@ -63,7 +65,7 @@
 			IdleTimeout: keepalive,
 		}
 		var ready [][]string
-		p, err := t.startRole("caches", role{CacheServers: spec}, &ready)
+		p, err := t.startWorker("caches", role{CacheServers: spec}, &ready)
 		if err != nil {
 			return nil, err
 		}
@@ -75,7 +77,7 @@
 
 func (t *testbed) startDiscovery(addrs [][]string) (ready discoveryReady, err error) {
 	spec := &discoverySpec{Addrs: addrs, Groups: int(groupCount), RestartInterval: t.RestartInterval}
-	t.discovery, err = t.startRole("agent", role{Discovery: spec}, &ready)
+	t.discovery, err = t.startWorker("agent", role{Discovery: spec}, &ready)
 	return ready, err
 }
 
@@ -89,7 +91,9 @@
 }
 
 // startRealRouter starts the real router of a group, with clients unless it is the idle one.
-func (t *testbed) startRealRouter(ctx context.Context, dir, program string, group routerGroup, discovery discoveryReady) error {
+func (t *testbed) startRealRouter(
+	ctx context.Context, dir, program string, group routerGroup, discovery discoveryReady,
+) error {
 	config := routerConfig{
 		Name:      group.String(),
 		Listen:    "127.0.0.1:0",
@@ -117,7 +121,7 @@
 func (t *testbed) startFleets(discovery discoveryReady) error {
 	for i := range t.fleetProcesses() {
 		var started int
-		p, err := t.startRole("fleet", role{Fleet: t.fleetSpec(i, discovery)}, &started)
+		p, err := t.startWorker("fleet", role{Fleet: t.fleetSpec(i, discovery)}, &started)
 		if err != nil {
 			return err
 		}
@@ -126,7 +130,7 @@
 	return nil
 }
 
-// fleetSpec is the part of the hollow routers that the i-th process plays.
+// fleetSpec is the share of the hollow routers that the i-th process runs.
 func (t *testbed) fleetSpec(i int, discovery discoveryReady) *FleetSpec {
 	n := t.fleetProcesses()
 	spec := &FleetSpec{
--- /dev/null
+++ b/internal/scaletest/worker.go
@@ -0,0 +1,144 @@
+package scaletest
+
+// This file defines the worker processes and their protocol.
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"runtime/debug"
+	"time"
+)
+
+// RoleEnv is the environment variable that makes a process of this program a worker.
+const RoleEnv = "SCALETEST_ROLE"
+
+// role says what a worker runs: one of these.
+type role struct {
+	CacheServers *CacheServersSpec
+	Discovery    *discoverySpec
+	Fleet        *FleetSpec
+}
+
+// discoverySpec says what the discovery agent of a run is.
+type discoverySpec struct {
+	Addrs           [][]string // of the cache servers, by cache server and group
+	Groups          int
+	RestartInterval time.Duration // 0 for never
+}
+
+// discoveryReady is the reply of a discovery agent at its start, by group.
+type discoveryReady struct {
+	Addrs     []string
+	Endpoints []json.RawMessage // the endpoint list
+}
+
+// workerCommand is a command to a worker. The reply is what the worker has counted.
+type workerCommand string
+
+const (
+	commandCount         workerCommand = "count"
+	commandDiscoveryDown workerCommand = "down"
+	commandDiscoveryUp   workerCommand = "up"
+)
+
+// worker runs one role.
+type worker interface {
+	// ready is the reply to the role, once the worker is ready.
+	ready() any
+	// handle returns the reply to a command.
+	handle(command workerCommand) any
+}
+
+// Serve runs a worker: it reads a role and then commands from in, and replies to each on out, until
+// in ends.
+func Serve(in io.Reader, out io.Writer) error {
+	decoder, encoder := json.NewDecoder(in), json.NewEncoder(out)
+	var r role
+	if err := decoder.Decode(&r); err != nil {
+		return err
+	}
+	w, err := newWorker(r)
+	if err != nil {
+		return err
+	}
+	reply := w.ready()
+	for {
+		if err := encoder.Encode(reply); err != nil {
+			return err
+		}
+		var command workerCommand
+		err := decoder.Decode(&command)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		reply = w.handle(command)
+	}
+}
+
+func newWorker(r role) (worker, error) {
+	switch {
+	case r.CacheServers != nil:
+		servers, err := StartCacheServers(*r.CacheServers)
+		return cacheServersWorker{servers}, err
+	case r.Discovery != nil:
+		return startDiscoveryWorker(*r.Discovery)
+	default:
+		return startFleetWorker(*r.Fleet)
+	}
+}
+
+type cacheServersWorker struct{ servers *CacheServers }
+
+func (w cacheServersWorker) ready() any               { return w.servers.Addrs }
+func (w cacheServersWorker) handle(workerCommand) any { return w.servers.Count() }
+
+type discoveryWorker struct {
+	agent  *DiscoveryAgent
+	groups int
+}
+
+func startDiscoveryWorker(spec discoverySpec) (worker, error) {
+	agent, err := StartDiscoveryAgent(spec.Addrs, spec.Groups)
+	if err != nil {
+		return nil, err
+	}
+	go agent.KeepRenewingWeights()
+	if spec.RestartInterval > 0 {
+		go agent.KeepRestarting(spec.RestartInterval)
+	}
+	return discoveryWorker{agent: agent, groups: spec.Groups}, nil
+}
+
+func (w discoveryWorker) ready() any {
+	reply := discoveryReady{Addrs: w.agent.Addrs}
+	for group := range w.groups {
+		reply.Endpoints = append(reply.Endpoints, w.agent.Snapshot(group))
+	}
+	return reply
+}
+
+func (w discoveryWorker) handle(command workerCommand) any {
+	if command != commandCount {
+		w.agent.SetDown(command == commandDiscoveryDown)
+	}
+	return w.agent.Count()
+}
+
+type fleetWorker struct{ fleet *Fleet }
+
+// fleetGCPercent has the garbage collector run seldom: there is enough memory, but not enough
+// processor time.
+const fleetGCPercent = 400
+
+func startFleetWorker(spec FleetSpec) (worker, error) {
+	debug.SetGCPercent(fleetGCPercent)
+	fleet, err := StartFleet(spec)
+	return fleetWorker{fleet}, err
+}
+
+func (w fleetWorker) ready() any               { return len(w.fleet.routers) }
+func (w fleetWorker) handle(workerCommand) any { return w.fleet.Count() }
--- a/internal/scaletest/workload.go
+++ b/internal/scaletest/workload.go
@@ -1,5 +1,7 @@
 package scaletest
 
+// This file generates requests.
+
 import (
 	"math/rand/v2"
 	"time"
