Move the router onto package resp and split pool, connection and attempt

Comments give the invariant or the reason. writeDone loses its error, which it never read: an incomplete write says as much. Order of events, goroutines, timeouts and bytes are as before.

--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"marlstage/internal/resp"
 	"marlstage/policy"
 )
 
@@ -45,7 +46,7 @@
 	"refusal without its end":  "-BUSY",
 	"refusal with half an end": "-BUSY\r",
 	"bulk string":              "$5\r\nval",
-	"large value":              "*3\r\n$65536\r\n" + strings.Repeat("v", maxValueSize/2),
+	"large value":              "*3\r\n$65536\r\n" + strings.Repeat("v", resp.MaxValueSize/2),
 }
 
 // TestAnswerThatBreaksOff is a reset of an attempt that may have run, however much of it has come.
@@ -299,7 +300,7 @@
 func (r *rig) wantNext(cache func() *fakeCache) {
 	r.t.Helper()
 	q := r.request(nil)
-	r.do(func() { q.command.args[2] = []byte("last") })
+	r.do(func() { q.command.Args[resp.IDArgument] = []byte("last") })
 	r.send(q, long)
 	cmd := receive(r.t, cache().commands, "command")
 	if cmd.args[2] != "last" {
@@ -372,7 +373,7 @@
 			wire := get("r1")
 			if !inTime {
 				srv.commandTimeout = 300 * time.Millisecond
-				wire = words("C.GET", strings.Repeat("k", maxArgumentSize), "r1", "c=read,d=20000")
+				wire = words("C.GET", strings.Repeat("k", resp.MaxArgumentSize), "r1", "c=read,d=20000")
 			}
 			c := dial(t, startServer(t, srv).addr)
 			c.send(words("PING"))
@@ -447,7 +448,7 @@
 			t.Errorf("ended after %d us, with a window of %d", o.Elapsed, window)
 		}
 		q = r.request(nil)
-		r.do(func() { q.command.args[2] = []byte("last") })
+		r.do(func() { q.command.Args[resp.IDArgument] = []byte("last") })
 		r.send(q, long)
 		cmd := receive(t, up().commands, "command")
 		if cmd.args[2] != "last" {
@@ -679,7 +680,7 @@
 		t.Fatal(err)
 	}
 	c.send(get("r1"))
-	value := strings.Repeat("v", maxValueSize)
+	value := strings.Repeat("v", resp.MaxValueSize)
 	receive(t, cache.commands, "command").reply(t, "*3\r\n$65536\r\n"+value+"\r\n$3\r\nhit\r\n$-1\r\n")
 	await(t, "a resting connection", func() bool {
 		r.srv.mu.Lock()
--- /dev/null
+++ b/internal/router/attempt.go
@@ -0,0 +1,105 @@
+package router
+
+import (
+	"slices"
+
+	"marlstage/internal/resp"
+	"marlstage/policy"
+)
+
+// attemptState is how far an attempt has come.
+type attemptState uint8
+
+const (
+	attemptQueued  attemptState = iota // for a connection; not a byte has been written
+	attemptWriting                     // partly written
+	attemptWritten                     // completely written: the server may execute it from now on
+	attemptDone
+)
+
+// attempt is one attempt of a request, or a health check if it has no request. It has exactly one
+// outcome.
+type attempt struct {
+	request       *request
+	number        int // of the request's attempts, from 0
+	pool          *pool
+	sentAt        policy.Time
+	deadline      policy.Time
+	startBefore   policy.Time // the server must not begin it at or after this time; 0 for no limit
+	state         attemptState
+	conn          *upstreamConn // that carries it; nil while it is queued and once it is done
+	abandoned     bool          // while it was partly written
+	abandonResult policy.Result // of an abandoned attempt, if it turns out to be completely written
+}
+
+// dialDeadline is the time by which the attempt must have a connection.
+func (a *attempt) dialDeadline() policy.Time {
+	return a.sentAt + a.pool.loop.cfg.Transport.DialTimeout
+}
+
+// dialDeadlineExceeded ends the attempt if it is still queued.
+func (a *attempt) dialDeadlineExceeded() {
+	if a.state != attemptQueued {
+		return
+	}
+	result := policy.ConnectFailed
+	if len(a.pool.conns) == 0 {
+		// No descriptor was left to dial with, which says nothing about the server: with more
+		// servers than descriptors, healthy ones would count as unreachable.
+		result = policy.NotSent
+	}
+	a.finish(result, nil)
+}
+
+// startWindowClosed ends the attempt unless it has been completely written. A server begins a
+// command at its last byte, and after the window it no longer drops a repeated one.
+func (a *attempt) startWindowClosed() {
+	if a.state == attemptQueued || a.state == attemptWriting {
+		a.abandon(policy.TimedOut)
+	}
+}
+
+// abandon stops waiting for an attempt that was cancelled or has timed out.
+func (a *attempt) abandon(reason policy.Result) {
+	switch a.state {
+	case attemptQueued:
+		a.finish(policy.NotSent, nil)
+	case attemptWriting:
+		// Whether the last byte has been written is known when the writer has stopped: see writeDone.
+		a.abandoned, a.abandonResult = true, reason
+		a.conn.close()
+	case attemptWritten:
+		a.conn.close()
+		a.finish(reason, nil)
+	}
+}
+
+// finish gives the attempt its outcome. Only the first call has an effect.
+func (a *attempt) finish(result policy.Result, reply *resp.Reply) {
+	if a.state == attemptDone {
+		return
+	}
+	if a.state == attemptQueued {
+		a.dequeue()
+	}
+	a.state = attemptDone
+	if a.conn != nil {
+		a.conn.attempt, a.conn = nil, nil
+	}
+	a.pool.loop.attemptDone(a, result, reply)
+}
+
+func (a *attempt) dequeue() {
+	p := a.pool
+	if i := slices.Index(p.queue, a); i >= 0 {
+		p.queue = append(p.queue[:i], p.queue[i+1:]...)
+	}
+}
+
+// encode returns the attempt's command: the client's, with the time that the attempt has left.
+func (a *attempt) encode(now policy.Time) []byte {
+	if a.request == nil {
+		return resp.AppendPing(nil)
+	}
+	return a.request.command.Encode(a.deadline - now)
+}
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -11,14 +11,12 @@
 
 	"github.com/tidwall/redcon"
 
+	"marlstage/internal/resp"
 	"marlstage/policy"
 )
 
 const (
-	maxValueSize        = 64 << 10                // bytes of a value
-	maxArgumentSize     = 1 << 10                 // ... of a key, an id or the list of names and values
-	maxCommandSize      = maxValueSize + 4<<10    // ... of a whole command
-	requestOverhead     = 1 << 10                 // ... of what is kept for a request beside its bytes
+	requestOverhead     = 1 << 10                 // bytes of what is kept for a request beside its bytes
 	maxIdleBuffer       = 8 << 10                 // bytes of room that a connection keeps between commands
 	maxPipelined        = 512                     // commands of one connection that may await their answers
 	writeTimeout        = 5 * time.Second         // for an answer to a client that does not read
@@ -33,7 +31,6 @@
 	drainSlack          = 650 * time.Millisecond  // beyond the longest deadline, for the drain after SIGTERM: SIGKILL may follow 50 ms later
 	maxDrainTimeout     = 3 * time.Second         // ... which counts as no longer than this until SIGKILL
 	drainAnswerMargin   = 100 * time.Millisecond  // before that, when the last answers are given
-	optionsArgument     = 3                       // place of the names and values in a command
 )
 
 // clientConn is a connection of a client.
@@ -78,11 +75,11 @@
 	// The danger: a peer that says nothing, or half a command, holds a descriptor for ever.
 	until := time.Now().Add(c.srv.commandTimeout) // when the first command is due, or the rest of any that has begun
 	for cut := false; ; {
-		complete, args, used, err := nextCommand(buf)
+		args, used, err := resp.NextCommand(buf)
 		if err != nil {
 			return c.reply(redcon.AppendError(nil, "ERR Protocol error: "+err.Error()))
 		}
-		if complete {
+		if used > 0 {
 			if goesOn, there := c.handleCommand(args, buf[:used]); !goesOn {
 				return there
 			}
@@ -97,7 +94,7 @@
 			}
 			continue
 		}
-		if len(buf) >= maxCommandSize {
+		if len(buf) >= resp.MaxCommandSize {
 			return c.reply([]byte("-ERR Protocol error: too big a command\r\n"))
 		}
 		if len(buf) == cap(buf) {
@@ -139,7 +136,7 @@
 // danger: a client that leaves meanwhile goes unnoticed, and its requests are sent on.
 func (c *clientConn) discard() {
 	buf := make([]byte, 4096)
-	for total := 0; total < 4*maxCommandSize; {
+	for total := 0; total < 4*resp.MaxCommandSize; {
 		n, err := c.nc.Read(buf)
 		total += n
 		switch {
@@ -213,11 +210,11 @@
 		return said([]byte("-ERR unknown command\r\n"))
 	}
 	// The command outlives the buffer.
-	_, args, _, err := nextCommand(bytes.Clone(raw))
+	args, _, err := resp.NextCommand(bytes.Clone(raw))
 	if err != nil {
 		return false, true
 	}
-	cmd, err := parseCommand(args, len(raw))
+	cmd, err := resp.ParseCommand(args, len(raw))
 	if err == nil {
 		err = c.srv.validate(raw, cmd)
 	}
@@ -241,13 +238,13 @@
 
 // validate reports what is wrong with a command that can be read, but that no client sends. The
 // danger: sent on, it is served as though it were a client's, or repeated with no key to drop it.
-func (s *Server) validate(raw []byte, cmd command) error {
+func (s *Server) validate(raw []byte, cmd resp.Command) error {
 	if raw[0] != redcon.Array {
 		return errors.New("a command is an array of bulk strings")
 	}
 	for _, class := range s.cfg.Settings.Classes {
-		if class.Name == cmd.class {
-			if class.Effect == policy.IdempotentWithKey && cmd.write && !cmd.hasIdempotencyKey {
+		if class.Name == cmd.Class {
+			if class.Effect == policy.IdempotentWithKey && cmd.Write && !cmd.HasIdempotencyKey {
 				return errors.New("k is needed")
 			}
 			return nil
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"marlstage/internal/resp"
 	"marlstage/policy"
 )
 
@@ -86,7 +87,7 @@
 	}, host("c1", cache.addr(), "in_service")))
 	over := make(chan struct{})
 	defer close(over)
-	large := "*3\r\n$65536\r\n" + strings.Repeat("v", maxValueSize) + "\r\n$-1\r\n$-1\r\n"
+	large := "*3\r\n$65536\r\n" + strings.Repeat("v", resp.MaxValueSize) + "\r\n$-1\r\n$-1\r\n"
 	var large64 atomic.Int64
 	go func() {
 		for {
@@ -151,7 +152,7 @@
 		{words("C.GET", "", "id", "c=read,d=10"), false},
 		{words("C.GET", "k", "id", "c=read,d=10", "value"), false},
 		{words("C.SET", "k", "id", "c=put,d=10"), false},
-		{words("C.GET", strings.Repeat("k", maxArgumentSize+1), "id", "c=read,d=10"), false},
+		{words("C.GET", strings.Repeat("k", resp.MaxArgumentSize+1), "id", "c=read,d=10"), false},
 		{"FLUSHALL\r\n", false},
 		{"C.GET k id c=read,d=10000\r\n", false}, // not an array of bulk strings
 		{words("C.GET", "k", "id", "c=other,d=10000"), false},
@@ -162,7 +163,7 @@
 		{"*1\r\n!3\r\n", true},
 		{"$4 PING\r\n", true},
 		{"*2\r\n$5\r\nC.GETXX", true},
-		{"*5\r\n$5\r\nC.SET\r\n$70000\r\n" + strings.Repeat("x", 2*maxCommandSize), true},
+		{"*5\r\n$5\r\nC.SET\r\n$70000\r\n" + strings.Repeat("x", 2*resp.MaxCommandSize), true},
 	} {
 		cl := dial(t, r.addr)
 		cl.send(c.wire)
@@ -216,14 +217,6 @@
 	idle.wantClosed()
 }
 
-func TestBusyRoundsUp(t *testing.T) {
-	for wait, want := range map[policy.Time]string{0: "-BUSY\r\n", 1: "-BUSY 1\r\n", 1000: "-BUSY 1\r\n", 1001: "-BUSY 2\r\n", 600_000: "-BUSY 600\r\n"} {
-		if got := string(appendBusy(nil, wait)); got != want {
-			t.Errorf("%d: %q, want %q", wait, got, want)
-		}
-	}
-}
-
 // TestMostOpen: what is over the settings' bound is refused before it reaches the module.
 func TestMostOpen(t *testing.T) {
 	cache := newFakeCache(t)
--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"marlstage/internal/resp"
 	"marlstage/policy"
 )
 
@@ -408,7 +409,7 @@
 			r.do(func() {
 				a := q.attempts[0]
 				c := a.conn
-				rep, _, err := readReply(strings.NewReader(served), nil)
+				rep, _, err := resp.ReadReply(strings.NewReader(served), nil)
 				if err != nil {
 					t.Error(err)
 					return
@@ -420,7 +421,7 @@
 				if q.done {
 					t.Error("an answer to half a request was served")
 				}
-				c.writeDone(a, true, nil)
+				c.writeDone(a, true)
 			})
 			r.want(policy.Served)
 		})
@@ -552,7 +553,7 @@
 	go func(nc net.Conn) { // until the router closes it
 		io.WriteString(nc, "*16\r\n")
 		for {
-			if _, err := io.WriteString(nc, "$65536\r\n"+strings.Repeat("v", maxValueSize)+"\r\n"); err != nil {
+			if _, err := io.WriteString(nc, "$65536\r\n"+strings.Repeat("v", resp.MaxValueSize)+"\r\n"); err != nil {
 				return
 			}
 		}
--- a/internal/router/departure_test.go
+++ b/internal/router/departure_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"marlstage/internal/resp"
 	"marlstage/policy"
 )
 
@@ -129,7 +130,7 @@
 func (d *departure) wantNothingBegun() {
 	d.t.Helper()
 	args := [][]byte{[]byte("C.GET"), []byte("k1"), []byte("last"), []byte("c=read,d=20000")}
-	cmd, err := parseCommand(args, 100)
+	cmd, err := resp.ParseCommand(args, 100)
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/router/descriptors_test.go
+++ b/internal/router/descriptors_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"marlstage/internal/resp"
 )
 
 // returningDiscovery answers nothing until it is up; then each watch it holds is told of.
@@ -83,7 +85,7 @@
 // at once; meanwhile others are answered, and afterwards nothing is held.
 func TestFloods(t *testing.T) {
 	const peers = 20
-	large := words("C.SET", "k1", "r1", "c=put,k=a,d=20000", strings.Repeat("v", maxValueSize))
+	large := words("C.SET", "k1", "r1", "c=put,k=a,d=20000", strings.Repeat("v", resp.MaxValueSize))
 	for name, flood := range map[string]struct {
 		part        string // is sent over and over, ...
 		bytes       int    // ... until so many have gone
--- /dev/null
+++ b/internal/router/dispatch.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"marlstage/policy"
+)
+
+// submit sends an attempt on an idle connection, or queues it for one.
+func (p *pool) submit(a *attempt) {
+	p.loop.schedule(a.deadline, func() { a.abandon(policy.TimedOut) })
+	if a.startBefore > 0 {
+		p.loop.schedule(a.startBefore, a.startWindowClosed)
+	}
+	p.queue = append(p.queue, a)
+	p.dispatch()
+	if a.state == attemptQueued {
+		p.loop.schedule(a.dialDeadline(), a.dialDeadlineExceeded)
+	}
+}
+
+// dispatch writes queued attempts, first in, first out, to idle connections and dials where there
+// are too few.
+func (p *pool) dispatch() {
+	p.closeIdle(p.idleCutoff())
+	for len(p.queue) > 0 {
+		a := p.queue[0]
+		// The loop may have taken long to get here, and a deadline may have passed since.
+		p.loop.now = p.loop.clock()
+		if !p.canStart(a) {
+			a.finish(policy.NotSent, nil)
+			continue
+		}
+		c := p.takeSettledConn()
+		if c == nil {
+			p.dialMissing()
+			p.dispatchWhenSettled()
+			return
+		}
+		c.writeAttempt(a)
+	}
+}
+
+// canStart is the last check before an attempt's first byte is written: everything may have changed
+// while it was queued.
+func (p *pool) canStart(a *attempt) bool {
+	r := a.request
+	if r != nil && !r.done && r.client.hungUp() {
+		// The event that the client is gone may still be queued. The client's socket is asked each
+		// time, as it may have been closed before its request was read.
+		p.loop.clientGone(r.client)
+	}
+	now := p.loop.now
+	requestDone := r != nil && r.done
+	inStartWindow := a.startBefore == 0 || now < a.startBefore
+	return p.inService && now < a.deadline && inStartWindow && !requestDone
+}
+
+// dispatchWhenSettled sets a timer for when the first idle connection settles. There is one timer at
+// most: one for each call would pile up under load.
+func (p *pool) dispatchWhenSettled() {
+	if len(p.idle) == 0 || p.settleTimerSet {
+		return
+	}
+	p.settleTimerSet = true
+	p.loop.schedule(p.idle[0].idleSince+p.loop.settleTime, func() {
+		p.settleTimerSet = false
+		p.dispatch()
+	})
+}
--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"marlstage/internal/resp"
 	"marlstage/policy"
 )
 
@@ -51,8 +52,8 @@
 const (
 	logQueueSize       = 256  // lines that wait for whoever reads the log; more are dropped
 	eventQueueSize     = 1024 // events under way to the loop before senders wait
-	busyReply          = "-BUSY\r\n"
-	failedReply        = "-ERR failed\r\n"
+	busyReply          = resp.BusyReply
+	failedReply        = resp.FailedReply
 	sweepInterval      = 1_000_000 // microseconds between looks for idle connections, ...
 	sweepsPerKeepalive = 8         // or so many looks while a cache keeps one
 	watchBackoffBase   = 100_000   // ... before another watch where the list has to come by itself: at most
@@ -172,7 +173,7 @@
 		}
 	case policy.Reject:
 		if r := l.requests[a.ID]; r != nil {
-			l.finish(r, appendBusy(nil, a.RetryAfter))
+			l.finish(r, resp.AppendBusy(nil, a.RetryAfter))
 		}
 	case policy.Fail:
 		if r := l.requests[a.ID]; r != nil {
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"marlstage/internal/resp"
 	"marlstage/policy"
 )
 
@@ -313,14 +314,14 @@
 		args[0] = []byte("C.SET")
 		args = append(args, value)
 	}
-	cmd, err := parseCommand(args, len(value)+100)
+	cmd, err := resp.ParseCommand(args, len(value)+100)
 	if err != nil {
 		r.t.Fatal(err)
 	}
 	return r.take(cmd)
 }
 
-func (r *rig) take(cmd command) *request {
+func (r *rig) take(cmd resp.Command) *request {
 	r.t.Helper()
 	var q *request
 	r.do(func() {
--- a/internal/router/outcome_test.go
+++ b/internal/router/outcome_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"marlstage/internal/resp"
 	"marlstage/policy"
 )
 
@@ -55,16 +56,6 @@
 	}
 }
 
-func TestLoadReport(t *testing.T) {
-	l := parseLoad("inflight=7,util=0.61,eps=2,queue=NaN")
-	if l.Utilization != 0.61 || l.ErrorRate != 2 {
-		t.Errorf("load %+v", l)
-	}
-	if l := parseLoad("util=-1"); l.Utilization != -1 {
-		t.Errorf("a bad figure gave %+v", l)
-	}
-}
-
 func TestRefusedConnectionNeverRan(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -160,7 +151,7 @@
 		r.want(policy.Served)
 	}
 	args := [][]byte{[]byte("C.GET"), []byte("k1"), []byte("last"), []byte("c=read,d=20000")}
-	cmd, err := parseCommand(args, 100)
+	cmd, err := resp.ParseCommand(args, 100)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -276,7 +267,7 @@
 // huge makes a request that no socket takes at once.
 func huge(r *rig) *request {
 	q := r.request([]byte("v"))
-	r.do(func() { q.command.args[optionsArgument+1] = bytes.Repeat([]byte("v"), 64<<20) })
+	r.do(func() { q.command.Args[resp.ValueArgument] = bytes.Repeat([]byte("v"), 64<<20) })
 	return q
 }
 
@@ -328,7 +319,7 @@
 func TestMalformedAnswers(t *testing.T) {
 	for _, wire := range []string{"garbage\r\n", "$-5\r\n", "$9223372036854775807\r\n", "*9223372036854775807\r\n",
 		"*3\r\n$5\r\nvalueXX$3\r\nhit\r\n", "*1\r\n$x\r\n", "*-7\r\n", "$3\r\nabcdef\r\n",
-		"+" + strings.Repeat("x", 4*maxLineLength), "*2\r\n$1\r\na\r\n!\r\n", served + "trailing"} {
+		"+" + strings.Repeat("x", 4*resp.MaxLineLength), "*2\r\n$1\r\na\r\n!\r\n", served + "trailing"} {
 		cache := newFakeCache(t)
 		r := newRig(t, cache.addr(), nil)
 		r.send(r.request(nil), long)
@@ -345,7 +336,7 @@
 func TestAnswerInPieces(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
-	value := strings.Repeat("v", maxValueSize)
+	value := strings.Repeat("v", resp.MaxValueSize)
 	q := r.request(nil)
 	r.send(q, long)
 	cmd := receive(t, cache.commands, "command")
@@ -381,7 +372,7 @@
 func TestWhatGoesOn(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
-	cmd, err := parseCommand([][]byte{[]byte("C.SET"), []byte("key"), []byte("id"),
+	cmd, err := resp.ParseCommand([][]byte{[]byte("C.SET"), []byte("key"), []byte("id"),
 		[]byte("c=put,t=acme,d=20000,k=5c0f,size=12"), []byte("\x00\r\nVALUE")}, 100)
 	if err != nil {
 		t.Fatal(err)
@@ -438,7 +429,7 @@
 // TestClaimedPatienceIsBounded by what the settings say of any client.
 func TestClaimedPatienceIsBounded(t *testing.T) {
 	r := newRig(t, "127.0.0.1:1", nil)
-	cmd, err := parseCommand([][]byte{[]byte("C.GET"), []byte("k"), []byte("id"), []byte("c=read,d=2000000000")}, 60)
+	cmd, err := resp.ParseCommand([][]byte{[]byte("C.GET"), []byte("k"), []byte("id"), []byte("c=read,d=2000000000")}, 60)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/pools.go
+++ b/internal/router/pools.go
@@ -1,48 +1,63 @@
 package router
 
-// acquireDescriptor takes one for a connection to a cache. Where none is left, the connection that has
-// been idle for longest, at whichever cache, makes room.
+// minSweepInterval is the shortest time in microseconds between sweeps for idle connections.
+const minSweepInterval = 1_000
+
+// acquireDescriptor reserves a descriptor for a connection to a cache server. If none is left, the
+// connection that has been idle for longest, to whichever server, is closed for it.
 func (l *eventLoop) acquireDescriptor() bool {
 	if l.upstreamConns >= l.descriptors.maxUpstreamConns {
-		var oldest *pool // the one used first stands first
-		for _, u := range l.pools {
-			if len(u.idle) > 0 && (oldest == nil || u.idle[0].idleSince < oldest.idle[0].idleSince) {
-				oldest = u
-			}
-		}
-		if oldest == nil {
+		p := l.longestIdlePool()
+		if p == nil {
 			l.descriptorStarved = true
 			return false
 		}
-		c := oldest.idle[0]
-		oldest.idle = append(oldest.idle[:0], oldest.idle[1:]...)
-		c.close()
+		p.closeConn(p.idle[0])
 	}
 	l.upstreamConns++
 	return true
 }
 
-// releaseDescriptor takes a connection's descriptor back.
+// longestIdlePool returns the pool of the connection that has been idle for longest, which is the
+// first one in its pool; nil if no connection is idle.
+func (l *eventLoop) longestIdlePool() *pool {
+	var longest *pool
+	for _, p := range l.pools {
+		if len(p.idle) == 0 {
+			continue
+		}
+		if longest == nil || p.idle[0].idleSince < longest.idle[0].idleSince {
+			longest = p
+		}
+	}
+	return longest
+}
+
+// releaseDescriptor gives a connection's descriptor back and has queued attempts dispatched that may
+// be waiting for it.
 func (l *eventLoop) releaseDescriptor() {
 	l.upstreamConns--
-	if l.descriptorStarved {
-		l.descriptorStarved = false
-		l.schedule(l.now, func() {
-			for _, u := range l.pools {
-				u.dispatch()
-			}
-		})
+	if !l.descriptorStarved {
+		return
 	}
+	l.descriptorStarved = false
+	l.schedule(l.now, func() {
+		for _, p := range l.pools {
+			p.dispatch()
+		}
+	})
 }
 
-// sweepIdle closes upstream connections before their caches do, and forgets the caches that are gone; the module
-// has been told of that by now. The danger: machines come and go, and memory grows with their names.
+// sweepIdle closes idle connections before the cache servers do and drops the pools of servers that
+// are gone, so that memory doesn't grow with every server there ever was. The policy has been
+// notified by then.
 func (l *eventLoop) sweepIdle() {
-	for name, u := range l.pools {
-		u.closeIdle(u.idleCutoff())
-		if !u.inService && len(u.conns) == 0 {
+	for name, p := range l.pools {
+		p.closeIdle(p.idleCutoff())
+		if !p.inService && len(p.conns) == 0 {
 			delete(l.pools, name)
 		}
 	}
-	l.scheduleAfter(max(1000, min(sweepInterval, l.cfg.Transport.Keepalive/sweepsPerKeepalive)), l.sweepIdle)
+	interval := min(sweepInterval, l.cfg.Transport.Keepalive/sweepsPerKeepalive)
+	l.scheduleAfter(max(minSweepInterval, interval), l.sweepIdle)
 }
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -1,13 +1,14 @@
 package router
 
 import (
+	"marlstage/internal/resp"
 	"marlstage/policy"
 )
 
 // request is one command of a client that the module decides about.
 type request struct {
 	id              int64
-	command         command
+	command         resp.Command
 	deadline        policy.Time
 	client          *clientConn
 	slot            *replySlot
@@ -17,25 +18,25 @@
 }
 
 // acceptRequest takes a request from a client and asks the module about it.
-func (l *eventLoop) acceptRequest(c *clientConn, s *replySlot, cmd command, read policy.Time) {
+func (l *eventLoop) acceptRequest(c *clientConn, s *replySlot, cmd resp.Command, read policy.Time) {
 	if l.cfg.Transport.MaxOpen > 0 && l.openRequests >= l.cfg.Transport.MaxOpen {
 		s.fill([]byte(busyReply)) // beyond what the settings let a router hold; never sent on
 		return
 	}
 	if l.maxTimeout > 0 {
 		// The danger: timers last as long as the client claims to wait, and hold the request.
-		cmd.timeout = min(cmd.timeout, l.maxTimeout)
+		cmd.Timeout = min(cmd.Timeout, l.maxTimeout)
 	}
 	if l.drainDeadline > 0 {
-		cmd.timeout = max(0, min(cmd.timeout, l.drainDeadline-read)) // what SIGKILL would find unanswered is lost
+		cmd.Timeout = max(0, min(cmd.Timeout, l.drainDeadline-read)) // what SIGKILL would find unanswered is lost
 	}
 	l.lastID++
-	r := &request{id: l.lastID, command: cmd, deadline: read + cmd.timeout, client: c, slot: s}
+	r := &request{id: l.lastID, command: cmd, deadline: read + cmd.Timeout, client: c, slot: s}
 	l.requests[r.id] = r
 	l.openRequests++
 	c.requests[r.id] = r
-	l.pendingEvents = append(l.pendingEvents, &policy.Request{ID: r.id, Class: cmd.class, Tenant: cmd.tenant, Key: cmd.keyHash,
-		HasKey: true, Deadline: r.deadline, Cost: cmd.cost, Write: cmd.write})
+	l.pendingEvents = append(l.pendingEvents, &policy.Request{ID: r.id, Class: cmd.Class, Tenant: cmd.Tenant, Key: cmd.KeyHash,
+		HasKey: true, Deadline: r.deadline, Cost: cmd.Cost, Write: cmd.Write})
 }
 
 // beginDrain notes that the router is to end, as it was told at the given time.
--- a/internal/router/upstream_conn.go
+++ b/internal/router/upstream_conn.go
@@ -1,44 +1,53 @@
 package router
 
 import (
-	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"marlstage/internal/resp"
 	"marlstage/policy"
 )
 
-// upstreamConn is one connection to a cache. It carries one request at a time: answers
-// come in order, and a quick one must not wait for a slow one.
+// upstreamConn is a connection to a cache server. It carries one attempt at a time: a server replies
+// in the order of the requests, and a fast reply must not wait for a slow one.
+//
+// Its reader runs in a goroutine of its own; the fields belong to the event loop except where they
+// say otherwise.
 type upstreamConn struct {
 	pool        *pool
 	addr        string
-	nc          *net.TCPConn // nil until it is up
+	nc          net.Conn // nil until the connection is established
 	raw         syscall.RawConn
-	connectedAt policy.Time   // when it came up
-	attempt     *attempt      // what it carries
-	sequence    atomic.Uint32 // attempts begun on it
-	mu          sync.Mutex    // held over a look at what has come, and what follows from it
-	replyBegun  atomic.Bool   // some of an answer has been read
-	earlyReply  *reply        // an answer that came before the loop learned that its request was whole
+	connectedAt policy.Time
+	attempt     *attempt    // that it carries
+	earlyReply  *resp.Reply // arrived before the loop learned that its request was completely written
 	idleSince   policy.Time
 	closed      bool
+
+	// mu is held by the reader while it reads from the socket and notes what arrived, and by the
+	// loop while it checks that nothing has arrived and begins an attempt.
+	mu         sync.Mutex
+	sequence   atomic.Uint32 // attempts begun on the connection
+	replyBegun atomic.Bool   // part of a reply has been read
 }
 
-// matchesEndpoint reports whether the connection leads to the process that the list names.
+// isNew reports whether the connection has not carried an attempt yet.
+func (c *upstreamConn) isNew() bool { return c.sequence.Load() == 0 }
+
+// matchesEndpoint reports whether the connection leads to the address and the incarnation of the
+// server that the endpoint list names.
 func (c *upstreamConn) matchesEndpoint() bool {
 	return c.addr == c.pool.addr && c.connectedAt >= c.pool.startedAt
 }
 
-// run dials and then reads answers, until the connection ends.
+// run dials and then reads replies until the connection ends. It runs in its own goroutine.
 func (c *upstreamConn) run(addr string, timeout time.Duration) {
-	u := c.pool
+	loop := c.pool.loop
 	nc, raw, err := dialTCP(addr, timeout)
-	u.loop.post(func() { u.dialDone(c, nc, raw, err) })
+	loop.post(func() { c.pool.dialDone(c, nc, raw, err) })
 	if err != nil {
 		return
 	}
@@ -46,223 +55,80 @@
 	in := &sequencedReader{conn: c, raw: raw}
 	var buf []byte
 	for {
-		rep, rest, err := readReply(in, buf)
+		reply, rest, err := resp.ReadReply(in, buf)
 		if err != nil {
-			u.loop.post(c.connectionLost)
+			loop.post(c.connectionLost)
 			return
 		}
 		buf = rest
-		// Bytes behind an answer are not awaited by anyone: the connection is out of step.
-		clean, turn := len(rest) == 0, in.sequence
+		// No request is outstanding for bytes behind a reply: the connection is out of step.
+		inStep := len(rest) == 0
+		sequence := in.sequence
 		in.sequence = 0
 		c.replyBegun.Store(false)
-		u.loop.post(func() { c.replyReceived(rep, turn, clean) })
-	}
-}
-
-// sequencedReader reads from a connection. It notes with the first bytes of an answer how many attempts had been begun by
-// then.
-type sequencedReader struct {
-	conn     *upstreamConn
-	raw      syscall.RawConn
-	sequence uint32 // 0 until bytes have come
-}
-
-func (a *sequencedReader) Read(b []byte) (n int, err error) {
-	rerr := a.raw.Read(func(fd uintptr) bool {
-		a.conn.mu.Lock()
-		defer a.conn.mu.Unlock()
-		for n, err = syscall.Read(int(fd), b); err == syscall.EINTR; {
-			n, err = syscall.Read(int(fd), b)
-		}
-		if n > 0 && a.sequence == 0 {
-			a.sequence = a.conn.sequence.Load()
-			a.conn.replyBegun.Store(true)
-		}
-		return err != syscall.EAGAIN
-	})
-	switch {
-	case rerr != nil:
-		return 0, rerr
-	case err != nil:
-		return 0, err
-	case n == 0:
-		return 0, io.EOF
+		loop.post(func() { c.replyReceived(reply, sequence, inStep) })
 	}
-	return n, nil
 }
 
-func dialTCP(addr string, timeout time.Duration) (*net.TCPConn, syscall.RawConn, error) {
-	nc, err := (&net.Dialer{Timeout: timeout, KeepAlive: -1}).Dial("tcp", addr)
-	if err != nil {
-		return nil, nil, err
-	}
-	tcp := nc.(*net.TCPConn)
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		tcp.Close()
-		return nil, nil, err
-	}
-	return tcp, raw, nil
-}
-
-// isSilent reports whether neither bytes nor an end have come since the last answer.
-func (c *upstreamConn) isSilent() bool {
-	if c.replyBegun.Load() {
-		return false
-	}
-	quiet := false
-	err := c.raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EINTR
-	})
-	return quiet && err == nil
-}
-
-// beginAttempt counts an attempt, unless something has come before it. The danger: bytes come between the two.
-func (c *upstreamConn) beginAttempt() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.isSilent() {
-		return false
-	}
-	c.sequence.Add(1)
-	return true
-}
-
-// close ends a connection. Its reader sees the end of it.
-func (c *upstreamConn) close() {
+// replyReceived takes a reply whose first bytes arrived when the given number of attempts had been
+// begun. inStep is false if more bytes arrived behind it.
+func (c *upstreamConn) replyReceived(reply *resp.Reply, sequence uint32, inStep bool) {
 	if c.closed {
 		return
 	}
-	c.closed = true
-	u := c.pool
-	delete(u.conns, c)
-	if c.nc != nil {
-		c.nc.Close()
-	} else {
-		u.dialing--
-	}
-	u.loop.releaseDescriptor()
-}
-
-// writeAttempt sends the attempt that has waited longest. The loop itself writes as much as the socket takes at
-// once, nearly always all: so nothing comes between the last look and the first byte.
-func (c *upstreamConn) writeAttempt(a *attempt) {
-	fresh := c.sequence.Load() == 0
-	if !c.beginAttempt() {
-		c.failUnsent(a, fresh) // the danger: half a line becomes part of the answer, or the end a reset that may have run
+	a := c.attempt
+	if a == nil || sequence != c.sequence.Load() {
+		// It replies to no request, or arrived before the request was begun. Later replies can't be
+		// assigned to requests either.
+		c.connectionLost()
 		return
 	}
-	buf := a.encode(c.pool.loop.now)
-	n, err := c.tryWrite(buf)
-	if n == 0 && err != nil {
-		c.failUnsent(a, fresh) // the cache had closed it
+	if a.state == attemptWriting {
+		if c.earlyReply == nil {
+			c.earlyReply = reply
+		}
 		return
 	}
-	c.pool.queue = c.pool.queue[1:]
-	c.attempt, a.conn = a, c
-	switch {
-	case err != nil:
-		a.state = attemptWriting
-		c.close()
-		a.finish(policy.ConnectFailed, nil)
-	case n == len(buf):
-		a.state = attemptWritten
-	default:
-		a.state = attemptWriting
-		go func() {
-			m, err := c.nc.Write(buf[n:])
-			c.pool.loop.post(func() { c.writeDone(a, n+m == len(buf), err) })
-		}()
-	}
-}
-
-// failUnsent closes a connection that can't carry the attempt. Not a byte has gone out, so the attempt may have another
-// one. The danger: a cache that closes each as it comes up is dialed without end.
-func (c *upstreamConn) failUnsent(a *attempt, fresh bool) {
-	c.close()
-	if fresh {
-		a.finish(policy.ConnectFailed, nil)
-	}
-}
-
-// writeDone takes the news of a long write.
-func (c *upstreamConn) writeDone(a *attempt, whole bool, err error) {
-	if a.state != attemptWriting {
-		return
+	result := reply.Result
+	if a.request == nil && reply.Pong {
+		result = policy.Served
 	}
-	switch {
-	case !whole && a.abandoned && a.abandonResult != policy.ConnectionLost:
-		a.finish(policy.NotSent, nil)
-	case !whole:
+	a.finish(result, reply)
+	if !inStep {
 		c.close()
-		a.finish(policy.ConnectFailed, nil)
-	case c.earlyReply != nil && (!a.abandoned || a.abandonResult == policy.ConnectionLost):
-		c.close() // it was answered, and may have been closed behind that
-		a.finish(c.earlyReply.result, c.earlyReply)
-	case a.abandoned:
-		a.finish(a.abandonResult, nil)
-	default:
-		a.state = attemptWritten
-	}
-}
-
-// tryWrite writes what the socket takes without waiting.
-func (c *upstreamConn) tryWrite(b []byte) (n int, err error) {
-	werr := c.raw.Write(func(fd uintptr) bool {
-		for {
-			n, err = syscall.Write(int(fd), b)
-			if err != syscall.EINTR {
-				return true
-			}
-		}
-	})
-	if err == syscall.EAGAIN {
-		return 0, nil
+		return
 	}
-	return max(n, 0), errors.Join(werr, err)
+	c.pool.release(c)
 }
 
-// connectionLost takes the news that the connection has ended.
+// connectionLost handles the end of the connection.
 func (c *upstreamConn) connectionLost() {
-	u := c.pool
-	u.closeConn(c)
+	c.pool.closeConn(c)
 	if a := c.attempt; a != nil {
 		switch {
 		case a.state != attemptWriting:
 			a.finish(policy.ConnectionLost, nil)
-		case !a.abandoned: // else the router itself has closed it
+		case !a.abandoned:
+			// The writer's outcome is still to come. An abandoned attempt keeps its own result, as
+			// the router itself has closed the connection.
 			a.abandoned, a.abandonResult = true, policy.ConnectionLost
 		}
 	}
-	u.dispatch()
+	c.pool.dispatch()
 }
 
-// replyReceived takes an answer.
-func (c *upstreamConn) replyReceived(rep *reply, turn uint32, clean bool) {
+// close ends the connection. The reader gets an error from its next read.
+func (c *upstreamConn) close() {
 	if c.closed {
 		return
 	}
-	a := c.attempt
-	if a == nil || turn != c.sequence.Load() {
-		c.connectionLost() // nobody asked, or not yet: what else comes can't be told apart either
-		return
-	}
-	if a.state == attemptWriting {
-		if c.earlyReply == nil {
-			c.earlyReply = rep
-		}
-		return
-	}
-	result := rep.result
-	if a.request == nil && rep.pong {
-		result = policy.Served
-	}
-	a.finish(result, rep)
-	if !clean {
-		c.close()
-		return
+	c.closed = true
+	p := c.pool
+	delete(p.conns, c)
+	if c.nc != nil {
+		c.nc.Close()
+	} else {
+		p.dialing--
 	}
-	c.pool.release(c)
+	p.loop.releaseDescriptor()
 }
