Split the tests of the cache-server side by concern and name them in the field's terms

answers_test.go had 706 lines of seven concerns, and the names of its tests and of outcome_test.go's were words of our own.

--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -399,9 +399,9 @@
 func TestAnswerBeforeTheLongWriteIsKnownToBeWhole(t *testing.T) {
 	for name, closes := range map[string]bool{"stays": false, "closes": true} {
 		t.Run(name, func(t *testing.T) {
-			addr, conns := deafCache(t)
+			addr, conns := nonReadingServer(t)
 			r := newRig(t, addr, nil)
-			q := huge(r)
+			q := largeRequest(r)
 			r.send(q, long)
 			if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil { // it has begun
 				t.Fatal(err)
@@ -457,7 +457,7 @@
 // counted once.
 func TestCacheThatMovesDuringADial(t *testing.T) {
 	moved := newFakeCache(t)
-	r := newRig(t, unreachable(t), nil)
+	r := newRig(t, unreachableAddr(t), nil)
 	r.send(r.request(nil), long)
 	r.do(func() {
 		h, err := parseHosts([]byte(hosts(2, false, host("c1", moved.addr(), "in_service"))))
@@ -575,7 +575,7 @@
 
 // TestRepeatThatWaitsIsNotBegunTooLate: caches drop a repeat for so long only, and it was decided on in time.
 func TestRepeatThatWaitsIsNotBegunTooLate(t *testing.T) {
-	r, cache, busy := busyPool(t)
+	r, cache, busy := exhaustedPool(t)
 	q := r.request(nil)
 	r.do(func() {
 		r.l.perform(policy.Send{ID: q.id, Cache: "c1", StartBefore: r.l.now + 1000})
@@ -584,5 +584,5 @@
 	busy[0].reply(t, served)
 	r.want(policy.Served)
 	r.want(policy.NotSent)
-	freed(t, r, cache, busy[1:])
+	wantNothingForwarded(t, r, cache, busy[1:])
 }
--- /dev/null
+++ b/internal/router/dial_test.go
@@ -0,0 +1,220 @@
+package router
+
+import (
+	"net"
+	"os"
+	"syscall"
+	"testing"
+
+	"marlstage/internal/resp"
+	"marlstage/policy"
+)
+
+// slowAcceptServer returns the address of a server whose accept queue is full until accept is called. The first
+// handshake of each connection fails before that, so they are established late.
+func slowAcceptServer(t *testing.T) (addr string, accept func() *fakeCache) {
+	t.Helper()
+	addr, fd := fullAcceptQueue(t)
+	return addr, func() *fakeCache {
+		t.Helper()
+		if err := syscall.Listen(fd, 1000); err != nil {
+			t.Fatal(err)
+		}
+		dup, err := syscall.Dup(fd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := os.NewFile(uintptr(dup), "listener")
+		defer func() { _ = f.Close() }() // the listener has a descriptor of its own
+		ln, err := net.FileListener(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fakeCacheOn(t, ln)
+	}
+}
+
+// wantIdleConns wants n connections, all of them idle, and as many descriptors in use.
+func (r *rig) wantIdleConns(n int) {
+	r.t.Helper()
+	r.do(func() {
+		if p := r.l.pools["c1"]; r.l.upstreamConns != n || len(p.conns) != n || len(p.idle) != n || p.dialing != 0 {
+			r.t.Errorf("%d descriptors, %d connections, %d idle, %d dials; want %d idle", r.l.upstreamConns, len(p.conns), len(p.idle),
+				p.dialing, n)
+		}
+	})
+}
+
+// TestSlowDialsServeBurst: once the connections are established, all requests of a burst are served, and each descriptor
+// is counted once.
+func TestSlowDialsServeBurst(t *testing.T) {
+	addr, accept := slowAcceptServer(t)
+	r := newRig(t, addr, nil)
+	const burst = 50
+	for range burst {
+		r.send(r.request(nil), long)
+	}
+	r.do(func() {
+		if p := r.l.pools["c1"]; p.dialing != maxDials || len(p.queue) != burst {
+			t.Errorf("%d dials, %d attempts queued", p.dialing, len(p.queue))
+		}
+	})
+	cache := accept()
+	conns := map[net.Conn]bool{}
+	for range burst {
+		cmd := receive(t, cache.commands, "command")
+		conns[cmd.conn] = true
+		cmd.reply(t, served)
+		r.want(policy.Served)
+	}
+	await(t, "the end of the dials", func() (none bool) {
+		r.do(func() { none = r.l.pools["c1"].dialing == 0 })
+		return none
+	})
+	r.do(func() {
+		r.l.perform(policy.CloseIdleConnections{Cache: "c1"})
+	})
+	for range conns {
+		receive(t, cache.ended, "end of an idle connection")
+	}
+	r.wantIdleConns(0)
+}
+
+// TestDialTimeoutFailsBurst: the attempts fail to connect, and nothing of them is written once the server accepts
+// connections again.
+func TestDialTimeoutFailsBurst(t *testing.T) {
+	addr, accept := slowAcceptServer(t)
+	r := newRig(t, addr, func(c *Config) { c.Transport.DialTimeout = 300_000 })
+	const burst = 50
+	for range burst {
+		r.send(r.request(nil), long)
+	}
+	for range burst {
+		r.want(policy.ConnectFailed)
+	}
+	await(t, "the end of the dials", func() (none bool) {
+		r.do(func() { none = r.l.pools["c1"].dialing == 0 })
+		return none
+	})
+	r.wantIdleConns(0)
+	cache := accept()
+	r.do(func() { r.l.cfg.Transport.DialTimeout = patience.Microseconds() })
+	r.wantServedNext(func() *fakeCache { return cache })
+}
+
+// wantServedNext wants the next request to be the first that the server is sent, on a connection that is then idle.
+func (r *rig) wantServedNext(server func() *fakeCache) {
+	r.t.Helper()
+	q := r.request(nil)
+	r.do(func() { q.command.Args[resp.IDArgument] = []byte("last") })
+	r.send(q, long)
+	cmd := receive(r.t, server().commands, "command")
+	if cmd.args[2] != "last" {
+		r.t.Errorf("the server was sent %q", cmd.args)
+	}
+	cmd.reply(r.t, served)
+	r.want(policy.Served)
+	r.wantIdleConns(1)
+}
+
+// TestSlowDialCarriesNoFinishedAttempt: the attempt that it was dialed for has ended, and the next request uses the
+// connection.
+func TestSlowDialCarriesNoFinishedAttempt(t *testing.T) {
+	for name, end := range map[string]func(*rig, *request){
+		"timed out": func(_ *rig, q *request) { q.attempts[0].abandon(policy.TimedOut) },
+		"start window closed": func(r *rig, q *request) {
+			q.attempts[0].startBefore = r.l.now
+			r.l.pools["c1"].dispatch()
+		},
+		"cancelled":   func(r *rig, q *request) { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) },
+		"rejected":    func(r *rig, q *request) { r.l.perform(policy.Reject{ID: q.id}) },
+		"client gone": func(r *rig, q *request) { r.l.clientGone(q.client) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, accept := slowAcceptServer(t)
+			r := newRig(t, addr, nil)
+			q := r.request(nil)
+			r.send(q, long)
+			r.do(func() { end(r, q) })
+			r.want(policy.NotSent)
+			r.wantServedNext(accept)
+		})
+	}
+}
+
+// TestDialTimeoutFailsNoLaterAttempt: a later attempt has a dial and a dial deadline of its own.
+func TestDialTimeoutFailsNoLaterAttempt(t *testing.T) {
+	addr, accept := slowAcceptServer(t)
+	r := newRig(t, addr, nil)
+	q, later := r.request(nil), r.request(nil)
+	r.send(q, long)
+	r.do(func() {
+		p := r.l.pools["c1"]
+		var first *upstreamConn
+		for first = range p.conns {
+		}
+		q.attempts[0].finish(policy.ConnectFailed, nil) // its dial deadline has passed
+		r.l.perform(policy.Send{ID: later.id, Cache: "c1"})
+		p.dialDone(first, nil, nil, os.ErrDeadlineExceeded)
+		if later.attempts[0].state != attemptQueued {
+			t.Error("the later attempt has ended")
+		}
+	})
+	r.want(policy.ConnectFailed)
+	receive(t, accept().commands, "command").reply(t, served)
+	r.want(policy.Served)
+}
+
+func TestRefusedConnectionIsConnectFailed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	r := newRig(t, addr, nil)
+	r.send(r.request(nil), long)
+	r.want(policy.ConnectFailed)
+}
+
+func TestDialTimeoutIsConnectFailed(t *testing.T) {
+	r := newRig(t, unreachableAddr(t), func(c *Config) { c.Transport.DialTimeout = 50_000 })
+	r.send(r.request(nil), long)
+	r.want(policy.ConnectFailed)
+}
+
+// TestDrainDuringDial: a queued attempt is not sent once the router knows that the server is draining.
+func TestDrainDuringDial(t *testing.T) {
+	addr := unreachableAddr(t)
+	r := newRig(t, addr, nil)
+	r.send(r.request(nil), long)
+	r.do(func() {
+		h, err := parseHosts([]byte(hosts(2, false, host("c1", addr, "terminating"))))
+		if err != nil {
+			t.Error(err)
+		}
+		r.l.applyEndpoints(h, h.kind())
+	})
+	r.want(policy.NotSent)
+}
+
+// TestBurstStaysWithinConnectionLimit: a burst is served one request after the other on few connections.
+func TestBurstStaysWithinConnectionLimit(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.addr(), func(c *Config) { c.Settings.Routers = 12 })
+	const burst = 100
+	for range burst {
+		r.send(r.request(nil), long)
+	}
+	conns := map[net.Conn]bool{}
+	for range burst {
+		cmd := receive(t, cache.commands, "command")
+		conns[cmd.conn] = true
+		cmd.reply(t, served)
+		r.want(policy.Served)
+	}
+	if most := maxFleetConns / 12; len(conns) > most {
+		t.Errorf("%d connections for %d requests, want %d at most", len(conns), burst, most)
+	}
+}
--- a/internal/router/outcome_test.go
+++ b/internal/router/outcome_test.go
@@ -1,13 +1,9 @@
 package router
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
-	"net"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -15,10 +11,8 @@
 	"marlstage/policy"
 )
 
-const long = 20 * time.Second
-
-// TestAnswersAndTheirOutcomes holds the rows of the protocol's table in which an answer comes.
-func TestAnswersAndTheirOutcomes(t *testing.T) {
+// TestReplyResults covers the rows of the protocol's table in which a reply arrives.
+func TestReplyResults(t *testing.T) {
 	for _, c := range []struct {
 		wire   string
 		result policy.Result
@@ -31,7 +25,7 @@
 		{"-ERR failed\r\n", policy.ServerError, false},
 		{"-BUSY\r\n", policy.Rejected, false},
 		{"-SYNTAX\r\n", policy.ServerError, false},
-		{"*3\r\n$-1\r\n$-1\r\n$-1\r\n", policy.ServerError, false}, // a value that is null serves nobody
+		{"*3\r\n$-1\r\n$-1\r\n$-1\r\n", policy.ServerError, false}, // a null value serves no request
 		{"*1\r\n$5\r\nvalue\r\n", policy.ServerError, false},
 		{"*2\r\n$5\r\nvalue\r\n$3\r\nhit\r\n", policy.ServerError, false},
 		{"*4\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n$-1\r\n", policy.ServerError, false},
@@ -46,148 +40,43 @@
 		cmd.reply(t, c.wire)
 		o := r.want(c.result)
 		if o.Miss != c.miss || o.Final != (c.result == policy.Served) {
-			t.Errorf("%q: miss %v, last %v", c.wire, o.Miss, o.Final)
+			t.Errorf("%q: miss %v, final %v", c.wire, o.Miss, o.Final)
 		}
 		if c.result == policy.Served {
-			if got := string(receive(t, q.slot.reply, "answer")); got != "$5\r\nvalue\r\n" {
+			if got := string(receive(t, q.slot.reply, "reply")); got != "$5\r\nvalue\r\n" {
 				t.Errorf("%q: the client got %q", c.wire, got)
 			}
 		}
 	}
 }
 
-func TestRefusedConnectionNeverRan(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := ln.Addr().String()
-	ln.Close()
-	r := newRig(t, addr, nil)
-	r.send(r.request(nil), long)
-	r.want(policy.ConnectFailed)
-}
-
-// unreachable is an address at which connections never come up: its queue is full.
-func unreachable(t *testing.T) string {
-	t.Helper()
-	addr, _ := fullQueue(t)
-	return addr
-}
-
-// fullQueue is a socket that listens and has no room for connections.
-func fullQueue(t *testing.T) (addr string, fd int) {
-	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { syscall.Close(fd) })
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
-	sa, err := syscall.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr = (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: sa.(*syscall.SockaddrInet4).Port}).String()
-	for range 20 {
-		nc, err := net.DialTimeout("tcp", addr, time.Second)
-		var ne net.Error
-		if errors.As(err, &ne) && ne.Timeout() {
-			return addr, fd
-		}
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { nc.Close() })
-	}
-	t.Fatal("the queue does not fill")
-	return "", 0
-}
-
-func TestConnectionThatNeverComesUpNeverRan(t *testing.T) {
-	r := newRig(t, unreachable(t), func(c *Config) { c.Transport.DialTimeout = 50_000 })
-	r.send(r.request(nil), long)
-	r.want(policy.ConnectFailed)
-}
-
-// TestDrainAgainstPendingDial: what waits for a connection is not sent once the drain is known.
-func TestDrainAgainstPendingDial(t *testing.T) {
-	addr := unreachable(t)
-	r := newRig(t, addr, nil)
-	r.send(r.request(nil), long)
-	r.do(func() {
-		h, err := parseHosts([]byte(hosts(2, false, host("c1", addr, "terminating"))))
-		if err != nil {
-			t.Error(err)
-		}
-		r.l.applyEndpoints(h, h.kind())
-	})
-	r.want(policy.NotSent)
-}
-
-// busyPool makes a rig whose connections to the cache are all in use.
-func busyPool(t *testing.T) (*rig, *fakeCache, []fakeCommand) {
-	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), func(c *Config) { c.Settings.Routers = 1000 })
-	var busy []fakeCommand
-	for range minConns {
-		r.send(r.request(nil), long)
-		busy = append(busy, receive(t, cache.commands, "command"))
-	}
-	return r, cache, busy
-}
-
-// freed ends what holds the connections and has one more request served: had anything else
-// been sent on before it, the cache would have it by then.
-func freed(t *testing.T, r *rig, cache *fakeCache, busy []fakeCommand) {
-	t.Helper()
-	for _, cmd := range busy {
-		cmd.reply(t, served)
-		r.want(policy.Served)
-	}
-	args := [][]byte{[]byte("C.GET"), []byte("k1"), []byte("last"), []byte("c=read,d=20000")}
-	cmd, err := resp.ParseCommand(args, 100)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.send(r.take(cmd), long)
-	if got := receive(t, cache.commands, "command"); got.args[2] != "last" {
-		t.Errorf("the cache was sent %q", got.args)
-	}
-}
-
-// TestWaitingAttemptIsNotSentWhenItsRequestIsOver holds the last look before the first byte.
-func TestWaitingAttemptIsNotSentWhenItsRequestIsOver(t *testing.T) {
+// TestQueuedAttemptIsNotSentAfterFinalReply covers the check before the first byte is written.
+func TestQueuedAttemptIsNotSentAfterFinalReply(t *testing.T) {
 	for name, end := range map[string]func(*rig, *request){
-		"refused":   func(r *rig, q *request) { r.l.perform(policy.Reject{ID: q.id}) },
-		"failed":    func(r *rig, q *request) { r.l.perform(policy.Fail{ID: q.id}) },
-		"cancelled": func(r *rig, q *request) { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) },
-		"departed":  func(r *rig, q *request) { r.l.clientGone(q.client) },
+		"rejected":    func(r *rig, q *request) { r.l.perform(policy.Reject{ID: q.id}) },
+		"failed":      func(r *rig, q *request) { r.l.perform(policy.Fail{ID: q.id}) },
+		"cancelled":   func(r *rig, q *request) { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) },
+		"client gone": func(r *rig, q *request) { r.l.clientGone(q.client) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			r, cache, busy := busyPool(t)
+			r, cache, busy := exhaustedPool(t)
 			q := r.request(nil)
 			r.send(q, long)
 			r.do(func() { end(r, q) })
 			r.want(policy.NotSent)
-			freed(t, r, cache, busy)
+			wantNothingForwarded(t, r, cache, busy)
 		})
 	}
 }
 
-func TestWaitingAttemptIsNotSentAfterItsTime(t *testing.T) {
-	r, cache, busy := busyPool(t)
+func TestQueuedAttemptIsNotSentAfterDeadline(t *testing.T) {
+	r, cache, busy := exhaustedPool(t)
 	r.send(r.request(nil), time.Millisecond)
 	r.want(policy.NotSent)
-	freed(t, r, cache, busy)
+	wantNothingForwarded(t, r, cache, busy)
 }
 
-func TestFullPoolCountsAsNoConnection(t *testing.T) {
+func TestExhaustedPoolIsConnectFailed(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), func(c *Config) { c.Settings.Routers = 1000 })
 	for range minConns {
@@ -199,27 +88,7 @@
 	r.want(policy.ConnectFailed)
 }
 
-// TestBurstDoesNotDialForEach: connections stay under the bound, and all is served in turn.
-func TestBurstDoesNotDialForEach(t *testing.T) {
-	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), func(c *Config) { c.Settings.Routers = 12 })
-	const burst = 100
-	for range burst {
-		r.send(r.request(nil), long)
-	}
-	conns := map[net.Conn]bool{}
-	for range burst {
-		cmd := receive(t, cache.commands, "command")
-		conns[cmd.conn] = true
-		cmd.reply(t, served)
-		r.want(policy.Served)
-	}
-	if most := maxFleetConns / 12; len(conns) > most {
-		t.Errorf("%d connections for %d requests, want %d at most", len(conns), burst, most)
-	}
-}
-
-func TestBreakAfterTheLastByteMayHaveRun(t *testing.T) {
+func TestCloseAfterWriteIsConnectionLost(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
 	r.send(r.request(nil), long)
@@ -227,7 +96,7 @@
 	r.want(policy.ConnectionLost)
 }
 
-func TestBreakOnAReusedConnectionMayHaveRun(t *testing.T) {
+func TestCloseOfReusedConnectionIsConnectionLost(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
 	r.send(r.request(nil), long)
@@ -237,65 +106,37 @@
 	r.send(r.request(nil), long)
 	second := receive(t, cache.commands, "command")
 	if second.conn != first.conn {
-		t.Error("the idle connection was not used again")
+		t.Error("the idle connection was not reused")
 	}
 	second.conn.Close()
 	r.want(policy.ConnectionLost)
 }
 
-// deafCache takes connections and reads nothing.
-func deafCache(t *testing.T) (addr string, conns chan net.Conn) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	conns = make(chan net.Conn, 10)
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { nc.Close() })
-			conns <- nc
-		}
-	}()
-	return ln.Addr().String(), conns
-}
-
-// huge makes a request that no socket takes at once.
-func huge(r *rig) *request {
-	q := r.request([]byte("v"))
-	r.do(func() { q.command.Args[resp.ValueArgument] = bytes.Repeat([]byte("v"), 64<<20) })
-	return q
-}
-
-func TestBreakBeforeTheLastByteNeverRan(t *testing.T) {
-	addr, conns := deafCache(t)
+func TestResetDuringWriteIsConnectFailed(t *testing.T) {
+	addr, conns := nonReadingServer(t)
 	r := newRig(t, addr, nil)
-	r.send(huge(r), long)
+	r.send(largeRequest(r), long)
 	nc := receive(t, conns, "connection")
-	if _, err := nc.Read(make([]byte, 1)); err != nil { // it has begun
+	if _, err := nc.Read(make([]byte, 1)); err != nil { // the write has begun
 		t.Fatal(err)
 	}
 	nc.Close() // with bytes unread: a reset
 	r.want(policy.ConnectFailed)
 }
 
-func TestGivingUpBeforeTheLastByteNeverRan(t *testing.T) {
-	addr, conns := deafCache(t)
+func TestCancelDuringWriteIsNotSent(t *testing.T) {
+	addr, conns := nonReadingServer(t)
 	r := newRig(t, addr, nil)
-	q := huge(r)
+	q := largeRequest(r)
 	r.send(q, long)
-	if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil { // it has begun
+	if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil { // the write has begun
 		t.Fatal(err)
 	}
 	r.do(func() { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) })
 	r.want(policy.NotSent)
 }
 
-func TestNoAnswerInTimeMayHaveRun(t *testing.T) {
+func TestMissingReplyIsTimedOut(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
 	r.send(r.request(nil), 3*time.Second)
@@ -304,7 +145,7 @@
 	receive(t, cache.ended, "end of the connection")
 }
 
-func TestCancelClosesTheConnectionAndMayHaveRun(t *testing.T) {
+func TestCancelAfterWriteClosesConnection(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
 	q := r.request(nil)
@@ -315,8 +156,8 @@
 	receive(t, cache.ended, "end of the connection")
 }
 
-// TestMalformedAnswers: a cache gone mad neither ends the router nor keeps it waiting.
-func TestMalformedAnswers(t *testing.T) {
+// TestMalformedReplies: a faulty server neither ends the router nor keeps it waiting.
+func TestMalformedReplies(t *testing.T) {
 	for _, wire := range []string{"garbage\r\n", "$-5\r\n", "$9223372036854775807\r\n", "*9223372036854775807\r\n",
 		"*3\r\n$5\r\nvalueXX$3\r\nhit\r\n", "*1\r\n$x\r\n", "*-7\r\n", "$3\r\nabcdef\r\n",
 		"+" + strings.Repeat("x", 4*resp.MaxLineLength), "*2\r\n$1\r\na\r\n!\r\n", served + "trailing"} {
@@ -333,7 +174,7 @@
 	}
 }
 
-func TestAnswerInPieces(t *testing.T) {
+func TestFragmentedReply(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
 	value := strings.Repeat("v", resp.MaxValueSize)
@@ -344,32 +185,13 @@
 		cmd.reply(t, part)
 	}
 	r.want(policy.Served)
-	if got := receive(t, q.slot.reply, "answer"); string(got) != "$65536\r\n"+value+"\r\n" {
+	if got := receive(t, q.slot.reply, "reply"); string(got) != "$65536\r\n"+value+"\r\n" {
 		t.Errorf("the client got %d bytes", len(got))
 	}
 }
 
-func TestIdleConnectionsAreClosedOnRequest(t *testing.T) {
-	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
-	r.send(r.request(nil), long)
-	receive(t, cache.commands, "command").reply(t, served)
-	r.want(policy.Served)
-	r.do(func() { r.l.perform(policy.CloseIdleConnections{Cache: "c1"}) })
-	receive(t, cache.ended, "end of the idle connection")
-}
-
-func TestIdleConnectionsAreClosedBeforeTheCacheDoes(t *testing.T) {
-	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), func(c *Config) { c.Transport.Keepalive = 1000 })
-	r.send(r.request(nil), long)
-	receive(t, cache.commands, "command").reply(t, served)
-	r.want(policy.Served)
-	receive(t, cache.ended, "end of the idle connection")
-}
-
-// TestWhatGoesOn: everything but d goes on as it came.
-func TestWhatGoesOn(t *testing.T) {
+// TestForwardedCommand: everything but the timeout is forwarded as it arrived.
+func TestForwardedCommand(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
 	cmd, err := resp.ParseCommand([][]byte{[]byte("C.SET"), []byte("key"), []byte("id"),
@@ -380,34 +202,34 @@
 	r.send(r.take(cmd), 10*time.Second)
 	got := receive(t, cache.commands, "command").args
 	if got[0] != "C.SET" || got[1] != "key" || got[2] != "id" || got[4] != "\x00\r\nVALUE" {
-		t.Errorf("the cache was sent %q", got)
+		t.Errorf("the server was sent %q", got)
 	}
 	meta := strings.Split(got[3], ",")
 	d, err := strconv.Atoi(strings.TrimPrefix(meta[2], "d="))
 	meta[2] = "d"
 	if strings.Join(meta, ",") != "c=put,t=acme,d,k=5c0f,size=12" || err != nil || d < 1 || d > 10_000 {
-		t.Errorf("names and values %q", got[3])
+		t.Errorf("options %q", got[3])
 	}
 }
 
-// TestFinalAnswerStopsAHalfWrittenAttempt: no more of it goes out, and it never ran.
-func TestFinalAnswerStopsAHalfWrittenAttempt(t *testing.T) {
-	addr, conns := deafCache(t)
+// TestFinalReplyStopsPartialWrite: no more of the attempt is written, and it was not executed.
+func TestFinalReplyStopsPartialWrite(t *testing.T) {
+	addr, conns := nonReadingServer(t)
 	r := newRig(t, addr, nil)
-	q := huge(r)
+	q := largeRequest(r)
 	r.send(q, long)
 	if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil {
 		t.Fatal(err)
 	}
 	r.do(func() { r.l.perform(policy.Reject{ID: q.id}) })
 	r.want(policy.NotSent)
-	if got := string(receive(t, q.slot.reply, "answer")); got != busyReply {
+	if got := string(receive(t, q.slot.reply, "reply")); got != busyReply {
 		t.Errorf("the client got %q", got)
 	}
 }
 
-// TestCacheThatMoves: connections to its old address are not used for new work.
-func TestCacheThatMoves(t *testing.T) {
+// TestAddressChange: connections to a server's old address are not used for new requests.
+func TestAddressChange(t *testing.T) {
 	old, moved := newFakeCache(t), newFakeCache(t)
 	r := newRig(t, old.addr(), nil)
 	r.send(r.request(nil), long)
@@ -426,8 +248,8 @@
 	r.want(policy.Served)
 }
 
-// TestClaimedPatienceIsBounded by what the settings say of any client.
-func TestClaimedPatienceIsBounded(t *testing.T) {
+// TestClientTimeoutIsBounded by the longest timeout in the settings.
+func TestClientTimeoutIsBounded(t *testing.T) {
 	r := newRig(t, "127.0.0.1:1", nil)
 	cmd, err := resp.ParseCommand([][]byte{[]byte("C.GET"), []byte("k"), []byte("id"), []byte("c=read,d=2000000000")}, 60)
 	if err != nil {
@@ -441,8 +263,8 @@
 	})
 }
 
-// TestNoDescriptorSaysNothingOfTheCache: where the router had none left to ask it with, it did not fail.
-func TestNoDescriptorSaysNothingOfTheCache(t *testing.T) {
+// TestDescriptorShortageIsNotSent: a server has not failed if the router had no descriptor left to dial it with.
+func TestDescriptorShortageIsNotSent(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
 	r.do(func() {
@@ -463,8 +285,8 @@
 	r.want(policy.NotSent)
 }
 
-// TestGoneCachesAreForgotten, lest memory grow with every machine that ever was.
-func TestGoneCachesAreForgotten(t *testing.T) {
+// TestRemovedServersAreForgotten, so that memory doesn't grow with every server there ever was.
+func TestRemovedServersAreForgotten(t *testing.T) {
 	cache := newFakeCache(t)
 	r := newRig(t, cache.addr(), nil)
 	r.do(func() {
@@ -478,7 +300,7 @@
 			r.l.sweepIdle()
 		}
 		if n := len(r.l.pools); n != 2 {
-			t.Errorf("%d caches are known, of which 2 are listed", n)
+			t.Errorf("%d pools for 2 servers on the list", n)
 		}
 	})
 	r.send(r.request(nil), long)
--- a/internal/router/ready_test.go
+++ b/internal/router/ready_test.go
@@ -80,7 +80,7 @@
 
 // TestReadyWithDiscoveryDown: the list that the router had last is enough, however long it is.
 func TestReadyWithDiscoveryDown(t *testing.T) {
-	for name, addr := range map[string]string{"refuses": "127.0.0.1:1", "never comes up": unreachable(t),
+	for name, addr := range map[string]string{"refuses": "127.0.0.1:1", "never comes up": unreachableAddr(t),
 		"silent": newTroubledDiscovery(t, true).addr, "breaks off": newTroubledDiscovery(t, false).addr} {
 		for _, mode := range []string{"subscribe", "automatic"} {
 			for _, known := range []int{1, atSize} {
--- /dev/null
+++ b/internal/router/slow_client_test.go
@@ -0,0 +1,55 @@
+package router
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"marlstage/internal/resp"
+)
+
+// TestSlowClientWrites: a client is served if its command is complete within the command timeout, and gets an error
+// otherwise. A byte doesn't restart the timeout.
+func TestSlowClientWrites(t *testing.T) {
+	for name, inTime := range map[string]bool{"in time": true, "too late": false} {
+		t.Run(name, func(t *testing.T) {
+			cache := newFakeCache(t)
+			srv, err := New(testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			srv.commandTimeout = patience
+			wire := get("r1")
+			if !inTime {
+				srv.commandTimeout = 300 * time.Millisecond
+				wire = words("C.GET", strings.Repeat("k", resp.MaxArgumentSize), "r1", "c=read,d=20000")
+			}
+			c := dial(t, startServer(t, srv).addr)
+			c.send(words("PING"))
+			c.want("+PONG")
+			pace := time.NewTicker(10 * time.Millisecond) // ten seconds for the long one
+			defer pace.Stop()
+			go func() {
+				for i := range len(wire) {
+					if _, err := io.WriteString(c.nc, wire[i:i+1]); err != nil {
+						return
+					}
+					<-pace.C
+				}
+			}()
+			if !inTime {
+				if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
+					t.Errorf("reply %q", got)
+				}
+				c.wantClosed()
+				if len(cache.commands) > 0 {
+					t.Error("the command was forwarded")
+				}
+				return
+			}
+			receive(t, cache.commands, "command").reply(t, served)
+			c.want("value")
+		})
+	}
+}
