--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -40,7 +40,7 @@
 	"first element":            "*3\r\n$5\r\nvalue\r\n",
 	"length of how it went":    "*3\r\n$5\r\nvalue\r\n$3\r\n",
 	"null without its end":     "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1",
-	"all but the last byte":    served[:len(served)-1],
+	"all but the last byte":    servedReply[:len(servedReply)-1],
 	"line of an error":         "-ERR fai",
 	"refusal without its end":  "-BUSY",
 	"refusal with half an end": "-BUSY\r",
@@ -54,18 +54,18 @@
 		for name, wire := range cutAnswers {
 			t.Run(name+", "+how, func(t *testing.T) {
 				cache := newFakeCache(t)
-				r := newRig(t, cache.addr(), nil)
-				q := r.request(nil)
-				r.send(q, long)
+				r := newLoopHarness(t, cache.addr(), nil)
+				q := r.newRequest(nil)
+				r.sendAttempt(q, long)
 				cmd := receive(t, cache.commands, "command")
 				cmd.reply(t, wire)
 				end(cmd.conn)
-				if o := r.want(policy.ConnectionLost); o.Final {
+				if o := r.wantOutcome(policy.ConnectionLost); o.Final {
 					t.Error("the request is over")
 				}
 				r.do(func() {
-					if len(q.slot.reply) > 0 || r.l.upstreamConns != 0 {
-						t.Errorf("%d answers to the client, %d connections", len(q.slot.reply), r.l.upstreamConns)
+					if len(q.slot.reply) > 0 || r.loop.upstreamConns != 0 {
+						t.Errorf("%d answers to the client, %d connections", len(q.slot.reply), r.loop.upstreamConns)
 					}
 				})
 			})
@@ -80,25 +80,25 @@
 			t.Run(name+", "+how, func(t *testing.T) {
 				t.Parallel()
 				caches := []*fakeCache{newFakeCache(t), newFakeCache(t)}
-				r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", caches[0].addr(), "in_service"),
-					host("c2", caches[1].addr(), "in_service")))
+				r := startRouter(t, testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", caches[0].addr(), "in_service"),
+					endpointJSON("c2", caches[1].addr(), "in_service")))
 				c := dial(t, r.addr)
-				c.send(get("r1") + words("PING"))
+				c.send(getCommand("r1") + encodeCommand("PING"))
 				var first, second fakeCommand
 				other := caches[1]
 				select {
 				case first = <-caches[0].commands:
 				case first = <-caches[1].commands:
 					other = caches[0]
-				case <-time.After(patience):
+				case <-time.After(testTimeout):
 					t.Fatal("no command came")
 				}
 				first.reply(t, wire)
 				end(first.conn)
 				second = receive(t, other.commands, "command at the other cache")
-				second.reply(t, another)
-				c.want("another")
-				c.want("+PONG")
+				second.reply(t, otherServedReply)
+				c.wantLine("another")
+				c.wantLine("+PONG")
 			})
 		}
 	}
@@ -135,7 +135,7 @@
 // TestListThatBreaksOff: a list without a length is whole at an orderly end. A reset is no end, also behind what
 // could be read as a list, and neither is an end within what was announced.
 func TestListThatBreaksOff(t *testing.T) {
-	body := hosts(9, true, host("c1", "127.0.0.1:1", "in_service"))
+	body := endpointListJSON(9, true, endpointJSON("c1", "127.0.0.1:1", "in_service"))
 	length := fmt.Sprintf(ok+"Content-Length: %d\r\n\r\n", len(body))
 	chunked := ok + "Transfer-Encoding: chunked\r\n\r\n"
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
@@ -175,7 +175,7 @@
 
 // TestWatchIsOpenedAgainAfterAListThatBroke, for the version that is known, within the pause after one failure.
 func TestWatchIsOpenedAgainAfterAListThatBroke(t *testing.T) {
-	body := hosts(9, true, host("c2", "127.0.0.1:1", "in_service"))
+	body := endpointListJSON(9, true, endpointJSON("c2", "127.0.0.1:1", "in_service"))
 	for how, end := range breaks {
 		for _, mode := range []string{"subscribe", "automatic"} {
 			t.Run(how+", "+mode, func(t *testing.T) {
@@ -188,9 +188,9 @@
 					settings := in["settings"].(map[string]any)
 					settings["discovery"] = mode
 					settings["rules"].(map[string]any)["askEvery"] = 1_000_000
-				}, host("c1", "127.0.0.1:1", "in_service"))
-				r := start(t, cfg)
-				rig := &rig{t: t, l: r.srv.loop}
+				}, endpointJSON("c1", "127.0.0.1:1", "in_service"))
+				r := startRouter(t, cfg)
+				rig := &loopHarness{t: t, loop: r.srv.loop}
 				for range 3 {
 					if query := receive(t, calls, "call"); !strings.Contains(query, "?after=1&") {
 						t.Errorf("call %s", query)
@@ -225,15 +225,15 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return fakeCacheOn(t, ln)
+		return serveFakeCache(t, ln)
 	}
 }
 
-func (r *rig) wantDescriptors(n int) {
-	r.t.Helper()
-	r.do(func() {
-		if u := r.l.pools["c1"]; r.l.upstreamConns != n || len(u.conns) != n || len(u.idle) != n || u.dialing != 0 {
-			r.t.Errorf("%d descriptors, %d connections, %d idle, %d dials; want %d idle", r.l.upstreamConns, len(u.conns), len(u.idle),
+func (h *loopHarness) wantDescriptors(n int) {
+	h.t.Helper()
+	h.do(func() {
+		if u := h.loop.pools["c1"]; h.loop.upstreamConns != n || len(u.conns) != n || len(u.idle) != n || u.dialing != 0 {
+			h.t.Errorf("%d descriptors, %d connections, %d idle, %d dials; want %d idle", h.loop.upstreamConns, len(u.conns), len(u.idle),
 				u.dialing, n)
 		}
 	})
@@ -242,13 +242,13 @@
 // TestLateConnectionsInTime: all of a burst is served once they are up, and each descriptor is counted once.
 func TestLateConnectionsInTime(t *testing.T) {
 	addr, up := lateCache(t)
-	r := newRig(t, addr, nil)
+	r := newLoopHarness(t, addr, nil)
 	const burst = 50
 	for range burst {
-		r.send(r.request(nil), long)
+		r.sendAttempt(r.newRequest(nil), long)
 	}
 	r.do(func() {
-		if u := r.l.pools["c1"]; u.dialing != maxDials || len(u.queue) != burst {
+		if u := r.loop.pools["c1"]; u.dialing != maxDials || len(u.queue) != burst {
 			t.Errorf("%d dials, %d attempts wait", u.dialing, len(u.queue))
 		}
 	})
@@ -257,18 +257,18 @@
 	for range burst {
 		cmd := receive(t, cache.commands, "command")
 		conns[cmd.conn] = true
-		cmd.reply(t, served)
-		r.want(policy.Served)
+		cmd.reply(t, servedReply)
+		r.wantOutcome(policy.Served)
 	}
-	await(t, "an end of the dials", func() (none bool) {
-		r.do(func() { none = r.l.pools["c1"].dialing == 0 })
+	waitUntil(t, "an end of the dials", func() (none bool) {
+		r.do(func() { none = r.loop.pools["c1"].dialing == 0 })
 		return none
 	})
 	r.do(func() {
-		r.l.perform(policy.CloseIdleConnections{Cache: "c1"})
+		r.loop.perform(policy.CloseIdleConnections{Cache: "c1"})
 	})
 	for range conns {
-		receive(t, cache.ended, "end of an idle connection")
+		receive(t, cache.closed, "end of an idle connection")
 	}
 	r.wantDescriptors(0)
 }
@@ -277,59 +277,59 @@
 // the cache has room again.
 func TestConnectionsLaterThanTheSettingsAllow(t *testing.T) {
 	addr, up := lateCache(t)
-	r := newRig(t, addr, func(c *Config) { c.Transport.DialTimeout = 300_000 })
+	r := newLoopHarness(t, addr, func(c *Config) { c.Transport.DialTimeout = 300_000 })
 	const burst = 50
 	for range burst {
-		r.send(r.request(nil), long)
+		r.sendAttempt(r.newRequest(nil), long)
 	}
 	for range burst {
-		r.want(policy.ConnectFailed)
+		r.wantOutcome(policy.ConnectFailed)
 	}
-	await(t, "an end of the dials", func() (none bool) {
-		r.do(func() { none = r.l.pools["c1"].dialing == 0 })
+	waitUntil(t, "an end of the dials", func() (none bool) {
+		r.do(func() { none = r.loop.pools["c1"].dialing == 0 })
 		return none
 	})
 	r.wantDescriptors(0)
 	cache := up()
-	r.do(func() { r.l.cfg.Transport.DialTimeout = patience.Microseconds() })
+	r.do(func() { r.loop.cfg.Transport.DialTimeout = testTimeout.Microseconds() })
 	r.wantNext(func() *fakeCache { return cache })
 }
 
 // wantNext wants the next request to be the first that the cache is sent, and one connection to have carried it.
-func (r *rig) wantNext(cache func() *fakeCache) {
-	r.t.Helper()
-	q := r.request(nil)
-	r.do(func() { q.command.args[2] = []byte("last") })
-	r.send(q, long)
-	cmd := receive(r.t, cache().commands, "command")
+func (h *loopHarness) wantNext(cache func() *fakeCache) {
+	h.t.Helper()
+	req := h.newRequest(nil)
+	h.do(func() { req.command.args[2] = []byte("last") })
+	h.sendAttempt(req, long)
+	cmd := receive(h.t, cache().commands, "command")
 	if cmd.args[2] != "last" {
-		r.t.Errorf("the cache was sent %q", cmd.args)
+		h.t.Errorf("the cache was sent %q", cmd.args)
 	}
-	cmd.reply(r.t, served)
-	r.want(policy.Served)
-	r.wantDescriptors(1)
+	cmd.reply(h.t, servedReply)
+	h.wantOutcome(policy.Served)
+	h.wantDescriptors(1)
 }
 
 // TestLateConnectionCarriesOnlyWhatStillWaits: what it was opened for is over, and the next request has it.
 func TestLateConnectionCarriesOnlyWhatStillWaits(t *testing.T) {
-	for name, end := range map[string]func(*rig, *request){
-		"time is up": func(_ *rig, q *request) { q.attempts[0].abandon(policy.TimedOut) },
-		"not in the window": func(r *rig, q *request) {
-			q.attempts[0].startBefore = r.l.now
-			r.l.pools["c1"].dispatch()
+	for name, end := range map[string]func(*loopHarness, *request){
+		"time is up": func(_ *loopHarness, q *request) { q.attempts[0].abandon(policy.TimedOut) },
+		"not in the window": func(r *loopHarness, q *request) {
+			q.attempts[0].startBefore = r.loop.now
+			r.loop.pools["c1"].dispatch()
 		},
-		"cancelled": func(r *rig, q *request) { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) },
-		"refused":   func(r *rig, q *request) { r.l.perform(policy.Reject{ID: q.id}) },
-		"departed":  func(r *rig, q *request) { r.l.clientGone(q.client) },
+		"cancelled": func(r *loopHarness, q *request) { r.loop.perform(policy.Cancel{ID: q.id, Attempt: 0}) },
+		"refused":   func(r *loopHarness, q *request) { r.loop.perform(policy.Reject{ID: q.id}) },
+		"departed":  func(r *loopHarness, q *request) { r.loop.clientGone(q.client) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			addr, up := lateCache(t)
-			r := newRig(t, addr, nil)
-			q := r.request(nil)
-			r.send(q, long)
+			r := newLoopHarness(t, addr, nil)
+			q := r.newRequest(nil)
+			r.sendAttempt(q, long)
 			r.do(func() { end(r, q) })
-			r.want(policy.NotSent)
+			r.wantOutcome(policy.NotSent)
 			r.wantNext(up)
 		})
 	}
@@ -338,24 +338,24 @@
 // TestDialThatTookTooLongFailsNoLaterAttempt, which has its own connection coming up and its own time.
 func TestDialThatTookTooLongFailsNoLaterAttempt(t *testing.T) {
 	addr, up := lateCache(t)
-	r := newRig(t, addr, nil)
-	q, later := r.request(nil), r.request(nil)
-	r.send(q, long)
+	r := newLoopHarness(t, addr, nil)
+	q, later := r.newRequest(nil), r.newRequest(nil)
+	r.sendAttempt(q, long)
 	r.do(func() {
-		u := r.l.pools["c1"]
+		u := r.loop.pools["c1"]
 		var first *upstreamConn
 		for first = range u.conns {
 		}
 		q.attempts[0].finish(policy.ConnectFailed, nil) // its time to connect is up
-		r.l.perform(policy.Send{ID: later.id, Cache: "c1"})
+		r.loop.perform(policy.Send{ID: later.id, Cache: "c1"})
 		u.dialDone(first, nil, nil, os.ErrDeadlineExceeded)
 		if later.attempts[0].state != attemptQueued {
 			t.Error("the later attempt has ended")
 		}
 	})
-	r.want(policy.ConnectFailed)
-	receive(t, up().commands, "command").reply(t, served)
-	r.want(policy.Served)
+	r.wantOutcome(policy.ConnectFailed)
+	receive(t, up().commands, "command").reply(t, servedReply)
+	r.wantOutcome(policy.Served)
 }
 
 // TestClientsThatWriteSlowly are served where the command is whole in time, and told so where it is not: each
@@ -364,19 +364,19 @@
 	for name, inTime := range map[string]bool{"in time": true, "too late": false} {
 		t.Run(name, func(t *testing.T) {
 			cache := newFakeCache(t)
-			srv, err := New(testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+			srv, err := New(testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", cache.addr(), "in_service")))
 			if err != nil {
 				t.Fatal(err)
 			}
-			srv.commandTimeout = patience
-			wire := get("r1")
+			srv.commandTimeout = testTimeout
+			wire := getCommand("r1")
 			if !inTime {
 				srv.commandTimeout = 300 * time.Millisecond
-				wire = words("C.GET", strings.Repeat("k", maxArgumentSize), "r1", "c=read,d=20000")
+				wire = encodeCommand("C.GET", strings.Repeat("k", maxArgumentSize), "r1", "c=read,d=20000")
 			}
 			c := dial(t, startServer(t, srv).addr)
-			c.send(words("PING"))
-			c.want("+PONG")
+			c.send(encodeCommand("PING"))
+			c.wantLine("+PONG")
 			pace := time.NewTicker(10 * time.Millisecond) // ten seconds for the long one
 			defer pace.Stop()
 			go func() {
@@ -388,7 +388,7 @@
 				}
 			}()
 			if !inTime {
-				if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
+				if got := c.readLine(); !strings.HasPrefix(got, "-ERR ") {
 					t.Errorf("answer %q", got)
 				}
 				c.wantClosed()
@@ -397,8 +397,8 @@
 				}
 				return
 			}
-			receive(t, cache.commands, "command").reply(t, served)
-			c.want("value")
+			receive(t, cache.commands, "command").reply(t, servedReply)
+			c.wantLine("value")
 		})
 	}
 }
@@ -406,14 +406,14 @@
 // TestRepeatIsWhollyWrittenInTheWindow of its key, or given up: a cache begins a command at its last byte.
 func TestRepeatIsWhollyWrittenInTheWindow(t *testing.T) {
 	addr, conns := deafCache(t)
-	r := newRig(t, addr, nil)
+	r := newLoopHarness(t, addr, nil)
 	q := huge(r)
-	r.do(func() { r.l.perform(policy.Send{ID: q.id, Cache: "c1", StartBefore: r.l.now + 1_000_000}) })
+	r.do(func() { r.loop.perform(policy.Send{ID: q.id, Cache: "c1", StartBefore: r.loop.now + 1_000_000}) })
 	nc := receive(t, conns, "connection")
 	if _, err := nc.Read(make([]byte, 1)); err != nil { // it has begun
 		t.Fatal(err)
 	}
-	if o := r.want(policy.NotSent); o.Elapsed < 1_000_000 || o.Elapsed >= 10_000_000 {
+	if o := r.wantOutcome(policy.NotSent); o.Elapsed < 1_000_000 || o.Elapsed >= 10_000_000 {
 		t.Errorf("given up after %d us, with a window of 1 s", o.Elapsed)
 	}
 	if n, _ := io.Copy(io.Discard, nc); n >= 64<<20 {
@@ -424,77 +424,79 @@
 // TestRepeatWrittenInTheWindow is waited for beyond it.
 func TestRepeatWrittenInTheWindow(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
-	q := r.request([]byte("v"))
-	r.do(func() { r.l.perform(policy.Send{ID: q.id, Cache: "c1", StartBefore: r.l.now + 1_000_000}) })
+	r := newLoopHarness(t, cache.addr(), nil)
+	q := r.newRequest([]byte("v"))
+	r.do(func() { r.loop.perform(policy.Send{ID: q.id, Cache: "c1", StartBefore: r.loop.now + 1_000_000}) })
 	cmd := receive(t, cache.commands, "command")
-	await(t, "an end of the window", func() (over bool) {
-		r.do(func() { over = r.l.now > q.attempts[0].startBefore && r.l.timers[0].at > q.attempts[0].startBefore })
+	waitUntil(t, "an end of the window", func() (over bool) {
+		r.do(func() {
+			over = r.loop.now > q.attempts[0].startBefore && r.loop.timers[0].at > q.attempts[0].startBefore
+		})
 		return over
 	})
-	cmd.reply(t, served)
-	r.want(policy.Served)
+	cmd.reply(t, servedReply)
+	r.wantOutcome(policy.Served)
 }
 
 // TestRepeatWhoseConnectionIsLate ends with the window, however short, and nothing of it is written later.
 func TestRepeatWhoseConnectionIsLate(t *testing.T) {
 	for _, window := range []policy.Time{300_000, 1_000_000} {
 		addr, up := lateCache(t)
-		r := newRig(t, addr, nil)
-		q := r.request([]byte("v"))
-		r.do(func() { r.l.perform(policy.Send{ID: q.id, Cache: "c1", StartBefore: r.l.now + window}) })
-		if o := r.want(policy.NotSent); o.Elapsed < window || o.Elapsed >= 10_000_000 {
+		r := newLoopHarness(t, addr, nil)
+		q := r.newRequest([]byte("v"))
+		r.do(func() { r.loop.perform(policy.Send{ID: q.id, Cache: "c1", StartBefore: r.loop.now + window}) })
+		if o := r.wantOutcome(policy.NotSent); o.Elapsed < window || o.Elapsed >= 10_000_000 {
 			t.Errorf("ended after %d us, with a window of %d", o.Elapsed, window)
 		}
-		q = r.request(nil)
+		q = r.newRequest(nil)
 		r.do(func() { q.command.args[2] = []byte("last") })
-		r.send(q, long)
+		r.sendAttempt(q, long)
 		cmd := receive(t, up().commands, "command")
 		if cmd.args[2] != "last" {
 			t.Errorf("the cache was sent %q", cmd.args)
 		}
-		cmd.reply(t, served)
-		r.want(policy.Served)
+		cmd.reply(t, servedReply)
+		r.wantOutcome(policy.Served)
 	}
 }
 
 // TestLastLookGoesByTheClock: a turn of the loop that takes long, as on a machine that stands still, crosses the
 // end of the window or of the attempt's time; what is told to the cache is what is left.
 func TestLastLookGoesByTheClock(t *testing.T) {
-	for name, send := range map[string]func(r *rig) policy.Send{
-		"window": func(r *rig) policy.Send { return policy.Send{StartBefore: r.l.now + 10_000} },
-		"time":   func(r *rig) policy.Send { return policy.Send{Deadline: r.l.now + 10_000} },
+	for name, send := range map[string]func(r *loopHarness) policy.Send{
+		"window": func(r *loopHarness) policy.Send { return policy.Send{StartBefore: r.loop.now + 10_000} },
+		"time":   func(r *loopHarness) policy.Send { return policy.Send{Deadline: r.loop.now + 10_000} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			cache := newFakeCache(t)
-			r := newRig(t, cache.addr(), nil)
-			r.do(func() { r.l.settleTime = 0 })
-			r.send(r.request(nil), long)
-			receive(t, cache.commands, "command").reply(t, served)
-			r.want(policy.Served)
-			q := r.request([]byte("v"))
+			r := newLoopHarness(t, cache.addr(), nil)
+			r.do(func() { r.loop.settleTime = 0 })
+			r.sendAttempt(r.newRequest(nil), long)
+			receive(t, cache.commands, "command").reply(t, servedReply)
+			r.wantOutcome(policy.Served)
+			q := r.newRequest([]byte("v"))
 			r.do(func() {
 				s := send(r)
 				s.ID, s.Cache = q.id, "c1"
-				late := r.l.now + 20_000
-				await(t, "a long turn", func() bool { return r.l.clock() > late })
-				r.l.perform(s)
+				late := r.loop.now + 20_000
+				waitUntil(t, "a long turn", func() bool { return r.loop.clock() > late })
+				r.loop.perform(s)
 			})
-			r.want(policy.NotSent)
+			r.wantOutcome(policy.NotSent)
 		})
 	}
 	t.Run("told", func(t *testing.T) {
 		cache := newFakeCache(t)
-		r := newRig(t, cache.addr(), nil)
-		r.do(func() { r.l.settleTime = 0 })
-		r.send(r.request(nil), long)
-		receive(t, cache.commands, "command").reply(t, served)
-		r.want(policy.Served)
-		q := r.request(nil)
+		r := newLoopHarness(t, cache.addr(), nil)
+		r.do(func() { r.loop.settleTime = 0 })
+		r.sendAttempt(r.newRequest(nil), long)
+		receive(t, cache.commands, "command").reply(t, servedReply)
+		r.wantOutcome(policy.Served)
+		q := r.newRequest(nil)
 		r.do(func() {
-			late := r.l.now + 500_000
-			await(t, "a long turn", func() bool { return r.l.clock() > late })
-			r.l.perform(policy.Send{ID: q.id, Cache: "c1", Deadline: late + 5_000_000})
+			late := r.loop.now + 500_000
+			waitUntil(t, "a long turn", func() bool { return r.loop.clock() > late })
+			r.loop.perform(policy.Send{ID: q.id, Cache: "c1", Deadline: late + 5_000_000})
 		})
 		cmd := receive(t, cache.commands, "command")
 		if d, err := strconv.Atoi(strings.TrimPrefix(cmd.args[3], "c=read,d=")); err != nil || d > 5000 {
@@ -507,18 +509,18 @@
 func TestShortWindow(t *testing.T) {
 	for _, window := range []time.Duration{300 * time.Millisecond, time.Second} {
 		cache := newFakeCache(t)
-		r := start(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
+		r := startRouter(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
 			for _, class := range in["settings"].(map[string]any)["categories"].([]any) {
 				class.(map[string]any)["keyTtl"] = window.Microseconds()
 			}
-		}, host("c1", cache.addr(), "in_service"), host("c2", cache.addr(), "in_service")))
+		}, endpointJSON("c1", cache.addr(), "in_service"), endpointJSON("c2", cache.addr(), "in_service")))
 		c := dial(t, r.addr)
-		c.send(words("C.SET", "k1", "r1", "c=put,k=ab12,d=20000", "v"))
+		c.send(encodeCommand("C.SET", "k1", "r1", "c=put,k=ab12,d=20000", "v"))
 		first := receive(t, cache.commands, "command")
 		over := time.Now().Add(window)
-		await(t, "an end of the window", func() bool { return time.Now().After(over) })
+		waitUntil(t, "an end of the window", func() bool { return time.Now().After(over) })
 		first.conn.Close()
-		if got := c.line(); !strings.HasPrefix(got, "-") {
+		if got := c.readLine(); !strings.HasPrefix(got, "-") {
 			t.Errorf("window %v: answer %q", window, got)
 		}
 		if len(cache.commands) > 0 {
@@ -528,15 +530,15 @@
 }
 
 // idle makes a rig with a connection that stands idle and may be used at once.
-func idle(t *testing.T) (*rig, *fakeCache, fakeCommand) {
+func idle(t *testing.T) (*loopHarness, *fakeCache, fakeCommand) {
 	t.Helper()
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
-	r.do(func() { r.l.settleTime = 0 })
-	r.send(r.request(nil), long)
+	r := newLoopHarness(t, cache.addr(), nil)
+	r.do(func() { r.loop.settleTime = 0 })
+	r.sendAttempt(r.newRequest(nil), long)
 	first := receive(t, cache.commands, "command")
-	first.reply(t, served)
-	r.want(policy.Served)
+	first.reply(t, servedReply)
+	r.wantOutcome(policy.Served)
 	return r, cache, first
 }
 
@@ -546,23 +548,23 @@
 	for name, wire := range map[string]string{"half a line": "-ER", "half an answer": "*3\r\n$5\r\nval", "one byte": "*"} {
 		t.Run(name, func(t *testing.T) {
 			r, cache, first := idle(t)
-			q := r.request(nil)
+			q := r.newRequest(nil)
 			r.do(func() {
 				first.reply(t, wire)
-				c := r.l.pools["c1"].idle[0]
-				await(t, "bytes", func() bool { return !c.isSilent() })
-				r.l.perform(policy.Send{ID: q.id, Cache: "c1"})
+				c := r.loop.pools["c1"].idle[0]
+				waitUntil(t, "bytes", func() bool { return !c.isSilent() })
+				r.loop.perform(policy.Send{ID: q.id, Cache: "c1"})
 			})
 			second := receive(t, cache.commands, "command")
 			if second.conn == first.conn {
 				t.Error("it went on the connection that is out of step")
 			}
-			second.reply(t, another)
-			r.want(policy.Served)
+			second.reply(t, otherServedReply)
+			r.wantOutcome(policy.Served)
 			if got := string(receive(t, q.slot.reply, "answer")); got != "$7\r\nanother\r\n" {
 				t.Errorf("the client got %q", got)
 			}
-			receive(t, cache.ended, "end of the connection that is out of step")
+			receive(t, cache.closed, "end of the connection that is out of step")
 		})
 	}
 }
@@ -574,36 +576,36 @@
 		for name, fresh := range map[string]bool{"idle": false, "new": true} {
 			t.Run(how+", "+name, func(t *testing.T) {
 				cache := newFakeCache(t)
-				r := newRig(t, cache.addr(), nil)
-				q := r.request(nil)
+				r := newLoopHarness(t, cache.addr(), nil)
+				q := r.newRequest(nil)
 				addr, conns := deafCache(t)
-				nc, raw, err := dialTCP(addr, patience)
+				nc, raw, err := dialTCP(addr, testTimeout)
 				if err != nil {
 					t.Fatal(err)
 				}
 				t.Cleanup(func() { nc.Close() })
 				c := &upstreamConn{addr: cache.addr(), nc: nc, raw: raw} // without a reader
 				end(receive(t, conns, "connection"))
-				await(t, "the end", func() bool { return !c.isSilent() })
+				waitUntil(t, "the end", func() bool { return !c.isSilent() })
 				r.do(func() {
-					u := r.l.pools["c1"]
-					c.pool, c.connectedAt = u, r.l.now
+					u := r.loop.pools["c1"]
+					c.pool, c.connectedAt = u, r.loop.now
 					if !fresh {
 						u.loop.settleTime = 0
 						c.sequence.Add(1)
 					}
-					r.l.upstreamConns++
+					r.loop.upstreamConns++
 					u.conns[c] = struct{}{}
 					u.release(c)
-					r.l.perform(policy.Send{ID: q.id, Cache: "c1"})
+					r.loop.perform(policy.Send{ID: q.id, Cache: "c1"})
 				})
 				if fresh {
-					r.want(policy.ConnectFailed)
+					r.wantOutcome(policy.ConnectFailed)
 					r.wantDescriptors(0)
 					return
 				}
-				receive(t, cache.commands, "command on another connection").reply(t, served)
-				r.want(policy.Served)
+				receive(t, cache.commands, "command on another connection").reply(t, servedReply)
+				r.wantOutcome(policy.Served)
 			})
 		}
 	}
@@ -616,7 +618,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	await(c.t, "the router's end of the connection", func() bool {
+	waitUntil(c.t, "the router's end of the connection", func() bool {
 		p := []unix.PollFd{{Events: unix.POLLRDHUP}}
 		raw.Control(func(fd uintptr) {
 			p[0].Fd = int32(fd)
@@ -638,11 +640,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			cache := newFakeCache(t)
-			r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+			r := startRouter(t, testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", cache.addr(), "in_service")))
 			c := dial(t, r.addr)
-			c.send(get("r1"))
-			receive(t, cache.commands, "command").reply(t, served)
-			await(t, "a resting connection", func() bool {
+			c.send(getCommand("r1"))
+			receive(t, cache.commands, "command").reply(t, servedReply)
+			waitUntil(t, "a resting connection", func() bool {
 				r.srv.mu.Lock()
 				defer r.srv.mu.Unlock()
 				for cl := range r.srv.clients {
@@ -654,14 +656,14 @@
 				return false
 			})
 			c.wantEnd()
-			c.send(get("r2"))
-			c.send(get("r3")[:20]) // on a connection that is not reset
-			c.want("value")
-			if _, err := c.r.ReadByte(); err != io.EOF {
+			c.send(getCommand("r2"))
+			c.send(getCommand("r3")[:20]) // on a connection that is not reset
+			c.wantLine("value")
+			if _, err := c.reader.ReadByte(); err != io.EOF {
 				t.Errorf("the connection ended with %v", err)
 			}
 			next := dial(t, r.addr)
-			next.send(get("r4"))
+			next.send(getCommand("r4"))
 			if cmd := receive(t, cache.commands, "command"); cmd.args[2] != "r4" {
 				t.Errorf("what crossed the close was sent on: %q", cmd.args)
 			}
@@ -673,15 +675,15 @@
 // close must not turn into a reset, which costs the rest of it.
 func TestBytesBehindALongAnswer(t *testing.T) {
 	cache := newFakeCache(t)
-	r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+	r := startRouter(t, testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", cache.addr(), "in_service")))
 	c := dial(t, r.addr)
 	if err := c.nc.SetReadBuffer(4096); err != nil {
 		t.Fatal(err)
 	}
-	c.send(get("r1"))
+	c.send(getCommand("r1"))
 	value := strings.Repeat("v", maxValueSize)
 	receive(t, cache.commands, "command").reply(t, "*3\r\n$65536\r\n"+value+"\r\n$3\r\nhit\r\n$-1\r\n")
-	await(t, "a resting connection", func() bool {
+	waitUntil(t, "a resting connection", func() bool {
 		r.srv.mu.Lock()
 		defer r.srv.mu.Unlock()
 		for cl := range r.srv.clients {
@@ -693,7 +695,7 @@
 		}
 		return false
 	})
-	await(t, "the connection's end", func() bool {
+	waitUntil(t, "the connection's end", func() bool {
 		r.srv.mu.Lock()
 		defer r.srv.mu.Unlock()
 		for cl := range r.srv.clients {
@@ -701,6 +703,6 @@
 		}
 		return true
 	})
-	c.send(get("r2"))
-	c.want(value)
+	c.send(getCommand("r2"))
+	c.wantLine(value)
 }
--- a/internal/router/descriptors_test.go
+++ b/internal/router/descriptors_test.go
@@ -13,8 +13,8 @@
 	"time"
 )
 
-// returningDiscovery answers nothing until it is up; then each watch it holds is told of.
-func returningDiscovery(t *testing.T) (addr string, up *atomic.Bool, watches chan struct{}) {
+// recoveringDiscovery answers nothing until it is up; then each watch it holds is told of.
+func recoveringDiscovery(t *testing.T) (addr string, up *atomic.Bool, watches chan struct{}) {
 	t.Helper()
 	up, watches = new(atomic.Bool), make(chan struct{}, 100)
 	addr = serveHTTP(t, func(w http.ResponseWriter, r *http.Request, over <-chan struct{}) {
@@ -30,41 +30,41 @@
 	return addr, up, watches
 }
 
-// TestIdleCrowdWhileDiscoveryIsDown: idle clients that fill the descriptors and queue for more give way at once,
+// TestIdleClientsAreEvictedWhileDiscoveryIsDown: idle clients that fill the descriptors and queue for more give way at once,
 // and nobody waits for them to read what they were never told. Requests are answered, also by a cache that has
 // to be dialled again, none with work in hand gives way, and the watch opens at discovery's return.
-func TestIdleCrowdWhileDiscoveryIsDown(t *testing.T) {
+func TestIdleClientsAreEvictedWhileDiscoveryIsDown(t *testing.T) {
 	for _, descriptors := range []int{minSockets, 128, 256} {
 		t.Run(fmt.Sprint(descriptors), func(t *testing.T) {
 			cache := newFakeCache(t)
-			discovery, up, watches := returningDiscovery(t)
+			discovery, up, watches := recoveringDiscovery(t)
 			srv, err := New(testConfig(t, discovery, func(in map[string]any) {
 				in["limits"].(map[string]any)["sockets"] = descriptors
 				in["settings"].(map[string]any)["discovery"] = "push" // else the time between calls is long
-			}, host("c1", cache.addr(), "in_service")))
+			}, endpointJSON("c1", cache.addr(), "in_service")))
 			if err != nil {
 				t.Fatal(err)
 			}
 			srv.lateAcceptTime = 0
 			srv.firstCommandGrace = 10 * time.Millisecond
-			srv.lingerTime = 2 * patience
-			r := startServer(t, srv)
-			busy := dial(t, r.addr)
-			busy.send(get("busy"))
+			srv.lingerTime = 2 * testTimeout
+			router := startServer(t, srv)
+			busy := dial(t, router.addr)
+			busy.send(getCommand("busy"))
 			held := receive(t, cache.commands, "command")
 			for range 400 {
-				dial(t, r.addr)
+				dial(t, router.addr)
 			}
 			for i := range 20 {
-				c := dial(t, r.addr)
-				c.send(get(fmt.Sprint("r", i)))
+				client := dial(t, router.addr)
+				client.send(getCommand(fmt.Sprint("r", i)))
 				cmd := receive(t, cache.commands, "command")
-				cmd.reply(t, served)
-				c.want("value")
-				c.nc.Close()
+				cmd.reply(t, servedReply)
+				client.wantLine("value")
+				client.nc.Close()
 				if i == 10 {
 					cmd.conn.Close() // as the cache restarts
-					await(t, "news of it", func() bool {
+					waitUntil(t, "news of it", func() bool {
 						conns := make(chan int, 1)
 						srv.loop.post(func() { conns <- srv.loop.upstreamConns })
 						return receive(t, conns, "number of connections") == 1 // the one that is held
@@ -73,51 +73,51 @@
 			}
 			up.Store(true)
 			receive(t, watches, "watch")
-			held.reply(t, served)
-			busy.want("value")
+			held.reply(t, servedReply)
+			busy.wantLine("value")
 		})
 	}
 }
 
-// TestFloods: peers that send much at once, half a command or rubbish get an answer or the end, also such that go
+// TestFloodingPeers: peers that send much at once, half a command or rubbish get an answer or the end, also such that go
 // at once; meanwhile others are answered, and afterwards nothing is held.
-func TestFloods(t *testing.T) {
+func TestFloodingPeers(t *testing.T) {
 	const peers = 20
-	large := words("C.SET", "k1", "r1", "c=put,k=a,d=20000", strings.Repeat("v", maxValueSize))
+	large := encodeCommand("C.SET", "k1", "r1", "c=put,k=a,d=20000", strings.Repeat("v", maxValueSize))
 	for name, flood := range map[string]struct {
 		part        string // is sent over and over, ...
 		bytes       int    // ... until so many have gone
 		commandWait time.Duration
 		goes        bool
 	}{
-		"without end":                {"\x01rubbish ", 60 << 20, 2 * patience, false},
-		"lines":                      {"rubbish\r\n", 60 << 20, 2 * patience, false},
+		"without end":                {"\x01rubbish ", 60 << 20, 2 * testTimeout, false},
+		"lines":                      {"rubbish\r\n", 60 << 20, 2 * testTimeout, false},
 		"empty lines":                {"\r\n", 60 << 20, time.Second, false},
 		"half a command":             {large[:len(large)-2], len(large) - 2, time.Second, false},
-		"half a command, and goes":   {large[:len(large)-2], len(large) - 2, 2 * patience, true},
-		"many commands, and goes":    {get("r1"), 2 * maxPipelined * len(get("r1")), 2 * patience, true},
-		"large commands, and goes":   {large, 10 * len(large), 2 * patience, true},
-		"unread answers, and goes":   {words("PING"), 8 << 20, 2 * patience, true},
-		"rubbish lines, and goes":    {"rubbish\r\n", 8 << 20, 2 * patience, true},
-		"commands without a pause":   {words("PING"), 8 << 20, 2 * patience, false},
-		"what no client sends often": {words("ECHO", "a"), 8 << 20, 2 * patience, false},
+		"half a command, and goes":   {large[:len(large)-2], len(large) - 2, 2 * testTimeout, true},
+		"many commands, and goes":    {getCommand("r1"), 2 * maxPipelined * len(getCommand("r1")), 2 * testTimeout, true},
+		"large commands, and goes":   {large, 10 * len(large), 2 * testTimeout, true},
+		"unread answers, and goes":   {encodeCommand("PING"), 8 << 20, 2 * testTimeout, true},
+		"rubbish lines, and goes":    {"rubbish\r\n", 8 << 20, 2 * testTimeout, true},
+		"commands without a pause":   {encodeCommand("PING"), 8 << 20, 2 * testTimeout, false},
+		"what no client sends often": {encodeCommand("ECHO", "a"), 8 << 20, 2 * testTimeout, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cache := newFakeCache(t)
 			srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
 				in["limits"] = map[string]any{"cores": 1, "memory_mb": 32, "sockets": 256}
-			}, host("c1", cache.addr(), "in_service")))
+			}, endpointJSON("c1", cache.addr(), "in_service")))
 			if err != nil {
 				t.Fatal(err)
 			}
 			srv.commandTimeout = flood.commandWait
 			srv.lateAcceptTime = 0
-			r := startServer(t, srv)
+			router := startServer(t, srv)
 			chunk := strings.Repeat(flood.part, max(1, min(flood.bytes, 64<<10)/len(flood.part)))
 			var sending sync.WaitGroup
 			var all []*testClient
 			for range peers {
-				c := dial(t, r.addr)
+				c := dial(t, router.addr)
 				all = append(all, c)
 				sending.Add(1)
 				go func() {
@@ -133,12 +133,12 @@
 					}
 				}()
 			}
-			other := dial(t, r.addr)
-			other.send(words("PING"))
-			other.want("+PONG")
+			other := dial(t, router.addr)
+			other.send(encodeCommand("PING"))
+			other.wantLine("+PONG")
 			if !flood.goes {
 				for _, c := range all {
-					if s, err := c.r.ReadString('\n'); errors.Is(err, os.ErrDeadlineExceeded) || err == nil && s[0] != '-' && s != "+PONG\r\n" {
+					if s, err := c.reader.ReadString('\n'); errors.Is(err, os.ErrDeadlineExceeded) || err == nil && s[0] != '-' && s != "+PONG\r\n" {
 						t.Errorf("a peer got %q, %v", s, err)
 					}
 					c.nc.Close()
@@ -146,11 +146,11 @@
 			}
 			sending.Wait()
 			other.nc.Close()
-			await(t, "the end of all connections", func() bool { return srv.descriptors.clientConns.Load() <= 1 }) // the next one's
+			waitUntil(t, "the end of all connections", func() bool { return srv.descriptors.clientConns.Load() <= 1 }) // the next one's
 			if held := srv.memory.inUse.Load(); held != 0 {
 				t.Errorf("%d bytes are still counted", held)
 			}
-			(&rig{t, srv.loop, nil}).awaitOpen(0)
+			(&loopHarness{t, srv.loop, nil}).waitForOpenRequests(0)
 			if strings.Contains(name, "rubbish") && len(cache.commands) > 0 {
 				t.Error("rubbish was sent on")
 			}
@@ -158,8 +158,8 @@
 	}
 }
 
-// TestShortCommandsCountWithTheirRequests: many that wait for their answers stay within the memory there is.
-func TestShortCommandsCountWithTheirRequests(t *testing.T) {
+// TestShortCommandsAreChargedPerRequest: many that wait for their answers stay within the memory there is.
+func TestShortCommandsAreChargedPerRequest(t *testing.T) {
 	srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
 		in["limits"].(map[string]any)["memory_mb"] = 1
 		in["settings"].(map[string]any)["limits"].(map[string]any)["maxOpen"] = 0
@@ -167,8 +167,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.loop.engine = &script{} // answers nothing
-	r := startServer(t, srv)
+	srv.loop.engine = &scriptedEngine{} // answers nothing
+	router := startServer(t, srv)
 	due := func(want int64) func() bool {
 		return func() bool {
 			var due int64
@@ -181,15 +181,15 @@
 		}
 	}
 	// Both wait for the answer to their first command, else one is refused all of its own and nothing is due there.
-	clients := []*testClient{dial(t, r.addr), dial(t, r.addr)}
+	clients := []*testClient{dial(t, router.addr), dial(t, router.addr)}
 	for _, c := range clients {
-		c.send(get("r"))
+		c.send(getCommand("r"))
 	}
-	await(t, "first commands", due(2))
+	waitUntil(t, "first commands", due(2))
 	for _, c := range clients { // fewer than the queue of answers holds
-		c.send(strings.Repeat(get("r"), maxPipelined/2-1))
+		c.send(strings.Repeat(getCommand("r"), maxPipelined/2-1))
 	}
-	await(t, "commands", due(maxPipelined))
+	waitUntil(t, "commands", due(maxPipelined))
 	open := make(chan int, 1)
 	srv.loop.post(func() { open <- srv.loop.openRequests })
 	if n := receive(t, open, "number of requests"); n > 256 {
@@ -197,8 +197,8 @@
 	}
 }
 
-// TestShortAnswersPassWhereMemoryIsFull: a refusal or a PONG takes less than what would stand for it.
-func TestShortAnswersPassWhereMemoryIsFull(t *testing.T) {
+// TestShortRepliesPassWithFullMemoryBudget: a refusal or a PONG takes less than what would stand for it.
+func TestShortRepliesPassWithFullMemoryBudget(t *testing.T) {
 	for _, answer := range []string{busyReply, "-BUSY 1500\r\n", "+PONG\r\n"} {
 		s := newReplySlot(newMemoryBudget(0))
 		s.fill([]byte(answer))
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -51,25 +51,25 @@
 func TestWatchGoesOn(t *testing.T) {
 	cache := newFakeCache(t)
 	addr, calls := newFakeDiscovery(t)
-	r := start(t, testConfig(t, addr, nil, host("c1", "127.0.0.1:1", "in_service")))
+	r := startRouter(t, testConfig(t, addr, nil, endpointJSON("c1", "127.0.0.1:1", "in_service")))
 	first := receive(t, calls, "call")
 	if want := "/discovery/hosts?after=1&wait_ms=3000"; first.query != want {
 		t.Errorf("call %s, want %s", first.query, want)
 	}
-	first.reply <- hosts(7, false, host("c1", cache.addr(), "in_service"))
+	first.reply <- endpointListJSON(7, false, endpointJSON("c1", cache.addr(), "in_service"))
 	second := receive(t, calls, "call")
 	if want := "/discovery/hosts?after=7&wait_ms=3000"; second.query != want {
 		t.Errorf("call %s, want %s", second.query, want)
 	}
 	c := dial(t, r.addr)
-	c.send(get("r1"))
-	receive(t, cache.commands, "command").reply(t, served)
-	c.want("value")
-	second.reply <- hosts(9, true) // a whole list without the cache: it is gone
+	c.send(getCommand("r1"))
+	receive(t, cache.commands, "command").reply(t, servedReply)
+	c.wantLine("value")
+	second.reply <- endpointListJSON(9, true) // a whole list without the cache: it is gone
 	receive(t, calls, "call")
-	receive(t, cache.ended, "end of the idle connection")
-	c.send(get("r2"))
-	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
+	receive(t, cache.closed, "end of the idle connection")
+	c.send(getCommand("r2"))
+	if got := c.readLine(); !strings.HasPrefix(got, "-BUSY") {
 		t.Errorf("answer %q", got)
 	}
 }
@@ -77,7 +77,7 @@
 // TestWatchWithoutAKnownList asks for the whole list first.
 func TestWatchWithoutAKnownList(t *testing.T) {
 	addr, calls := newFakeDiscovery(t)
-	start(t, testConfig(t, addr, func(in map[string]any) { delete(in, "known") }))
+	startRouter(t, testConfig(t, addr, func(in map[string]any) { delete(in, "known") }))
 	if c := receive(t, calls, "call"); c.query != "/discovery/hosts" {
 		t.Errorf("call %s", c.query)
 	}
@@ -85,16 +85,16 @@
 
 // TestBadAnswersAreFailedCalls: the module hears of each as of a call that failed.
 func TestBadAnswersAreFailedCalls(t *testing.T) {
-	good := host("c1", "127.0.0.1:1", "in_service")
+	good := endpointJSON("c1", "127.0.0.1:1", "in_service")
 	for _, body := range []string{"", "not JSON", "{}", `{"index":5}`, `{"index":-5,"snapshot":true,"endpoints":[]}`,
-		hosts(3, false), // older than what is known
-		hosts(9, true, good, good),
-		hosts(9, true, host("", "127.0.0.1:1", "in_service")),
-		hosts(9, true, host("c2", "example.org:1", "in_service")),
-		hosts(9, true, host("c2", "", "in_service")),
-		hosts(9, true, host("c2", "127.0.0.1:1", "odd")),
-		hosts(9, true, strings.Replace(good, `"weight":1`, `"weight":-1`, 1)),
-		hosts(9, true, strings.Replace(good, `"since_ms":0`, `"since_ms":-1`, 1)),
+		endpointListJSON(3, false), // older than what is known
+		endpointListJSON(9, true, good, good),
+		endpointListJSON(9, true, endpointJSON("", "127.0.0.1:1", "in_service")),
+		endpointListJSON(9, true, endpointJSON("c2", "example.org:1", "in_service")),
+		endpointListJSON(9, true, endpointJSON("c2", "", "in_service")),
+		endpointListJSON(9, true, endpointJSON("c2", "127.0.0.1:1", "odd")),
+		endpointListJSON(9, true, strings.Replace(good, `"weight":1`, `"weight":-1`, 1)),
+		endpointListJSON(9, true, strings.Replace(good, `"since_ms":0`, `"since_ms":-1`, 1)),
 	} {
 		addr, calls := newFakeDiscovery(t)
 		told := make(chan hostList, 1)
@@ -117,9 +117,9 @@
 // TestFailedWatchIsAskedForAgain at the module's own pace.
 func TestFailedWatchIsAskedForAgain(t *testing.T) {
 	addr, calls := newFakeDiscovery(t)
-	start(t, testConfig(t, addr, func(in map[string]any) {
+	startRouter(t, testConfig(t, addr, func(in map[string]any) {
 		in["settings"].(map[string]any)["rules"].(map[string]any)["askEvery"] = 1_000_000
-	}, host("c1", "127.0.0.1:1", "in_service")))
+	}, endpointJSON("c1", "127.0.0.1:1", "in_service")))
 	receive(t, calls, "call").reply <- ""
 	if c := receive(t, calls, "second call"); !strings.Contains(c.query, "after=1&") {
 		t.Errorf("call %s", c.query)
@@ -131,18 +131,18 @@
 func TestAutomaticListIsWatched(t *testing.T) {
 	cache := newFakeCache(t)
 	addr, calls := newFakeDiscovery(t)
-	r := start(t, testConfig(t, addr, func(in map[string]any) {
+	r := startRouter(t, testConfig(t, addr, func(in map[string]any) {
 		in["settings"].(map[string]any)["discovery"] = "automatic"
-	}, host("c1", cache.addr(), "in_service")))
+	}, endpointJSON("c1", cache.addr(), "in_service")))
 	c := dial(t, r.addr)
-	c.send(get("r1"))
-	receive(t, cache.commands, "command").reply(t, served)
-	c.want("value")
+	c.send(getCommand("r1"))
+	receive(t, cache.commands, "command").reply(t, servedReply)
+	c.wantLine("value")
 	receive(t, calls, "call").reply <- "" // fails
-	receive(t, calls, "call after a failure").reply <- hosts(2, false, host("c1", cache.addr(), "terminating"))
+	receive(t, calls, "call after a failure").reply <- endpointListJSON(2, false, endpointJSON("c1", cache.addr(), "terminating"))
 	receive(t, calls, "next call") // so the router has heard of the drain
-	c.send(get("r2"))
-	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
+	c.send(getCommand("r2"))
+	if got := c.readLine(); !strings.HasPrefix(got, "-BUSY") {
 		t.Errorf("answer %q", got)
 	}
 }
@@ -154,8 +154,8 @@
 		cache := newFakeCache(t)
 		old, oldCalls := newFakeDiscovery(t)
 		moved, calls := newFakeDiscovery(t)
-		r := start(t, testConfig(t, old, func(in map[string]any) { in["settings"].(map[string]any)["discovery"] = mode },
-			host("c1", cache.addr(), "in_service")))
+		r := startRouter(t, testConfig(t, old, func(in map[string]any) { in["settings"].(map[string]any)["discovery"] = mode },
+			endpointJSON("c1", cache.addr(), "in_service")))
 		last := receive(t, oldCalls, "call")
 		r.srv.MoveDiscovery("127.0.0.1:1")
 		r.srv.MoveDiscovery(moved) // a second signal before the first has led anywhere
@@ -163,15 +163,15 @@
 		if first.query != want {
 			t.Errorf("%s: call %s, want %s", mode, first.query, want)
 		}
-		last.reply <- hosts(5, true)
-		first.reply <- hosts(2, mode == "automatic", host("c1", cache.addr(), "in_service"), host("c2", "127.0.0.1:1", "terminating"))
+		last.reply <- endpointListJSON(5, true)
+		first.reply <- endpointListJSON(2, mode == "automatic", endpointJSON("c1", cache.addr(), "in_service"), endpointJSON("c2", "127.0.0.1:1", "terminating"))
 		if c := receive(t, calls, "next call"); !strings.Contains(c.query, "after=2&") {
 			t.Errorf("%s: call %s", mode, c.query)
 		}
 		c := dial(t, r.addr)
-		c.send(get("r1"))
-		receive(t, cache.commands, "command").reply(t, served)
-		c.want("value")
+		c.send(getCommand("r1"))
+		receive(t, cache.commands, "command").reply(t, servedReply)
+		c.wantLine("value")
 	}
 }
 
@@ -195,7 +195,7 @@
 	for _, n := range []int{1024, 20 * 1024} {
 		var lines []string
 		for i := range n {
-			lines = append(lines, host(fmt.Sprintf("%0*d", maxNameLength, i), "127.123.123.123:65535", "in_service"))
+			lines = append(lines, endpointJSON(fmt.Sprintf("%0*d", maxNameLength, i), "127.123.123.123:65535", "in_service"))
 		}
 		addr, calls := newFakeDiscovery(t)
 		told, failed := make(chan hostList, 1), make(chan error, 1)
@@ -204,7 +204,7 @@
 		go func() {
 			failed <- newDiscovery(small).watch(context.Background(), 5, func(h hostList) { told <- h })
 		}()
-		receive(t, calls, "call").reply <- hosts(9, true, lines...)
+		receive(t, calls, "call").reply <- endpointListJSON(9, true, lines...)
 		select {
 		case err := <-failed:
 			if n == 1024 || !strings.Contains(err.Error(), "too long") {
@@ -220,15 +220,15 @@
 
 // TestWaitsBetweenWatchesGrow and differ, up to a bound, until something is told again.
 func TestWaitsBetweenWatchesGrow(t *testing.T) {
-	r := newRig(t, newFakeCache(t).addr(), nil)
+	r := newLoopHarness(t, newFakeCache(t).addr(), nil)
 	r.do(func() {
 		waits := map[policy.Time]bool{}
 		for round := range 20 {
-			r.l.failedWatches = 0
+			r.loop.failedWatches = 0
 			for i := range 8 {
 				// ... which ends within the drain grace: what discovery tells at its return counts at once
-				most := min(policy.Time(watchBackoffBase)<<min(i, maxWatchDoublings), r.l.cfg.Settings.DrainGrace/2)
-				wait := r.l.watchBackoff()
+				most := min(policy.Time(watchBackoffBase)<<min(i, maxWatchDoublings), r.loop.cfg.Settings.DrainGrace/2)
+				wait := r.loop.watchBackoff()
 				if waits[wait] = true; wait < most/2 || wait > most {
 					t.Errorf("wait %d of round %d is %d us, want %d to %d", i, round, wait, most/2, most)
 				}
@@ -238,11 +238,11 @@
 			t.Errorf("only %d of %d waits differ", len(waits), 20*8)
 		}
 		h := hostList{index: 5}
-		if r.l.applyEndpoints(h, h.kind()); r.l.watchBackoff() > watchBackoffBase {
+		if r.loop.applyEndpoints(h, h.kind()); r.loop.watchBackoff() > watchBackoffBase {
 			t.Error("after an answer the wait is still a long one")
 		}
-		r.l.failedWatches, r.l.cfg.Settings.DrainGrace = maxWatchDoublings, 10*watchBackoffBase<<maxWatchDoublings
-		if wait := r.l.watchBackoff(); wait < watchBackoffBase<<maxWatchDoublings/2 {
+		r.loop.failedWatches, r.loop.cfg.Settings.DrainGrace = maxWatchDoublings, 10*watchBackoffBase<<maxWatchDoublings
+		if wait := r.loop.watchBackoff(); wait < watchBackoffBase<<maxWatchDoublings/2 {
 			t.Errorf("with a long drain grace the longest wait is %d", wait)
 		}
 	})
@@ -254,29 +254,29 @@
 	for _, mode := range []string{"automatic", "subscribe"} {
 		addr, calls := newFakeDiscovery(t)
 		cache := newFakeCache(t)
-		r := start(t, testConfig(t, addr, func(in map[string]any) {
+		r := startRouter(t, testConfig(t, addr, func(in map[string]any) {
 			settings := in["settings"].(map[string]any)
 			settings["discovery"] = mode
 			settings["rules"].(map[string]any)["askEvery"] = 1_000_000
-		}, host("c1", "127.0.0.1:1", "in_service")))
-		receive(t, calls, "call").reply <- hosts(9, false)
+		}, endpointJSON("c1", "127.0.0.1:1", "in_service")))
+		receive(t, calls, "call").reply <- endpointListJSON(9, false)
 		if c := receive(t, calls, "call"); !strings.Contains(c.query, "after=9&") {
 			t.Errorf("%s: call %s", mode, c.query)
 		} else {
-			c.reply <- hosts(4, false) // it has begun anew
+			c.reply <- endpointListJSON(4, false) // it has begun anew
 		}
 		whole := receive(t, calls, "call for all")
 		if whole.query != "/discovery/hosts" {
 			t.Errorf("%s: call %s", mode, whole.query)
 		}
-		whole.reply <- hosts(5, true, host("c1", cache.addr(), "in_service"))
+		whole.reply <- endpointListJSON(5, true, endpointJSON("c1", cache.addr(), "in_service"))
 		if c := receive(t, calls, "call"); !strings.Contains(c.query, "after=5&") {
 			t.Errorf("%s: call %s", mode, c.query)
 		}
 		c := dial(t, r.addr)
-		c.send(get("r1"))
-		receive(t, cache.commands, "command").reply(t, served)
-		c.want("value")
+		c.send(getCommand("r1"))
+		receive(t, cache.commands, "command").reply(t, servedReply)
+		c.wantLine("value")
 	}
 }
 
@@ -294,7 +294,7 @@
 
 // TestSilentWatchEnds before its answer and at any place within.
 func TestSilentWatchEnds(t *testing.T) {
-	body := hosts(9, true, host("c1", "127.0.0.1:1", "in_service"))
+	body := endpointListJSON(9, true, endpointJSON("c1", "127.0.0.1:1", "in_service"))
 	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	for _, sent := range []int{0, 12, len(whole) - len(body), len(whole) - 1} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -16,7 +16,7 @@
 // blocks on a socket.
 type eventLoop struct {
 	cfg               *Config
-	engine            decider
+	engine            policyEngine
 	descriptors       *descriptorBudget
 	events            chan func()
 	logLines          chan string   // for the log
@@ -44,7 +44,7 @@
 }
 
 // decider makes the decisions: *policy.Router, or a script in tests.
-type decider interface {
+type policyEngine interface {
 	Handle(now policy.Time, ev policy.Event) []policy.Action
 }
 
@@ -59,7 +59,7 @@
 	maxWatchDoublings  = 4         // ... doubled with each that fails, so many times
 )
 
-func newLoop(cfg *Config, s *descriptorBudget) (*eventLoop, error) {
+func newEventLoop(cfg *Config, s *descriptorBudget) (*eventLoop, error) {
 	m, err := policy.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -18,9 +18,9 @@
 	"marlstage/policy"
 )
 
-// patience is how long a test waits for an event that has to come. It is generous:
+// testTimeout is how long a test waits for an event that has to come. It is generous:
 // only a failing test ever waits so long.
-const patience = 30 * time.Second
+const testTimeout = 30 * time.Second
 
 const testSettings = `{"instances":1,"discovery":"subscribe","weights":"none",
  "categories":[{"name":"read","effect":"read_like","dedupScope":"all","aim":5000000,"hardLimit":20000000,"keyTtl":5000000,"worth":1,"lateWorth":0.5},
@@ -34,7 +34,7 @@
 	select {
 	case v := <-c:
 		return v
-	case <-time.After(patience):
+	case <-time.After(testTimeout):
 		t.Fatalf("no %s came", what)
 		panic("unreachable")
 	}
@@ -44,7 +44,7 @@
 type fakeCache struct {
 	ln       net.Listener
 	commands chan fakeCommand
-	ended    chan struct{} // one for each connection that the router has ended
+	closed   chan struct{} // one for each connection that the router has ended
 }
 
 type fakeCommand struct {
@@ -59,7 +59,7 @@
 	}
 }
 
-const served = "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
+const servedReply = "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
 
 func newFakeCache(t *testing.T) *fakeCache {
 	t.Helper()
@@ -67,12 +67,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return fakeCacheOn(t, ln)
+	return serveFakeCache(t, ln)
 }
 
-func fakeCacheOn(t *testing.T, ln net.Listener) *fakeCache {
+func serveFakeCache(t *testing.T, ln net.Listener) *fakeCache {
 	t.Helper()
-	c := &fakeCache{ln: ln, commands: make(chan fakeCommand, 1000), ended: make(chan struct{}, 1000)}
+	c := &fakeCache{ln: ln, commands: make(chan fakeCommand, 1000), closed: make(chan struct{}, 1000)}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for {
@@ -86,7 +86,7 @@
 				for {
 					cmd, err := r.ReadCommand()
 					if err != nil {
-						c.ended <- struct{}{}
+						c.closed <- struct{}{}
 						return
 					}
 					var args []string
@@ -103,12 +103,12 @@
 
 func (c *fakeCache) addr() string { return c.ln.Addr().String() }
 
-// host is a line of discovery's list.
-func host(name, addr, status string) string {
+// endpointJSON is a line of discovery's list.
+func endpointJSON(name, addr, status string) string {
 	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","group":1,"status":%q,"weight":1,"since_ms":0}`, name, addr, status)
 }
 
-func hosts(index int, full bool, lines ...string) string {
+func endpointListJSON(index int, full bool, lines ...string) string {
 	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, full, strings.Join(lines, ","))
 }
 
@@ -144,7 +144,7 @@
 	}
 	in := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1f",
 		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"settings": settings, "known": json.RawMessage(hosts(1, true, lines...))}
+		"settings": settings, "known": json.RawMessage(endpointListJSON(1, true, lines...))}
 	if edit != nil {
 		edit(in)
 	}
@@ -159,18 +159,18 @@
 	return cfg
 }
 
-// running is a router that serves on loopback.
-type running struct {
+// runningRouter is a router that serves on loopback.
+type runningRouter struct {
 	addr  string
 	srv   *Server
 	stop  context.CancelFunc // as SIGTERM does
 	ended chan error
 }
 
-func startServer(t *testing.T, srv *Server) *running {
+func startServer(t *testing.T, srv *Server) *runningRouter {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{addr: srv.listener.Addr().String(), srv: srv, stop: stop, ended: make(chan error, 1)}
+	r := &runningRouter{addr: srv.listener.Addr().String(), srv: srv, stop: stop, ended: make(chan error, 1)}
 	finished := make(chan struct{})
 	go func() {
 		r.ended <- srv.Run(ctx)
@@ -183,7 +183,7 @@
 	return r
 }
 
-func start(t *testing.T, cfg *Config) *running {
+func startRouter(t *testing.T, cfg *Config) *runningRouter {
 	t.Helper()
 	srv, err := New(cfg)
 	if err != nil {
@@ -194,9 +194,9 @@
 
 // testClient is a client's connection.
 type testClient struct {
-	t  *testing.T
-	nc *net.TCPConn
-	r  *bufio.Reader
+	t      *testing.T
+	nc     *net.TCPConn
+	reader *bufio.Reader
 }
 
 func dial(t *testing.T, addr string) *testClient {
@@ -206,7 +206,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { nc.Close() })
-	nc.SetDeadline(time.Now().Add(patience))
+	nc.SetDeadline(time.Now().Add(testTimeout))
 	return &testClient{t, nc.(*net.TCPConn), bufio.NewReader(nc)}
 }
 
@@ -217,7 +217,7 @@
 	}
 }
 
-func words(args ...string) string {
+func encodeCommand(args ...string) string {
 	b := redcon.AppendArray(nil, len(args))
 	for _, a := range args {
 		b = redcon.AppendBulkString(b, a)
@@ -225,40 +225,40 @@
 	return string(b)
 }
 
-func get(id string) string { return words("C.GET", "k1", id, "c=read,d=20000") }
+func getCommand(id string) string { return encodeCommand("C.GET", "k1", id, "c=read,d=20000") }
 
-// line reads a line of an answer; a bulk string comes as its content.
-func (c *testClient) line() string {
+// readLine reads a line of an answer; a bulk string comes as its content.
+func (c *testClient) readLine() string {
 	c.t.Helper()
-	s, err := c.r.ReadString('\n')
+	s, err := c.reader.ReadString('\n')
 	if err != nil {
 		c.t.Fatalf("no answer: %v", err)
 	}
 	if s = strings.TrimSuffix(s, "\r\n"); strings.HasPrefix(s, "$") {
-		return c.line()
+		return c.readLine()
 	}
 	return s
 }
 
-func (c *testClient) want(answer string) {
+func (c *testClient) wantLine(answer string) {
 	c.t.Helper()
-	if got := c.line(); got != answer {
+	if got := c.readLine(); got != answer {
 		c.t.Fatalf("answer %q, want %q", got, answer)
 	}
 }
 
 func (c *testClient) wantClosed() {
 	c.t.Helper()
-	if b, err := c.r.ReadByte(); err == nil {
+	if b, err := c.reader.ReadByte(); err == nil {
 		c.t.Fatalf("got %q, want the end of the connection", b)
 	}
 }
 
-// script stands in for the module: it records what it is told, and tests give
+// scriptedEngine stands in for the module: it records what it is told, and tests give
 // the actions themselves.
-type script struct{ outcomes chan *policy.AttemptDone }
+type scriptedEngine struct{ outcomes chan *policy.AttemptDone }
 
-func (s *script) Handle(_ policy.Time, ev policy.Event) []policy.Action {
+func (s *scriptedEngine) Handle(_ policy.Time, ev policy.Event) []policy.Action {
 	if o, ok := ev.(*policy.AttemptDone); ok {
 		copied := *o
 		s.outcomes <- &copied
@@ -266,24 +266,24 @@
 	return nil
 }
 
-// rig is a loop without a module, with one cache "c1".
-type rig struct {
+// loopHarness is a loop without a module, with one cache "c1".
+type loopHarness struct {
 	t        *testing.T
-	l        *eventLoop
+	loop     *eventLoop
 	outcomes chan *policy.AttemptDone
 }
 
-func newRig(t *testing.T, addr string, edit func(*Config)) *rig {
+func newLoopHarness(t *testing.T, addr string, edit func(*Config)) *loopHarness {
 	t.Helper()
-	cfg := testConfig(t, "127.0.0.1:1", nil, host("c1", addr, "in_service"))
+	cfg := testConfig(t, "127.0.0.1:1", nil, endpointJSON("c1", addr, "in_service"))
 	if edit != nil {
 		edit(cfg)
 	}
-	l, err := newLoop(cfg, newDescriptorBudget(cfg.Limits.Sockets))
+	l, err := newEventLoop(cfg, newDescriptorBudget(cfg.Limits.Sockets))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &script{outcomes: make(chan *policy.AttemptDone, 1000)}
+	s := &scriptedEngine{outcomes: make(chan *policy.AttemptDone, 1000)}
 	l.engine = s
 	ctx, stop := context.WithCancel(context.Background())
 	go l.run(ctx)
@@ -291,23 +291,23 @@
 		stop()
 		receive(t, l.done, "end of the loop")
 	})
-	return &rig{t, l, s.outcomes}
+	return &loopHarness{t, l, s.outcomes}
 }
 
 // do runs f in the loop and waits for it.
-func (r *rig) do(f func()) {
-	r.t.Helper()
+func (h *loopHarness) do(f func()) {
+	h.t.Helper()
 	ran := make(chan struct{})
-	r.l.post(func() {
+	h.loop.post(func() {
 		f()
 		close(ran)
 	})
-	receive(r.t, ran, "turn of the loop")
+	receive(h.t, ran, "turn of the loop")
 }
 
-// request puts a request into the loop and returns it.
-func (r *rig) request(value []byte) *request {
-	r.t.Helper()
+// newRequest puts a request into the loop and returns it.
+func (h *loopHarness) newRequest(value []byte) *request {
+	h.t.Helper()
 	args := [][]byte{[]byte("C.GET"), []byte("k1"), []byte("r1"), []byte("c=read,d=20000")}
 	if value != nil {
 		args[0] = []byte("C.SET")
@@ -315,35 +315,35 @@
 	}
 	cmd, err := parseCommand(args, len(value)+100)
 	if err != nil {
-		r.t.Fatal(err)
+		h.t.Fatal(err)
 	}
-	return r.take(cmd)
+	return h.acceptCommand(cmd)
 }
 
-func (r *rig) take(cmd command) *request {
-	r.t.Helper()
-	var q *request
-	r.do(func() {
+func (h *loopHarness) acceptCommand(cmd command) *request {
+	h.t.Helper()
+	var req *request
+	h.do(func() {
 		c := &clientConn{requests: map[int64]*request{}}
-		r.l.acceptRequest(c, newReplySlot(newMemoryBudget(192)), cmd, r.l.now)
-		q = r.l.requests[r.l.lastID]
+		h.loop.acceptRequest(c, newReplySlot(newMemoryBudget(192)), cmd, h.loop.now)
+		req = h.loop.requests[h.loop.lastID]
 	})
-	return q
+	return req
 }
 
-// send starts an attempt that is given up after the given time.
-func (r *rig) send(q *request, wait time.Duration) {
-	r.t.Helper()
-	r.do(func() {
-		r.l.perform(policy.Send{ID: q.id, Cache: "c1", Deadline: r.l.now + wait.Microseconds()})
+// sendAttempt starts an attempt that is given up after the given time.
+func (h *loopHarness) sendAttempt(req *request, wait time.Duration) {
+	h.t.Helper()
+	h.do(func() {
+		h.loop.perform(policy.Send{ID: req.id, Cache: "c1", Deadline: h.loop.now + wait.Microseconds()})
 	})
 }
 
-func (r *rig) want(result policy.Result) *policy.AttemptDone {
-	r.t.Helper()
-	o := receive(r.t, r.outcomes, "outcome")
+func (h *loopHarness) wantOutcome(result policy.Result) *policy.AttemptDone {
+	h.t.Helper()
+	o := receive(h.t, h.outcomes, "outcome")
 	if o.Result != result {
-		r.t.Fatalf("outcome %d, want %d", o.Result, result)
+		h.t.Fatalf("outcome %d, want %d", o.Result, result)
 	}
 	return o
 }
--- a/internal/router/outcome_test.go
+++ b/internal/router/outcome_test.go
@@ -23,7 +23,7 @@
 		result policy.Result
 		miss   bool
 	}{
-		{served, policy.Served, false},
+		{servedReply, policy.Served, false},
 		{"*3\r\n$5\r\nvalue\r\n$4\r\nmiss\r\n$-1\r\n", policy.Served, true},
 		{"*3\r\n$5\r\nvalue\r\n$7\r\npending\r\n$22\r\ninflight=7,util=0.61,x\r\n", policy.Served, true},
 		{"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n", policy.Served, false},
@@ -38,12 +38,12 @@
 		{"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n*0\r\n", policy.ServerError, false},
 	} {
 		cache := newFakeCache(t)
-		r := newRig(t, cache.addr(), nil)
-		q := r.request(nil)
-		r.send(q, long)
+		r := newLoopHarness(t, cache.addr(), nil)
+		q := r.newRequest(nil)
+		r.sendAttempt(q, long)
 		cmd := receive(t, cache.commands, "command")
 		cmd.reply(t, c.wire)
-		o := r.want(c.result)
+		o := r.wantOutcome(c.result)
 		if o.Miss != c.miss || o.Final != (c.result == policy.Served) {
 			t.Errorf("%q: miss %v, last %v", c.wire, o.Miss, o.Final)
 		}
@@ -72,9 +72,9 @@
 	}
 	addr := ln.Addr().String()
 	ln.Close()
-	r := newRig(t, addr, nil)
-	r.send(r.request(nil), long)
-	r.want(policy.ConnectFailed)
+	r := newLoopHarness(t, addr, nil)
+	r.sendAttempt(r.newRequest(nil), long)
+	r.wantOutcome(policy.ConnectFailed)
 }
 
 // unreachable is an address at which connections never come up: its queue is full.
@@ -119,33 +119,33 @@
 }
 
 func TestConnectionThatNeverComesUpNeverRan(t *testing.T) {
-	r := newRig(t, unreachable(t), func(c *Config) { c.Transport.DialTimeout = 50_000 })
-	r.send(r.request(nil), long)
-	r.want(policy.ConnectFailed)
+	r := newLoopHarness(t, unreachable(t), func(c *Config) { c.Transport.DialTimeout = 50_000 })
+	r.sendAttempt(r.newRequest(nil), long)
+	r.wantOutcome(policy.ConnectFailed)
 }
 
 // TestDrainAgainstPendingDial: what waits for a connection is not sent once the drain is known.
 func TestDrainAgainstPendingDial(t *testing.T) {
 	addr := unreachable(t)
-	r := newRig(t, addr, nil)
-	r.send(r.request(nil), long)
+	r := newLoopHarness(t, addr, nil)
+	r.sendAttempt(r.newRequest(nil), long)
 	r.do(func() {
-		h, err := parseHosts([]byte(hosts(2, false, host("c1", addr, "terminating"))))
+		h, err := parseHosts([]byte(endpointListJSON(2, false, endpointJSON("c1", addr, "terminating"))))
 		if err != nil {
 			t.Error(err)
 		}
-		r.l.applyEndpoints(h, h.kind())
+		r.loop.applyEndpoints(h, h.kind())
 	})
-	r.want(policy.NotSent)
+	r.wantOutcome(policy.NotSent)
 }
 
 // busyPool makes a rig whose connections to the cache are all in use.
-func busyPool(t *testing.T) (*rig, *fakeCache, []fakeCommand) {
+func busyPool(t *testing.T) (*loopHarness, *fakeCache, []fakeCommand) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), func(c *Config) { c.Settings.Routers = 1000 })
+	r := newLoopHarness(t, cache.addr(), func(c *Config) { c.Settings.Routers = 1000 })
 	var busy []fakeCommand
 	for range minConns {
-		r.send(r.request(nil), long)
+		r.sendAttempt(r.newRequest(nil), long)
 		busy = append(busy, receive(t, cache.commands, "command"))
 	}
 	return r, cache, busy
@@ -153,18 +153,18 @@
 
 // freed ends what holds the connections and has one more request served: had anything else
 // been sent on before it, the cache would have it by then.
-func freed(t *testing.T, r *rig, cache *fakeCache, busy []fakeCommand) {
+func freed(t *testing.T, r *loopHarness, cache *fakeCache, busy []fakeCommand) {
 	t.Helper()
 	for _, cmd := range busy {
-		cmd.reply(t, served)
-		r.want(policy.Served)
+		cmd.reply(t, servedReply)
+		r.wantOutcome(policy.Served)
 	}
 	args := [][]byte{[]byte("C.GET"), []byte("k1"), []byte("last"), []byte("c=read,d=20000")}
 	cmd, err := parseCommand(args, 100)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.send(r.take(cmd), long)
+	r.sendAttempt(r.acceptCommand(cmd), long)
 	if got := receive(t, cache.commands, "command"); got.args[2] != "last" {
 		t.Errorf("the cache was sent %q", got.args)
 	}
@@ -172,18 +172,18 @@
 
 // TestWaitingAttemptIsNotSentWhenItsRequestIsOver holds the last look before the first byte.
 func TestWaitingAttemptIsNotSentWhenItsRequestIsOver(t *testing.T) {
-	for name, end := range map[string]func(*rig, *request){
-		"refused":   func(r *rig, q *request) { r.l.perform(policy.Reject{ID: q.id}) },
-		"failed":    func(r *rig, q *request) { r.l.perform(policy.Fail{ID: q.id}) },
-		"cancelled": func(r *rig, q *request) { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) },
-		"departed":  func(r *rig, q *request) { r.l.clientGone(q.client) },
+	for name, end := range map[string]func(*loopHarness, *request){
+		"refused":   func(r *loopHarness, q *request) { r.loop.perform(policy.Reject{ID: q.id}) },
+		"failed":    func(r *loopHarness, q *request) { r.loop.perform(policy.Fail{ID: q.id}) },
+		"cancelled": func(r *loopHarness, q *request) { r.loop.perform(policy.Cancel{ID: q.id, Attempt: 0}) },
+		"departed":  func(r *loopHarness, q *request) { r.loop.clientGone(q.client) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			r, cache, busy := busyPool(t)
-			q := r.request(nil)
-			r.send(q, long)
+			q := r.newRequest(nil)
+			r.sendAttempt(q, long)
 			r.do(func() { end(r, q) })
-			r.want(policy.NotSent)
+			r.wantOutcome(policy.NotSent)
 			freed(t, r, cache, busy)
 		})
 	}
@@ -191,37 +191,37 @@
 
 func TestWaitingAttemptIsNotSentAfterItsTime(t *testing.T) {
 	r, cache, busy := busyPool(t)
-	r.send(r.request(nil), time.Millisecond)
-	r.want(policy.NotSent)
+	r.sendAttempt(r.newRequest(nil), time.Millisecond)
+	r.wantOutcome(policy.NotSent)
 	freed(t, r, cache, busy)
 }
 
 func TestFullPoolCountsAsNoConnection(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), func(c *Config) { c.Settings.Routers = 1000 })
+	r := newLoopHarness(t, cache.addr(), func(c *Config) { c.Settings.Routers = 1000 })
 	for range minConns {
-		r.send(r.request(nil), long)
+		r.sendAttempt(r.newRequest(nil), long)
 		receive(t, cache.commands, "command")
 	}
-	r.do(func() { r.l.cfg.Transport.DialTimeout = 1000 })
-	r.send(r.request(nil), long)
-	r.want(policy.ConnectFailed)
+	r.do(func() { r.loop.cfg.Transport.DialTimeout = 1000 })
+	r.sendAttempt(r.newRequest(nil), long)
+	r.wantOutcome(policy.ConnectFailed)
 }
 
 // TestBurstDoesNotDialForEach: connections stay under the bound, and all is served in turn.
 func TestBurstDoesNotDialForEach(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), func(c *Config) { c.Settings.Routers = 12 })
+	r := newLoopHarness(t, cache.addr(), func(c *Config) { c.Settings.Routers = 12 })
 	const burst = 100
 	for range burst {
-		r.send(r.request(nil), long)
+		r.sendAttempt(r.newRequest(nil), long)
 	}
 	conns := map[net.Conn]bool{}
 	for range burst {
 		cmd := receive(t, cache.commands, "command")
 		conns[cmd.conn] = true
-		cmd.reply(t, served)
-		r.want(policy.Served)
+		cmd.reply(t, servedReply)
+		r.wantOutcome(policy.Served)
 	}
 	if most := maxFleetConns / 12; len(conns) > most {
 		t.Errorf("%d connections for %d requests, want %d at most", len(conns), burst, most)
@@ -230,26 +230,26 @@
 
 func TestBreakAfterTheLastByteMayHaveRun(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
-	r.send(r.request(nil), long)
+	r := newLoopHarness(t, cache.addr(), nil)
+	r.sendAttempt(r.newRequest(nil), long)
 	receive(t, cache.commands, "command").conn.Close()
-	r.want(policy.ConnectionLost)
+	r.wantOutcome(policy.ConnectionLost)
 }
 
 func TestBreakOnAReusedConnectionMayHaveRun(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
-	r.send(r.request(nil), long)
+	r := newLoopHarness(t, cache.addr(), nil)
+	r.sendAttempt(r.newRequest(nil), long)
 	first := receive(t, cache.commands, "command")
-	first.reply(t, served)
-	r.want(policy.Served)
-	r.send(r.request(nil), long)
+	first.reply(t, servedReply)
+	r.wantOutcome(policy.Served)
+	r.sendAttempt(r.newRequest(nil), long)
 	second := receive(t, cache.commands, "command")
 	if second.conn != first.conn {
 		t.Error("the idle connection was not used again")
 	}
 	second.conn.Close()
-	r.want(policy.ConnectionLost)
+	r.wantOutcome(policy.ConnectionLost)
 }
 
 // deafCache takes connections and reads nothing.
@@ -274,68 +274,68 @@
 }
 
 // huge makes a request that no socket takes at once.
-func huge(r *rig) *request {
-	q := r.request([]byte("v"))
+func huge(r *loopHarness) *request {
+	q := r.newRequest([]byte("v"))
 	r.do(func() { q.command.args[optionsArgument+1] = bytes.Repeat([]byte("v"), 64<<20) })
 	return q
 }
 
 func TestBreakBeforeTheLastByteNeverRan(t *testing.T) {
 	addr, conns := deafCache(t)
-	r := newRig(t, addr, nil)
-	r.send(huge(r), long)
+	r := newLoopHarness(t, addr, nil)
+	r.sendAttempt(huge(r), long)
 	nc := receive(t, conns, "connection")
 	if _, err := nc.Read(make([]byte, 1)); err != nil { // it has begun
 		t.Fatal(err)
 	}
 	nc.Close() // with bytes unread: a reset
-	r.want(policy.ConnectFailed)
+	r.wantOutcome(policy.ConnectFailed)
 }
 
 func TestGivingUpBeforeTheLastByteNeverRan(t *testing.T) {
 	addr, conns := deafCache(t)
-	r := newRig(t, addr, nil)
+	r := newLoopHarness(t, addr, nil)
 	q := huge(r)
-	r.send(q, long)
+	r.sendAttempt(q, long)
 	if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil { // it has begun
 		t.Fatal(err)
 	}
-	r.do(func() { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) })
-	r.want(policy.NotSent)
+	r.do(func() { r.loop.perform(policy.Cancel{ID: q.id, Attempt: 0}) })
+	r.wantOutcome(policy.NotSent)
 }
 
 func TestNoAnswerInTimeMayHaveRun(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
-	r.send(r.request(nil), 3*time.Second)
+	r := newLoopHarness(t, cache.addr(), nil)
+	r.sendAttempt(r.newRequest(nil), 3*time.Second)
 	receive(t, cache.commands, "command")
-	r.want(policy.TimedOut)
-	receive(t, cache.ended, "end of the connection")
+	r.wantOutcome(policy.TimedOut)
+	receive(t, cache.closed, "end of the connection")
 }
 
 func TestCancelClosesTheConnectionAndMayHaveRun(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
-	q := r.request(nil)
-	r.send(q, long)
+	r := newLoopHarness(t, cache.addr(), nil)
+	q := r.newRequest(nil)
+	r.sendAttempt(q, long)
 	receive(t, cache.commands, "command")
-	r.do(func() { r.l.perform(policy.Cancel{ID: q.id, Attempt: 0}) })
-	r.want(policy.Cancelled)
-	receive(t, cache.ended, "end of the connection")
+	r.do(func() { r.loop.perform(policy.Cancel{ID: q.id, Attempt: 0}) })
+	r.wantOutcome(policy.Cancelled)
+	receive(t, cache.closed, "end of the connection")
 }
 
 // TestMalformedAnswers: a cache gone mad neither ends the router nor keeps it waiting.
 func TestMalformedAnswers(t *testing.T) {
 	for _, wire := range []string{"garbage\r\n", "$-5\r\n", "$9223372036854775807\r\n", "*9223372036854775807\r\n",
 		"*3\r\n$5\r\nvalueXX$3\r\nhit\r\n", "*1\r\n$x\r\n", "*-7\r\n", "$3\r\nabcdef\r\n",
-		"+" + strings.Repeat("x", 4*maxLineLength), "*2\r\n$1\r\na\r\n!\r\n", served + "trailing"} {
+		"+" + strings.Repeat("x", 4*maxLineLength), "*2\r\n$1\r\na\r\n!\r\n", servedReply + "trailing"} {
 		cache := newFakeCache(t)
-		r := newRig(t, cache.addr(), nil)
-		r.send(r.request(nil), long)
+		r := newLoopHarness(t, cache.addr(), nil)
+		r.sendAttempt(r.newRequest(nil), long)
 		receive(t, cache.commands, "command").reply(t, wire)
-		if strings.HasPrefix(wire, served) {
-			r.want(policy.Served)
-			receive(t, cache.ended, "end of the connection that is out of step")
+		if strings.HasPrefix(wire, servedReply) {
+			r.wantOutcome(policy.Served)
+			receive(t, cache.closed, "end of the connection that is out of step")
 		} else if o := receive(t, r.outcomes, "outcome"); o.Result.NeverRan() || o.Result == policy.Served || o.Result == policy.TimedOut {
 			t.Errorf("%.40q: outcome %d", wire, o.Result)
 		}
@@ -344,15 +344,15 @@
 
 func TestAnswerInPieces(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
+	r := newLoopHarness(t, cache.addr(), nil)
 	value := strings.Repeat("v", maxValueSize)
-	q := r.request(nil)
-	r.send(q, long)
+	q := r.newRequest(nil)
+	r.sendAttempt(q, long)
 	cmd := receive(t, cache.commands, "command")
 	for _, part := range []string{"*", "3\r", "\n$6553", "6\r\n" + value[:1000], value[1000:], "\r", "\n$3\r\nhit", "\r\n$-1\r\n"} {
 		cmd.reply(t, part)
 	}
-	r.want(policy.Served)
+	r.wantOutcome(policy.Served)
 	if got := receive(t, q.slot.reply, "answer"); string(got) != "$65536\r\n"+value+"\r\n" {
 		t.Errorf("the client got %d bytes", len(got))
 	}
@@ -360,33 +360,33 @@
 
 func TestIdleConnectionsAreClosedOnRequest(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
-	r.send(r.request(nil), long)
-	receive(t, cache.commands, "command").reply(t, served)
-	r.want(policy.Served)
-	r.do(func() { r.l.perform(policy.CloseIdleConnections{Cache: "c1"}) })
-	receive(t, cache.ended, "end of the idle connection")
+	r := newLoopHarness(t, cache.addr(), nil)
+	r.sendAttempt(r.newRequest(nil), long)
+	receive(t, cache.commands, "command").reply(t, servedReply)
+	r.wantOutcome(policy.Served)
+	r.do(func() { r.loop.perform(policy.CloseIdleConnections{Cache: "c1"}) })
+	receive(t, cache.closed, "end of the idle connection")
 }
 
 func TestIdleConnectionsAreClosedBeforeTheCacheDoes(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), func(c *Config) { c.Transport.Keepalive = 1000 })
-	r.send(r.request(nil), long)
-	receive(t, cache.commands, "command").reply(t, served)
-	r.want(policy.Served)
-	receive(t, cache.ended, "end of the idle connection")
+	r := newLoopHarness(t, cache.addr(), func(c *Config) { c.Transport.Keepalive = 1000 })
+	r.sendAttempt(r.newRequest(nil), long)
+	receive(t, cache.commands, "command").reply(t, servedReply)
+	r.wantOutcome(policy.Served)
+	receive(t, cache.closed, "end of the idle connection")
 }
 
 // TestWhatGoesOn: everything but d goes on as it came.
 func TestWhatGoesOn(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
+	r := newLoopHarness(t, cache.addr(), nil)
 	cmd, err := parseCommand([][]byte{[]byte("C.SET"), []byte("key"), []byte("id"),
 		[]byte("c=put,t=acme,d=20000,k=5c0f,size=12"), []byte("\x00\r\nVALUE")}, 100)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.send(r.take(cmd), 10*time.Second)
+	r.sendAttempt(r.acceptCommand(cmd), 10*time.Second)
 	got := receive(t, cache.commands, "command").args
 	if got[0] != "C.SET" || got[1] != "key" || got[2] != "id" || got[4] != "\x00\r\nVALUE" {
 		t.Errorf("the cache was sent %q", got)
@@ -402,14 +402,14 @@
 // TestFinalAnswerStopsAHalfWrittenAttempt: no more of it goes out, and it never ran.
 func TestFinalAnswerStopsAHalfWrittenAttempt(t *testing.T) {
 	addr, conns := deafCache(t)
-	r := newRig(t, addr, nil)
+	r := newLoopHarness(t, addr, nil)
 	q := huge(r)
-	r.send(q, long)
+	r.sendAttempt(q, long)
 	if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil {
 		t.Fatal(err)
 	}
-	r.do(func() { r.l.perform(policy.Reject{ID: q.id}) })
-	r.want(policy.NotSent)
+	r.do(func() { r.loop.perform(policy.Reject{ID: q.id}) })
+	r.wantOutcome(policy.NotSent)
 	if got := string(receive(t, q.slot.reply, "answer")); got != busyReply {
 		t.Errorf("the client got %q", got)
 	}
@@ -418,34 +418,34 @@
 // TestCacheThatMoves: connections to its old address are not used for new work.
 func TestCacheThatMoves(t *testing.T) {
 	old, moved := newFakeCache(t), newFakeCache(t)
-	r := newRig(t, old.addr(), nil)
-	r.send(r.request(nil), long)
+	r := newLoopHarness(t, old.addr(), nil)
+	r.sendAttempt(r.newRequest(nil), long)
 	cmd := receive(t, old.commands, "command")
 	r.do(func() {
-		h, err := parseHosts([]byte(hosts(2, false, host("c1", moved.addr(), "in_service"))))
+		h, err := parseHosts([]byte(endpointListJSON(2, false, endpointJSON("c1", moved.addr(), "in_service"))))
 		if err != nil {
 			t.Error(err)
 		}
-		r.l.applyEndpoints(h, h.kind())
+		r.loop.applyEndpoints(h, h.kind())
 	})
-	cmd.reply(t, served)
-	r.want(policy.Served)
-	r.send(r.request(nil), long)
-	receive(t, moved.commands, "command").reply(t, served)
-	r.want(policy.Served)
+	cmd.reply(t, servedReply)
+	r.wantOutcome(policy.Served)
+	r.sendAttempt(r.newRequest(nil), long)
+	receive(t, moved.commands, "command").reply(t, servedReply)
+	r.wantOutcome(policy.Served)
 }
 
 // TestClaimedPatienceIsBounded by what the settings say of any client.
 func TestClaimedPatienceIsBounded(t *testing.T) {
-	r := newRig(t, "127.0.0.1:1", nil)
+	r := newLoopHarness(t, "127.0.0.1:1", nil)
 	cmd, err := parseCommand([][]byte{[]byte("C.GET"), []byte("k"), []byte("id"), []byte("c=read,d=2000000000")}, 60)
 	if err != nil {
 		t.Fatal(err)
 	}
-	q := r.take(cmd)
+	q := r.acceptCommand(cmd)
 	r.do(func() {
-		if q.deadline > r.l.now+20_000_000 {
-			t.Errorf("deadline %d at %d", q.deadline, r.l.now)
+		if q.deadline > r.loop.now+20_000_000 {
+			t.Errorf("deadline %d at %d", q.deadline, r.loop.now)
 		}
 	})
 }
@@ -453,44 +453,44 @@
 // TestNoDescriptorSaysNothingOfTheCache: where the router had none left to ask it with, it did not fail.
 func TestNoDescriptorSaysNothingOfTheCache(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
+	r := newLoopHarness(t, cache.addr(), nil)
 	r.do(func() {
-		r.l.descriptors.maxUpstreamConns = 1
-		h, err := parseHosts([]byte(hosts(2, false, host("c2", cache.addr(), "in_service"))))
+		r.loop.descriptors.maxUpstreamConns = 1
+		h, err := parseHosts([]byte(endpointListJSON(2, false, endpointJSON("c2", cache.addr(), "in_service"))))
 		if err != nil {
 			t.Error(err)
 		}
-		r.l.applyEndpoints(h, h.kind())
+		r.loop.applyEndpoints(h, h.kind())
 	})
-	r.send(r.request(nil), long)
+	r.sendAttempt(r.newRequest(nil), long)
 	receive(t, cache.commands, "command")
-	q := r.request(nil)
+	q := r.newRequest(nil)
 	r.do(func() {
-		r.l.cfg.Transport.DialTimeout = 1000
-		r.l.perform(policy.Send{ID: q.id, Cache: "c2", Deadline: q.deadline})
+		r.loop.cfg.Transport.DialTimeout = 1000
+		r.loop.perform(policy.Send{ID: q.id, Cache: "c2", Deadline: q.deadline})
 	})
-	r.want(policy.NotSent)
+	r.wantOutcome(policy.NotSent)
 }
 
 // TestGoneCachesAreForgotten, lest memory grow with every machine that ever was.
 func TestGoneCachesAreForgotten(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
+	r := newLoopHarness(t, cache.addr(), nil)
 	r.do(func() {
 		for i := range 100 {
-			h, err := parseHosts([]byte(hosts(i+2, true, host("c1", cache.addr(), "in_service"),
-				host(fmt.Sprint("new", i), cache.addr(), "in_service"))))
+			h, err := parseHosts([]byte(endpointListJSON(i+2, true, endpointJSON("c1", cache.addr(), "in_service"),
+				endpointJSON(fmt.Sprint("new", i), cache.addr(), "in_service"))))
 			if err != nil {
 				t.Error(err)
 			}
-			r.l.applyEndpoints(h, h.kind())
-			r.l.sweepIdle()
+			r.loop.applyEndpoints(h, h.kind())
+			r.loop.sweepIdle()
 		}
-		if n := len(r.l.pools); n != 2 {
+		if n := len(r.loop.pools); n != 2 {
 			t.Errorf("%d caches are known, of which 2 are listed", n)
 		}
 	})
-	r.send(r.request(nil), long)
-	receive(t, cache.commands, "command").reply(t, served)
-	r.want(policy.Served)
+	r.sendAttempt(r.newRequest(nil), long)
+	receive(t, cache.commands, "command").reply(t, servedReply)
+	r.wantOutcome(policy.Served)
 }
--- a/internal/router/ready_test.go
+++ b/internal/router/ready_test.go
@@ -14,22 +14,22 @@
 
 func (c *testClient) wantReady(begun time.Time) {
 	c.t.Helper()
-	c.send(words("PING"))
-	c.want("+PONG")
+	c.send(encodeCommand("PING"))
+	c.wantLine("+PONG")
 	if took := time.Since(begun); took >= readyTime {
 		c.t.Errorf("ready after %v", took)
 	}
 }
 
-// TestReadyBehindACrowd that came before it, whether its connections say something or nothing: none of them
+// TestReadyBehindConnectionBacklog that came before it, whether its connections say something or nothing: none of them
 // heeds the router's end of its connection.
-func TestReadyBehindACrowd(t *testing.T) {
-	for name, wire := range map[string]string{"silent": "", "PING": words("PING"), "half a command": "*4\r\n$5\r\nC.G"} {
+func TestReadyBehindConnectionBacklog(t *testing.T) {
+	for name, wire := range map[string]string{"silent": "", "PING": encodeCommand("PING"), "half a command": "*4\r\n$5\r\nC.G"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
 				in["limits"].(map[string]any)["sockets"] = minSockets
-			}, host("c1", "127.0.0.1:1", "in_service")))
+			}, endpointJSON("c1", "127.0.0.1:1", "in_service")))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -37,33 +37,33 @@
 			for range 10 * srv.descriptors.maxClientConns {
 				dial(t, addr).send(wire)
 			}
-			c := dial(t, addr)
+			client := dial(t, addr)
 			begun := time.Now()
 			startServer(t, srv)
-			c.wantReady(begun)
+			client.wantReady(begun)
 		})
 	}
 }
 
-// troubledDiscovery serves the list once it is up; before that it takes calls and does not answer them, or
+// unavailableDiscovery serves the list once it is up; before that it takes calls and does not answer them, or
 // ends their connections.
-type troubledDiscovery struct {
-	addr  string
-	down  chan string // a call that came while it was down
-	up    chan struct{}
-	calls chan call // those that came afterwards
+type unavailableDiscovery struct {
+	addr           string
+	callsWhileDown chan string // a call that came while it was down
+	up             chan struct{}
+	callsWhileUp   chan call // those that came afterwards
 }
 
-func newTroubledDiscovery(t *testing.T, silent bool) *troubledDiscovery {
+func newUnavailableDiscovery(t *testing.T, silent bool) *unavailableDiscovery {
 	t.Helper()
-	d := &troubledDiscovery{down: make(chan string, 1000), up: make(chan struct{}), calls: make(chan call, 1000)}
+	d := &unavailableDiscovery{callsWhileDown: make(chan string, 1000), up: make(chan struct{}), callsWhileUp: make(chan call, 1000)}
 	d.addr = serveHTTP(t, func(w http.ResponseWriter, r *http.Request, over <-chan struct{}) {
 		c := call{r.URL.String(), make(chan string, 1)}
 		select {
 		case <-d.up:
-			d.calls <- c
+			d.callsWhileUp <- c
 		default:
-			d.down <- c.query
+			d.callsWhileDown <- c.query
 			if !silent {
 				panic(http.ErrAbortHandler)
 			}
@@ -81,16 +81,16 @@
 // TestReadyWithDiscoveryDown: the list that the router had last is enough, however long it is.
 func TestReadyWithDiscoveryDown(t *testing.T) {
 	for name, addr := range map[string]string{"refuses": "127.0.0.1:1", "never comes up": unreachable(t),
-		"silent": newTroubledDiscovery(t, true).addr, "breaks off": newTroubledDiscovery(t, false).addr} {
+		"silent": newUnavailableDiscovery(t, true).addr, "breaks off": newUnavailableDiscovery(t, false).addr} {
 		for _, mode := range []string{"subscribe", "automatic"} {
-			for _, known := range []int{1, atSize} {
+			for _, known := range []int{1, fleetSize} {
 				t.Run(fmt.Sprint(name, ", ", mode, ", ", known), func(t *testing.T) {
 					t.Parallel()
 					begun := time.Now()
-					r := start(t, testConfig(t, addr, func(in map[string]any) {
+					router := startRouter(t, testConfig(t, addr, func(in map[string]any) {
 						in["settings"].(map[string]any)["discovery"] = mode
-					}, manyHosts(known, "127.0.0.1:1")...))
-					dial(t, r.addr).wantReady(begun)
+					}, manyEndpoints(known, "127.0.0.1:1")...))
+					dial(t, router.addr).wantReady(begun)
 				})
 			}
 		}
@@ -102,31 +102,31 @@
 func TestReadyOnceDiscoveryIsUp(t *testing.T) {
 	for _, silent := range []bool{true, false} {
 		for _, mode := range []string{"subscribe", "automatic"} {
-			for name, known := range map[string]string{"no list": "null", "empty list": hosts(41, true),
-				"all drain": hosts(41, true, host("c1", "127.0.0.1:1", "terminating"))} {
+			for name, known := range map[string]string{"no list": "null", "empty list": endpointListJSON(41, true),
+				"all drain": endpointListJSON(41, true, endpointJSON("c1", "127.0.0.1:1", "terminating"))} {
 				t.Run(fmt.Sprint("silent ", silent, ", ", mode, ", ", name), func(t *testing.T) {
 					t.Parallel()
-					d := newTroubledDiscovery(t, silent)
+					d := newUnavailableDiscovery(t, silent)
 					begun := time.Now()
-					r := start(t, testConfig(t, d.addr, func(in map[string]any) {
+					router := startRouter(t, testConfig(t, d.addr, func(in map[string]any) {
 						in["known"] = json.RawMessage(known)
 						settings := in["settings"].(map[string]any)
 						settings["discovery"] = mode
 						settings["rules"].(map[string]any)["askEvery"] = 1_000_000
 					}))
-					if query := receive(t, d.down, "call"); query != "/discovery/hosts" {
+					if query := receive(t, d.callsWhileDown, "call"); query != "/discovery/hosts" {
 						t.Errorf("call %s, want one that may not wait", query)
 					}
-					c := dial(t, r.addr)
-					c.send(words("PING"))
-					if got := c.line(); !strings.HasPrefix(got, "-LOADING") {
+					client := dial(t, router.addr)
+					client.send(encodeCommand("PING"))
+					if got := client.readLine(); !strings.HasPrefix(got, "-LOADING") {
 						t.Errorf("answer %q", got)
 					}
 					close(d.up)
-					receive(t, d.calls, "call").reply <- hosts(43, true, host("c1", "127.0.0.1:1", "in_service"))
-					receive(t, d.calls, "next call")
-					(&rig{t: t, l: r.srv.loop}).do(func() {}) // so the router has taken the answer
-					c.wantReady(begun)
+					receive(t, d.callsWhileUp, "call").reply <- endpointListJSON(43, true, endpointJSON("c1", "127.0.0.1:1", "in_service"))
+					receive(t, d.callsWhileUp, "next call")
+					(&loopHarness{t: t, loop: router.srv.loop}).do(func() {}) // so the router has taken the answer
+					client.wantReady(begun)
 				})
 			}
 		}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -37,7 +37,7 @@
 		lateAcceptTime: lateAcceptTime, commandTimeout: commandTimeout,
 		acceptBackoff: acceptBackoff, firstCommandGrace: firstCommandGrace, lingerTime: lingerTime}
 	var err error
-	if s.loop, err = newLoop(cfg, s.descriptors); err != nil {
+	if s.loop, err = newEventLoop(cfg, s.descriptors); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if s.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
@@ -68,7 +68,7 @@
 	time.Sleep(s.lateAcceptTime)
 	s.loop.post(func() { s.loop.beginDrain(begun) })
 	close(s.closing)
-	s.drainClients() // idle clients make room for those that queue
+	s.closeIdleClients() // idle clients make room for those that queue
 	s.setAcceptDeadline(time.Now())
 	select {
 	case <-failed:
@@ -77,7 +77,7 @@
 		return nil
 	}
 	s.listener.Close() // no client is added any more
-	s.drainClients()
+	s.closeIdleClients()
 	gone := make(chan struct{})
 	go func() {
 		s.wg.Wait()
@@ -116,7 +116,7 @@
 }
 
 // drainClients has each client's connection closed as soon as it is between requests.
-func (s *Server) drainClients() {
+func (s *Server) closeIdleClients() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.clients {
--- a/internal/router/settings_test.go
+++ b/internal/router/settings_test.go
@@ -26,26 +26,26 @@
 		answer  string
 		stays   bool // in the first attempt's cell
 	}{
-		"read again":                    {"seat-map", []string{broken, served}, "value", false},
+		"read again":                    {"seat-map", []string{broken, servedReply}, "value", false},
 		"no more than two attempts":     {"seat-map", []string{broken, broken}, "-BUSY 900", false},
 		"may have run":                  {"seat-buy", []string{broken}, "-ERR failed", false},
 		"failed, may have run":          {"seat-buy", []string{"-ERR failed\r\n"}, "-ERR failed", false},
-		"proven never to have run":      {"seat-buy", []string{"-BUSY\r\n", served}, "value", false},
+		"proven never to have run":      {"seat-buy", []string{"-BUSY\r\n", servedReply}, "value", false},
 		"never run by either":           {"seat-buy", []string{"-BUSY\r\n", "-BUSY\r\n"}, "-BUSY 900", false},
 		"a spoilt answer may have run":  {"seat-buy", []string{"*3\r\n$5\r\nvalueXX"}, "-ERR failed", false},
-		"keyed read inside its cell":    {"hold-check", []string{broken, served}, "value", true},
+		"keyed read inside its cell":    {"hold-check", []string{broken, servedReply}, "value", true},
 		"keyed read that may have run":  {"hold-check", []string{broken, broken}, "-ERR failed", true},
 		"report under other names":      {"seat-map", []string{"*3\r\n$5\r\nvalue\r\n$4\r\nmiss\r\n$14\r\nlat_ms=3,rif=2\r\n"}, "value", false},
-		"report behind an error's text": {"seat-map", []string{"-ERR failed lat_ms=3,rif=2\r\n", served}, "value", false},
+		"report behind an error's text": {"seat-map", []string{"-ERR failed lat_ms=3,rif=2\r\n", servedReply}, "value", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			caches := map[string]*fakeCache{"c1": newFakeCache(t), "c2": newFakeCache(t)}
-			r := start(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
+			r := startRouter(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
 				in["settings"] = json.RawMessage(otherSettings)
-			}, host("c1", caches["c1"].addr(), "in_service"),
-				strings.Replace(host("c2", caches["c2"].addr(), "in_service"), `"group":1`, `"group":2`, 1)))
+			}, endpointJSON("c1", caches["c1"].addr(), "in_service"),
+				strings.Replace(endpointJSON("c2", caches["c2"].addr(), "in_service"), `"group":1`, `"group":2`, 1)))
 			client := dial(t, r.addr)
-			client.send(words("C.GET", "k1", "r1", "c="+c.class+",t=hall,d=20000,k=ab12"))
+			client.send(encodeCommand("C.GET", "k1", "r1", "c="+c.class+",t=hall,d=20000,k=ab12"))
 			first := ""
 			for i, reply := range c.replies {
 				var cmd fakeCommand
@@ -55,7 +55,7 @@
 					at = "c1"
 				case cmd = <-caches["c2"].commands:
 					at = "c2"
-				case <-time.After(patience):
+				case <-time.After(testTimeout):
 					t.Fatalf("attempt %d did not come", i)
 				}
 				if i == 0 {
@@ -69,7 +69,7 @@
 					cmd.reply(t, reply)
 				}
 			}
-			client.want(c.answer)
+			client.wantLine(c.answer)
 			for id, cache := range caches {
 				select {
 				case cmd := <-cache.commands:
--- a/internal/router/size_test.go
+++ b/internal/router/size_test.go
@@ -7,19 +7,19 @@
 )
 
 // The tests here hold that the router has no bound of its own under so many routers and caches.
-const atSize = 1024
+const fleetSize = 1024
 
-// manyHosts is a list of caches at one address.
-func manyHosts(n int, addr string) []string {
+// manyEndpoints is a list of caches at one address.
+func manyEndpoints(n int, addr string) []string {
 	var lines []string
 	for i := range n {
-		lines = append(lines, host(fmt.Sprintf("c%04d", i), addr, "in_service"))
+		lines = append(lines, endpointJSON(fmt.Sprintf("c%04d", i), addr, "in_service"))
 	}
 	return lines
 }
 
-// heldBytes is what is held on the heap.
-func heldBytes() int64 {
+// heapInUse is what is held on the heap.
+func heapInUse() int64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
@@ -33,42 +33,42 @@
 	cfg := testConfig(t, silentDiscovery(t), func(in map[string]any) {
 		in["limits"] = map[string]any{"cores": 1, "memory_mb": 32, "sockets": 256}
 		settings := in["settings"].(map[string]any)
-		settings["instances"] = atSize
+		settings["instances"] = fleetSize
 		settings["penalties"].(map[string]any)["connection"] = 0 // so that idle connections are kept
-	}, manyHosts(atSize, cache.addr())...)
-	before := heldBytes()
-	r := start(t, cfg)
+	}, manyEndpoints(fleetSize, cache.addr())...)
+	before := heapInUse()
+	router := startRouter(t, cfg)
 	over := make(chan struct{})
 	t.Cleanup(func() { close(over) })
 	go func() {
 		for {
 			select {
 			case cmd := <-cache.commands:
-				cmd.reply(t, served)
+				cmd.reply(t, servedReply)
 			case <-over:
 				return
 			}
 		}
 	}()
-	c := dial(t, r.addr)
+	client := dial(t, router.addr)
 	const requests = 1500
 	most := 0
 	for i := range requests {
-		c.send(words("C.GET", fmt.Sprintf("k%d", i), fmt.Sprintf("r%d", i), "c=read,d=20000"))
-		c.want("value")
+		client.send(encodeCommand("C.GET", fmt.Sprintf("k%d", i), fmt.Sprintf("r%d", i), "c=read,d=20000"))
+		client.wantLine("value")
 		done := make(chan int)
-		r.srv.loop.post(func() { done <- r.srv.loop.upstreamConns })
+		router.srv.loop.post(func() { done <- router.srv.loop.upstreamConns })
 		most = max(most, receive(t, done, "number of connections"))
 	}
 	if free := newDescriptorBudget(256).maxUpstreamConns; most > free || most < free/2 {
 		t.Errorf("%d connections to caches at once, of %d", most, free)
 	}
-	if held := heldBytes() - before; held > 16<<20 {
+	if held := heapInUse() - before; held > 16<<20 {
 		t.Errorf("%d MB are held, the test's own included", held>>20)
 	}
 	done := make(chan int)
-	r.srv.loop.post(func() { done <- len(r.srv.loop.pools) })
-	if n := receive(t, done, "number of caches"); n != atSize {
+	router.srv.loop.post(func() { done <- len(router.srv.loop.pools) })
+	if n := receive(t, done, "number of caches"); n != fleetSize {
 		t.Errorf("%d caches are known", n)
 	}
 }
