Give the router's event loop and client side functions of one job and a package comment

Cause: Run, readCommands, handleCommand and acceptLoop did several jobs each, two results of bool told how a connection goes on, constants of all concerns stood in one block, and the comments used words of our own. Bytes sent, time limits and goroutines stay.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -7,47 +7,48 @@
 	"time"
 )
 
-// acceptLoop takes connections until the router closes, and then those that queue. The danger: the kernel has
-// accepted them, and with them requests that count as taken; closing the listener resets them.
+const (
+	acceptBackoff      = 10 * time.Millisecond  // before a descriptor is sought again
+	firstCommandGrace  = 100 * time.Millisecond // for a new connection's first command to arrive before it may be evicted
+	finalAcceptTimeout = 20 * time.Millisecond  // for each Accept of a queued connection while the router drains
+)
+
+// acceptLoop accepts connections until the router closes, and then those that are still queued:
+// the kernel has accepted them, so requests may already have been sent on them, and closing the
+// listener would reset them.
 func (s *Server) acceptLoop() error {
 	for {
 		if !s.waitForDescriptor() {
 			return net.ErrClosed
 		}
-		last := s.isClosing()
-		if last {
+		closing := s.isClosing()
+		if closing {
 			s.setAcceptDeadline(time.Now().Add(finalAcceptTimeout))
 		}
 		nc, err := s.listener.Accept()
-		if err != nil {
-			s.descriptors.releaseClient()
-			late := errors.Is(err, os.ErrDeadlineExceeded)
-			switch {
-			case errors.Is(err, net.ErrClosed), late && last:
-				return err
-			case late:
-				continue // called back as the router closes
-			}
-			// Out of descriptors, or a connection that was reset while it queued: neither may
-			// end the router. Those in the queue wait.
-			time.Sleep(s.acceptBackoff)
+		if err == nil {
+			s.startClient(nc.(*net.TCPConn))
 			continue
 		}
-		c := &clientConn{srv: s, nc: nc.(*net.TCPConn), requests: map[int64]*request{}, replies: make(chan *replySlot, maxPipelined),
-			readEnded: make(chan struct{})}
-		c.lastReplyAt.Store(s.loop.clock())
-		s.mu.Lock()
-		s.clients[c] = struct{}{}
-		s.mu.Unlock()
-		s.wg.Add(2)
-		go c.readLoop()
-		go c.writeLoop()
+		s.descriptors.releaseClient()
+		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+		switch {
+		case errors.Is(err, net.ErrClosed), timedOut && closing:
+			return err
+		case timedOut:
+			// drain has interrupted Accept: the router closes.
+		default:
+			// The process is out of descriptors, or the connection was reset while it was queued.
+			// Neither may end the router; queued connections wait.
+			time.Sleep(s.acceptBackoff)
+		}
 	}
 }
 
-// waitForDescriptor waits for a descriptor for one more client; it reports false once the router ends. The
-// danger: clients that hold connections they do not use shut out all others. The one idle for
-// longest makes room, as the protocol allows between requests.
+// waitForDescriptor waits for a descriptor for one more client. It reports false once no more
+// clients are accepted. While there is no descriptor, it evicts the connection that has been idle
+// for longest, as the protocol allows between requests, so that idle clients do not shut out
+// others.
 func (s *Server) waitForDescriptor() bool {
 	for !s.descriptors.acquireClient() {
 		if c := s.longestIdle(); c != nil {
@@ -57,22 +58,25 @@
 		select {
 		case <-s.ended:
 			return false
-		case <-s.descriptors.freed: // the danger: polling alone lets in a few a second, and a crowd queues
-		case <-time.After(s.acceptBackoff): // by now another may be idle
+		case <-s.descriptors.freed: // polling alone would accept too few a second to serve a long queue
+		case <-time.After(s.acceptBackoff): // another connection may be idle by now
 		}
 	}
 	return true
 }
 
+// longestIdle returns the connection whose last reply is the oldest of those that may be evicted,
+// or nil.
 func (s *Server) longestIdle() *clientConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var longest *clientConn
-	fresh := s.loop.clock() - s.firstCommandGrace.Microseconds()
+	newSince := s.loop.clock() - s.firstCommandGrace.Microseconds()
 	for c := range s.clients {
-		// The danger: a connection that has just come is closed as its first request comes in.
-		if c.pendingReplies.Load() == 0 && !c.draining.Load() && (c.hasCommand.Load() || c.lastReplyAt.Load() < fresh) &&
-			(longest == nil || c.lastReplyAt.Load() < longest.lastReplyAt.Load()) {
+		if !c.isEvictable(newSince) {
+			continue
+		}
+		if longest == nil || c.lastReplyAt.Load() < longest.lastReplyAt.Load() {
 			longest = c
 		}
 	}
--- /dev/null
+++ b/internal/router/client_commands.go
@@ -0,0 +1,103 @@
+package router
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+
+	"github.com/tidwall/redcon"
+
+	"marlstage/policy"
+)
+
+const (
+	maxVerbSize     = 32      // bytes of a command's name that are looked at
+	requestOverhead = 1 << 10 // bytes charged for a request beside those of its command
+)
+
+// Replies to commands that are not requests.
+const (
+	pongReply           = "+PONG\r\n"
+	quitReply           = "+OK\r\n"
+	notReadyReply       = "-LOADING no caches are known yet\r\n"
+	unknownCommandReply = "-ERR unknown command\r\n"
+)
+
+// handleCommand carries out one command. raw is the command as it was received.
+func (c *clientConn) handleCommand(args [][]byte, raw []byte) connState {
+	if len(args) == 0 {
+		return connOpen
+	}
+	readAt := c.srv.loop.clock()
+	verb := args[0][:min(len(args[0]), maxVerbSize)]
+	switch strings.ToUpper(string(verb)) {
+	case "PING":
+		return c.reply(c.pingReply(args))
+	case "QUIT":
+		return c.replyAndClose([]byte(quitReply))
+	case "C.GET", "C.SET":
+		return c.handleRequest(raw, readAt)
+	default:
+		return c.reply([]byte(unknownCommandReply))
+	}
+}
+
+// pingReply tells whether the router can serve requests.
+func (c *clientConn) pingReply(args [][]byte) []byte {
+	switch {
+	case !c.srv.loop.canServe.Load():
+		return []byte(notReadyReply)
+	case len(args) > 1:
+		return redcon.AppendBulk(nil, args[1])
+	default:
+		return []byte(pongReply)
+	}
+}
+
+// handleRequest hands a command that caches serve to the event loop.
+func (c *clientConn) handleRequest(raw []byte, readAt policy.Time) connState {
+	// The request outlives the read buffer, so its arguments are parsed from a copy.
+	_, args, _, err := nextCommand(bytes.Clone(raw))
+	if err != nil {
+		return connClosing
+	}
+	cmd, err := parseCommand(args, len(raw))
+	if err == nil {
+		err = c.srv.validate(raw, cmd)
+	}
+	if err != nil {
+		return c.reply(redcon.AppendError(nil, "ERR "+err.Error()))
+	}
+	slot := newReplySlot(c.srv.memory)
+	// Many short commands take a multiple of their bytes in memory.
+	charge := int64(len(raw) + requestOverhead)
+	if !slot.memory.tryAcquire(charge) {
+		return c.reply([]byte(busyReply))
+	}
+	slot.charge = charge
+	if !c.enqueue(slot) {
+		slot.memory.release(slot.charge)
+		return connGone
+	}
+	c.srv.loop.post(func() { c.srv.loop.acceptRequest(c, slot, cmd, readAt) })
+	return connOpen
+}
+
+// validate reports what is wrong with a command that can be parsed, but that no proper client
+// sends. If it were forwarded, a cache would serve it like a client's, or it would be retried
+// without the idempotency key by which caches drop duplicates.
+func (s *Server) validate(raw []byte, cmd command) error {
+	if raw[0] != redcon.Array {
+		return errors.New("a command is an array of bulk strings")
+	}
+	for _, class := range s.cfg.Settings.Classes {
+		if class.Name != cmd.class {
+			continue
+		}
+		if class.Effect == policy.IdempotentWithKey && cmd.write && !cmd.hasIdempotencyKey {
+			return errors.New("k is needed")
+		}
+		return nil
+	}
+	return errors.New("c names no class")
+}
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -1,155 +1,115 @@
 package router
 
 import (
-	"bytes"
 	"errors"
 	"net"
 	"os"
-	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"marlstage/policy"
 )
 
 const (
-	maxValueSize        = 64 << 10                // bytes of a value
-	maxArgumentSize     = 1 << 10                 // ... of a key, an id or the list of names and values
-	maxCommandSize      = maxValueSize + 4<<10    // ... of a whole command
-	requestOverhead     = 1 << 10                 // ... of what is kept for a request beside its bytes
-	maxIdleBuffer       = 8 << 10                 // bytes of room that a connection keeps between commands
-	maxPipelined        = 512                     // commands of one connection that may await their answers
-	writeTimeout        = 5 * time.Second         // for an answer to a client that does not read
-	lingerTime          = time.Second             // for a client to read why its connection is closed
-	acceptBackoff       = 10 * time.Millisecond   // before another try where no descriptor was free
-	lateAcceptTime      = 500 * time.Millisecond  // new connections may still come so long after SIGTERM
-	commandTimeout      = 2200 * time.Millisecond // for a connection's first command, and for the rest of any that has begun
-	evictGrace          = 100 * time.Millisecond  // for the rest of a command that has begun where its connection has to make room
-	firstCommandGrace   = 100 * time.Millisecond  // for a connection's first command where room is wanted: it is under way
-	hangupCheckInterval = 100 * time.Millisecond  // between looks whether a client has left whose bytes are not read
-	finalAcceptTimeout  = 20 * time.Millisecond   // for a connection that queues as the router ends
-	drainSlack          = 650 * time.Millisecond  // beyond the longest deadline, for the drain after SIGTERM: SIGKILL may follow 50 ms later
-	maxDrainTimeout     = 3 * time.Second         // ... which counts as no longer than this until SIGKILL
-	drainAnswerMargin   = 100 * time.Millisecond  // before that, when the last answers are given
-	optionsArgument     = 3                       // place of the names and values in a command
+	maxValueSize        = 64 << 10               // bytes of a value
+	maxArgumentSize     = 1 << 10                // bytes of a key, an id or the options
+	optionsArgument     = 3                      // index of the options in a command
+	maxPipelined        = 512                    // commands of one connection that may await their replies
+	maxDiscarded        = 4 * maxCommandSize     // bytes read and discarded after the last command
+	discardBufferSize   = 4 << 10                // bytes discarded with one read, at most
+	hangupCheckInterval = 100 * time.Millisecond // between checks whether a client has disconnected whose commands are not read
+)
+
+// connState is the state in which handling a command leaves a client's connection.
+type connState uint8
+
+const (
+	connOpen    connState = iota // further commands are read
+	connClosing                  // no further commands are read; the client may still read its replies
+	connGone                     // the client has disconnected
 )
 
-// clientConn is a connection of a client.
+// clientConn is a client's connection. A reader takes commands from it and queues a reply slot for
+// each, and a writer sends the replies in that order.
 type clientConn struct {
 	srv            *Server
 	nc             *net.TCPConn
-	requests       map[int64]*request // requests without a final answer; the loop's
-	replies        chan *replySlot    // answers due, in the order of the commands
-	draining       atomic.Bool        // to be closed between requests
-	evicting       atomic.Bool        // ... to make room, so that it can't wait for half a command
-	pendingReplies atomic.Int64       // commands whose answer is not written
-	hasCommand     atomic.Bool        // a command has come
-	lastReplyAt    atomic.Int64       // when the last answer was written
+	requests       map[int64]*request // without a final reply; owned by the event loop
+	replies        chan *replySlot    // in the order of the commands
+	draining       atomic.Bool        // the connection is to be closed between requests
+	evicting       atomic.Bool        // it is drained for want of descriptors, so a partial command is given less time
+	pendingReplies atomic.Int64       // commands whose reply is not written
+	hasCommand     atomic.Bool        // a command has been received
+	lastReplyAt    atomic.Int64       // when the last reply was written, or the connection accepted; policy.Time
 
-	lingering atomic.Bool   // all answers are written, and the client is to read the last one
+	lingering atomic.Bool   // all replies are written, and the client is given time to read them
 	readEnded chan struct{} // closed when nothing more is read
 }
 
-// closeWhenIdle has the connection closed as soon as it is between requests.
+func newClientConn(s *Server, nc *net.TCPConn) *clientConn {
+	c := &clientConn{
+		srv:       s,
+		nc:        nc,
+		requests:  map[int64]*request{},
+		replies:   make(chan *replySlot, maxPipelined),
+		readEnded: make(chan struct{}),
+	}
+	c.lastReplyAt.Store(s.loop.clock())
+	return c
+}
+
+// closeWhenIdle has the connection closed as soon as it has no request in flight.
 func (c *clientConn) closeWhenIdle() {
 	if !c.draining.Swap(true) {
-		c.nc.SetReadDeadline(time.Now())
+		c.nc.SetReadDeadline(time.Now()) // interrupts the reader
+	}
+}
+
+// isEvictable reports whether the connection may be closed for want of descriptors: it is idle, and
+// has sent a command or was accepted before newSince. The first command of a new connection is
+// probably on its way, and would be lost.
+func (c *clientConn) isEvictable(newSince policy.Time) bool {
+	if c.pendingReplies.Load() != 0 || c.draining.Load() {
+		return false
 	}
+	return c.hasCommand.Load() || c.lastReplyAt.Load() < newSince
 }
 
-// readLoop takes commands until the connection ends or takes no more, and then reads on.
+// readLoop handles commands until the connection ends or takes no more, and then discards what
+// else is received.
 func (c *clientConn) readLoop() {
 	defer c.srv.wg.Done()
 	defer close(c.readEnded)
-	reads := c.readCommands()
+	state := c.readCommands()
 	close(c.replies)
-	if reads {
-		c.discard()
-	} else {
-		c.srv.loop.post(func() { c.srv.loop.clientGone(c) })
+	if state == connGone {
+		c.reportGone()
+		return
 	}
+	c.discard()
 }
 
-// readCommands takes commands. It reports whether the client may still be there when no more are taken.
-func (c *clientConn) readCommands() bool {
-	var buf []byte
-	// The danger: a peer that says nothing, or half a command, holds a descriptor for ever.
-	until := time.Now().Add(c.srv.commandTimeout) // when the first command is due, or the rest of any that has begun
-	for cut := false; ; {
-		complete, args, used, err := nextCommand(buf)
-		if err != nil {
-			return c.reply(redcon.AppendError(nil, "ERR Protocol error: "+err.Error()))
-		}
-		if complete {
-			if goesOn, there := c.handleCommand(args, buf[:used]); !goesOn {
-				return there
-			}
-			if len(args) > 0 {
-				c.hasCommand.Store(true)
-				until, cut = time.Time{}, false
-			}
-			if rest := buf[used:]; cap(buf) > maxIdleBuffer && len(rest) <= maxIdleBuffer {
-				buf = bytes.Clone(rest) // many clients with a large command once must not keep its room
-			} else {
-				buf = append(buf[:0], rest...)
-			}
-			continue
-		}
-		if len(buf) >= maxCommandSize {
-			return c.reply([]byte("-ERR Protocol error: too big a command\r\n"))
-		}
-		if len(buf) == cap(buf) {
-			buf = append(make([]byte, 0, max(1024, 2*cap(buf))), buf...)
-		}
-		if until.IsZero() && len(buf) > 0 {
-			until = time.Now().Add(c.srv.commandTimeout)
-		}
-		if grace := time.Now().Add(evictGrace); len(buf) > 0 && !cut && c.evicting.Load() && grace.Before(until) {
-			until, cut = grace, true
-		}
-		if !c.awaitRead(len(buf) > 0, until) {
-			return true
-		}
-		n, err := c.nc.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		switch {
-		case err == nil:
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return false
-		case until.IsZero() || time.Now().Before(until): // called back to see whether the connection is to be closed
-		case len(buf) > 0:
-			return c.reply([]byte("-ERR Protocol error: the command did not come whole in time\r\n"))
-		default:
-			return true
-		}
-	}
+// reportGone has the event loop end the client's requests.
+func (c *clientConn) reportGone() {
+	c.srv.loop.post(func() { c.srv.loop.clientGone(c) })
 }
 
-// awaitRead has the next read end at the given time, if there is one. It reports false where the connection is
-// to be closed and is between requests. The danger: one with work in hand is read on, as a command behind it
-// counts as taken.
-func (c *clientConn) awaitRead(begun bool, until time.Time) bool {
-	c.nc.SetReadDeadline(until)
-	return !c.draining.Load() || begun || c.pendingReplies.Load() > 0 || c.hasUnread()
-}
-
-// discard reads what nobody takes any more, for as long as answers are due and the client may read them. The
-// danger: a client that leaves meanwhile goes unnoticed, and its requests are sent on.
+// discard reads and drops what the client sends after its last command, for as long as replies are
+// due and the client may read them. Without it a client that disconnects meanwhile would go
+// unnoticed, and its requests would be forwarded.
 func (c *clientConn) discard() {
-	buf := make([]byte, 4096)
-	for total := 0; total < 4*maxCommandSize; {
+	buf := make([]byte, discardBufferSize)
+	for total := 0; total < maxDiscarded; {
 		n, err := c.nc.Read(buf)
 		total += n
 		switch {
 		case err == nil:
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			c.srv.loop.post(func() { c.srv.loop.clientGone(c) })
+			c.reportGone()
 			return
 		case c.lingering.Load():
 			return
-		default: // of a command, or of a connection that was to be closed
+		default: // the deadline was that of a command, or closeWhenIdle has interrupted the read
 			c.nc.SetReadDeadline(time.Time{})
 			if c.lingering.Load() {
 				c.nc.SetReadDeadline(time.Now().Add(c.lingerTime()))
@@ -158,18 +118,18 @@
 	}
 }
 
-// enqueue gives an answer its place. It reports false where the client has left. The danger: while its many
-// commands wait for their answers nobody reads on to where it left.
-func (c *clientConn) enqueue(s *replySlot) bool {
+// enqueue queues a reply slot for the writer. It reports whether the client is still connected:
+// while the queue is full nothing is read, so a disconnect has to be looked for.
+func (c *clientConn) enqueue(slot *replySlot) bool {
 	c.pendingReplies.Add(1)
 	for {
 		select {
-		case c.replies <- s:
+		case c.replies <- slot:
 			return true
 		default:
 		}
 		select {
-		case c.replies <- s:
+		case c.replies <- slot:
 			return true
 		case <-time.After(hangupCheckInterval):
 			if c.hungUp() {
@@ -179,79 +139,19 @@
 	}
 }
 
-// reply queues an answer of the router's own. It reports whether the client is still there.
-func (c *clientConn) reply(answer []byte) bool {
-	s := newReplySlot(c.srv.memory)
-	s.fill(answer)
-	return c.enqueue(s)
-}
+// reply queues a reply of the router's own and leaves the connection open.
+func (c *clientConn) reply(reply []byte) connState { return c.replyAndLeave(reply, connOpen) }
 
-// handleCommand carries out one command. It reports whether the connection goes on, and whether the client is there.
-func (c *clientConn) handleCommand(args [][]byte, raw []byte) (goesOn, there bool) {
-	said := func(answer []byte) (goesOn, there bool) {
-		there = c.reply(answer)
-		return there, there
-	}
-	if len(args) == 0 {
-		return true, true
-	}
-	read := c.srv.loop.clock()
-	verb := strings.ToUpper(string(args[0][:min(len(args[0]), 32)]))
-	switch verb {
-	case "PING":
-		switch {
-		case !c.srv.loop.canServe.Load():
-			return said([]byte("-LOADING no caches are known yet\r\n"))
-		case len(args) > 1:
-			return said(redcon.AppendBulk(nil, args[1]))
-		}
-		return said([]byte("+PONG\r\n"))
-	case "QUIT":
-		return false, c.reply([]byte("+OK\r\n"))
-	case "C.GET", "C.SET":
-	default:
-		return said([]byte("-ERR unknown command\r\n"))
-	}
-	// The command outlives the buffer.
-	_, args, _, err := nextCommand(bytes.Clone(raw))
-	if err != nil {
-		return false, true
-	}
-	cmd, err := parseCommand(args, len(raw))
-	if err == nil {
-		err = c.srv.validate(raw, cmd)
-	}
-	if err != nil {
-		return said(redcon.AppendError(nil, "ERR "+err.Error()))
-	}
-	s := newReplySlot(c.srv.memory)
-	// The danger: a flood of short commands takes many times the room of its bytes.
-	charge := int64(len(raw) + requestOverhead)
-	if !s.memory.tryAcquire(charge) {
-		return said([]byte(busyReply))
-	}
-	s.charge = charge
-	if !c.enqueue(s) {
-		s.memory.release(s.charge)
-		return false, false
-	}
-	c.srv.loop.post(func() { c.srv.loop.acceptRequest(c, s, cmd, read) })
-	return true, true
+// replyAndClose queues a reply of the router's own as the connection's last.
+func (c *clientConn) replyAndClose(reply []byte) connState {
+	return c.replyAndLeave(reply, connClosing)
 }
 
-// validate reports what is wrong with a command that can be read, but that no client sends. The
-// danger: sent on, it is served as though it were a client's, or repeated with no key to drop it.
-func (s *Server) validate(raw []byte, cmd command) error {
-	if raw[0] != redcon.Array {
-		return errors.New("a command is an array of bulk strings")
-	}
-	for _, class := range s.cfg.Settings.Classes {
-		if class.Name == cmd.class {
-			if class.Effect == policy.IdempotentWithKey && cmd.write && !cmd.hasIdempotencyKey {
-				return errors.New("k is needed")
-			}
-			return nil
-		}
+func (c *clientConn) replyAndLeave(reply []byte, next connState) connState {
+	slot := newReplySlot(c.srv.memory)
+	slot.fill(reply)
+	if !c.enqueue(slot) {
+		return connGone
 	}
-	return errors.New("c names no class")
+	return next
 }
--- a/internal/router/client_socket.go
+++ b/internal/router/client_socket.go
@@ -1,50 +1,55 @@
 package router
 
 import (
+	"errors"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// hasUnread reports whether bytes have come that were not read yet.
+// hasUnread reports whether bytes have been received that are not read yet.
 func (c *clientConn) hasUnread() bool {
 	raw, err := c.nc.SyscallConn()
 	if err != nil {
 		return false
 	}
 	n := 0
-	raw.Control(func(fd uintptr) {
+	err = raw.Control(func(fd uintptr) {
+		// On an error nothing can be read, and n is not positive.
 		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return n > 0
+	return err == nil && n > 0
 }
 
-// hasUnacknowledged reports whether the client's machine has not confirmed all of the answers yet.
+// hasUnacknowledged reports whether the client's machine has yet to acknowledge some of the replies.
 func (c *clientConn) hasUnacknowledged() bool {
 	raw, err := c.nc.SyscallConn()
 	if err != nil {
 		return false
 	}
 	n := 0
-	raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return err == nil && n > 0
+	var queryErr error
+	err = raw.Control(func(fd uintptr) {
+		n, queryErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	return errors.Join(err, queryErr) == nil && n > 0
 }
 
-// hungUp reports whether the client has closed its side or reset the connection, also behind bytes that are
-// not read yet.
+// hungUp reports whether the client has closed its side of the connection or reset it, even if
+// bytes that were sent before are not read yet.
 func (c *clientConn) hungUp() bool {
 	if c.nc == nil {
-		return false
+		return false // a request without a client, as in tests
 	}
 	raw, err := c.nc.SyscallConn()
 	if err != nil {
 		return true
 	}
-	gone := false
+	hungUp := false
 	err = raw.Control(func(fd uintptr) {
-		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(p, 0)
-		gone = err == nil && n > 0 && p[0].Revents&unix.POLLRDHUP != 0
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, pollErr := unix.Poll(fds, 0)
+		hungUp = pollErr == nil && n > 0 && fds[0].Revents&unix.POLLRDHUP != 0
 	})
-	return gone || err != nil
+	return hungUp || err != nil
 }
--- a/internal/router/client_writer.go
+++ b/internal/router/client_writer.go
@@ -4,50 +4,74 @@
 	"time"
 )
 
-// writeLoop sends the answers in the order of the commands.
+const (
+	writeTimeout = 5 * time.Second // for a reply to a client that does not read
+	lingerTime   = time.Second     // for a client to read the last reply before its connection is closed
+)
+
+// writeLoop sends the replies in the order of the commands and then closes the connection.
 func (c *clientConn) writeLoop() {
 	defer c.srv.wg.Done()
-	gone, answered := false, false
-	for s := range c.replies {
-		var b []byte
-		select {
-		case b = <-s.reply:
-		case <-c.srv.loop.done:
-		}
-		if !gone {
-			if b == nil {
-				gone = true
-			} else {
-				c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-				_, err := c.nc.Write(b)
-				gone, answered = err != nil, true
-			}
-			if gone {
-				c.nc.Close() // its reader notes that the client is gone
-			}
-		}
-		s.memory.release(s.charge + int64(len(b)))
-		c.lastReplyAt.Store(c.srv.loop.clock())
-		if c.pendingReplies.Add(-1) == 0 && c.draining.Load() {
-			c.nc.SetReadDeadline(time.Now())
+	connected, answered := true, false
+	for slot := range c.replies {
+		reply := c.awaitReply(slot)
+		if connected {
+			connected = c.writeReply(reply)
+			answered = true
 		}
+		c.replyDone(slot, reply)
 	}
-	// The danger: idle connections that were never answered hold their descriptors while others queue.
-	if !gone && (answered || c.hasUnread()) {
+	// Idle connections that were never answered are closed at once: while they linger, they occupy
+	// descriptors that queued connections need.
+	if connected && (answered || c.hasUnread()) {
 		c.linger()
 	}
 	c.nc.Close()
-	c.srv.mu.Lock()
-	delete(c.srv.clients, c)
-	c.srv.mu.Unlock()
-	c.srv.descriptors.releaseClient()
+	c.srv.removeClient(c)
 }
 
-// linger lets the client read the last answer. The danger: closing while bytes still come, of an oversized
-// command or of a request that crosses the close, resets the connection, and the answer is lost with it.
+// awaitReply returns the reply of a slot. It is nil if the client is gone or the event loop has
+// ended without one.
+func (c *clientConn) awaitReply(slot *replySlot) []byte {
+	select {
+	case reply := <-slot.reply:
+		return reply
+	case <-c.srv.loop.done:
+		return nil
+	}
+}
+
+// writeReply sends a reply and reports whether the client is still connected. Without a reply, or
+// if it cannot be sent, it closes the connection; the reader then reports the client as gone.
+func (c *clientConn) writeReply(reply []byte) bool {
+	if reply != nil {
+		c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := c.nc.Write(reply); err == nil {
+			return true
+		}
+	}
+	c.nc.Close()
+	return false
+}
+
+// replyDone releases what was reserved for a reply. If the connection is to be closed and no other
+// reply is due, it interrupts the reader.
+func (c *clientConn) replyDone(slot *replySlot, reply []byte) {
+	slot.memory.release(slot.charge + int64(len(reply)))
+	c.lastReplyAt.Store(c.srv.loop.clock())
+	if c.pendingReplies.Add(-1) == 0 && c.draining.Load() {
+		c.nc.SetReadDeadline(time.Now())
+	}
+}
+
+// linger lets the client read the last reply. Closing a connection while bytes still arrive, of an
+// oversized command or of a request that crosses the close, would reset it and lose the reply.
 func (c *clientConn) linger() {
-	rested := c.srv.loop.clock()-c.lastReplyAt.Load() > c.srv.lingerTime.Microseconds()
-	if rested && !c.hasUnread() && !c.hasUnacknowledged() || c.nc.CloseWrite() != nil {
+	idle := c.srv.loop.clock()-c.lastReplyAt.Load() > c.srv.lingerTime.Microseconds()
+	if idle && !c.hasUnread() && !c.hasUnacknowledged() {
+		return
+	}
+	if c.nc.CloseWrite() != nil {
 		return
 	}
 	c.lingering.Store(true)
@@ -55,8 +79,8 @@
 	<-c.readEnded
 }
 
-// lingerTime is short where others wait for room. The danger: a crowd that does not heed the router's end of
-// its connections shuts out the PING that tells whether the router is ready.
+// lingerTime is shorter on a connection that is evicted. Otherwise many clients that ignore the
+// router's end of their connections would shut out the PING that checks whether it is ready.
 func (c *clientConn) lingerTime() time.Duration {
 	if c.evicting.Load() {
 		return min(evictGrace, c.srv.lingerTime)
--- /dev/null
+++ b/internal/router/command_reader.go
@@ -0,0 +1,178 @@
+package router
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+const (
+	maxCommandSize = maxValueSize + 4<<10    // bytes of a whole command
+	minReadBuffer  = 1 << 10                 // bytes of a read buffer when it is first allocated
+	maxIdleBuffer  = 8 << 10                 // bytes of the buffer that a connection keeps between commands
+	commandTimeout = 2200 * time.Millisecond // for a connection's first command, and for the rest of any partial one
+	evictGrace     = 100 * time.Millisecond  // for the rest of a partial command on a connection that is evicted
+)
+
+// errIdleClose says that the connection is to be closed, and that no command is lost with it.
+var errIdleClose = errors.New("connection closed between commands")
+
+var (
+	errCommandTooBig  = errors.New("too big a command")
+	errCommandTimeout = errors.New("the command did not come whole in time")
+)
+
+// protocolError says that what a client sent is not a command, or not a complete one. The
+// connection ends with it, since the next command cannot be found.
+type protocolError struct{ err error }
+
+func (e *protocolError) Error() string { return "protocol error: " + e.err.Error() }
+
+func (e *protocolError) Unwrap() error { return e.err }
+
+// reply returns the error as it is sent to the client.
+func (e *protocolError) reply() []byte {
+	return redcon.AppendError(nil, "ERR Protocol error: "+e.err.Error())
+}
+
+// commandReader reads commands from a client's connection.
+type commandReader struct {
+	conn     *clientConn
+	buf      []byte    // received, and not yet handled
+	deadline time.Time // for the first command, or the rest of a partial one; zero if none is due
+	evicting bool      // the deadline has been brought forward, as the connection is evicted
+}
+
+// newCommandReader makes a reader that expects the first command in time: a silent peer must not
+// occupy a descriptor for ever.
+func newCommandReader(c *clientConn) *commandReader {
+	return &commandReader{conn: c, deadline: time.Now().Add(c.srv.commandTimeout)}
+}
+
+// readCommands reads and handles commands until the connection takes no more. It returns
+// connClosing or connGone.
+func (c *clientConn) readCommands() connState {
+	r := newCommandReader(c)
+	for {
+		args, raw, err := r.next()
+		if err != nil {
+			return c.readFailed(err)
+		}
+		if state := c.handleCommand(args, raw); state != connOpen {
+			return state
+		}
+		if len(args) > 0 {
+			c.hasCommand.Store(true)
+			r.clearDeadline()
+		}
+		r.consume(len(raw))
+	}
+}
+
+// readFailed answers an error of commandReader.next.
+func (c *clientConn) readFailed(err error) connState {
+	var malformed *protocolError
+	switch {
+	case errors.As(err, &malformed):
+		return c.replyAndClose(malformed.reply())
+	case errors.Is(err, errIdleClose):
+		return connClosing
+	default:
+		return connGone
+	}
+}
+
+// next returns the next command, its arguments and its bytes. Both are valid until the bytes are
+// consumed. An error is a *protocolError, errIdleClose, or one of the connection.
+func (r *commandReader) next() (args [][]byte, raw []byte, err error) {
+	for {
+		complete, args, used, err := nextCommand(r.buf)
+		switch {
+		case err != nil:
+			return nil, nil, &protocolError{err}
+		case complete:
+			return args, r.buf[:used], nil
+		case len(r.buf) >= maxCommandSize:
+			return nil, nil, &protocolError{errCommandTooBig}
+		}
+		if err := r.fill(); err != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+// consume drops the first n bytes of the buffer.
+func (r *commandReader) consume(n int) {
+	rest := r.buf[n:]
+	if cap(r.buf) > maxIdleBuffer && len(rest) <= maxIdleBuffer {
+		// A connection that once had a large command must not keep the memory for it.
+		r.buf = bytes.Clone(rest)
+		return
+	}
+	r.buf = append(r.buf[:0], rest...)
+}
+
+// fill adds what one read returns to the buffer. It may return without an error and without bytes.
+func (r *commandReader) fill() error {
+	r.grow()
+	r.updateDeadline()
+	partial := len(r.buf) > 0
+	if !r.conn.awaitRead(partial, r.deadline) {
+		return errIdleClose
+	}
+	n, err := r.conn.nc.Read(r.buf[len(r.buf):cap(r.buf)])
+	r.buf = r.buf[:len(r.buf)+n]
+	switch {
+	case err == nil:
+		return nil
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return err
+	case r.deadline.IsZero() || time.Now().Before(r.deadline):
+		return nil // closeWhenIdle has interrupted the read: the next one checks whether to close
+	case len(r.buf) > 0:
+		return &protocolError{errCommandTimeout}
+	default:
+		return errIdleClose
+	}
+}
+
+// grow makes room for a read in a full buffer.
+func (r *commandReader) grow() {
+	if len(r.buf) == cap(r.buf) {
+		r.buf = append(make([]byte, 0, max(minReadBuffer, 2*cap(r.buf))), r.buf...)
+	}
+}
+
+// updateDeadline sets the deadline for the rest of a partial command, and brings it forward once if
+// the connection is evicted.
+func (r *commandReader) updateDeadline() {
+	if len(r.buf) == 0 {
+		return
+	}
+	if r.deadline.IsZero() {
+		r.deadline = time.Now().Add(r.conn.srv.commandTimeout)
+	}
+	if r.evicting || !r.conn.evicting.Load() {
+		return
+	}
+	if grace := time.Now().Add(evictGrace); grace.Before(r.deadline) {
+		r.deadline = grace
+		r.evicting = true
+	}
+}
+
+func (r *commandReader) clearDeadline() {
+	r.deadline = time.Time{}
+	r.evicting = false
+}
+
+// awaitRead sets the deadline of the next read; zero stands for none. It reports false if the
+// connection is to be closed and is between requests. While requests are in flight it is read on,
+// as a command that follows them on an open connection has to be accepted.
+func (c *clientConn) awaitRead(partial bool, deadline time.Time) bool {
+	c.nc.SetReadDeadline(deadline)
+	return !c.draining.Load() || partial || c.pendingReplies.Load() > 0 || c.hasUnread()
+}
--- /dev/null
+++ b/internal/router/doc.go
@@ -0,0 +1,28 @@
+// Package router serves clients over the network: it accepts their connections, reads their
+// commands, feeds events to the policy engine and carries out the actions that the engine returns.
+//
+// # Goroutines
+//
+// A Server runs these goroutines:
+//
+//   - the event loop (eventLoop.run), one;
+//   - the accept loop (Server.acceptLoop), one;
+//   - a reader (clientConn.readLoop) and a writer (clientConn.writeLoop) for each client connection;
+//   - one for each upstream connection, which dials and then reads replies (upstreamConn.run), and
+//     one more while it finishes a write that the socket did not take at once;
+//   - one for the watch on the discovery service, while it is open;
+//   - the log writer (eventLoop.writeLog), one.
+//
+// # Ownership of state
+//
+// The event loop owns the policy engine and the state of all requests, attempts, upstream pools and
+// upstream connections. That state has no lock: other goroutines change it only through functions
+// that they hand to eventLoop.post. Therefore nothing can happen between a decision of the engine
+// and the actions that carry it out. The event loop must never block: replies leave it through
+// buffered channels of capacity one (replySlot), log lines through a queue that drops what does not
+// fit, and it writes to sockets without waiting.
+//
+// The set of client connections is guarded by Server.mu. A clientConn shares atomic fields between
+// its reader, its writer and the accept loop; its map of requests belongs to the event loop. The
+// descriptor and memory budgets are atomic counters.
+package router
--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -1,86 +1,101 @@
 package router
 
 import (
-	"container/heap"
 	"context"
-	"log"
 	"sync/atomic"
 	"time"
 
 	"marlstage/policy"
 )
 
-// eventLoop owns the decision module and all state of requests, attempts and
-// upstream connections. Every method but post runs in its one goroutine, so
-// that nothing can slip in between a decision and what carries it out. It never
-// blocks on a socket.
-type eventLoop struct {
-	cfg               *Config
-	engine            policyEngine
-	descriptors       *descriptorBudget
-	events            chan func()
-	logLines          chan string   // for the log
-	done              chan struct{} // closed when the loop has ended
-	startTime         time.Time
-	now               policy.Time
-	timers            timerHeap
-	pendingEvents     []policy.Event // what the module is still to be told
-	requests          map[int64]*request
-	lastID            int64
-	openRequests      int // requests that still want their final answer
-	pools             map[string]*pool
-	settleTime        policy.Time // of a connection to a cache, after an answer
-	upstreamConns     int         // to all upstreams, those coming up included
-	descriptorStarved bool        // an attempt waits for a descriptor
-	maxTimeout        policy.Time // patience of any client
-	drainDeadline     policy.Time // when the last answers are given, once the router is to end
-	discovery         *discovery
-	endpointsVersion  int64 // version of the list
-	watching          bool
-	failedWatches     int                // watches in a row that told nothing
-	cancelWatch       context.CancelFunc // of the watch that is on
-	canServe          atomic.Bool        // a cache is known that takes work
-	ctx               context.Context    // ends the watch
-}
+const (
+	eventQueueSize     = 1024      // functions posted to the loop before their senders wait
+	sweepInterval      = 1_000_000 // microseconds between sweeps of idle upstream connections, at most
+	sweepsPerKeepalive = 8         // sweeps within the keepalive time of a cache, at least
+	watchBackoffBase   = 100_000   // microseconds before a watch is opened again after the first failure, at most
+	maxWatchDoublings  = 4         // how often that backoff doubles with further failures, at most
+)
 
-// decider makes the decisions: *policy.Router, or a script in tests.
+// policyEngine makes the decisions: *policy.Engine, or a scripted one in tests.
 type policyEngine interface {
 	Handle(now policy.Time, ev policy.Event) []policy.Action
 }
 
-const (
-	logQueueSize       = 256  // lines that wait for whoever reads the log; more are dropped
-	eventQueueSize     = 1024 // events under way to the loop before senders wait
-	busyReply          = "-BUSY\r\n"
-	failedReply        = "-ERR failed\r\n"
-	sweepInterval      = 1_000_000 // microseconds between looks for idle connections, ...
-	sweepsPerKeepalive = 8         // or so many looks while a cache keeps one
-	watchBackoffBase   = 100_000   // ... before another watch where the list has to come by itself: at most
-	maxWatchDoublings  = 4         // ... doubled with each that fails, so many times
-)
+// eventLoop owns the policy engine and all state of requests, attempts and upstream connections.
+// Its methods run in the loop's goroutine, except clock, post, log and writeLog, which any
+// goroutine may call. It never blocks on a socket.
+type eventLoop struct {
+	cfg           *Config
+	engine        policyEngine
+	ctx           context.Context // parent of the context of each watch
+	events        chan func()
+	logLines      chan string
+	done          chan struct{} // closed when the loop has ended
+	startTime     time.Time
+	now           policy.Time // time of the event being handled
+	timers        timerHeap
+	pendingEvents []policy.Event // events that the engine has not handled yet
+	lastID        int64          // last number given to a request or a timer
+
+	requests      map[int64]*request
+	openRequests  int         // requests without a final reply
+	maxTimeout    policy.Time // longest timeout of any request class
+	drainDeadline policy.Time // when the last replies are due; 0 unless the router is draining
+
+	pools             map[string]*pool // by the name of the cache
+	descriptors       *descriptorBudget
+	upstreamConns     int         // connections to all caches, those being dialed included
+	descriptorStarved bool        // an attempt waits for a descriptor
+	settleTime        policy.Time // between a reply on an upstream connection and its next request
+	canServe          atomic.Bool // some known cache is in service; any goroutine may read it
+
+	discovery        *discovery
+	endpointsVersion int64 // version of the endpoint list
+	watching         bool
+	failedWatches    int                // watches in a row that failed without an update
+	cancelWatch      context.CancelFunc // ends the open watch
+}
 
-func newEventLoop(cfg *Config, s *descriptorBudget) (*eventLoop, error) {
-	m, err := policy.New(cfg.Settings, cfg.Seed)
+func newEventLoop(cfg *Config, descriptors *descriptorBudget) (*eventLoop, error) {
+	engine, err := policy.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	longest := policy.Time(0)
-	for _, c := range cfg.Settings.Classes {
-		longest = max(longest, c.Timeout)
+	l := &eventLoop{
+		cfg:              cfg,
+		engine:           engine,
+		events:           make(chan func(), eventQueueSize),
+		logLines:         make(chan string, logQueueSize),
+		done:             make(chan struct{}),
+		startTime:        time.Now(),
+		requests:         map[int64]*request{},
+		maxTimeout:       longestTimeout(cfg.Settings.Classes),
+		pools:            map[string]*pool{},
+		descriptors:      descriptors,
+		settleTime:       defaultSettleTime,
+		discovery:        newDiscovery(cfg),
+		endpointsVersion: cfg.Known.index,
 	}
-	l := &eventLoop{cfg: cfg, maxTimeout: longest, settleTime: defaultSettleTime, engine: m, descriptors: s, events: make(chan func(), eventQueueSize), logLines: make(chan string, logQueueSize), done: make(chan struct{}), startTime: time.Now(), requests: map[int64]*request{},
-		pools: map[string]*pool{}, discovery: newDiscovery(cfg), endpointsVersion: cfg.Known.index}
-	l.canServe.Store(cfg.Known.serves()) // the danger: a PING overtakes the loop's first turn
+	// A client's PING may be answered before the loop has applied the known endpoints.
+	l.canServe.Store(cfg.Known.serves())
 	return l, nil
 }
 
-// clock is Unix time in microseconds. It runs on the monotonic clock from the
-// start on: a step of the system's clock must not move deadlines.
+func longestTimeout(classes []policy.Class) policy.Time {
+	longest := policy.Time(0)
+	for _, class := range classes {
+		longest = max(longest, class.Timeout)
+	}
+	return longest
+}
+
+// clock returns Unix time in microseconds. From the start on it follows the monotonic clock, so
+// that a step of the system's clock does not move deadlines.
 func (l *eventLoop) clock() policy.Time {
 	return l.startTime.UnixMicro() + time.Since(l.startTime).Microseconds()
 }
 
-// post has f run by the loop. After the loop's end it does nothing.
+// post has f run by the loop. After the loop has ended it does nothing.
 func (l *eventLoop) post(f func()) {
 	select {
 	case l.events <- f:
@@ -88,53 +103,26 @@
 	}
 }
 
-// log hands a line to the log's writer. The danger: a log that nobody reads stops the router.
-func (l *eventLoop) log(line string) {
-	select {
-	case l.logLines <- line:
-	default:
-	}
-}
-
-func (l *eventLoop) writeLog() {
-	for {
-		select {
-		case line := <-l.logLines:
-			log.Print(line)
-		case <-l.done:
-			return
-		}
-	}
-}
-
-// run is the loop. It ends with ctx.
+// run runs the loop until ctx ends, and then closes all upstream connections.
 func (l *eventLoop) run(ctx context.Context) {
 	defer close(l.done)
 	go l.writeLog()
 	l.ctx = ctx
 	l.now = l.clock()
-	known := l.cfg.Known
-	known.full = true
-	if !known.serves() {
-		known.index = noIndex // the danger: a watch that falls silent keeps the router from being ready
-	}
-	l.applyEndpoints(known, policy.UpdateStale)
-	l.deliverEvents()
+	l.applyKnownEndpoints()
 	if !l.cfg.Settings.WatchRequired {
-		l.startWatch() // "changes come by themselves" to the module: on real sockets somebody has to call
+		// The engine asks for a watch only where the settings require one. Otherwise it expects
+		// updates to arrive unasked, and over real sockets that takes a watch, too.
+		l.startWatch()
 	}
 	l.sweepIdle()
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
-		if len(l.timers) > 0 {
-			alarm.Reset(time.Duration(l.timers[0].at-l.clock()) * time.Microsecond)
-		}
+		l.resetAlarm(alarm)
 		select {
 		case <-ctx.Done():
-			for _, u := range l.pools {
-				u.closeAll()
-			}
+			l.closePools()
 			return
 		case f := <-l.events:
 			l.now = l.clock()
@@ -143,52 +131,73 @@
 			l.now = l.clock()
 		}
 		l.deliverEvents()
-		for len(l.timers) > 0 && l.timers[0].at <= l.now {
-			heap.Pop(&l.timers).(timer).run()
-			l.deliverEvents()
-		}
+		l.runDueTimers()
+	}
+}
+
+// applyKnownEndpoints applies the endpoint list of the configuration, which may be stale.
+func (l *eventLoop) applyKnownEndpoints() {
+	known := l.cfg.Known
+	known.full = true
+	if !known.serves() {
+		// Without a cache in service the router is not ready. A call for the whole list is answered
+		// at once, whereas a watch that hangs would keep the router from becoming ready.
+		known.index = noIndex
+	}
+	l.applyEndpoints(known, policy.UpdateStale)
+	l.deliverEvents()
+}
+
+func (l *eventLoop) closePools() {
+	for _, p := range l.pools {
+		p.closeAll()
 	}
 }
 
-// deliverEvents hands the module what has happened, in order, and does what it says.
+// deliverEvents hands the pending events to the engine, in order, and performs the actions that it
+// returns. These may add further events.
 func (l *eventLoop) deliverEvents() {
 	for len(l.pendingEvents) > 0 {
 		ev := l.pendingEvents[0]
 		l.pendingEvents = l.pendingEvents[1:]
-		for _, a := range l.engine.Handle(l.now, ev) {
-			l.perform(a)
+		for _, action := range l.engine.Handle(l.now, ev) {
+			l.perform(action)
 		}
 	}
 	l.pendingEvents = nil
 }
 
-func (l *eventLoop) perform(a policy.Action) {
-	switch a := a.(type) {
+func (l *eventLoop) perform(action policy.Action) {
+	switch action := action.(type) {
 	case policy.Send:
-		l.sendAttempt(a)
+		l.sendAttempt(action)
 	case policy.Cancel:
-		if r := l.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
-			r.attempts[a.Attempt].abandon(policy.Cancelled)
-		}
+		l.cancelAttempt(action)
 	case policy.Reject:
-		if r := l.requests[a.ID]; r != nil {
-			l.finish(r, appendBusy(nil, a.RetryAfter))
-		}
+		l.finishRequest(action.ID, appendBusy(nil, action.RetryAfter))
 	case policy.Fail:
-		if r := l.requests[a.ID]; r != nil {
-			l.finish(r, []byte(failedReply))
-		}
+		l.finishRequest(action.ID, []byte(failedReply))
 	case policy.SetTimer:
-		l.schedule(a.At, func() { l.pendingEvents = append(l.pendingEvents, &policy.TimerFired{Token: a.Token}) })
+		l.schedule(action.At, func() {
+			l.pendingEvents = append(l.pendingEvents, &policy.TimerFired{Token: action.Token})
+		})
 	case policy.HealthCheck:
-		l.sendHealthCheck(a.Cache)
+		l.sendHealthCheck(action.Cache)
 	case policy.CloseIdleConnections:
-		if u := l.pools[a.Cache]; u != nil {
-			u.closeIdle(l.now)
+		if p := l.pools[action.Cache]; p != nil {
+			p.closeIdle(l.now)
 		}
 	case policy.Watch:
 		l.startWatch()
 	case policy.Log:
-		l.log(a.Text)
+		l.log(action.Text)
+	}
+}
+
+func (l *eventLoop) cancelAttempt(cancel policy.Cancel) {
+	r := l.requests[cancel.ID]
+	if r == nil || cancel.Attempt >= len(r.attempts) {
+		return
 	}
+	r.attempts[cancel.Attempt].abandon(policy.Cancelled)
 }
--- a/internal/router/reply_slot.go
+++ b/internal/router/reply_slot.go
@@ -1,24 +1,32 @@
 package router
 
-// replySlot is the place of an answer in its connection's order.
+// Replies of the router's own to requests.
+const (
+	busyReply   = "-BUSY\r\n"
+	failedReply = "-ERR failed\r\n"
+)
+
+// replySlot reserves the place of a reply among those of its connection.
 type replySlot struct {
 	memory *memoryBudget
-	charge int64 // bytes held for it
-	reply  chan []byte
+	charge int64       // bytes acquired for the request
+	reply  chan []byte // has capacity one, so that filling the slot does not block
 }
 
-func newReplySlot(m *memoryBudget) *replySlot {
-	return &replySlot{memory: m, reply: make(chan []byte, 1)}
+func newReplySlot(memory *memoryBudget) *replySlot {
+	return &replySlot{memory: memory, reply: make(chan []byte, 1)}
 }
 
-// fill fills the slot; nil stands for no answer. It does not block and is called once.
-func (s *replySlot) fill(b []byte) {
-	switch n := int64(len(b)); {
-	case len(b) <= len(failedReply):
-		s.memory.acquire(n) // nothing smaller could stand for it
-	case !s.memory.tryAcquire(n):
-		b = []byte(failedReply) // many answers wait for readers that are slow
-		s.memory.acquire(int64(len(b)))
+// fill provides the reply; nil stands for none. It does not block and is called once. If the memory
+// budget has no room for the reply, because many wait for slow readers, the slot is filled with
+// failedReply instead.
+func (s *replySlot) fill(reply []byte) {
+	switch size := int64(len(reply)); {
+	case len(reply) <= len(failedReply):
+		s.memory.acquire(size) // no substitute would be smaller
+	case !s.memory.tryAcquire(size):
+		reply = []byte(failedReply)
+		s.memory.acquire(int64(len(reply)))
 	}
-	s.reply <- b
+	s.reply <- reply
 }
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -4,47 +4,70 @@
 	"marlstage/policy"
 )
 
-// request is one command of a client that the module decides about.
+// request is a client's command for which the policy engine decides on attempts and a reply.
 type request struct {
 	id              int64
 	command         command
 	deadline        policy.Time
 	client          *clientConn
 	slot            *replySlot
-	done            bool // the final answer is given, or nobody waits for it
+	done            bool // the final reply has been given, or the client is gone
 	pendingAttempts int  // attempts without an outcome
 	attempts        []*attempt
 }
 
-// acceptRequest takes a request from a client and asks the module about it.
-func (l *eventLoop) acceptRequest(c *clientConn, s *replySlot, cmd command, read policy.Time) {
+// acceptRequest takes a command that a client sent, read at the given time, and reports it to the
+// engine as a request.
+func (l *eventLoop) acceptRequest(c *clientConn, slot *replySlot, cmd command, readAt policy.Time) {
 	if l.cfg.Transport.MaxOpen > 0 && l.openRequests >= l.cfg.Transport.MaxOpen {
-		s.fill([]byte(busyReply)) // beyond what the settings let a router hold; never sent on
+		slot.fill([]byte(busyReply)) // the engine does not see it, and it is never forwarded
 		return
 	}
-	if l.maxTimeout > 0 {
-		// The danger: timers last as long as the client claims to wait, and hold the request.
-		cmd.timeout = min(cmd.timeout, l.maxTimeout)
-	}
-	if l.drainDeadline > 0 {
-		cmd.timeout = max(0, min(cmd.timeout, l.drainDeadline-read)) // what SIGKILL would find unanswered is lost
-	}
+	cmd.timeout = l.boundTimeout(cmd.timeout, readAt)
 	l.lastID++
-	r := &request{id: l.lastID, command: cmd, deadline: read + cmd.timeout, client: c, slot: s}
+	r := &request{
+		id:       l.lastID,
+		command:  cmd,
+		deadline: readAt + cmd.timeout,
+		client:   c,
+		slot:     slot,
+	}
 	l.requests[r.id] = r
 	l.openRequests++
 	c.requests[r.id] = r
-	l.pendingEvents = append(l.pendingEvents, &policy.Request{ID: r.id, Class: cmd.class, Tenant: cmd.tenant, Key: cmd.keyHash,
-		HasKey: true, Deadline: r.deadline, Cost: cmd.cost, Write: cmd.write})
+	l.pendingEvents = append(l.pendingEvents, &policy.Request{
+		ID:       r.id,
+		Class:    cmd.class,
+		Tenant:   cmd.tenant,
+		Key:      cmd.keyHash,
+		HasKey:   true,
+		Deadline: r.deadline,
+		Cost:     cmd.cost,
+		Write:    cmd.write,
+	})
+}
+
+// boundTimeout limits the timeout that a client asked for. The longest timeout of the settings
+// bounds how long timers keep a request in memory. While the router drains, requests have to be
+// answered before the process is killed.
+func (l *eventLoop) boundTimeout(timeout, readAt policy.Time) policy.Time {
+	if l.maxTimeout > 0 {
+		timeout = min(timeout, l.maxTimeout)
+	}
+	if l.drainDeadline > 0 {
+		timeout = max(0, min(timeout, l.drainDeadline-readAt))
+	}
+	return timeout
 }
 
-// beginDrain notes that the router is to end, as it was told at the given time.
-func (l *eventLoop) beginDrain(told policy.Time) {
+// beginDrain bounds the deadlines of further requests, as the router was told to terminate at the
+// given time.
+func (l *eventLoop) beginDrain(terminatedAt policy.Time) {
 	longest := min(l.maxTimeout, maxDrainTimeout.Microseconds())
-	l.drainDeadline = told + longest + (drainSlack - drainAnswerMargin).Microseconds()
+	l.drainDeadline = terminatedAt + longest + (drainSlack - drainReplyMargin).Microseconds()
 }
 
-// clientGone notes that a client has closed its connection.
+// clientGone ends the requests of a client that has disconnected.
 func (l *eventLoop) clientGone(c *clientConn) {
 	for _, r := range c.requests {
 		l.finish(r, nil)
@@ -52,9 +75,16 @@
 	}
 }
 
-// finish gives the final answer, once. Attempts that are not written whole end here, before
-// the answer leaves: nothing may go out for a request after it.
-func (l *eventLoop) finish(r *request, answer []byte) {
+// finishRequest gives a request its final reply, unless the request is unknown or done.
+func (l *eventLoop) finishRequest(id int64, reply []byte) {
+	if r := l.requests[id]; r != nil {
+		l.finish(r, reply)
+	}
+}
+
+// finish gives a request its final reply, once; nil stands for none. Attempts that are not
+// completely written are abandoned first, since nothing may be sent for a request after its reply.
+func (l *eventLoop) finish(r *request, reply []byte) {
 	if r.done {
 		return
 	}
@@ -66,11 +96,11 @@
 			a.abandon(policy.Cancelled)
 		}
 	}
-	r.slot.fill(answer)
+	r.slot.fill(reply)
 	l.removeIfDone(r)
 }
 
-// removeIfDone drops a request that is over once its attempts are.
+// removeIfDone forgets a request that has its final reply once all of its attempts have an outcome.
 func (l *eventLoop) removeIfDone(r *request) {
 	if r.done && r.pendingAttempts == 0 {
 		delete(l.requests, r.id)
