--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -61,7 +61,7 @@
 // closeWhenIdle has the connection closed as soon as it has no request in flight.
 func (c *clientConn) closeWhenIdle() {
 	if !c.draining.Swap(true) {
-		c.nc.SetReadDeadline(time.Now()) // interrupts the reader
+		c.interruptRead()
 	}
 }
 
@@ -110,9 +110,9 @@
 		case c.lingering.Load():
 			return
 		default: // the deadline was that of a command, or closeWhenIdle has interrupted the read
-			c.nc.SetReadDeadline(time.Time{})
+			c.setReadDeadline(time.Time{})
 			if c.lingering.Load() {
-				c.nc.SetReadDeadline(time.Now().Add(c.lingerTime()))
+				c.setReadDeadline(time.Now().Add(c.lingerTime()))
 			}
 		}
 	}
--- a/internal/router/client_socket.go
+++ b/internal/router/client_socket.go
@@ -3,10 +3,28 @@
 import (
 	"errors"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+// setReadDeadline sets the deadline of the pending read and of further ones; zero stands for none.
+func (c *clientConn) setReadDeadline(deadline time.Time) {
+	_ = c.nc.SetReadDeadline(deadline) // fails only on a closed connection, which the read reports
+}
+
+// interruptRead has the pending read and further ones time out at once.
+func (c *clientConn) interruptRead() { c.setReadDeadline(time.Now()) }
+
+func (c *clientConn) setWriteDeadline(deadline time.Time) {
+	_ = c.nc.SetWriteDeadline(deadline) // fails only on a closed connection, which the write reports
+}
+
+// close closes the connection. It may be closed already.
+func (c *clientConn) close() {
+	_ = c.nc.Close() // nothing can be done about an error on a connection that is given up
+}
+
 // hasUnread reports whether bytes have been received that are not read yet.
 func (c *clientConn) hasUnread() bool {
 	raw, err := c.nc.SyscallConn()
--- a/internal/router/client_writer.go
+++ b/internal/router/client_writer.go
@@ -26,7 +26,7 @@
 	if connected && (answered || c.hasUnread()) {
 		c.linger()
 	}
-	c.nc.Close()
+	c.close()
 	c.srv.removeClient(c)
 }
 
@@ -45,12 +45,12 @@
 // if it cannot be sent, it closes the connection; the reader then reports the client as gone.
 func (c *clientConn) writeReply(reply []byte) bool {
 	if reply != nil {
-		c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		c.setWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := c.nc.Write(reply); err == nil {
 			return true
 		}
 	}
-	c.nc.Close()
+	c.close()
 	return false
 }
 
@@ -60,7 +60,7 @@
 	slot.memory.release(slot.charge + int64(len(reply)))
 	c.lastReplyAt.Store(c.srv.loop.clock())
 	if c.pendingReplies.Add(-1) == 0 && c.draining.Load() {
-		c.nc.SetReadDeadline(time.Now())
+		c.interruptRead()
 	}
 }
 
@@ -75,7 +75,7 @@
 		return
 	}
 	c.lingering.Store(true)
-	c.nc.SetReadDeadline(time.Now().Add(c.lingerTime()))
+	c.setReadDeadline(time.Now().Add(c.lingerTime()))
 	<-c.readEnded
 }
 
--- a/internal/router/departure_test.go
+++ b/internal/router/disconnect_test.go
@@ -323,3 +323,87 @@
 		}
 	}
 }
+
+var disconnects = map[string]func(*testClient){
+	"close":      func(c *testClient) { c.nc.Close() },
+	"half-close": func(c *testClient) { c.nc.CloseWrite() },
+	"reset": func(c *testClient) {
+		c.nc.SetLinger(0)
+		c.nc.Close()
+	},
+}
+
+// TestClientDisconnectsAfterLastCommand is noticed, though no more commands are taken from it: nothing is
+// sent on for it.
+func TestClientDisconnectsAfterLastCommand(t *testing.T) {
+	for end, wire := range map[string]string{"retired": "", "QUIT": encodeCommand("QUIT"), "protocol error": "*x\r\n"} {
+		for how, leave := range disconnects {
+			t.Run(end+", "+how, func(t *testing.T) {
+				router, harness := startScriptedRouter(t)
+				client := dial(t, router.addr)
+				client.send(getCommand("r1") + wire)
+				req := harness.onlyRequest()
+				if end == "retired" {
+					router.srv.closeIdleClients()
+				} else {
+					waitUntil(t, "answers due", func() bool { return req.client.pendingReplies.Load() == 2 })
+				}
+				leave(client)
+				harness.waitForOpenRequests(0)
+			})
+		}
+	}
+}
+
+// TestClientDisconnectsBehindFullReplyQueue: its commands fill the queue of answers, so that nobody reads on to where
+// it left.
+func TestClientDisconnectsBehindFullReplyQueue(t *testing.T) {
+	for how, leave := range disconnects {
+		t.Run(how, func(t *testing.T) {
+			router, harness := startScriptedRouter(t)
+			client := dial(t, router.addr)
+			client.send(strings.Repeat(getCommand("r"), 2*maxPipelined))
+			waitUntil(t, "a full queue", func() bool {
+				open := 0
+				harness.do(func() { open = harness.loop.openRequests })
+				return open > maxPipelined
+			})
+			leave(client)
+			harness.waitForOpenRequests(0)
+		})
+	}
+}
+
+// TestDisconnectIsDetectedBeforeSend: the news that it left queues behind what has its request sent on.
+func TestDisconnectIsDetectedBeforeSend(t *testing.T) {
+	for how, leave := range disconnects {
+		t.Run(how, func(t *testing.T) {
+			cache := newFakeCache(t)
+			router, harness := startScriptedRouter(t, endpointJSON("c1", cache.addr(), "in_service"))
+			client := dial(t, router.addr)
+			client.send(getCommand("r0"))
+			req := harness.onlyRequest()
+			harness.do(func() { // a connection that stands idle takes the next at once
+				harness.loop.settleTime = 0
+				harness.loop.perform(policy.Send{ID: req.id, Cache: "c1"})
+			})
+			receive(t, cache.commands, "command").reply(t, servedReply)
+			harness.wantOutcome(policy.Served)
+			client.send(getCommand("r1"))
+			req = harness.onlyRequest()
+			harness.do(func() {
+				leave(client)
+				waitUntil(t, "the end of the connection", req.client.hungUp)
+				harness.loop.perform(policy.Send{ID: req.id, Cache: "c1"})
+			})
+			harness.wantOutcome(policy.NotSent)
+			other := dial(t, router.addr)
+			other.send(getCommand("r2"))
+			next := harness.onlyRequest()
+			harness.do(func() { harness.loop.perform(policy.Send{ID: next.id, Cache: "c1"}) })
+			if cmd := receive(t, cache.commands, "command"); cmd.args[2] != "r2" {
+				t.Errorf("the cache was sent %q", cmd.args)
+			}
+		})
+	}
+}
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -347,3 +348,48 @@
 	}
 	return o
 }
+
+// waitUntil yields until the condition holds.
+func waitUntil(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(testTimeout); !holds(); runtime.Gosched() {
+		if time.Now().After(until) {
+			t.Fatalf("%s: not so in time", what)
+		}
+	}
+}
+
+// startScriptedRouter is a router whose module answers nothing.
+func startScriptedRouter(t *testing.T, lines ...string) (*runningRouter, *loopHarness) {
+	t.Helper()
+	srv, err := New(testConfig(t, silentDiscovery(t), nil, lines...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scriptedEngine{outcomes: make(chan *policy.AttemptDone, 1000)}
+	srv.loop.engine = s
+	return startServer(t, srv), &loopHarness{t, srv.loop, s.outcomes}
+}
+
+// waitForOpenRequests waits until so many requests are open.
+func (h *loopHarness) waitForOpenRequests(n int) {
+	h.t.Helper()
+	waitUntil(h.t, "requests that are open", func() bool {
+		open := 0
+		h.do(func() { open = h.loop.openRequests })
+		return open == n
+	})
+}
+
+// onlyRequest is the one request that is open.
+func (h *loopHarness) onlyRequest() (req *request) {
+	h.t.Helper()
+	h.waitForOpenRequests(1)
+	h.do(func() {
+		for _, req = range h.loop.requests {
+		}
+	})
+	return req
+}
+
+const otherServedReply = "*3\r\n$7\r\nanother\r\n$3\r\nhit\r\n$-1\r\n"
