--- a/internal/router/budgets_test.go
+++ b/internal/router/budgets_test.go
@@ -7,18 +7,18 @@
 	"marlstage/policy"
 )
 
-// TestUpstreamDescriptorLimit: where the caches' descriptors are used up, an attempt waits for one,
-// and an idle connection to another cache makes room.
+// TestUpstreamDescriptorLimit checks that an attempt waits for a descriptor if those for caches are
+// used up, and that an idle connection to another cache is closed to release one.
 func TestUpstreamDescriptorLimit(t *testing.T) {
 	cache, other := newFakeCache(t), newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), nil)
 	harness.do(func() {
 		harness.loop.descriptors.maxUpstreamConns = 1
-		h, err := parseHosts([]byte(endpointListJSON(2, false, endpointJSON("c2", other.addr(), "in_service"))))
+		list, err := parseHosts([]byte(endpointListJSON(2, false, endpointJSON("c2", other.addr(), "in_service"))))
 		if err != nil {
 			t.Error(err)
 		}
-		harness.loop.applyEndpoints(h, h.kind())
+		harness.loop.applyEndpoints(list, list.kind())
 	})
 	harness.sendAttempt(harness.newRequest(nil), long)
 	cmd := receive(t, cache.commands, "command")
@@ -33,13 +33,14 @@
 	harness.wantOutcome(policy.ConnectionLost)
 	receive(t, other.commands, "command").reply(t, servedReply)
 	harness.wantOutcome(policy.Served)
-	harness.sendAttempt(harness.newRequest(nil), long) // the other cache's connection is idle now
+	harness.sendAttempt(harness.newRequest(nil), long) // the connection to the other cache is idle now
 	receive(t, cache.commands, "command").reply(t, servedReply)
 	harness.wantOutcome(policy.Served)
 	receive(t, other.closed, "end of the idle connection")
 }
 
-// TestShortCommandsAreChargedPerRequest: many that wait for their answers stay within the memory there is.
+// TestShortCommandsAreChargedPerRequest checks that many short commands in flight stay within the
+// memory budget.
 func TestShortCommandsAreChargedPerRequest(t *testing.T) {
 	srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
 		in["limits"].(map[string]any)["memory_mb"] = 1
@@ -48,43 +49,48 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.loop.engine = &scriptedEngine{} // answers nothing
+	srv.loop.engine = &scriptedEngine{} // does not reply
 	router := startServer(t, srv)
-	due := func(want int64) func() bool {
-		return func() bool {
-			var due int64
-			srv.mu.Lock()
-			for c := range srv.clients {
-				due += c.pendingReplies.Load()
-			}
-			srv.mu.Unlock()
-			return due == want
-		}
+	pending := func(want int64) func() bool {
+		return func() bool { return pendingReplies(srv) == want }
 	}
-	// Both wait for the answer to their first command, else one is refused all of its own and nothing is due there.
+	// Both clients have to have a command in flight before they send more. Otherwise all commands of
+	// one could be rejected, and none of its replies would be pending.
 	clients := []*testClient{dial(t, router.addr), dial(t, router.addr)}
-	for _, c := range clients {
-		c.send(getCommand("r"))
+	for _, client := range clients {
+		client.send(getCommand("r"))
 	}
-	waitUntil(t, "first commands", due(2))
-	for _, c := range clients { // fewer than the queue of answers holds
-		c.send(strings.Repeat(getCommand("r"), maxPipelined/2-1))
+	waitUntil(t, "the first commands", pending(2))
+	for _, client := range clients { // fewer than a reply queue holds
+		client.send(strings.Repeat(getCommand("r"), maxPipelined/2-1))
 	}
-	waitUntil(t, "commands", due(maxPipelined))
+	waitUntil(t, "all commands", pending(maxPipelined))
 	open := make(chan int, 1)
 	srv.loop.post(func() { open <- srv.loop.openRequests })
 	if n := receive(t, open, "number of requests"); n > 256 {
-		t.Errorf("%d requests are held in 256 KB", n)
+		t.Errorf("%d requests in flight with a budget of 256 KB", n)
+	}
+}
+
+// pendingReplies is the number of commands of all clients whose replies are not written.
+func pendingReplies(srv *Server) int64 {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	var pending int64
+	for c := range srv.clients {
+		pending += c.pendingReplies.Load()
 	}
+	return pending
 }
 
-// TestShortRepliesPassWithFullMemoryBudget: a refusal or a PONG takes less than what would stand for it.
+// TestShortRepliesPassWithFullMemoryBudget checks that replies pass which take no more than the
+// substitute for those that do not fit.
 func TestShortRepliesPassWithFullMemoryBudget(t *testing.T) {
-	for _, answer := range []string{busyReply, "-BUSY 1500\r\n", "+PONG\r\n"} {
-		s := newReplySlot(newMemoryBudget(0))
-		s.fill([]byte(answer))
-		if got := string(<-s.reply); got != answer {
-			t.Errorf("%q became %q", answer, got)
+	for _, reply := range []string{busyReply, "-BUSY 1500\r\n", "+PONG\r\n"} {
+		slot := newReplySlot(newMemoryBudget(0))
+		slot.fill([]byte(reply))
+		if got := string(<-slot.reply); got != reply {
+			t.Errorf("%q became %q", reply, got)
 		}
 	}
 }
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -24,14 +24,15 @@
 	client.wantLine("value")
 }
 
-// TestRepliesInCommandOrder: a quick answer waits for those before it on its connection, and
-// only there.
+// TestRepliesInCommandOrder checks that a quick reply waits for those before it on its connection,
+// and does not wait for replies on others.
 func TestRepliesInCommandOrder(t *testing.T) {
 	cache := newFakeCache(t)
 	router := startRouter(t, testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", cache.addr(), "in_service")))
 	client := dial(t, router.addr)
 	client.send(getCommand("r1") + getCommand("r2") + encodeCommand("PING"))
-	first, second := receive(t, cache.commands, "command"), receive(t, cache.commands, "command")
+	first := receive(t, cache.commands, "command")
+	second := receive(t, cache.commands, "command")
 	if first.args[2] != "r1" {
 		first, second = second, first
 	}
@@ -46,71 +47,64 @@
 	client.wantLine("+PONG")
 }
 
-// TestPipelinedCommandsAreAcceptedAtOnce. The danger: a command left unread behind others that
-// are slow is taken long after its client began to wait, and is answered too late.
+// TestPipelinedCommandsAreAcceptedAtOnce checks that commands are read while earlier ones are in
+// flight. A command that is left unread is answered too late, since its client waits already.
 func TestPipelinedCommandsAreAcceptedAtOnce(t *testing.T) {
 	srv, err := New(testConfig(t, silentDiscovery(t), nil))
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.loop.engine = &scriptedEngine{} // answers nothing
+	srv.loop.engine = &scriptedEngine{} // does not reply
 	router := startServer(t, srv)
 	client := dial(t, router.addr)
 	client.send(strings.Repeat(getCommand("r"), maxPipelined/2))
-	for taken := 0; taken < maxPipelined/2; {
-		turn := make(chan int, 1)
-		router.srv.loop.post(func() { turn <- router.srv.loop.openRequests })
-		taken = receive(t, turn, "turn of the loop")
+	for accepted := 0; accepted < maxPipelined/2; {
+		open := make(chan int, 1)
+		router.srv.loop.post(func() { open <- router.srv.loop.openRequests })
+		accepted = receive(t, open, "turn of the loop")
 	}
 }
 
-// TestClientDisconnectCancelsAttempt: nobody waits for the answer any more, so the attempt is stopped.
+// TestClientDisconnectCancelsAttempt checks that an attempt is cancelled for which no client waits.
 func TestClientDisconnectCancelsAttempt(t *testing.T) {
 	cache := newFakeCache(t)
 	router := startRouter(t, testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", cache.addr(), "in_service")))
 	client := dial(t, router.addr)
 	client.send(getCommand("r1"))
 	receive(t, cache.commands, "command")
-	client.nc.Close()
+	client.close()
 	receive(t, cache.closed, "end of the attempt's connection")
 }
 
-// TestSlowReaderDoesNotBlockOthers: one client reads nothing of many large answers.
+// TestSlowReaderDoesNotBlockOthers has one client read nothing of many large replies.
 func TestSlowReaderDoesNotBlockOthers(t *testing.T) {
 	cache := newFakeCache(t)
 	router := startRouter(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
 		in["limits"].(map[string]any)["memory_mb"] = 4
 	}, endpointJSON("c1", cache.addr(), "in_service")))
-	over := make(chan struct{})
-	defer close(over)
-	large := "*3\r\n$65536\r\n" + strings.Repeat("v", maxValueSize) + "\r\n$-1\r\n$-1\r\n"
-	var large64 atomic.Int64
-	go func() {
-		for {
-			select {
-			case cmd := <-cache.commands:
-				if strings.HasPrefix(cmd.args[2], "slow") {
-					large64.Add(1)
-					cmd.conn.Write([]byte(large))
-				} else {
-					cmd.conn.Write([]byte(servedReply))
-				}
-			case <-over:
-				return
-			}
+	largeReply := "*3\r\n$65536\r\n" + strings.Repeat("v", maxValueSize) + "\r\n$-1\r\n$-1\r\n"
+	var largeReplies atomic.Int64
+	cache.handleCommands(t, func(cmd fakeCommand) {
+		if strings.HasPrefix(cmd.args[2], "slow") {
+			largeReplies.Add(1)
+			cmd.tryReply(largeReply)
+		} else {
+			cmd.tryReply(servedReply)
 		}
-	}()
+	})
 	slow := dial(t, router.addr)
-	slow.nc.SetReadBuffer(4096)
+	if err := slow.nc.SetReadBuffer(4096); err != nil {
+		t.Fatal(err)
+	}
 	slow.send(strings.Repeat(getCommand("slow"), 64))
 	other := dial(t, router.addr)
 	for range 50 {
 		other.send(getCommand("quick"))
 		if got := other.readLine(); got != "value" && !strings.HasPrefix(got, "-") {
-			t.Fatalf("answer %q", got)
+			t.Fatalf("reply %q", got)
 		}
 	}
-	if large64.Load() == 0 {
+	if largeReplies.Load() == 0 {
 		t.Error("the slow reader was not served at all")
 	}
 }
@@ -120,22 +114,22 @@
 	client := dial(t, router.addr)
 	client.send(encodeCommand("PING"))
 	if got := client.readLine(); !strings.HasPrefix(got, "-LOADING") {
-		t.Errorf("answer %q", got)
+		t.Errorf("reply %q", got)
 	}
-	client.send(getCommand("r1")) // no cache: the module refuses
+	client.send(getCommand("r1")) // without a cache the engine rejects it
 	if got := client.readLine(); !strings.HasPrefix(got, "-BUSY") {
-		t.Errorf("answer %q", got)
+		t.Errorf("reply %q", got)
 	}
 }
 
-// TestMalformedCommands: what is wrong is answered and never sent on; where the bytes can't be
-// told apart any more, the connection ends.
+// TestMalformedCommands checks that malformed commands are answered with an error and never
+// forwarded. If the next command cannot be found, the connection ends.
 func TestMalformedCommands(t *testing.T) {
 	cache := newFakeCache(t)
 	router := startRouter(t, testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", cache.addr(), "in_service")))
 	for _, c := range []struct {
-		wire string
-		ends bool
+		wire   string
+		closes bool
 	}{
 		{encodeCommand("FLUSHALL"), false},
 		{encodeCommand("C.GET"), false},
@@ -152,7 +146,7 @@
 		{"FLUSHALL\r\n", false},
 		{"C.GET k id c=read,d=10000\r\n", false}, // not an array of bulk strings
 		{encodeCommand("C.GET", "k", "id", "c=other,d=10000"), false},
-		{encodeCommand("C.SET", "k", "id", "c=put,d=10000", "value"), false}, // a keyed write without its key
+		{encodeCommand("C.SET", "k", "id", "c=put,d=10000", "value"), false}, // no idempotency key
 		{"*1\r\n$-2\r\n", true},
 		{"*1\r\n$9223372036854775807\r\n", true},
 		{"*x\r\n", true},
@@ -161,16 +155,16 @@
 		{"*2\r\n$5\r\nC.GETXX", true},
 		{"*5\r\n$5\r\nC.SET\r\n$70000\r\n" + strings.Repeat("x", 2*maxCommandSize), true},
 	} {
-		cl := dial(t, router.addr)
-		cl.send(c.wire)
-		if got := cl.readLine(); !strings.HasPrefix(got, "-ERR ") {
-			t.Errorf("%.60q: answer %q", c.wire, got)
+		client := dial(t, router.addr)
+		client.send(c.wire)
+		if got := client.readLine(); !strings.HasPrefix(got, "-ERR ") {
+			t.Errorf("%.60q: reply %q", c.wire, got)
 		}
-		if c.ends {
-			cl.wantClosed()
+		if c.closes {
+			client.wantClosed()
 		} else {
-			cl.send(encodeCommand("PING"))
-			cl.wantLine("+PONG")
+			client.send(encodeCommand("PING"))
+			client.wantLine("+PONG")
 		}
 	}
 	select {
@@ -180,8 +174,8 @@
 	}
 }
 
-// TestSilentPeersTimeOut: a peer owes its first command, and the rest of any that it has begun,
-// within a time. One that has said something proper may stay idle.
+// TestSilentPeersTimeOut checks that a peer has to send its first command, and the rest of any
+// partial one, in time. A connection that has had a command may be idle.
 func TestSilentPeersTimeOut(t *testing.T) {
 	srv, err := New(testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", "127.0.0.1:1", "in_service")))
 	if err != nil {
@@ -189,39 +183,46 @@
 	}
 	srv.commandTimeout = time.Second
 	idle := dial(t, srv.listener.Addr().String())
-	idle.send(encodeCommand("ECHO")) // there before anybody waits for it
+	idle.send(encodeCommand("ECHO")) // received before the router waits for it
 	router := startServer(t, srv)
 	idle.wantLine("-ERR unknown command")
 	late := map[string]*testClient{}
-	for _, begun := range []string{"", "\r\n", "*0\r\n", "PI", "*4\r\n$5\r\nC.GET\r\n$2\r\nk"} {
-		late[begun] = dial(t, router.addr)
-		late[begun].send(begun)
-	}
-	for begun, c := range late {
-		if begun != "" && !strings.HasSuffix(begun, "\r\n") {
-			if got := c.readLine(); !strings.HasPrefix(got, "-ERR ") {
-				t.Errorf("%q: answer %q", begun, got)
+	for _, partial := range []string{"", "\r\n", "*0\r\n", "PI", "*4\r\n$5\r\nC.GET\r\n$2\r\nk"} {
+		late[partial] = dial(t, router.addr)
+		late[partial].send(partial)
+	}
+	for partial, client := range late {
+		if partial != "" && !strings.HasSuffix(partial, "\r\n") {
+			if got := client.readLine(); !strings.HasPrefix(got, "-ERR ") {
+				t.Errorf("%q: reply %q", partial, got)
 			}
 		}
-		c.wantClosed()
+		client.wantClosed()
 	}
-	idle.send(encodeCommand("PING") + "*4\r\n$5\r\nC.G") // idle for longer than the others were
+	idle.send(encodeCommand("PING") + "*4\r\n$5\r\nC.G") // it has been idle for longer than the others
 	idle.wantLine("+PONG")
 	if got := idle.readLine(); !strings.HasPrefix(got, "-ERR ") {
-		t.Errorf("answer %q", got)
+		t.Errorf("reply %q", got)
 	}
 	idle.wantClosed()
 }
 
 func TestRetryAfterRoundsUp(t *testing.T) {
-	for wait, want := range map[policy.Time]string{0: "-BUSY\r\n", 1: "-BUSY 1\r\n", 1000: "-BUSY 1\r\n", 1001: "-BUSY 2\r\n", 600_000: "-BUSY 600\r\n"} {
-		if got := string(appendBusy(nil, wait)); got != want {
-			t.Errorf("%d: %q, want %q", wait, got, want)
+	for retryAfter, want := range map[policy.Time]string{
+		0:       "-BUSY\r\n",
+		1:       "-BUSY 1\r\n",
+		1000:    "-BUSY 1\r\n",
+		1001:    "-BUSY 2\r\n",
+		600_000: "-BUSY 600\r\n",
+	} {
+		if got := string(appendBusy(nil, retryAfter)); got != want {
+			t.Errorf("%d: %q, want %q", retryAfter, got, want)
 		}
 	}
 }
 
-// TestMaxOpenRequests: what is over the settings' bound is refused before it reaches the module.
+// TestMaxOpenRequests checks that requests beyond the limit of the settings are rejected before they
+// reach the engine.
 func TestMaxOpenRequests(t *testing.T) {
 	cache := newFakeCache(t)
 	router := startRouter(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
--- a/internal/router/disconnect_test.go
+++ b/internal/router/disconnect_test.go
@@ -10,7 +10,86 @@
 	"marlstage/policy"
 )
 
-// sendingEngine is a module that sends each request to cache c1 at once, and again where it failed there.
+// disconnects are the ways in which a client disconnects.
+var disconnects = map[string]func(*testClient){
+	"close":      (*testClient).close,
+	"half-close": (*testClient).closeWrite,
+	"reset":      (*testClient).reset,
+}
+
+// TestClientDisconnectsAfterLastCommand checks that a disconnect is noticed although no more
+// commands are taken from the client, so that nothing is forwarded for it.
+func TestClientDisconnectsAfterLastCommand(t *testing.T) {
+	for end, wire := range map[string]string{"draining": "", "QUIT": encodeCommand("QUIT"), "protocol error": "*x\r\n"} {
+		for how, disconnect := range disconnects {
+			t.Run(end+", "+how, func(t *testing.T) {
+				router, harness := startScriptedRouter(t)
+				client := dial(t, router.addr)
+				client.send(getCommand("r1") + wire)
+				req := harness.onlyRequest()
+				if end == "draining" {
+					router.srv.closeIdleClients()
+				} else {
+					waitUntil(t, "pending replies", func() bool { return req.client.pendingReplies.Load() == 2 })
+				}
+				disconnect(client)
+				harness.waitForOpenRequests(0)
+			})
+		}
+	}
+}
+
+// TestClientDisconnectsBehindFullReplyQueue fills the queue of replies, so that the router does not
+// read on to the end of the connection.
+func TestClientDisconnectsBehindFullReplyQueue(t *testing.T) {
+	for how, disconnect := range disconnects {
+		t.Run(how, func(t *testing.T) {
+			router, harness := startScriptedRouter(t)
+			client := dial(t, router.addr)
+			client.send(strings.Repeat(getCommand("r"), 2*maxPipelined))
+			harness.waitForFullReplyQueue()
+			disconnect(client)
+			harness.waitForOpenRequests(0)
+		})
+	}
+}
+
+// TestDisconnectIsDetectedBeforeSend has the disconnect reported to the loop only after the engine
+// has decided to forward the request.
+func TestDisconnectIsDetectedBeforeSend(t *testing.T) {
+	for how, disconnect := range disconnects {
+		t.Run(how, func(t *testing.T) {
+			cache := newFakeCache(t)
+			router, harness := startScriptedRouter(t, endpointJSON("c1", cache.addr(), "in_service"))
+			client := dial(t, router.addr)
+			client.send(getCommand("r0"))
+			req := harness.onlyRequest()
+			harness.do(func() { // an idle connection takes the next attempt at once
+				harness.loop.settleTime = 0
+				harness.loop.perform(policy.Send{ID: req.id, Cache: "c1"})
+			})
+			receive(t, cache.commands, "command").reply(t, servedReply)
+			harness.wantOutcome(policy.Served)
+			client.send(getCommand("r1"))
+			req = harness.onlyRequest()
+			harness.do(func() {
+				disconnect(client)
+				waitUntil(t, "the end of the connection", req.client.hungUp)
+				harness.loop.perform(policy.Send{ID: req.id, Cache: "c1"})
+			})
+			harness.wantOutcome(policy.NotSent)
+			other := dial(t, router.addr)
+			other.send(getCommand("r2"))
+			next := harness.onlyRequest()
+			harness.do(func() { harness.loop.perform(policy.Send{ID: next.id, Cache: "c1"}) })
+			if cmd := receive(t, cache.commands, "command"); cmd.args[2] != "r2" {
+				t.Errorf("the cache was sent %q", cmd.args)
+			}
+		})
+	}
+}
+
+// sendingEngine sends each request to cache c1 at once, and once more if the cache failed it.
 type sendingEngine struct{ scriptedEngine }
 
 func (s *sendingEngine) Handle(now policy.Time, ev policy.Event) []policy.Action {
@@ -26,7 +105,7 @@
 	return nil
 }
 
-// gatedListener is a listener whose connections wait in the system's queue until the test lets them in.
+// gatedListener leaves connections in the kernel's queue until the test admits them.
 type gatedListener struct {
 	net.Listener
 	admit chan struct{}
@@ -37,7 +116,7 @@
 	return g.Listener.Accept()
 }
 
-// disconnectTest is a router with a cache, of whose connections some stand idle.
+// disconnectTest is a router in front of one cache, with some idle connections to it.
 type disconnectTest struct {
 	t        *testing.T
 	cache    *fakeCache
@@ -47,17 +126,23 @@
 	listener *gatedListener
 }
 
-// newDisconnectTest starts the router. Its module sends nothing by itself until it is told to.
-func newDisconnectTest(t *testing.T, idle int) *disconnectTest {
+// newDisconnectTest starts the router. Its engine sends nothing until the test sets loop.engine to
+// the sendingEngine.
+func newDisconnectTest(t *testing.T, idleConns int) *disconnectTest {
 	t.Helper()
 	cache := newFakeCache(t)
-	srv, err := New(testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", cache.addr(), "in_service"),
+	srv, err := New(testConfig(t, silentDiscovery(t), nil,
+		endpointJSON("c1", cache.addr(), "in_service"),
 		endpointJSON("c2", cache.addr(), "in_service")))
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &disconnectTest{t: t, cache: cache, engine: &sendingEngine{scriptedEngine{outcomes: make(chan *policy.AttemptDone, 1000)}},
-		listener: &gatedListener{srv.listener, make(chan struct{}, 1000)}}
+	d := &disconnectTest{
+		t:        t,
+		cache:    cache,
+		engine:   &sendingEngine{scriptedEngine{outcomes: make(chan *policy.AttemptDone, 1000)}},
+		listener: &gatedListener{srv.listener, make(chan struct{}, 1000)},
+	}
 	srv.listener = d.listener
 	srv.loop.engine = &d.engine.scriptedEngine
 	srv.loop.settleTime = 0
@@ -66,7 +151,7 @@
 	d.harness = &loopHarness{t, srv.loop, d.engine.outcomes}
 	t.Cleanup(func() { close(d.listener.admit) })
 	var busy []fakeCommand
-	for range idle {
+	for range idleConns {
 		d.harness.sendAttempt(d.harness.newRequest(nil), long)
 		busy = append(busy, receive(t, cache.commands, "command"))
 	}
@@ -77,20 +162,47 @@
 	return d
 }
 
-// perform sends an attempt of a request to a cache.
+// do runs f in the event loop.
+func (d *disconnectTest) do(f func()) {
+	d.t.Helper()
+	d.harness.do(f)
+}
+
+// perform has the loop send an attempt of a request to a cache.
 func (d *disconnectTest) perform(req *request, cache string) {
 	d.harness.loop.perform(policy.Send{ID: req.id, Cache: cache})
 }
 
-// queueBehindInFlight has a client's request come beside one that is in hand, and returns what begins it.
-func (d *disconnectTest) queueBehindInFlight() (c *testClient, begin func()) {
-	c = d.dial()
-	c.send(getCommand("r1"))
+// disconnect ends a client's connection and waits until the router's side of it shows that.
+func (d *disconnectTest) disconnect(client *testClient, how func(*testClient)) {
+	how(client)
+	d.waitForDisconnects(1)
+}
+
+func (d *disconnectTest) dial() *testClient {
+	d.t.Helper()
+	d.listener.admit <- struct{}{}
+	return dial(d.t, d.router.addr)
+}
+
+// sendRequest sends the only request and returns it with its client.
+func (d *disconnectTest) sendRequest() (*testClient, *request) {
+	d.t.Helper()
+	client := d.dial()
+	client.send(getCommand("r1"))
+	return client, d.harness.onlyRequest()
+}
+
+// sendSecondRequest sends a request beside one that is in flight. It returns the client and a
+// function that performs the first attempt.
+func (d *disconnectTest) sendSecondRequest() (client *testClient, perform func()) {
+	client = d.dial()
+	client.send(getCommand("r1"))
 	waitUntil(d.t, "a second request", func() (two bool) {
-		d.harness.do(func() { two = d.harness.loop.openRequests == 2 })
+		d.do(func() { two = d.harness.loop.openRequests == 2 })
 		return two
 	})
-	return c, func() {
+	return client, func() {
 		for _, req := range d.harness.loop.requests {
 			if req.client.nc != nil {
 				d.perform(req, "c1")
@@ -99,33 +211,28 @@
 	}
 }
 
-func (d *disconnectTest) dial() *testClient {
-	d.t.Helper()
-	d.listener.admit <- struct{}{}
-	return dial(d.t, d.router.addr)
-}
-
-// waitForDisconnects waits until the news of so many closes has come to the router's machine.
+// waitForDisconnects waits until the router's side of so many connections shows that they ended.
 func (d *disconnectTest) waitForDisconnects(n int) {
-	waitUntil(d.t, "clients that have left", func() bool {
+	waitUntil(d.t, "disconnected clients", func() bool {
 		d.router.srv.mu.Lock()
 		defer d.router.srv.mu.Unlock()
-		left := 0
+		disconnected := 0
 		for c := range d.router.srv.clients {
 			if c.hungUp() {
-				left++
+				disconnected++
 			}
 		}
-		return left >= n
+		return disconnected >= n
 	})
 }
 
-// waitForQueuedEvents waits until so many turns of the loop are queued.
+// waitForQueuedEvents waits until so many functions are posted to the loop.
 func (d *disconnectTest) waitForQueuedEvents(n int) {
 	waitUntil(d.t, "events in the queue", func() bool { return len(d.harness.loop.events) >= n })
 }
 
-// wantNothingSent has one more request served: had anything else been sent on before, the cache would have it.
+// wantNothingSent has one more request served. If another one had been forwarded before, the cache
+// would have received it first.
 func (d *disconnectTest) wantNothingSent() {
 	d.t.Helper()
 	args := [][]byte{[]byte("C.GET"), []byte("k1"), []byte("last"), []byte("c=read,d=20000")}
@@ -133,7 +240,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	d.harness.do(func() { d.harness.loop.engine = &d.engine.scriptedEngine })
+	d.do(func() { d.harness.loop.engine = &d.engine.scriptedEngine })
 	d.harness.sendAttempt(d.harness.acceptCommand(cmd), long)
 	for {
 		got := receive(d.t, d.cache.commands, "command")
@@ -141,162 +248,159 @@
 			return
 		}
 		d.t.Errorf("the cache was sent %q", got.args)
-		io.WriteString(got.conn, servedReply) // its client's departure may have ended the connection
+		got.tryReply(servedReply)
 	}
 }
 
-// TestNoAttemptStartsAfterDisconnect, on whatever way its attempt comes to its first byte. The news that it
-// left queues behind that, and the request was taken a moment ago.
+// TestNoAttemptStartsAfterDisconnect checks each way in which an attempt comes to write its first
+// byte. The client has disconnected just before, and the loop has yet to be told.
 func TestNoAttemptStartsAfterDisconnect(t *testing.T) {
-	paths := map[string]struct {
-		idle int
-		play func(d *disconnectTest, leave func(*testClient)) // begins with the loop free
+	for name, c := range map[string]struct {
+		idleConns int
+		run       func(d *disconnectTest, how func(*testClient)) // called while the loop is free
 	}{
-		"first attempt": {1, func(d *disconnectTest, leave func(*testClient)) {
-			client := d.dial()
-			client.send(getCommand("r1"))
-			req := d.harness.onlyRequest()
-			d.harness.do(func() {
-				leave(client)
-				d.waitForDisconnects(1)
-				d.perform(req, "c1")
-			})
-		}},
-		"behind commands that are not read": {1, func(d *disconnectTest, leave func(*testClient)) {
-			client := d.dial()
-			client.send(strings.Repeat(getCommand("r1"), 2*maxPipelined))
-			waitUntil(d.t, "a full queue", func() bool {
-				open := 0
-				d.harness.do(func() { open = d.harness.loop.openRequests })
-				return open > maxPipelined
-			})
-			d.harness.do(func() {
-				leave(client)
-				d.waitForDisconnects(1)
-				for _, req := range d.harness.loop.requests {
-					d.perform(req, "c1")
-				}
-			})
-		}},
-		"further attempt": {1, func(d *disconnectTest, leave func(*testClient)) {
-			client := d.dial()
-			client.send(getCommand("r1"))
-			req := d.harness.onlyRequest()
-			d.harness.do(func() {
-				d.harness.loop.engine = d.engine
-				d.perform(req, "c1")
-			})
-			first := receive(d.t, d.cache.commands, "command")
-			d.harness.do(func() {
-				first.reply(d.t, failedReply)
-				d.waitForQueuedEvents(1)
-				leave(client)
-				d.waitForDisconnects(1)
-			})
-		}},
-		"second copy": {2, func(d *disconnectTest, leave func(*testClient)) {
-			client := d.dial()
-			client.send(getCommand("r1"))
-			req := d.harness.onlyRequest()
-			d.harness.do(func() { d.perform(req, "c1") })
-			receive(d.t, d.cache.commands, "command")
-			d.harness.do(func() {
-				leave(client)
-				d.waitForDisconnects(1)
-				d.perform(req, "c1")
-			})
-		}},
-		"waits for a dial": {0, func(d *disconnectTest, leave func(*testClient)) {
-			client := d.dial()
-			client.send(getCommand("r1"))
-			req := d.harness.onlyRequest()
-			d.harness.do(func() {
-				d.perform(req, "c1")
-				d.waitForQueuedEvents(1) // the connection is up
-				leave(client)
-				d.waitForDisconnects(1)
-			})
-		}},
-		"waits for a connection": {1, func(d *disconnectTest, leave func(*testClient)) {
-			d.harness.do(func() { d.harness.loop.pools["c1"].maxConns = 1 })
-			d.harness.sendAttempt(d.harness.newRequest(nil), long)
-			busy := receive(d.t, d.cache.commands, "command")
-			client, second := d.queueBehindInFlight()
-			d.harness.do(func() {
-				second()
-				busy.reply(d.t, servedReply)
-				d.waitForQueuedEvents(1)
-				leave(client)
-				d.waitForDisconnects(1)
-			})
-		}},
-		"waits for a descriptor": {0, func(d *disconnectTest, leave func(*testClient)) {
-			d.harness.do(func() { d.harness.loop.descriptors.maxUpstreamConns = 1 })
-			req := d.harness.newRequest(nil)
-			d.harness.do(func() { d.perform(req, "c2") })
-			busy := receive(d.t, d.cache.commands, "command")
-			client, second := d.queueBehindInFlight()
-			d.harness.do(func() {
-				second()
-				d.harness.loop.upstreamConns-- // one comes free, ...
-				d.harness.loop.pools["c1"].dispatch()
-				d.harness.loop.upstreamConns++
-				d.waitForQueuedEvents(1) // ... and the connection is up
-				leave(client)
-				d.waitForDisconnects(1)
-			})
-			busy.reply(d.t, servedReply)
-		}},
-		"waits for a connection that rests": {1, func(d *disconnectTest, leave func(*testClient)) {
-			client := d.dial()
-			client.send(getCommand("r1"))
-			req := d.harness.onlyRequest()
-			d.harness.do(func() {
-				d.harness.loop.settleTime = testTimeout.Microseconds()
-				d.perform(req, "c1")
-				leave(client)
-				d.waitForDisconnects(1)
-				d.harness.loop.settleTime = 0
-				d.harness.loop.pools["c1"].dispatch()
-			})
-		}},
-		"left before it was let in": {1, func(d *disconnectTest, leave func(*testClient)) {
-			d.harness.do(func() { d.harness.loop.engine = d.engine })
-			client := dial(d.t, d.router.addr)
-			client.send(getCommand("r1"))
-			leave(client)
-			d.harness.do(func() {
-				d.listener.admit <- struct{}{}
-				d.waitForQueuedEvents(1)
-				d.waitForDisconnects(1)
-			})
-		}},
-		"under load": {8, func(d *disconnectTest, leave func(*testClient)) {
-			const clients = 200
-			d.harness.do(func() {
-				d.harness.loop.engine = d.engine
-				for i := range clients {
-					client := d.dial()
-					client.send(getCommand(fmt.Sprint("r", i)))
-					d.waitForQueuedEvents(i + 1)
-					leave(client)
-				}
-				d.waitForDisconnects(clients)
-			})
-		}},
-	}
-	for name, path := range paths {
-		for how, leave := range disconnects {
+		"first attempt":                       {1, (*disconnectTest).beforeFirstAttempt},
+		"behind unread commands":              {1, (*disconnectTest).behindUnreadCommands},
+		"retry":                               {1, (*disconnectTest).beforeRetry},
+		"hedged request":                      {2, (*disconnectTest).beforeHedge},
+		"waits for a dial":                    {0, (*disconnectTest).waitingForDial},
+		"waits for a connection":              {1, (*disconnectTest).waitingForConnection},
+		"waits for a descriptor":              {0, (*disconnectTest).waitingForDescriptor},
+		"waits for a connection that settles": {1, (*disconnectTest).waitingForSettling},
+		"disconnected before accept":          {1, (*disconnectTest).beforeAccept},
+		"under load":                          {8, (*disconnectTest).underLoad},
+	} {
+		for how, disconnect := range disconnects {
 			t.Run(name+", "+how, func(t *testing.T) {
-				d := newDisconnectTest(t, path.idle)
-				path.play(d, leave)
+				d := newDisconnectTest(t, c.idleConns)
+				c.run(d, disconnect)
 				d.wantNothingSent()
 			})
 		}
 	}
 }
 
-// BenchmarkDisconnectCheck is what the last look before an attempt's first byte costs.
+func (d *disconnectTest) beforeFirstAttempt(how func(*testClient)) {
+	client, req := d.sendRequest()
+	d.do(func() {
+		d.disconnect(client, how)
+		d.perform(req, "c1")
+	})
+}
+
+func (d *disconnectTest) behindUnreadCommands(how func(*testClient)) {
+	client := d.dial()
+	client.send(strings.Repeat(getCommand("r1"), 2*maxPipelined))
+	d.harness.waitForFullReplyQueue()
+	d.do(func() {
+		d.disconnect(client, how)
+		for _, req := range d.harness.loop.requests {
+			d.perform(req, "c1")
+		}
+	})
+}
+
+func (d *disconnectTest) beforeRetry(how func(*testClient)) {
+	client, req := d.sendRequest()
+	d.do(func() {
+		d.harness.loop.engine = d.engine
+		d.perform(req, "c1")
+	})
+	first := receive(d.t, d.cache.commands, "command")
+	d.do(func() {
+		first.reply(d.t, failedReply)
+		d.waitForQueuedEvents(1)
+		d.disconnect(client, how)
+	})
+}
+
+func (d *disconnectTest) beforeHedge(how func(*testClient)) {
+	client, req := d.sendRequest()
+	d.do(func() { d.perform(req, "c1") })
+	receive(d.t, d.cache.commands, "command")
+	d.do(func() {
+		d.disconnect(client, how)
+		d.perform(req, "c1")
+	})
+}
+
+func (d *disconnectTest) waitingForDial(how func(*testClient)) {
+	client, req := d.sendRequest()
+	d.do(func() {
+		d.perform(req, "c1")
+		d.waitForQueuedEvents(1) // the connection is up
+		d.disconnect(client, how)
+	})
+}
+
+func (d *disconnectTest) waitingForConnection(how func(*testClient)) {
+	d.do(func() { d.harness.loop.pools["c1"].maxConns = 1 })
+	d.harness.sendAttempt(d.harness.newRequest(nil), long)
+	busy := receive(d.t, d.cache.commands, "command")
+	client, performSecond := d.sendSecondRequest()
+	d.do(func() {
+		performSecond()
+		busy.reply(d.t, servedReply)
+		d.waitForQueuedEvents(1)
+		d.disconnect(client, how)
+	})
+}
+
+func (d *disconnectTest) waitingForDescriptor(how func(*testClient)) {
+	d.do(func() { d.harness.loop.descriptors.maxUpstreamConns = 1 })
+	req := d.harness.newRequest(nil)
+	d.do(func() { d.perform(req, "c2") })
+	busy := receive(d.t, d.cache.commands, "command")
+	client, performSecond := d.sendSecondRequest()
+	d.do(func() {
+		performSecond()
+		d.harness.loop.upstreamConns-- // a descriptor is released, ...
+		d.harness.loop.pools["c1"].dispatch()
+		d.harness.loop.upstreamConns++
+		d.waitForQueuedEvents(1) // ... and the connection is up
+		d.disconnect(client, how)
+	})
+	busy.reply(d.t, servedReply)
+}
+
+func (d *disconnectTest) waitingForSettling(how func(*testClient)) {
+	client, req := d.sendRequest()
+	d.do(func() {
+		d.harness.loop.settleTime = testTimeout.Microseconds()
+		d.perform(req, "c1")
+		d.disconnect(client, how)
+		d.harness.loop.settleTime = 0
+		d.harness.loop.pools["c1"].dispatch()
+	})
+}
+
+func (d *disconnectTest) beforeAccept(how func(*testClient)) {
+	d.do(func() { d.harness.loop.engine = d.engine })
+	client := dial(d.t, d.router.addr)
+	client.send(getCommand("r1"))
+	how(client)
+	d.do(func() {
+		d.listener.admit <- struct{}{}
+		d.waitForQueuedEvents(1)
+		d.waitForDisconnects(1)
+	})
+}
+
+func (d *disconnectTest) underLoad(how func(*testClient)) {
+	const clients = 200
+	d.do(func() {
+		d.harness.loop.engine = d.engine
+		for i := range clients {
+			client := d.dial()
+			client.send(getCommand(fmt.Sprint("r", i)))
+			d.waitForQueuedEvents(i + 1)
+			how(client)
+		}
+		d.waitForDisconnects(clients)
+	})
+}
+
+// BenchmarkDisconnectCheck measures the check for a disconnect before an attempt's first byte.
 func BenchmarkDisconnectCheck(b *testing.B) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -319,91 +423,7 @@
 	c := &clientConn{nc: nc.(*net.TCPConn)}
 	for b.Loop() {
 		if c.hungUp() {
-			b.Fatal("it has not left")
-		}
-	}
-}
-
-var disconnects = map[string]func(*testClient){
-	"close":      func(c *testClient) { c.nc.Close() },
-	"half-close": func(c *testClient) { c.nc.CloseWrite() },
-	"reset": func(c *testClient) {
-		c.nc.SetLinger(0)
-		c.nc.Close()
-	},
-}
-
-// TestClientDisconnectsAfterLastCommand is noticed, though no more commands are taken from it: nothing is
-// sent on for it.
-func TestClientDisconnectsAfterLastCommand(t *testing.T) {
-	for end, wire := range map[string]string{"retired": "", "QUIT": encodeCommand("QUIT"), "protocol error": "*x\r\n"} {
-		for how, leave := range disconnects {
-			t.Run(end+", "+how, func(t *testing.T) {
-				router, harness := startScriptedRouter(t)
-				client := dial(t, router.addr)
-				client.send(getCommand("r1") + wire)
-				req := harness.onlyRequest()
-				if end == "retired" {
-					router.srv.closeIdleClients()
-				} else {
-					waitUntil(t, "answers due", func() bool { return req.client.pendingReplies.Load() == 2 })
-				}
-				leave(client)
-				harness.waitForOpenRequests(0)
-			})
+			b.Fatal("the client is still connected")
 		}
 	}
 }
-
-// TestClientDisconnectsBehindFullReplyQueue: its commands fill the queue of answers, so that nobody reads on to where
-// it left.
-func TestClientDisconnectsBehindFullReplyQueue(t *testing.T) {
-	for how, leave := range disconnects {
-		t.Run(how, func(t *testing.T) {
-			router, harness := startScriptedRouter(t)
-			client := dial(t, router.addr)
-			client.send(strings.Repeat(getCommand("r"), 2*maxPipelined))
-			waitUntil(t, "a full queue", func() bool {
-				open := 0
-				harness.do(func() { open = harness.loop.openRequests })
-				return open > maxPipelined
-			})
-			leave(client)
-			harness.waitForOpenRequests(0)
-		})
-	}
-}
-
-// TestDisconnectIsDetectedBeforeSend: the news that it left queues behind what has its request sent on.
-func TestDisconnectIsDetectedBeforeSend(t *testing.T) {
-	for how, leave := range disconnects {
-		t.Run(how, func(t *testing.T) {
-			cache := newFakeCache(t)
-			router, harness := startScriptedRouter(t, endpointJSON("c1", cache.addr(), "in_service"))
-			client := dial(t, router.addr)
-			client.send(getCommand("r0"))
-			req := harness.onlyRequest()
-			harness.do(func() { // a connection that stands idle takes the next at once
-				harness.loop.settleTime = 0
-				harness.loop.perform(policy.Send{ID: req.id, Cache: "c1"})
-			})
-			receive(t, cache.commands, "command").reply(t, servedReply)
-			harness.wantOutcome(policy.Served)
-			client.send(getCommand("r1"))
-			req = harness.onlyRequest()
-			harness.do(func() {
-				leave(client)
-				waitUntil(t, "the end of the connection", req.client.hungUp)
-				harness.loop.perform(policy.Send{ID: req.id, Cache: "c1"})
-			})
-			harness.wantOutcome(policy.NotSent)
-			other := dial(t, router.addr)
-			other.send(getCommand("r2"))
-			next := harness.onlyRequest()
-			harness.do(func() { harness.loop.perform(policy.Send{ID: next.id, Cache: "c1"}) })
-			if cmd := receive(t, cache.commands, "command"); cmd.args[2] != "r2" {
-				t.Errorf("the cache was sent %q", cmd.args)
-			}
-		})
-	}
-}
--- a/internal/router/drain_test.go
+++ b/internal/router/drain_test.go
@@ -10,17 +10,18 @@
 	"golang.org/x/sys/unix"
 )
 
-// TestDrainWithRequestsInFlight: after SIGTERM, connections and requests are still taken, all that was
-// taken is answered, and then the router ends.
+// TestDrainWithRequestsInFlight checks that after SIGTERM connections and requests are still
+// accepted, that all accepted requests are answered, and that the router then ends.
 func TestDrainWithRequestsInFlight(t *testing.T) {
 	cache := newFakeCache(t)
 	srv, err := New(testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", cache.addr(), "in_service")))
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.lateAcceptTime = 5 * time.Second // a slow machine must not miss it
+	srv.lateAcceptTime = 5 * time.Second // long enough for a slow machine
 	router := startServer(t, srv)
-	idle, busy := dial(t, router.addr), dial(t, router.addr)
+	idle := dial(t, router.addr)
+	busy := dial(t, router.addr)
 	idle.send(encodeCommand("PING"))
 	idle.wantLine("+PONG")
 	busy.send(getCommand("r1"))
@@ -41,38 +42,47 @@
 	}
 }
 
-// TestDrainTimeout: what can't be answered holds the router up no longer than the longest
-// deadline allows, and so does a command that never becomes whole.
+// TestDrainTimeout checks that neither a request without a reply nor a partial command delays the
+// end of the router beyond the longest deadline.
 func TestDrainTimeout(t *testing.T) {
 	srv, err := New(testConfig(t, silentDiscovery(t), nil))
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv.loop.engine = &scriptedEngine{} // answers nothing
+	srv.loop.engine = &scriptedEngine{} // does not reply
 	srv.loop.maxTimeout = 1000
 	router := startServer(t, srv)
-	stuck, half := dial(t, router.addr), dial(t, router.addr)
-	stuck.send(encodeCommand("PING") + getCommand("r1"))
-	stuck.readLine() // not ready: no cache is known
-	half.send(encodeCommand("PING") + "*4\r\n$5\r\nC.G")
-	half.readLine()
+	waiting := dial(t, router.addr)
+	partial := dial(t, router.addr)
+	waiting.send(encodeCommand("PING") + getCommand("r1"))
+	waiting.readLine() // not ready, since no cache is known
+	partial.send(encodeCommand("PING") + "*4\r\n$5\r\nC.G")
+	partial.readLine()
 	router.stop()
 	if err := receive(t, router.ended, "end of the router"); err != nil {
 		t.Error(err)
 	}
 }
 
-// wantOpen waits for longer than a connection is given that has to make room.
+// wantOpen checks that the connection stays open for longer than an evicted one.
 func (c *testClient) wantOpen() {
 	c.t.Helper()
-	c.nc.SetReadDeadline(time.Now().Add(3 * evictGrace))
+	c.setReadDeadline(3 * evictGrace)
 	if b, err := c.reader.ReadByte(); !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.t.Fatalf("got %q, %v from a connection that is to stay open", b, err)
 	}
-	c.nc.SetReadDeadline(time.Now().Add(testTimeout))
+	c.setReadDeadline(testTimeout)
 }
 
-// TestDrainAcceptsCommandsBehindRequestsInFlight: the connection stays open, so the command counts as taken.
+func (c *testClient) setReadDeadline(timeout time.Duration) {
+	c.t.Helper()
+	if err := c.nc.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// TestDrainAcceptsCommandsBehindRequestsInFlight checks that a command is accepted on a connection
+// that the drain leaves open.
 func TestDrainAcceptsCommandsBehindRequestsInFlight(t *testing.T) {
 	cache := newFakeCache(t)
 	router := startRouter(t, testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", cache.addr(), "in_service")))
@@ -90,7 +100,7 @@
 	client.wantClosed()
 }
 
-// TestDrainWaitsForPartialCommand for as long as any may take.
+// TestDrainWaitsForPartialCommand checks that a drain gives a partial command its usual time.
 func TestDrainWaitsForPartialCommand(t *testing.T) {
 	cache := newFakeCache(t)
 	srv, err := New(testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", cache.addr(), "in_service")))
@@ -111,12 +121,11 @@
 	client.wantClosed()
 }
 
-// TestDrainAcceptsQueuedConnections for want of a descriptor: the kernel has accepted them, and their requests.
+// TestDrainAcceptsQueuedConnections checks that a drain serves connections that wait for a
+// descriptor: the kernel has accepted them, and the requests sent on them.
 func TestDrainAcceptsQueuedConnections(t *testing.T) {
 	cache := newFakeCache(t)
-	srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
-		in["limits"].(map[string]any)["sockets"] = minSockets
-	}, endpointJSON("c1", cache.addr(), "in_service")))
+	srv, err := New(testConfig(t, silentDiscovery(t), withMinSockets, endpointJSON("c1", cache.addr(), "in_service")))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -126,45 +135,37 @@
 	var clients []*testClient
 	var busy []fakeCommand
 	for i := range 2 * int(srv.descriptors.maxClientConns) {
-		c := dial(t, router.addr)
-		c.send(getCommand("r"))
-		clients = append(clients, c)
+		client := dial(t, router.addr)
+		client.send(getCommand("r"))
+		clients = append(clients, client)
 		if i < int(srv.descriptors.maxClientConns) && i < srv.descriptors.maxUpstreamConns {
 			busy = append(busy, receive(t, cache.commands, "command"))
 		}
 	}
 	router.stop()
 	waitUntil(t, "the drain", srv.isClosing)
-	over := make(chan struct{})
-	defer close(over)
 	for _, cmd := range busy {
 		cmd.reply(t, servedReply)
 	}
-	go func() {
-		for {
-			select {
-			case cmd := <-cache.commands:
-				io.WriteString(cmd.conn, servedReply)
-			case <-over:
-				return
-			}
-		}
-	}()
-	for _, c := range clients {
-		c.wantLine("value")
+	cache.handleCommands(t, func(cmd fakeCommand) { cmd.tryReply(servedReply) })
+	for _, client := range clients {
+		client.wantLine("value")
 	}
 	if err := receive(t, router.ended, "end of the router"); err != nil {
 		t.Error(err)
 	}
 }
 
-// TestDrainBoundsRequestDeadlines, however long their clients would wait.
+// TestDrainBoundsRequestDeadlines checks that requests are answered before SIGKILL, however long
+// their clients would wait.
 func TestDrainBoundsRequestDeadlines(t *testing.T) {
 	harness := newLoopHarness(t, "127.0.0.1:1", nil)
 	harness.do(func() {
 		harness.loop.beginDrain(harness.loop.now)
-		if most := harness.loop.now + (maxDrainTimeout + drainSlack).Microseconds(); harness.loop.drainDeadline >= most {
-			t.Errorf("the last answers come %d us after SIGTERM, and SIGKILL after %d", harness.loop.drainDeadline-harness.loop.now, most-harness.loop.now)
+		killedAt := harness.loop.now + (maxDrainTimeout + drainSlack).Microseconds()
+		if harness.loop.drainDeadline >= killedAt {
+			t.Errorf("the last replies come %d us after SIGTERM, and SIGKILL after %d",
+				harness.loop.drainDeadline-harness.loop.now, killedAt-harness.loop.now)
 		}
 	})
 	if req := harness.newRequest(nil); req.deadline != harness.loop.drainDeadline {
@@ -172,7 +173,8 @@
 	}
 }
 
-// TestBytesThatCrossTheCloseDoNotReset do not turn it into a reset, which may cost the last answer.
+// TestBytesThatCrossTheCloseDoNotReset checks that bytes sent while the router closes the connection
+// do not reset it, which could lose the last reply.
 func TestBytesThatCrossTheCloseDoNotReset(t *testing.T) {
 	router := startRouter(t, testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", "127.0.0.1:1", "in_service")))
 	client := dial(t, router.addr)
@@ -183,12 +185,13 @@
 		t.Fatal(err)
 	}
 	waitUntil(t, "the router's end of the connection", func() bool {
-		p := []unix.PollFd{{Events: unix.POLLRDHUP}}
-		raw.Control(func(fd uintptr) {
-			p[0].Fd = int32(fd)
-			unix.Poll(p, 0)
+		fds := []unix.PollFd{{Events: unix.POLLRDHUP}}
+		var pollErr error
+		err := raw.Control(func(fd uintptr) {
+			fds[0].Fd = int32(fd)
+			_, pollErr = unix.Poll(fds, 0)
 		})
-		return p[0].Revents != 0
+		return errors.Join(err, pollErr) == nil && fds[0].Revents != 0
 	})
 	for range 2 {
 		client.send(getCommand("r1"))
--- a/internal/router/event_loop_test.go
+++ b/internal/router/event_loop_test.go
@@ -7,7 +7,7 @@
 	"marlstage/policy"
 )
 
-// blockedWriter takes nothing until it is released.
+// blockedWriter blocks writes until it is released.
 type blockedWriter struct{ release chan struct{} }
 
 func (w blockedWriter) Write(b []byte) (int, error) {
@@ -15,13 +15,13 @@
 	return len(b), nil
 }
 
-// TestBlockedLogDoesNotBlockEventLoop does not hold the loop up.
+// TestBlockedLogDoesNotBlockEventLoop checks that the loop goes on if the log cannot be written.
 func TestBlockedLogDoesNotBlockEventLoop(t *testing.T) {
 	harness := newLoopHarness(t, "127.0.0.1:1", nil)
-	stuck := blockedWriter{make(chan struct{})}
+	writer := blockedWriter{make(chan struct{})}
 	defer log.SetOutput(log.Writer())
-	defer close(stuck.release)
-	log.SetOutput(stuck)
+	defer close(writer.release)
+	log.SetOutput(writer)
 	harness.do(func() {
 		for range 4 * logQueueSize {
 			harness.loop.perform(policy.Log{Text: "line"})
--- a/internal/router/flood_test.go
+++ b/internal/router/flood_test.go
@@ -10,28 +10,40 @@
 	"time"
 )
 
-// TestFloodingPeers: peers that send much at once, half a command or rubbish get an answer or the end, also such that go
-// at once; meanwhile others are answered, and afterwards nothing is held.
+const (
+	floodPeers      = 20
+	floodChunkSize  = 64 << 10    // bytes sent with one write, at most
+	floodSendWindow = time.Second // for a peer to send before it disconnects
+)
+
+// flood is what each of many peers sends to a router without reading.
+type flood struct {
+	part           string // sent repeatedly, ...
+	bytes          int    // ... until so many bytes are sent
+	commandTimeout time.Duration
+	disconnects    bool // the peer disconnects once it has sent all, or has sent for a while
+}
+
+// TestFloodingPeers checks that peers which send a lot at once, partial commands or what is no command
+// get a reply or the end of their connection, also if they disconnect at once. Meanwhile others are
+// answered, and afterwards nothing is left in the budgets.
 func TestFloodingPeers(t *testing.T) {
-	const peers = 20
+	const unlimited = 2 * testTimeout
+	ping := encodeCommand("PING")
 	large := encodeCommand("C.SET", "k1", "r1", "c=put,k=a,d=20000", strings.Repeat("v", maxValueSize))
-	for name, flood := range map[string]struct {
-		part        string // is sent over and over, ...
-		bytes       int    // ... until so many have gone
-		commandWait time.Duration
-		goes        bool
-	}{
-		"without end":                {"\x01rubbish ", 60 << 20, 2 * testTimeout, false},
-		"lines":                      {"rubbish\r\n", 60 << 20, 2 * testTimeout, false},
-		"empty lines":                {"\r\n", 60 << 20, time.Second, false},
-		"half a command":             {large[:len(large)-2], len(large) - 2, time.Second, false},
-		"half a command, and goes":   {large[:len(large)-2], len(large) - 2, 2 * testTimeout, true},
-		"many commands, and goes":    {getCommand("r1"), 2 * maxPipelined * len(getCommand("r1")), 2 * testTimeout, true},
-		"large commands, and goes":   {large, 10 * len(large), 2 * testTimeout, true},
-		"unread answers, and goes":   {encodeCommand("PING"), 8 << 20, 2 * testTimeout, true},
-		"rubbish lines, and goes":    {"rubbish\r\n", 8 << 20, 2 * testTimeout, true},
-		"commands without a pause":   {encodeCommand("PING"), 8 << 20, 2 * testTimeout, false},
-		"what no client sends often": {encodeCommand("ECHO", "a"), 8 << 20, 2 * testTimeout, false},
+	partial := large[:len(large)-2]
+	for name, flood := range map[string]flood{
+		"rubbish without end":              {"\x01rubbish ", 60 << 20, unlimited, false},
+		"rubbish lines":                    {"rubbish\r\n", 60 << 20, unlimited, false},
+		"empty lines":                      {"\r\n", 60 << 20, time.Second, false},
+		"partial command":                  {partial, len(partial), time.Second, false},
+		"partial command, then disconnect": {partial, len(partial), unlimited, true},
+		"many commands, then disconnect":   {getCommand("r1"), 2 * maxPipelined * len(getCommand("r1")), unlimited, true},
+		"large commands, then disconnect":  {large, 10 * len(large), unlimited, true},
+		"unread replies, then disconnect":  {ping, 8 << 20, unlimited, true},
+		"rubbish lines, then disconnect":   {"rubbish\r\n", 8 << 20, unlimited, true},
+		"commands without a pause":         {ping, 8 << 20, unlimited, false},
+		"unknown commands without a pause": {encodeCommand("ECHO", "a"), 8 << 20, unlimited, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cache := newFakeCache(t)
@@ -41,50 +53,63 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			srv.commandTimeout = flood.commandWait
+			srv.commandTimeout = flood.commandTimeout
 			srv.lateAcceptTime = 0
 			router := startServer(t, srv)
-			chunk := strings.Repeat(flood.part, max(1, min(flood.bytes, 64<<10)/len(flood.part)))
 			var sending sync.WaitGroup
-			var all []*testClient
-			for range peers {
-				c := dial(t, router.addr)
-				all = append(all, c)
-				sending.Add(1)
-				go func() {
-					defer sending.Done()
-					if flood.goes {
-						c.nc.SetWriteDeadline(time.Now().Add(time.Second)) // it reads nothing, and may come to a stop
-						defer c.nc.Close()
-					}
-					for sent := 0; sent < flood.bytes; sent += len(chunk) {
-						if _, err := io.WriteString(c.nc, chunk); err != nil {
-							return // the router has ended it
-						}
-					}
-				}()
+			var peers []*testClient
+			for range floodPeers {
+				peer := dial(t, router.addr)
+				peers = append(peers, peer)
+				sending.Go(func() { flood.send(peer) })
 			}
 			other := dial(t, router.addr)
 			other.send(encodeCommand("PING"))
 			other.wantLine("+PONG")
-			if !flood.goes {
-				for _, c := range all {
-					if s, err := c.reader.ReadString('\n'); errors.Is(err, os.ErrDeadlineExceeded) || err == nil && s[0] != '-' && s != "+PONG\r\n" {
-						t.Errorf("a peer got %q, %v", s, err)
-					}
-					c.nc.Close()
+			if !flood.disconnects {
+				for _, peer := range peers {
+					peer.wantReplyOrEnd()
+					peer.close()
 				}
 			}
 			sending.Wait()
-			other.nc.Close()
-			waitUntil(t, "the end of all connections", func() bool { return srv.descriptors.clientConns.Load() <= 1 }) // the next one's
-			if held := srv.memory.inUse.Load(); held != 0 {
-				t.Errorf("%d bytes are still counted", held)
+			other.close()
+			waitUntil(t, "the end of all connections", func() bool {
+				return srv.descriptors.clientConns.Load() <= 1 // the accept loop has taken that of the next connection
+			})
+			if inUse := srv.memory.inUse.Load(); inUse != 0 {
+				t.Errorf("%d bytes are still counted", inUse)
 			}
 			(&loopHarness{t, srv.loop, nil}).waitForOpenRequests(0)
 			if strings.Contains(name, "rubbish") && len(cache.commands) > 0 {
-				t.Error("rubbish was sent on")
+				t.Error("rubbish was forwarded")
 			}
 		})
 	}
 }
+
+// send sends the flood until the router closes the connection.
+func (f *flood) send(peer *testClient) {
+	if f.disconnects {
+		defer peer.close()
+		// The peer does not read, so the router may stop reading, too.
+		if err := peer.nc.SetWriteDeadline(time.Now().Add(floodSendWindow)); err != nil {
+			peer.t.Error(err)
+		}
+	}
+	chunk := strings.Repeat(f.part, max(1, min(f.bytes, floodChunkSize)/len(f.part)))
+	for sent := 0; sent < f.bytes; sent += len(chunk) {
+		if _, err := io.WriteString(peer.nc, chunk); err != nil {
+			return
+		}
+	}
+}
+
+// wantReplyOrEnd checks that the router sends an error or PONG, or ends the connection.
+func (c *testClient) wantReplyOrEnd() {
+	c.t.Helper()
+	line, err := c.reader.ReadString('\n')
+	if errors.Is(err, os.ErrDeadlineExceeded) || err == nil && line[0] != '-' && line != "+PONG\r\n" {
+		c.t.Errorf("a peer got %q, %v", line, err)
+	}
+}
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -19,10 +19,11 @@
 	"marlstage/policy"
 )
 
-// testTimeout is how long a test waits for an event that has to come. It is generous:
-// only a failing test ever waits so long.
+// testTimeout is how long a test waits for an event that has to happen. It is generous, since only a
+// failing test waits for that long.
 const testTimeout = 30 * time.Second
 
+// testSettings has timeouts so long that only tests which shorten them meet them.
 const testSettings = `{"instances":1,"discovery":"subscribe","weights":"none",
  "categories":[{"name":"read","effect":"read_like","dedupScope":"all","aim":5000000,"hardLimit":20000000,"keyTtl":5000000,"worth":1,"lateWorth":0.5},
   {"name":"put","effect":"idempotency_key","dedupScope":"all","aim":5000000,"hardLimit":20000000,"keyTtl":5000000,"worth":1,"lateWorth":0.5}],
@@ -30,6 +31,7 @@
  "rules":{"askEvery":600000000,"cold":23000000,"drainGrace":1000000,"fall":3000000,"startCapacity":0.16},
  "penalties":{"probe":0.01,"connection":0.03,"handshake":0.03}}`
 
+// receive returns the next value of a channel; what names the value in the failure.
 func receive[T any](t *testing.T, c <-chan T, what string) T {
 	t.Helper()
 	select {
@@ -41,13 +43,15 @@
 	}
 }
 
-// fakeCache is a cache server on loopback. Each command that comes whole is handed to the test.
+// fakeCache is a cache server on loopback. It hands each complete command to the test, which
+// replies.
 type fakeCache struct {
 	ln       net.Listener
 	commands chan fakeCommand
-	closed   chan struct{} // one for each connection that the router has ended
+	closed   chan struct{} // receives once for each connection that the router has closed
 }
 
+// fakeCommand is a command that a fakeCache received, and its connection.
 type fakeCommand struct {
 	args []string
 	conn net.Conn
@@ -60,7 +64,16 @@
 	}
 }
 
-const servedReply = "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
+// Replies of a cache that serves a request.
+const (
+	servedReply      = "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
+	otherServedReply = "*3\r\n$7\r\nanother\r\n$3\r\nhit\r\n$-1\r\n"
+)
+
+// tryReply sends a reply on a connection that the router may have closed.
+func (c fakeCommand) tryReply(wire string) {
+	_, _ = io.WriteString(c.conn, wire) // the test shows whether the reply was needed
+}
 
 func newFakeCache(t *testing.T) *fakeCache {
 	t.Helper()
@@ -71,6 +84,7 @@
 	return serveFakeCache(t, ln)
 }
 
+// serveFakeCache runs a cache server on a listener of the test's own.
 func serveFakeCache(t *testing.T, ln net.Listener) *fakeCache {
 	t.Helper()
 	c := &fakeCache{ln: ln, commands: make(chan fakeCommand, 1000), closed: make(chan struct{}, 1000)}
@@ -82,70 +96,102 @@
 				return
 			}
 			t.Cleanup(func() { nc.Close() })
-			go func() {
-				r := redcon.NewReader(nc)
-				for {
-					cmd, err := r.ReadCommand()
-					if err != nil {
-						c.closed <- struct{}{}
-						return
-					}
-					var args []string
-					for _, a := range cmd.Args {
-						args = append(args, string(a))
-					}
-					c.commands <- fakeCommand{args, nc}
-				}
-			}()
+			go c.readCommands(nc)
 		}
 	}()
 	return c
 }
 
+// readCommands hands the commands of a connection to the test until the connection ends.
+func (c *fakeCache) readCommands(nc net.Conn) {
+	reader := redcon.NewReader(nc)
+	for {
+		cmd, err := reader.ReadCommand()
+		if err != nil {
+			c.closed <- struct{}{}
+			return
+		}
+		var args []string
+		for _, arg := range cmd.Args {
+			args = append(args, string(arg))
+		}
+		c.commands <- fakeCommand{args, nc}
+	}
+}
+
+// handleCommands calls handle for each command from now on, until the test is over.
+func (c *fakeCache) handleCommands(t *testing.T, handle func(fakeCommand)) {
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		for {
+			select {
+			case cmd := <-c.commands:
+				handle(cmd)
+			case <-done:
+				return
+			}
+		}
+	}()
+}
+
 func (c *fakeCache) addr() string { return c.ln.Addr().String() }
 
-// endpointJSON is a line of discovery's list.
+// endpointJSON is an endpoint in discovery's form.
 func endpointJSON(name, addr, status string) string {
 	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","group":1,"status":%q,"weight":1,"since_ms":0}`, name, addr, status)
 }
 
-func endpointListJSON(index int, full bool, lines ...string) string {
-	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, full, strings.Join(lines, ","))
+// endpointListJSON is an endpoint list in discovery's form.
+func endpointListJSON(index int, full bool, endpoints ...string) string {
+	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, full, strings.Join(endpoints, ","))
 }
 
-// serveHTTP serves calls until the test is over, which the handler is told of, and returns its address.
-func serveHTTP(t *testing.T, handle func(w http.ResponseWriter, r *http.Request, over <-chan struct{})) string {
+// serveHTTP serves calls until the test is over, which closes done, and returns its address.
+func serveHTTP(t *testing.T, handle func(w http.ResponseWriter, r *http.Request, done <-chan struct{})) string {
 	t.Helper()
-	over := make(chan struct{})
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handle(w, r, over) }))
+	done := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handle(w, r, done) }))
 	t.Cleanup(func() {
-		close(over)
+		close(done)
 		srv.CloseClientConnections()
 		srv.Close()
 	})
 	return srv.Listener.Addr().String()
 }
 
-// silentDiscovery holds every watch until the test is over.
+// silentDiscovery leaves every watch open until the test is over.
 func silentDiscovery(t *testing.T) string {
 	t.Helper()
-	return serveHTTP(t, func(w http.ResponseWriter, r *http.Request, over <-chan struct{}) {
-		select {
-		case <-over:
-		case <-r.Context().Done():
-		}
+	return serveHTTP(t, func(_ http.ResponseWriter, r *http.Request, done <-chan struct{}) {
+		waitForEnd(r, done)
 	})
 }
 
-func testConfig(t *testing.T, discovery string, edit func(map[string]any), lines ...string) *Config {
+// waitForEnd waits until the caller gives up or the test is over.
+func waitForEnd(r *http.Request, done <-chan struct{}) {
+	select {
+	case <-done:
+	case <-r.Context().Done():
+	}
+}
+
+// testConfig makes a configuration that knows the given endpoints. edit may change its JSON form.
+func testConfig(t *testing.T, discovery string, edit func(map[string]any), endpoints ...string) *Config {
 	t.Helper()
 	var settings map[string]any
 	if err := json.Unmarshal([]byte(testSettings), &settings); err != nil {
 		t.Fatal(err)
 	}
-	in := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1f",
-		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"settings": settings, "known": json.RawMessage(endpointListJSON(1, true, lines...))}
+	in := map[string]any{
+		"name":      "n0",
+		"listen":    "127.0.0.1:0",
+		"discovery": discovery,
+		"seed":      "1f",
+		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"settings":  settings,
+		"known":     json.RawMessage(endpointListJSON(1, true, endpoints...)),
+	}
 	if edit != nil {
 		edit(in)
 	}
@@ -160,18 +206,29 @@
 	return cfg
 }
 
+// withMinSockets has a configuration allow as few descriptors as it may.
+func withMinSockets(in map[string]any) {
+	in["limits"].(map[string]any)["sockets"] = minSockets
+}
+
 // runningRouter is a router that serves on loopback.
 type runningRouter struct {
 	addr  string
 	srv   *Server
-	stop  context.CancelFunc // as SIGTERM does
-	ended chan error
+	stop  context.CancelFunc // has the effect of SIGTERM
+	ended chan error         // receives the result of Run
 }
 
+// startServer runs a server until the test is over.
 func startServer(t *testing.T, srv *Server) *runningRouter {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	r := &runningRouter{addr: srv.listener.Addr().String(), srv: srv, stop: stop, ended: make(chan error, 1)}
+	r := &runningRouter{
+		addr:  srv.listener.Addr().String(),
+		srv:   srv,
+		stop:  stop,
+		ended: make(chan error, 1),
+	}
 	finished := make(chan struct{})
 	go func() {
 		r.ended <- srv.Run(ctx)
@@ -184,6 +241,7 @@
 	return r
 }
 
+// startRouter runs a router until the test is over.
 func startRouter(t *testing.T, cfg *Config) *runningRouter {
 	t.Helper()
 	srv, err := New(cfg)
@@ -193,7 +251,7 @@
 	return startServer(t, srv)
 }
 
-// testClient is a client's connection.
+// testClient is the client's side of a connection to a router.
 type testClient struct {
 	t      *testing.T
 	nc     *net.TCPConn
@@ -207,7 +265,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { nc.Close() })
-	nc.SetDeadline(time.Now().Add(testTimeout))
+	if err := nc.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
 	return &testClient{t, nc.(*net.TCPConn), bufio.NewReader(nc)}
 }
 
@@ -218,22 +278,42 @@
 	}
 }
 
+// close closes the connection, which may be closed already.
+func (c *testClient) close() { _ = c.nc.Close() }
+
+// closeWrite ends the client's side of the connection.
+func (c *testClient) closeWrite() {
+	if err := c.nc.CloseWrite(); err != nil {
+		c.t.Errorf("closing the client's side: %v", err)
+	}
+}
+
+// reset closes the connection with a reset.
+func (c *testClient) reset() {
+	if err := c.nc.SetLinger(0); err != nil {
+		c.t.Errorf("resetting: %v", err)
+	}
+	c.close()
+}
+
+// encodeCommand is a command as clients send it.
 func encodeCommand(args ...string) string {
 	b := redcon.AppendArray(nil, len(args))
-	for _, a := range args {
-		b = redcon.AppendBulkString(b, a)
+	for _, arg := range args {
+		b = redcon.AppendBulkString(b, arg)
 	}
 	return string(b)
 }
 
+// getCommand is a request with the given id.
 func getCommand(id string) string { return encodeCommand("C.GET", "k1", id, "c=read,d=20000") }
 
-// readLine reads a line of an answer; a bulk string comes as its content.
+// readLine reads a line of a reply. Of a bulk string it returns the content.
 func (c *testClient) readLine() string {
 	c.t.Helper()
 	s, err := c.reader.ReadString('\n')
 	if err != nil {
-		c.t.Fatalf("no answer: %v", err)
+		c.t.Fatalf("no reply: %v", err)
 	}
 	if s = strings.TrimSuffix(s, "\r\n"); strings.HasPrefix(s, "$") {
 		return c.readLine()
@@ -241,13 +321,15 @@
 	return s
 }
 
-func (c *testClient) wantLine(answer string) {
+// wantLine checks the next line of a reply.
+func (c *testClient) wantLine(want string) {
 	c.t.Helper()
-	if got := c.readLine(); got != answer {
-		c.t.Fatalf("answer %q, want %q", got, answer)
+	if got := c.readLine(); got != want {
+		c.t.Fatalf("reply %q, want %q", got, want)
 	}
 }
 
+// wantClosed checks that the router ends the connection without sending anything else.
 func (c *testClient) wantClosed() {
 	c.t.Helper()
 	if b, err := c.reader.ReadByte(); err == nil {
@@ -255,47 +337,48 @@
 	}
 }
 
-// scriptedEngine stands in for the module: it records what it is told, and tests give
-// the actions themselves.
+// scriptedEngine stands in for the policy engine. It records the outcomes of attempts, and tests
+// perform the actions themselves.
 type scriptedEngine struct{ outcomes chan *policy.AttemptDone }
 
 func (s *scriptedEngine) Handle(_ policy.Time, ev policy.Event) []policy.Action {
-	if o, ok := ev.(*policy.AttemptDone); ok {
-		copied := *o
+	if outcome, ok := ev.(*policy.AttemptDone); ok {
+		copied := *outcome
 		s.outcomes <- &copied
 	}
 	return nil
 }
 
-// loopHarness is a loop without a module, with one cache "c1".
+// loopHarness is an event loop with a scripted engine and one cache, "c1".
 type loopHarness struct {
 	t        *testing.T
 	loop     *eventLoop
 	outcomes chan *policy.AttemptDone
 }
 
+// newLoopHarness runs a loop whose cache has the given address until the test is over.
 func newLoopHarness(t *testing.T, addr string, edit func(*Config)) *loopHarness {
 	t.Helper()
 	cfg := testConfig(t, "127.0.0.1:1", nil, endpointJSON("c1", addr, "in_service"))
 	if edit != nil {
 		edit(cfg)
 	}
-	l, err := newEventLoop(cfg, newDescriptorBudget(cfg.Limits.Sockets))
+	loop, err := newEventLoop(cfg, newDescriptorBudget(cfg.Limits.Sockets))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scriptedEngine{outcomes: make(chan *policy.AttemptDone, 1000)}
-	l.engine = s
+	engine := &scriptedEngine{outcomes: make(chan *policy.AttemptDone, 1000)}
+	loop.engine = engine
 	ctx, stop := context.WithCancel(context.Background())
-	go l.run(ctx)
+	go loop.run(ctx)
 	t.Cleanup(func() {
 		stop()
-		receive(t, l.done, "end of the loop")
+		receive(t, loop.done, "end of the loop")
 	})
-	return &loopHarness{t, l, s.outcomes}
+	return &loopHarness{t, loop, engine.outcomes}
 }
 
-// do runs f in the loop and waits for it.
+// do runs f in the loop and waits until it has returned.
 func (h *loopHarness) do(f func()) {
 	h.t.Helper()
 	ran := make(chan struct{})
@@ -306,7 +389,7 @@
 	receive(h.t, ran, "turn of the loop")
 }
 
-// newRequest puts a request into the loop and returns it.
+// newRequest has the loop accept a request, which writes the value if there is one.
 func (h *loopHarness) newRequest(value []byte) *request {
 	h.t.Helper()
 	args := [][]byte{[]byte("C.GET"), []byte("k1"), []byte("r1"), []byte("c=read,d=20000")}
@@ -321,6 +404,7 @@
 	return h.acceptCommand(cmd)
 }
 
+// acceptCommand has the loop accept a command as a request.
 func (h *loopHarness) acceptCommand(cmd command) *request {
 	h.t.Helper()
 	var req *request
@@ -332,56 +416,66 @@
 	return req
 }
 
-// sendAttempt starts an attempt that is given up after the given time.
-func (h *loopHarness) sendAttempt(req *request, wait time.Duration) {
+// sendAttempt starts an attempt with the given timeout.
+func (h *loopHarness) sendAttempt(req *request, timeout time.Duration) {
 	h.t.Helper()
 	h.do(func() {
-		h.loop.perform(policy.Send{ID: req.id, Cache: "c1", Deadline: h.loop.now + wait.Microseconds()})
+		h.loop.perform(policy.Send{ID: req.id, Cache: "c1", Deadline: h.loop.now + timeout.Microseconds()})
 	})
 }
 
-func (h *loopHarness) wantOutcome(result policy.Result) *policy.AttemptDone {
+// wantOutcome checks the outcome of the next attempt that ends.
+func (h *loopHarness) wantOutcome(want policy.Result) *policy.AttemptDone {
 	h.t.Helper()
-	o := receive(h.t, h.outcomes, "outcome")
-	if o.Result != result {
-		h.t.Fatalf("outcome %d, want %d", o.Result, result)
+	outcome := receive(h.t, h.outcomes, "outcome")
+	if outcome.Result != want {
+		h.t.Fatalf("outcome %d, want %d", outcome.Result, want)
 	}
-	return o
+	return outcome
 }
 
 // waitUntil yields until the condition holds.
-func waitUntil(t *testing.T, what string, holds func() bool) {
+func waitUntil(t *testing.T, what string, condition func() bool) {
 	t.Helper()
-	for until := time.Now().Add(testTimeout); !holds(); runtime.Gosched() {
-		if time.Now().After(until) {
-			t.Fatalf("%s: not so in time", what)
+	for deadline := time.Now().Add(testTimeout); !condition(); runtime.Gosched() {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out waiting for %s", what)
 		}
 	}
 }
 
-// startScriptedRouter is a router whose module answers nothing.
-func startScriptedRouter(t *testing.T, lines ...string) (*runningRouter, *loopHarness) {
+// startScriptedRouter runs a router with a scripted engine, and so without replies to requests.
+func startScriptedRouter(t *testing.T, endpoints ...string) (*runningRouter, *loopHarness) {
 	t.Helper()
-	srv, err := New(testConfig(t, silentDiscovery(t), nil, lines...))
+	srv, err := New(testConfig(t, silentDiscovery(t), nil, endpoints...))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scriptedEngine{outcomes: make(chan *policy.AttemptDone, 1000)}
-	srv.loop.engine = s
-	return startServer(t, srv), &loopHarness{t, srv.loop, s.outcomes}
+	engine := &scriptedEngine{outcomes: make(chan *policy.AttemptDone, 1000)}
+	srv.loop.engine = engine
+	return startServer(t, srv), &loopHarness{t, srv.loop, engine.outcomes}
+}
+
+// openRequests is the number of requests without a final reply.
+func (h *loopHarness) openRequests() (open int) {
+	h.t.Helper()
+	h.do(func() { open = h.loop.openRequests })
+	return open
 }
 
-// waitForOpenRequests waits until so many requests are open.
+// waitForOpenRequests waits until exactly n requests are open.
 func (h *loopHarness) waitForOpenRequests(n int) {
 	h.t.Helper()
-	waitUntil(h.t, "requests that are open", func() bool {
-		open := 0
-		h.do(func() { open = h.loop.openRequests })
-		return open == n
-	})
+	waitUntil(h.t, fmt.Sprint(n, " open requests"), func() bool { return h.openRequests() == n })
 }
 
-// onlyRequest is the one request that is open.
+// waitForFullReplyQueue waits until a client has sent more commands than its reply queue holds.
+func (h *loopHarness) waitForFullReplyQueue() {
+	h.t.Helper()
+	waitUntil(h.t, "a full reply queue", func() bool { return h.openRequests() > maxPipelined })
+}
+
+// onlyRequest waits until exactly one request is open and returns it.
 func (h *loopHarness) onlyRequest() (req *request) {
 	h.t.Helper()
 	h.waitForOpenRequests(1)
@@ -391,5 +485,3 @@
 	})
 	return req
 }
-
-const otherServedReply = "*3\r\n$7\r\nanother\r\n$3\r\nhit\r\n$-1\r\n"
--- a/internal/router/ready_test.go
+++ b/internal/router/ready_test.go
@@ -9,27 +9,32 @@
 	"time"
 )
 
-// readyTime is within how long of its start a router has to answer PING with PONG.
+// readyTime is how soon after its start a router has to answer PING with PONG.
 const readyTime = 10 * time.Second
 
-func (c *testClient) wantReady(begun time.Time) {
+// wantReady checks that a router which was started at the given time is ready in time.
+func (c *testClient) wantReady(started time.Time) {
 	c.t.Helper()
 	c.send(encodeCommand("PING"))
 	c.wantLine("+PONG")
-	if took := time.Since(begun); took >= readyTime {
+	if took := time.Since(started); took >= readyTime {
 		c.t.Errorf("ready after %v", took)
 	}
 }
 
-// TestReadyBehindConnectionBacklog that came before it, whether its connections say something or nothing: none of them
-// heeds the router's end of its connection.
+// TestReadyBehindConnectionBacklog checks that a router becomes ready behind many queued connections,
+// whether their clients send something or nothing. None of them reacts when the router closes its
+// connection.
 func TestReadyBehindConnectionBacklog(t *testing.T) {
-	for name, wire := range map[string]string{"silent": "", "PING": encodeCommand("PING"), "half a command": "*4\r\n$5\r\nC.G"} {
+	for name, wire := range map[string]string{
+		"silent":          "",
+		"PING":            encodeCommand("PING"),
+		"partial command": "*4\r\n$5\r\nC.G",
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			srv, err := New(testConfig(t, silentDiscovery(t), func(in map[string]any) {
-				in["limits"].(map[string]any)["sockets"] = minSockets
-			}, endpointJSON("c1", "127.0.0.1:1", "in_service")))
+			srv, err := New(testConfig(t, silentDiscovery(t), withMinSockets,
+				endpointJSON("c1", "127.0.0.1:1", "in_service")))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -38,26 +43,30 @@
 				dial(t, addr).send(wire)
 			}
 			client := dial(t, addr)
-			begun := time.Now()
+			started := time.Now()
 			startServer(t, srv)
-			client.wantReady(begun)
+			client.wantReady(started)
 		})
 	}
 }
 
-// unavailableDiscovery serves the list once it is up; before that it takes calls and does not answer them, or
-// ends their connections.
+// unavailableDiscovery serves endpoint lists once it is up. Before that it leaves calls unanswered or
+// aborts them.
 type unavailableDiscovery struct {
 	addr           string
-	callsWhileDown chan string // a call that came while it was down
+	callsWhileDown chan string // their queries
 	up             chan struct{}
-	callsWhileUp   chan call // those that came afterwards
+	callsWhileUp   chan call
 }
 
 func newUnavailableDiscovery(t *testing.T, silent bool) *unavailableDiscovery {
 	t.Helper()
-	d := &unavailableDiscovery{callsWhileDown: make(chan string, 1000), up: make(chan struct{}), callsWhileUp: make(chan call, 1000)}
-	d.addr = serveHTTP(t, func(w http.ResponseWriter, r *http.Request, over <-chan struct{}) {
+	d := &unavailableDiscovery{
+		callsWhileDown: make(chan string, 1000),
+		up:             make(chan struct{}),
+		callsWhileUp:   make(chan call, 1000),
+	}
+	d.addr = serveHTTP(t, func(w http.ResponseWriter, r *http.Request, done <-chan struct{}) {
 		c := call{r.URL.String(), make(chan string, 1)}
 		select {
 		case <-d.up:
@@ -70,44 +79,52 @@
 		}
 		select {
 		case body := <-c.reply:
-			fmt.Fprint(w, body)
-		case <-over:
+			_, _ = fmt.Fprint(w, body) // the router may have closed the connection
+		case <-done:
 		case <-r.Context().Done():
 		}
 	})
 	return d
 }
 
-// TestReadyWithDiscoveryDown: the list that the router had last is enough, however long it is.
+// TestReadyWithDiscoveryDown checks that the endpoints known from the configuration are enough to
+// become ready, however many they are.
 func TestReadyWithDiscoveryDown(t *testing.T) {
-	for name, addr := range map[string]string{"refuses": "127.0.0.1:1", "never comes up": unreachable(t),
-		"silent": newUnavailableDiscovery(t, true).addr, "breaks off": newUnavailableDiscovery(t, false).addr} {
+	for name, addr := range map[string]string{
+		"connection refused": "127.0.0.1:1",
+		"unreachable":        unreachable(t),
+		"silent":             newUnavailableDiscovery(t, true).addr,
+		"aborts calls":       newUnavailableDiscovery(t, false).addr,
+	} {
 		for _, mode := range []string{"subscribe", "automatic"} {
 			for _, known := range []int{1, fleetSize} {
 				t.Run(fmt.Sprint(name, ", ", mode, ", ", known), func(t *testing.T) {
 					t.Parallel()
-					begun := time.Now()
+					started := time.Now()
 					router := startRouter(t, testConfig(t, addr, func(in map[string]any) {
 						in["settings"].(map[string]any)["discovery"] = mode
 					}, manyEndpoints(known, "127.0.0.1:1")...))
-					dial(t, router.addr).wantReady(begun)
+					dial(t, router.addr).wantReady(started)
 				})
 			}
 		}
 	}
 }
 
-// TestReadyOnceDiscoveryIsUp, where no cache was known: the call that was out before then is never answered, and
-// the router is not used before it knows of a cache.
+// TestReadyOnceDiscoveryIsUp checks that a router without a known cache becomes ready once discovery is
+// up, although its first call is never answered, and not before it knows a cache.
 func TestReadyOnceDiscoveryIsUp(t *testing.T) {
 	for _, silent := range []bool{true, false} {
 		for _, mode := range []string{"subscribe", "automatic"} {
-			for name, known := range map[string]string{"no list": "null", "empty list": endpointListJSON(41, true),
-				"all drain": endpointListJSON(41, true, endpointJSON("c1", "127.0.0.1:1", "terminating"))} {
+			for name, known := range map[string]string{
+				"no list":      "null",
+				"empty list":   endpointListJSON(41, true),
+				"all draining": endpointListJSON(41, true, endpointJSON("c1", "127.0.0.1:1", "terminating")),
+			} {
 				t.Run(fmt.Sprint("silent ", silent, ", ", mode, ", ", name), func(t *testing.T) {
 					t.Parallel()
 					d := newUnavailableDiscovery(t, silent)
-					begun := time.Now()
+					started := time.Now()
 					router := startRouter(t, testConfig(t, d.addr, func(in map[string]any) {
 						in["known"] = json.RawMessage(known)
 						settings := in["settings"].(map[string]any)
@@ -120,13 +137,14 @@
 					client := dial(t, router.addr)
 					client.send(encodeCommand("PING"))
 					if got := client.readLine(); !strings.HasPrefix(got, "-LOADING") {
-						t.Errorf("answer %q", got)
+						t.Errorf("reply %q", got)
 					}
 					close(d.up)
-					receive(t, d.callsWhileUp, "call").reply <- endpointListJSON(43, true, endpointJSON("c1", "127.0.0.1:1", "in_service"))
+					receive(t, d.callsWhileUp, "call").reply <- endpointListJSON(43, true,
+						endpointJSON("c1", "127.0.0.1:1", "in_service"))
 					receive(t, d.callsWhileUp, "next call")
-					(&loopHarness{t: t, loop: router.srv.loop}).do(func() {}) // so the router has taken the answer
-					client.wantReady(begun)
+					(&loopHarness{t: t, loop: router.srv.loop}).do(func() {}) // the router has applied the list
+					client.wantReady(started)
 				})
 			}
 		}
--- a/internal/router/size_test.go
+++ b/internal/router/size_test.go
@@ -6,28 +6,28 @@
 	"testing"
 )
 
-// The tests here hold that the router has no bound of its own under so many routers and caches.
+// fleetSize is the number of routers and caches that the router has to support.
 const fleetSize = 1024
 
-// manyEndpoints is a list of caches at one address.
+// manyEndpoints lists n caches at one address.
 func manyEndpoints(n int, addr string) []string {
-	var lines []string
+	var endpoints []string
 	for i := range n {
-		lines = append(lines, endpointJSON(fmt.Sprintf("c%04d", i), addr, "in_service"))
+		endpoints = append(endpoints, endpointJSON(fmt.Sprintf("c%04d", i), addr, "in_service"))
 	}
-	return lines
+	return endpoints
 }
 
-// heapInUse is what is held on the heap.
+// heapInUse is the number of bytes in live objects.
 func heapInUse() int64 {
 	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
 }
 
-// TestManyCachesFewDescriptors: each of 1,024 caches is used, idle connections give way, no request is lost,
-// and memory stays far under 32 MB.
+// TestManyCachesFewDescriptors checks that with 1,024 caches idle connections are closed for want of
+// descriptors, that no request is lost, and that memory stays far under 32 MB.
 func TestManyCachesFewDescriptors(t *testing.T) {
 	cache := newFakeCache(t)
 	cfg := testConfig(t, silentDiscovery(t), func(in map[string]any) {
@@ -38,33 +38,22 @@
 	}, manyEndpoints(fleetSize, cache.addr())...)
 	before := heapInUse()
 	router := startRouter(t, cfg)
-	over := make(chan struct{})
-	t.Cleanup(func() { close(over) })
-	go func() {
-		for {
-			select {
-			case cmd := <-cache.commands:
-				cmd.reply(t, servedReply)
-			case <-over:
-				return
-			}
-		}
-	}()
+	cache.handleCommands(t, func(cmd fakeCommand) { cmd.reply(t, servedReply) })
 	client := dial(t, router.addr)
 	const requests = 1500
-	most := 0
+	maxConns := 0
 	for i := range requests {
 		client.send(encodeCommand("C.GET", fmt.Sprintf("k%d", i), fmt.Sprintf("r%d", i), "c=read,d=20000"))
 		client.wantLine("value")
 		done := make(chan int)
 		router.srv.loop.post(func() { done <- router.srv.loop.upstreamConns })
-		most = max(most, receive(t, done, "number of connections"))
+		maxConns = max(maxConns, receive(t, done, "number of connections"))
 	}
-	if free := newDescriptorBudget(256).maxUpstreamConns; most > free || most < free/2 {
-		t.Errorf("%d connections to caches at once, of %d", most, free)
+	if free := newDescriptorBudget(256).maxUpstreamConns; maxConns > free || maxConns < free/2 {
+		t.Errorf("%d connections to caches at once, of %d", maxConns, free)
 	}
-	if held := heapInUse() - before; held > 16<<20 {
-		t.Errorf("%d MB are held, the test's own included", held>>20)
+	if used := heapInUse() - before; used > 16<<20 {
+		t.Errorf("%d MB are in use, the test's own included", used>>20)
 	}
 	done := make(chan int)
 	router.srv.loop.post(func() { done <- len(router.srv.loop.pools) })
--- a/internal/router/upstream_conn_test.go
+++ b/internal/router/upstream_conn_test.go
@@ -9,7 +9,8 @@
 	"marlstage/policy"
 )
 
-// TestStaleConnectionIsNotUsed: the cache closes it at any moment, and what is written to it may have run.
+// TestStaleConnectionIsNotUsed checks that a connection is not used which its cache may close at any
+// moment: a request written to it may or may not have run.
 func TestStaleConnectionIsNotUsed(t *testing.T) {
 	cache := newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), func(c *Config) { c.Transport.Keepalive = 200_000_000 })
@@ -27,21 +28,26 @@
 	}
 }
 
-// TestIdleSweepInterval that the settings state, however short.
+// TestIdleSweepInterval checks that idle connections are swept in time for any keepalive time.
 func TestIdleSweepInterval(t *testing.T) {
-	for keepalive, most := range map[policy.Time]policy.Time{200_000: 50_000, 2_000_000: 500_000, 60_000_000: sweepInterval} {
+	for keepalive, maxInterval := range map[policy.Time]policy.Time{
+		200_000:    50_000,
+		2_000_000:  500_000,
+		60_000_000: sweepInterval,
+	} {
 		harness := newLoopHarness(t, "127.0.0.1:1", func(c *Config) { c.Transport.Keepalive = keepalive })
 		harness.do(func() {
 			harness.loop.timers = nil
 			harness.loop.sweepIdle()
-			if wait := harness.loop.timers[0].at - harness.loop.now; wait > most {
-				t.Errorf("idle time %d: the next look comes after %d", keepalive, wait)
+			if interval := harness.loop.timers[0].at - harness.loop.now; interval > maxInterval {
+				t.Errorf("keepalive %d: the next sweep comes after %d", keepalive, interval)
 			}
 		})
 	}
 }
 
-// TestLateDuplicateReply is not served for the next request on its connection.
+// TestLateDuplicateReply checks that a second reply to a request, which arrives late, is not taken
+// for the reply to the next one.
 func TestLateDuplicateReply(t *testing.T) {
 	cache := newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), nil)
@@ -56,12 +62,12 @@
 	second := receive(t, cache.commands, "command")
 	second.reply(t, servedReply)
 	harness.wantOutcome(policy.Served)
-	if got := string(receive(t, req.slot.reply, "answer")); second.conn == first.conn || got != "$5\r\nvalue\r\n" {
+	if got := string(receive(t, req.slot.reply, "reply")); second.conn == first.conn || got != "$5\r\nvalue\r\n" {
 		t.Errorf("the client got %q", got)
 	}
 }
 
-// TestSettleTimerIsSetOnce, however many attempts wait for it.
+// TestSettleTimerIsSetOnce checks that attempts which wait for a connection to settle share a timer.
 func TestSettleTimerIsSetOnce(t *testing.T) {
 	cache := newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), nil)
@@ -71,18 +77,19 @@
 	harness.wantOutcome(policy.Served)
 	harness.sendAttempt(harness.newRequest(nil), long)
 	harness.do(func() {
-		u := harness.loop.pools["c1"]
+		p := harness.loop.pools["c1"]
 		before := len(harness.loop.timers)
 		for range 100 {
-			u.dispatch()
+			p.dispatch()
 		}
-		if more := len(harness.loop.timers) - before; len(u.queue) != 1 || more > 0 {
-			t.Errorf("%d attempts wait, %d more timers", len(u.queue), more)
+		if added := len(harness.loop.timers) - before; len(p.queue) != 1 || added > 0 {
+			t.Errorf("%d attempts wait, %d more timers", len(p.queue), added)
 		}
 	})
 }
 
-// TestDuplicateReplyReadBeforeNextRequest and told to the loop behind it is not served for it.
+// TestDuplicateReplyReadBeforeNextRequest checks that a second reply to a request is not taken for
+// that to the next one, if it has been read but the loop has yet to handle it.
 func TestDuplicateReplyReadBeforeNextRequest(t *testing.T) {
 	cache := newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), nil)
@@ -94,21 +101,22 @@
 	req := harness.newRequest(nil)
 	harness.do(func() {
 		first.reply(t, otherServedReply)
-		waitUntil(t, "a second answer that was read", func() bool { return len(harness.loop.events) > 0 })
+		waitUntil(t, "a second reply to be read", func() bool { return len(harness.loop.events) > 0 })
 		harness.loop.perform(policy.Send{ID: req.id, Cache: "c1"})
 	})
 	harness.wantOutcome(policy.ConnectionLost)
 }
 
-// TestReplyBeforeWriteIsComplete counts once it is, also where the cache closes behind it.
+// TestReplyBeforeWriteIsComplete checks that a reply which arrives while the request is being written
+// counts once the write is complete, even if the cache closes the connection after it.
 func TestReplyBeforeWriteIsComplete(t *testing.T) {
-	for name, closes := range map[string]bool{"stays": false, "closes": true} {
+	for name, closes := range map[string]bool{"open": false, "closed": true} {
 		t.Run(name, func(t *testing.T) {
 			addr, conns := deafCache(t)
 			harness := newLoopHarness(t, addr, nil)
 			req := huge(harness)
 			harness.sendAttempt(req, long)
-			if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil { // it has begun
+			if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil { // the write has begun
 				t.Fatal(err)
 			}
 			harness.do(func() {
@@ -124,7 +132,7 @@
 					c.connectionLost()
 				}
 				if req.done {
-					t.Error("an answer to half a request was served")
+					t.Error("the reply to a partial request was served")
 				}
 				c.writeDone(a, true, nil)
 			})
@@ -133,90 +141,93 @@
 	}
 }
 
-// TestClosedConnectionFreesCapacity for what waits, at once.
+// TestClosedConnectionFreesCapacity checks that a queued attempt gets a connection as soon as another
+// one is closed.
 func TestClosedConnectionFreesCapacity(t *testing.T) {
 	for name, end := range map[string]func(*loopHarness, *request, fakeCommand){
-		"given up": func(harness *loopHarness, req *request, _ fakeCommand) {
+		"cancelled": func(harness *loopHarness, req *request, _ fakeCommand) {
 			harness.loop.perform(policy.Cancel{ID: req.id, Attempt: 0})
 		},
 		"out of step": func(harness *loopHarness, _ *request, cmd fakeCommand) {
-			io.WriteString(cmd.conn, servedReply+"trailing")
+			cmd.tryReply(servedReply + "trailing")
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cache := newFakeCache(t)
 			harness := newLoopHarness(t, cache.addr(), func(c *Config) { c.Settings.Routers = 1000 })
-			var qs []*request
+			var last *request
 			var cmd fakeCommand
 			for range minConns {
-				qs = append(qs, harness.newRequest(nil))
-				harness.sendAttempt(qs[len(qs)-1], long)
+				last = harness.newRequest(nil)
+				harness.sendAttempt(last, long)
 				cmd = receive(t, cache.commands, "command")
 			}
 			harness.sendAttempt(harness.newRequest(nil), long)
-			harness.do(func() { end(harness, qs[len(qs)-1], cmd) })
+			harness.do(func() { end(harness, last, cmd) })
 			receive(t, harness.outcomes, "outcome")
-			receive(t, cache.commands, "command of what waited").reply(t, servedReply)
+			receive(t, cache.commands, "command of the queued attempt").reply(t, servedReply)
 			harness.wantOutcome(policy.Served)
 		})
 	}
 }
 
-// TestAddressChangeDuringDial: what waits gets a connection to the new address, and each descriptor is
-// counted once.
+// TestAddressChangeDuringDial checks that a queued attempt gets a connection to the new address of a
+// cache, and that each descriptor is counted once.
 func TestAddressChangeDuringDial(t *testing.T) {
-	moved := newFakeCache(t)
+	cache := newFakeCache(t)
 	harness := newLoopHarness(t, unreachable(t), nil)
 	harness.sendAttempt(harness.newRequest(nil), long)
 	harness.do(func() {
-		h, err := parseHosts([]byte(endpointListJSON(2, false, endpointJSON("c1", moved.addr(), "in_service"))))
+		list, err := parseHosts([]byte(endpointListJSON(2, false, endpointJSON("c1", cache.addr(), "in_service"))))
 		if err != nil {
 			t.Error(err)
 		}
-		harness.loop.applyEndpoints(h, h.kind())
+		harness.loop.applyEndpoints(list, list.kind())
 	})
-	receive(t, moved.commands, "command").reply(t, servedReply)
+	receive(t, cache.commands, "command").reply(t, servedReply)
 	harness.wantOutcome(policy.Served)
 	harness.do(func() {
-		if u := harness.loop.pools["c1"]; harness.loop.upstreamConns != 1 || u.dialing != 0 || len(u.conns) != 1 {
-			t.Errorf("%d descriptors, %d dials, %d connections", harness.loop.upstreamConns, u.dialing, len(u.conns))
+		if p := harness.loop.pools["c1"]; harness.loop.upstreamConns != 1 || p.dialing != 0 || len(p.conns) != 1 {
+			t.Errorf("%d descriptors, %d dials, %d connections", harness.loop.upstreamConns, p.dialing, len(p.conns))
 		}
 	})
 }
 
-// TestDialThatCompletesTooLate, when its attempt has ended, its cache drains or has moved, or the router
-// has closed it: it carries nothing, and its descriptor is given back once.
+// TestDialThatCompletesTooLate checks that a new connection carries nothing if meanwhile its cache
+// drains, has moved or has restarted, or the router has closed it, and that its descriptor is
+// released once.
 func TestDialThatCompletesTooLate(t *testing.T) {
-	for name, change := range map[string]func(*loopHarness, *pool, *upstreamConn){
-		"drained": func(_ *loopHarness, u *pool, _ *upstreamConn) { u.update(u.addr, 0, false) },
-		"moved":   func(_ *loopHarness, u *pool, _ *upstreamConn) { u.update("127.0.0.1:1", 0, true) },
-		"restarted": func(harness *loopHarness, u *pool, _ *upstreamConn) {
-			u.loop.now++
-			u.update(u.addr, u.loop.now, true)
-			u.loop.now--
+	for name, change := range map[string]func(*pool, *upstreamConn){
+		"drained": func(p *pool, _ *upstreamConn) { p.update(p.addr, 0, false) },
+		"moved":   func(p *pool, _ *upstreamConn) { p.update("127.0.0.1:1", 0, true) },
+		"restarted": func(p *pool, _ *upstreamConn) {
+			p.loop.now++
+			p.update(p.addr, p.loop.now, true)
+			p.loop.now--
 		},
-		"closed": func(_ *loopHarness, _ *pool, c *upstreamConn) { c.close() },
+		"closed": func(_ *pool, c *upstreamConn) { c.close() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			cache := newFakeCache(t)
 			harness := newLoopHarness(t, cache.addr(), nil)
 			harness.do(func() {
-				u := harness.loop.pools["c1"]
+				p := harness.loop.pools["c1"]
 				if !harness.loop.acquireDescriptor() {
 					t.Error("no descriptor")
 				}
-				c := &upstreamConn{pool: u, addr: u.addr}
-				u.conns[c] = struct{}{}
-				u.dialing++
-				nc, raw, err := dialTCP(u.addr, testTimeout)
+				c := &upstreamConn{pool: p, addr: p.addr}
+				p.conns[c] = struct{}{}
+				p.dialing++
+				nc, raw, err := dialTCP(p.addr, testTimeout)
 				if err != nil {
 					t.Error(err)
 					return
 				}
-				change(harness, u, c)
-				u.dialDone(c, nc, raw, nil)
-				if harness.loop.upstreamConns != 0 || u.dialing != 0 || len(u.conns) != 0 || len(u.idle) != 0 {
-					t.Errorf("%d descriptors, %d dials, %d connections, %d idle", harness.loop.upstreamConns, u.dialing, len(u.conns), len(u.idle))
+				change(p, c)
+				p.dialDone(c, nc, raw, nil)
+				if harness.loop.upstreamConns != 0 || p.dialing != 0 || len(p.conns) != 0 || len(p.idle) != 0 {
+					t.Errorf("%d descriptors, %d dials, %d connections, %d idle",
+						harness.loop.upstreamConns, p.dialing, len(p.conns), len(p.idle))
 				}
 			})
 			receive(t, cache.closed, "end of the connection")
@@ -224,7 +235,8 @@
 	}
 }
 
-// TestConnectionsToPreviousIncarnation a restart are not used.
+// TestConnectionsToPreviousIncarnation checks that connections are not used which were opened before
+// their cache restarted.
 func TestConnectionsToPreviousIncarnation(t *testing.T) {
 	cache := newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), nil)
@@ -236,17 +248,18 @@
 	harness.sendAttempt(harness.newRequest(nil), long)
 	receive(t, cache.commands, "command").reply(t, servedReply)
 	harness.wantOutcome(policy.Served)
-	harness.do(func() { // a start that the list dates in the future shuts no connection out
-		u := harness.loop.pools["c1"]
-		u.update(cache.addr(), harness.loop.now+1_000_000_000, true)
-		c := &upstreamConn{pool: u, addr: u.addr, connectedAt: harness.loop.now}
+	harness.do(func() { // a start time in the future excludes no connection
+		p := harness.loop.pools["c1"]
+		p.update(cache.addr(), harness.loop.now+1_000_000_000, true)
+		c := &upstreamConn{pool: p, addr: p.addr, connectedAt: harness.loop.now}
 		if !c.matchesEndpoint() {
-			t.Error("a connection that is up now is not used")
+			t.Error("a connection opened now is not used")
 		}
 	})
 }
 
-// TestMalformedReplyWithoutEnd stops at its attempt's time or at its size, and its connection with it.
+// TestMalformedReplyWithoutEnd checks that reading a reply stops when its attempt times out, or when
+// the reply is too large, and that its connection is closed.
 func TestMalformedReplyWithoutEnd(t *testing.T) {
 	cache := newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), nil)
@@ -260,35 +273,34 @@
 	harness.sendAttempt(harness.newRequest(nil), long)
 	flood := receive(t, cache.commands, "command")
 	go func(nc net.Conn) { // until the router closes it
-		io.WriteString(nc, "*16\r\n")
-		for {
-			if _, err := io.WriteString(nc, "$65536\r\n"+strings.Repeat("v", maxValueSize)+"\r\n"); err != nil {
-				return
-			}
+		_, err := io.WriteString(nc, "*16\r\n")
+		for err == nil {
+			_, err = io.WriteString(nc, "$65536\r\n"+strings.Repeat("v", maxValueSize)+"\r\n")
 		}
 	}(flood.conn)
 	harness.wantOutcome(policy.ConnectionLost)
 }
 
-// TestHealthCheckTimeout, not after a time that suits one site.
+// TestHealthCheckTimeout checks that the timeout of a health check follows from the settings.
 func TestHealthCheckTimeout(t *testing.T) {
 	cache := newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), func(c *Config) { c.Settings.DrainGrace = 40_000_000 })
 	harness.do(func() {
 		harness.loop.perform(policy.HealthCheck{Cache: "c1"})
 		if a := harness.loop.pools["c1"].queue[0]; a.deadline-a.sentAt != 20_000_000 {
-			t.Errorf("a probe may take %d", a.deadline-a.sentAt)
+			t.Errorf("a health check may take %d", a.deadline-a.sentAt)
 		}
 	})
 }
 
-// TestQueuedRetryIsNotStartedTooLate: caches drop a repeat for so long only, and it was decided on in time.
+// TestQueuedRetryIsNotStartedTooLate checks that a retry which waited in the queue is not sent once
+// caches no longer drop it as a duplicate, although it was decided on in time.
 func TestQueuedRetryIsNotStartedTooLate(t *testing.T) {
 	harness, cache, busy := busyPool(t)
 	req := harness.newRequest(nil)
 	harness.do(func() {
 		harness.loop.perform(policy.Send{ID: req.id, Cache: "c1", StartBefore: harness.loop.now + 1000})
-		req.attempts[0].startBefore = harness.loop.now // as though it had waited for so long
+		req.attempts[0].startBefore = harness.loop.now // as if it had waited for that long
 	})
 	busy[0].reply(t, servedReply)
 	harness.wantOutcome(policy.Served)
