--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// pingReply tells whether the router can serve requests.
+// pingReply reports whether the router can serve requests.
 func (c *clientConn) pingReply(args [][]byte) []byte {
 	switch {
 	case !c.srv.loop.canServe.Load():
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -17,7 +17,7 @@
 	maxPipelined        = 512                    // commands of one connection that may await their replies
 	maxDiscarded        = 4 * maxCommandSize     // bytes read and discarded after the last command
 	discardBufferSize   = 4 << 10                // bytes discarded with one read, at most
-	hangupCheckInterval = 100 * time.Millisecond // between checks whether a client has disconnected whose commands are not read
+	hangupCheckInterval = 100 * time.Millisecond // between checks for a disconnect while the reply queue is full
 )
 
 // connState is the state in which handling a command leaves a client's connection.
@@ -118,8 +118,8 @@
 	}
 }
 
-// enqueue queues a reply slot for the writer. It reports whether the client is still connected:
-// while the queue is full nothing is read, so a disconnect has to be looked for.
+// enqueue queues a reply slot for the writer and reports whether the client is still connected.
+// While the queue is full nothing is read, so a disconnect is not noticed and has to be checked for.
 func (c *clientConn) enqueue(slot *replySlot) bool {
 	c.pendingReplies.Add(1)
 	for {
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -61,7 +61,7 @@
 	for accepted := 0; accepted < maxPipelined/2; {
 		open := make(chan int, 1)
 		router.srv.loop.post(func() { open <- router.srv.loop.openRequests })
-		accepted = receive(t, open, "turn of the loop")
+		accepted = receive(t, open, "number of open requests")
 	}
 }
 
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	maxCommandSize = maxValueSize + 4<<10    // bytes of a whole command
+	maxCommandSize = maxValueSize + 4<<10    // bytes of a complete command
 	minReadBuffer  = 1 << 10                 // bytes of a read buffer when it is first allocated
 	maxIdleBuffer  = 8 << 10                 // bytes of the buffer that a connection keeps between commands
 	commandTimeout = 2200 * time.Millisecond // for a connection's first command, and for the rest of any partial one
--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -140,8 +140,8 @@
 	known := l.cfg.Known
 	known.full = true
 	if !known.serves() {
-		// Without a cache in service the router is not ready. A call for the whole list is answered
-		// at once, whereas a watch that hangs would keep the router from becoming ready.
+		// Without a cache in service the router is not ready. Discovery answers a call for the
+		// complete list at once, while a watch that hangs would keep the router from becoming ready.
 		known.index = noIndex
 	}
 	l.applyEndpoints(known, policy.UpdateStale)
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -60,7 +60,7 @@
 func (c fakeCommand) reply(t *testing.T, wire string) {
 	t.Helper()
 	if _, err := io.WriteString(c.conn, wire); err != nil {
-		t.Errorf("the cache could not answer: %v", err)
+		t.Errorf("the cache could not reply: %v", err)
 	}
 }
 
@@ -139,7 +139,8 @@
 
 // endpointJSON is an endpoint in discovery's form.
 func endpointJSON(name, addr, status string) string {
-	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","group":1,"status":%q,"weight":1,"since_ms":0}`, name, addr, status)
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","group":1,"status":%q,"weight":1,"since_ms":0}`,
+		name, addr, status)
 }
 
 // endpointListJSON is an endpoint list in discovery's form.
@@ -386,7 +387,7 @@
 		f()
 		close(ran)
 	})
-	receive(h.t, ran, "turn of the loop")
+	receive(h.t, ran, "end of a function run by the loop")
 }
 
 // newRequest has the loop accept a request, which writes the value if there is one.
@@ -424,6 +425,16 @@
 	})
 }
 
+// serveRequest has a request served by the cache and returns the command that the cache received.
+func (h *loopHarness) serveRequest(cache *fakeCache) fakeCommand {
+	h.t.Helper()
+	h.sendAttempt(h.newRequest(nil), long)
+	cmd := receive(h.t, cache.commands, "command")
+	cmd.reply(h.t, servedReply)
+	h.wantOutcome(policy.Served)
+	return cmd
+}
+
 // wantOutcome checks the outcome of the next attempt that ends.
 func (h *loopHarness) wantOutcome(want policy.Result) *policy.AttemptDone {
 	h.t.Helper()
--- a/internal/router/reply_slot.go
+++ b/internal/router/reply_slot.go
@@ -17,9 +17,8 @@
 	return &replySlot{memory: memory, reply: make(chan []byte, 1)}
 }
 
-// fill provides the reply; nil stands for none. It does not block and is called once. If the memory
-// budget has no room for the reply, because many wait for slow readers, the slot is filled with
-// failedReply instead.
+// fill provides the reply; nil stands for none. It does not block and is called once. A reply beyond
+// the memory budget, which many replies to slow readers may use up, is replaced by failedReply.
 func (s *replySlot) fill(reply []byte) {
 	switch size := int64(len(reply)); {
 	case len(reply) <= len(failedReply):
--- a/internal/router/upstream_conn_test.go
+++ b/internal/router/upstream_conn_test.go
@@ -14,10 +14,7 @@
 func TestStaleConnectionIsNotUsed(t *testing.T) {
 	cache := newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), func(c *Config) { c.Transport.Keepalive = 200_000_000 })
-	harness.sendAttempt(harness.newRequest(nil), long)
-	first := receive(t, cache.commands, "command")
-	first.reply(t, servedReply)
-	harness.wantOutcome(policy.Served)
+	first := harness.serveRequest(cache)
 	req := harness.newRequest(nil)
 	harness.do(func() {
 		harness.loop.pools["c1"].idle[0].idleSince -= 3 * harness.loop.cfg.Transport.Keepalive / 4
@@ -52,10 +49,7 @@
 	cache := newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), nil)
 	harness.do(func() { harness.loop.settleTime = testTimeout.Microseconds() })
-	harness.sendAttempt(harness.newRequest(nil), long)
-	first := receive(t, cache.commands, "command")
-	first.reply(t, servedReply)
-	harness.wantOutcome(policy.Served)
+	first := harness.serveRequest(cache)
 	req := harness.newRequest(nil)
 	harness.sendAttempt(req, long)
 	first.reply(t, otherServedReply)
@@ -72,9 +66,7 @@
 	cache := newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), nil)
 	harness.do(func() { harness.loop.settleTime = testTimeout.Microseconds() })
-	harness.sendAttempt(harness.newRequest(nil), long)
-	receive(t, cache.commands, "command").reply(t, servedReply)
-	harness.wantOutcome(policy.Served)
+	harness.serveRequest(cache)
 	harness.sendAttempt(harness.newRequest(nil), long)
 	harness.do(func() {
 		p := harness.loop.pools["c1"]
@@ -94,10 +86,7 @@
 	cache := newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), nil)
 	harness.do(func() { harness.loop.settleTime = 0 })
-	harness.sendAttempt(harness.newRequest(nil), long)
-	first := receive(t, cache.commands, "command")
-	first.reply(t, servedReply)
-	harness.wantOutcome(policy.Served)
+	first := harness.serveRequest(cache)
 	req := harness.newRequest(nil)
 	harness.do(func() {
 		first.reply(t, otherServedReply)
@@ -240,14 +229,10 @@
 func TestConnectionsToPreviousIncarnation(t *testing.T) {
 	cache := newFakeCache(t)
 	harness := newLoopHarness(t, cache.addr(), nil)
-	harness.sendAttempt(harness.newRequest(nil), long)
-	receive(t, cache.commands, "command").reply(t, servedReply)
-	harness.wantOutcome(policy.Served)
+	harness.serveRequest(cache)
 	harness.do(func() { harness.loop.pools["c1"].update(cache.addr(), harness.loop.now, true) })
 	receive(t, cache.closed, "end of the idle connection")
-	harness.sendAttempt(harness.newRequest(nil), long)
-	receive(t, cache.commands, "command").reply(t, servedReply)
-	harness.wantOutcome(policy.Served)
+	harness.serveRequest(cache)
 	harness.do(func() { // a start time in the future excludes no connection
 		p := harness.loop.pools["c1"]
 		p.update(cache.addr(), harness.loop.now+1_000_000_000, true)
