--- /dev/null
+++ b/internal/router/disconnect_test.go
@@ -0,0 +1,430 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"marlstage/internal/resp"
+	"marlstage/policy"
+)
+
+// disconnects are the ways in which a client disconnects.
+var disconnects = map[string]func(*testClient){
+	"close":      (*testClient).close,
+	"half-close": (*testClient).closeWrite,
+	"reset":      (*testClient).reset,
+}
+
+// TestClientDisconnectsAfterLastCommand checks that a disconnect is noticed although no more
+// commands are taken from the client, so that nothing is forwarded for it.
+func TestClientDisconnectsAfterLastCommand(t *testing.T) {
+	for end, wire := range map[string]string{"draining": "", "QUIT": encodeCommand("QUIT"), "protocol error": "*x\r\n"} {
+		for how, disconnect := range disconnects {
+			t.Run(end+", "+how, func(t *testing.T) {
+				router, harness := startScriptedRouter(t)
+				client := dial(t, router.addr)
+				client.send(getCommand("r1") + wire)
+				req := harness.onlyRequest()
+				if end == "draining" {
+					router.srv.closeIdleClients()
+				} else {
+					waitUntil(t, "pending replies", func() bool { return req.client.pendingReplies.Load() == 2 })
+				}
+				disconnect(client)
+				harness.waitForOpenRequests(0)
+			})
+		}
+	}
+}
+
+// TestClientDisconnectsBehindFullReplyQueue fills the queue of replies, so that the router does not
+// read on to the end of the connection.
+func TestClientDisconnectsBehindFullReplyQueue(t *testing.T) {
+	for how, disconnect := range disconnects {
+		t.Run(how, func(t *testing.T) {
+			router, harness := startScriptedRouter(t)
+			client := dial(t, router.addr)
+			client.send(strings.Repeat(getCommand("r"), 2*maxPipelined))
+			harness.waitForFullReplyQueue()
+			disconnect(client)
+			harness.waitForOpenRequests(0)
+		})
+	}
+}
+
+// TestDisconnectIsDetectedBeforeSend has the disconnect reported to the loop only after the engine
+// has decided to forward the request.
+func TestDisconnectIsDetectedBeforeSend(t *testing.T) {
+	for how, disconnect := range disconnects {
+		t.Run(how, func(t *testing.T) {
+			cache := newFakeCache(t)
+			router, harness := startScriptedRouter(t, endpointJSON("c1", cache.addr(), "in_service"))
+			client := dial(t, router.addr)
+			client.send(getCommand("r0"))
+			req := harness.onlyRequest()
+			harness.do(func() { // an idle connection takes the next attempt at once
+				harness.loop.settleTime = 0
+				harness.loop.perform(policy.Send{ID: req.id, Cache: "c1"})
+			})
+			receive(t, cache.commands, "command").reply(t, servedReply)
+			harness.wantOutcome(policy.Served)
+			client.send(getCommand("r1"))
+			req = harness.onlyRequest()
+			harness.do(func() {
+				disconnect(client)
+				waitUntil(t, "the end of the connection", req.client.hungUp)
+				harness.loop.perform(policy.Send{ID: req.id, Cache: "c1"})
+			})
+			harness.wantOutcome(policy.NotSent)
+			other := dial(t, router.addr)
+			other.send(getCommand("r2"))
+			next := harness.onlyRequest()
+			harness.do(func() { harness.loop.perform(policy.Send{ID: next.id, Cache: "c1"}) })
+			if cmd := receive(t, cache.commands, "command"); cmd.args[2] != "r2" {
+				t.Errorf("the cache was sent %q", cmd.args)
+			}
+		})
+	}
+}
+
+// sendingEngine sends each request to cache c1 at once, and once more if the cache failed it.
+type sendingEngine struct{ scriptedEngine }
+
+func (s *sendingEngine) Handle(now policy.Time, ev policy.Event) []policy.Action {
+	s.scriptedEngine.Handle(now, ev)
+	switch ev := ev.(type) {
+	case *policy.Request:
+		return []policy.Action{policy.Send{ID: ev.ID, Cache: "c1"}}
+	case *policy.AttemptDone:
+		if ev.Result == policy.ServerError && !ev.Final {
+			return []policy.Action{policy.Send{ID: ev.ID, Cache: "c1"}}
+		}
+	}
+	return nil
+}
+
+// gatedListener leaves connections in the kernel's queue until the test admits them.
+type gatedListener struct {
+	net.Listener
+	admit chan struct{}
+}
+
+func (g *gatedListener) Accept() (net.Conn, error) {
+	<-g.admit
+	return g.Listener.Accept()
+}
+
+// disconnectTest is a router in front of one cache, with some idle connections to it.
+type disconnectTest struct {
+	t        *testing.T
+	cache    *fakeCache
+	router   *runningRouter
+	harness  *loopHarness
+	engine   *sendingEngine
+	listener *gatedListener
+}
+
+// newDisconnectTest starts the router. Its engine sends nothing until the test sets loop.engine to
+// the sendingEngine.
+func newDisconnectTest(t *testing.T, idleConns int) *disconnectTest {
+	t.Helper()
+	cache := newFakeCache(t)
+	srv, err := New(testConfig(t, silentDiscovery(t), nil,
+		endpointJSON("c1", cache.addr(), "in_service"),
+		endpointJSON("c2", cache.addr(), "in_service")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &disconnectTest{
+		t:        t,
+		cache:    cache,
+		engine:   &sendingEngine{scriptedEngine{outcomes: make(chan *policy.AttemptDone, 1000)}},
+		listener: &gatedListener{srv.listener, make(chan struct{}, 1000)},
+	}
+	srv.listener = d.listener
+	srv.loop.engine = &d.engine.scriptedEngine
+	srv.loop.settleTime = 0
+	srv.lateAcceptTime = 0
+	d.router = startServer(t, srv)
+	d.harness = &loopHarness{t, srv.loop, d.engine.outcomes}
+	t.Cleanup(func() { close(d.listener.admit) })
+	var busy []fakeCommand
+	for range idleConns {
+		d.harness.sendAttempt(d.harness.newRequest(nil), long)
+		busy = append(busy, receive(t, cache.commands, "command"))
+	}
+	for _, cmd := range busy {
+		cmd.reply(t, servedReply)
+		d.harness.wantOutcome(policy.Served)
+	}
+	return d
+}
+
+// do runs f in the event loop.
+func (d *disconnectTest) do(f func()) {
+	d.t.Helper()
+	d.harness.do(f)
+}
+
+// perform has the loop send an attempt of a request to a cache.
+func (d *disconnectTest) perform(req *request, cache string) {
+	d.harness.loop.perform(policy.Send{ID: req.id, Cache: cache})
+}
+
+// disconnect ends a client's connection and waits until the router's side of it shows that.
+func (d *disconnectTest) disconnect(client *testClient, how func(*testClient)) {
+	how(client)
+	d.waitForDisconnects(1)
+}
+
+func (d *disconnectTest) dial() *testClient {
+	d.t.Helper()
+	d.listener.admit <- struct{}{}
+	return dial(d.t, d.router.addr)
+}
+
+// sendRequest sends the only request and returns it with its client.
+func (d *disconnectTest) sendRequest() (*testClient, *request) {
+	d.t.Helper()
+	client := d.dial()
+	client.send(getCommand("r1"))
+	return client, d.harness.onlyRequest()
+}
+
+// sendSecondRequest sends a request beside one that is in flight. It returns the client and a
+// function that performs the first attempt.
+func (d *disconnectTest) sendSecondRequest() (client *testClient, perform func()) {
+	client = d.dial()
+	client.send(getCommand("r1"))
+	waitUntil(d.t, "a second request", func() (two bool) {
+		d.do(func() { two = d.harness.loop.openRequests == 2 })
+		return two
+	})
+	return client, func() {
+		for _, req := range d.harness.loop.requests {
+			if req.client.nc != nil {
+				d.perform(req, "c1")
+			}
+		}
+	}
+}
+
+// waitForDisconnects waits until the router's side of so many connections shows that they ended.
+func (d *disconnectTest) waitForDisconnects(n int) {
+	waitUntil(d.t, "disconnected clients", func() bool {
+		d.router.srv.mu.Lock()
+		defer d.router.srv.mu.Unlock()
+		disconnected := 0
+		for c := range d.router.srv.clients {
+			if c.hungUp() {
+				disconnected++
+			}
+		}
+		return disconnected >= n
+	})
+}
+
+// waitForQueuedEvents waits until so many functions are posted to the loop.
+func (d *disconnectTest) waitForQueuedEvents(n int) {
+	waitUntil(d.t, "events in the queue", func() bool { return len(d.harness.loop.events) >= n })
+}
+
+// wantNothingSent has one more request served. If another one had been forwarded before, the cache
+// would have received it first.
+func (d *disconnectTest) wantNothingSent() {
+	d.t.Helper()
+	args := [][]byte{[]byte("C.GET"), []byte("k1"), []byte("last"), []byte("c=read,d=20000")}
+	cmd, err := resp.ParseCommand(args, 100)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.do(func() { d.harness.loop.engine = &d.engine.scriptedEngine })
+	d.harness.sendAttempt(d.harness.acceptCommand(cmd), long)
+	for {
+		got := receive(d.t, d.cache.commands, "command")
+		if got.args[2] == "last" {
+			return
+		}
+		d.t.Errorf("the cache was sent %q", got.args)
+		got.tryReply(servedReply)
+	}
+}
+
+// TestNoAttemptStartsAfterDisconnect checks each way in which an attempt comes to write its first
+// byte. The client has disconnected just before, and the loop has yet to be told.
+func TestNoAttemptStartsAfterDisconnect(t *testing.T) {
+	for name, c := range map[string]struct {
+		idleConns int
+		run       func(d *disconnectTest, how func(*testClient)) // called while the loop is free
+	}{
+		"first attempt":                       {1, (*disconnectTest).beforeFirstAttempt},
+		"behind unread commands":              {1, (*disconnectTest).behindUnreadCommands},
+		"retry":                               {1, (*disconnectTest).beforeRetry},
+		"hedged request":                      {2, (*disconnectTest).beforeHedge},
+		"waits for a dial":                    {0, (*disconnectTest).waitingForDial},
+		"waits for a connection":              {1, (*disconnectTest).waitingForConnection},
+		"waits for a descriptor":              {0, (*disconnectTest).waitingForDescriptor},
+		"waits for a connection that settles": {1, (*disconnectTest).waitingForSettling},
+		"disconnected before accept":          {1, (*disconnectTest).beforeAccept},
+		"under load":                          {8, (*disconnectTest).underLoad},
+	} {
+		for how, disconnect := range disconnects {
+			t.Run(name+", "+how, func(t *testing.T) {
+				d := newDisconnectTest(t, c.idleConns)
+				c.run(d, disconnect)
+				d.wantNothingSent()
+			})
+		}
+	}
+}
+
+func (d *disconnectTest) beforeFirstAttempt(how func(*testClient)) {
+	client, req := d.sendRequest()
+	d.do(func() {
+		d.disconnect(client, how)
+		d.perform(req, "c1")
+	})
+}
+
+func (d *disconnectTest) behindUnreadCommands(how func(*testClient)) {
+	client := d.dial()
+	client.send(strings.Repeat(getCommand("r1"), 2*maxPipelined))
+	d.harness.waitForFullReplyQueue()
+	d.do(func() {
+		d.disconnect(client, how)
+		for _, req := range d.harness.loop.requests {
+			d.perform(req, "c1")
+		}
+	})
+}
+
+func (d *disconnectTest) beforeRetry(how func(*testClient)) {
+	client, req := d.sendRequest()
+	d.do(func() {
+		d.harness.loop.engine = d.engine
+		d.perform(req, "c1")
+	})
+	first := receive(d.t, d.cache.commands, "command")
+	d.do(func() {
+		first.reply(d.t, failedReply)
+		d.waitForQueuedEvents(1)
+		d.disconnect(client, how)
+	})
+}
+
+func (d *disconnectTest) beforeHedge(how func(*testClient)) {
+	client, req := d.sendRequest()
+	d.do(func() { d.perform(req, "c1") })
+	receive(d.t, d.cache.commands, "command")
+	d.do(func() {
+		d.disconnect(client, how)
+		d.perform(req, "c1")
+	})
+}
+
+func (d *disconnectTest) waitingForDial(how func(*testClient)) {
+	client, req := d.sendRequest()
+	d.do(func() {
+		d.perform(req, "c1")
+		d.waitForQueuedEvents(1) // the connection is up
+		d.disconnect(client, how)
+	})
+}
+
+func (d *disconnectTest) waitingForConnection(how func(*testClient)) {
+	d.do(func() { d.harness.loop.pools["c1"].maxConns = 1 })
+	d.harness.sendAttempt(d.harness.newRequest(nil), long)
+	busy := receive(d.t, d.cache.commands, "command")
+	client, performSecond := d.sendSecondRequest()
+	d.do(func() {
+		performSecond()
+		busy.reply(d.t, servedReply)
+		d.waitForQueuedEvents(1)
+		d.disconnect(client, how)
+	})
+}
+
+func (d *disconnectTest) waitingForDescriptor(how func(*testClient)) {
+	d.do(func() { d.harness.loop.descriptors.maxUpstreamConns = 1 })
+	req := d.harness.newRequest(nil)
+	d.do(func() { d.perform(req, "c2") })
+	busy := receive(d.t, d.cache.commands, "command")
+	client, performSecond := d.sendSecondRequest()
+	d.do(func() {
+		performSecond()
+		d.harness.loop.upstreamConns-- // a descriptor is released, ...
+		d.harness.loop.pools["c1"].dispatch()
+		d.harness.loop.upstreamConns++
+		d.waitForQueuedEvents(1) // ... and the connection is up
+		d.disconnect(client, how)
+	})
+	busy.reply(d.t, servedReply)
+}
+
+func (d *disconnectTest) waitingForSettling(how func(*testClient)) {
+	client, req := d.sendRequest()
+	d.do(func() {
+		d.harness.loop.settleTime = testTimeout.Microseconds()
+		d.perform(req, "c1")
+		d.disconnect(client, how)
+		d.harness.loop.settleTime = 0
+		d.harness.loop.pools["c1"].dispatch()
+	})
+}
+
+func (d *disconnectTest) beforeAccept(how func(*testClient)) {
+	d.do(func() { d.harness.loop.engine = d.engine })
+	client := dial(d.t, d.router.addr)
+	client.send(getCommand("r1"))
+	how(client)
+	d.do(func() {
+		d.listener.admit <- struct{}{}
+		d.waitForQueuedEvents(1)
+		d.waitForDisconnects(1)
+	})
+}
+
+func (d *disconnectTest) underLoad(how func(*testClient)) {
+	const clients = 200
+	d.do(func() {
+		d.harness.loop.engine = d.engine
+		for i := range clients {
+			client := d.dial()
+			client.send(getCommand(fmt.Sprint("r", i)))
+			d.waitForQueuedEvents(i + 1)
+			how(client)
+		}
+		d.waitForDisconnects(clients)
+	})
+}
+
+// BenchmarkDisconnectCheck measures the check for a disconnect before an attempt's first byte.
+func BenchmarkDisconnectCheck(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer nc.Close()
+	other, err := ln.Accept()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer other.Close()
+	if _, err := io.WriteString(other, getCommand("r1")); err != nil {
+		b.Fatal(err)
+	}
+	c := &clientConn{nc: nc.(*net.TCPConn)}
+	for b.Loop() {
+		if c.hungUp() {
+			b.Fatal("the client is still connected")
+		}
+	}
+}
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -49,25 +49,25 @@
 func TestWatchContinuesAfterResponse(t *testing.T) {
 	cache := newFakeCache(t)
 	addr, calls := newFakeDiscovery(t)
-	r := start(t, testConfig(t, addr, nil, host("c1", "127.0.0.1:1", "in_service")))
+	r := startRouter(t, testConfig(t, addr, nil, endpointJSON("c1", "127.0.0.1:1", "in_service")))
 	first := receive(t, calls, "call")
 	if want := "/discovery/hosts?after=1&wait_ms=3000"; first.query != want {
 		t.Errorf("call %s, want %s", first.query, want)
 	}
-	first.reply <- hosts(7, false, host("c1", cache.addr(), "in_service"))
+	first.reply <- endpointListJSON(7, false, endpointJSON("c1", cache.addr(), "in_service"))
 	second := receive(t, calls, "call")
 	if want := "/discovery/hosts?after=7&wait_ms=3000"; second.query != want {
 		t.Errorf("call %s, want %s", second.query, want)
 	}
 	c := dial(t, r.addr)
-	c.send(get("r1"))
-	receive(t, cache.commands, "command").reply(t, served)
-	c.want("value")
-	second.reply <- hosts(9, true) // a snapshot without the cache: it is removed
+	c.send(getCommand("r1"))
+	receive(t, cache.commands, "command").reply(t, servedReply)
+	c.wantLine("value")
+	second.reply <- endpointListJSON(9, true) // a snapshot without the cache: it is removed
 	receive(t, calls, "call")
-	receive(t, cache.ended, "end of the idle connection")
-	c.send(get("r2"))
-	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
+	receive(t, cache.closed, "end of the idle connection")
+	c.send(getCommand("r2"))
+	if got := c.readLine(); !strings.HasPrefix(got, "-BUSY") {
 		t.Errorf("reply %q", got)
 	}
 }
@@ -75,7 +75,7 @@
 // TestWatchWithoutKnownList asks for a snapshot first.
 func TestWatchWithoutKnownList(t *testing.T) {
 	addr, calls := newFakeDiscovery(t)
-	start(t, testConfig(t, addr, func(in map[string]any) { delete(in, "known") }))
+	startRouter(t, testConfig(t, addr, func(in map[string]any) { delete(in, "known") }))
 	if c := receive(t, calls, "call"); c.query != "/discovery/hosts" {
 		t.Errorf("call %s", c.query)
 	}
@@ -84,9 +84,9 @@
 // TestRequiredWatchIsRetried at the policy's own pace.
 func TestRequiredWatchIsRetried(t *testing.T) {
 	addr, calls := newFakeDiscovery(t)
-	start(t, testConfig(t, addr, func(in map[string]any) {
+	startRouter(t, testConfig(t, addr, func(in map[string]any) {
 		in["settings"].(map[string]any)["rules"].(map[string]any)["askEvery"] = 1_000_000
-	}, host("c1", "127.0.0.1:1", "in_service")))
+	}, endpointJSON("c1", "127.0.0.1:1", "in_service")))
 	receive(t, calls, "call").reply <- ""
 	if c := receive(t, calls, "second call"); !strings.Contains(c.query, "after=1&") {
 		t.Errorf("call %s", c.query)
@@ -98,18 +98,18 @@
 func TestOptionalWatchIsOpened(t *testing.T) {
 	cache := newFakeCache(t)
 	addr, calls := newFakeDiscovery(t)
-	r := start(t, testConfig(t, addr, func(in map[string]any) {
+	r := startRouter(t, testConfig(t, addr, func(in map[string]any) {
 		in["settings"].(map[string]any)["discovery"] = "automatic"
-	}, host("c1", cache.addr(), "in_service")))
+	}, endpointJSON("c1", cache.addr(), "in_service")))
 	c := dial(t, r.addr)
-	c.send(get("r1"))
-	receive(t, cache.commands, "command").reply(t, served)
-	c.want("value")
+	c.send(getCommand("r1"))
+	receive(t, cache.commands, "command").reply(t, servedReply)
+	c.wantLine("value")
 	receive(t, calls, "call").reply <- "" // fails
-	receive(t, calls, "call after a failure").reply <- hosts(2, false, host("c1", cache.addr(), "terminating"))
+	receive(t, calls, "call after a failure").reply <- endpointListJSON(2, false, endpointJSON("c1", cache.addr(), "terminating"))
 	receive(t, calls, "next call") // the router has applied the draining state
-	c.send(get("r2"))
-	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
+	c.send(getCommand("r2"))
+	if got := c.readLine(); !strings.HasPrefix(got, "-BUSY") {
 		t.Errorf("reply %q", got)
 	}
 }
@@ -121,8 +121,8 @@
 		cache := newFakeCache(t)
 		old, oldCalls := newFakeDiscovery(t)
 		moved, calls := newFakeDiscovery(t)
-		r := start(t, testConfig(t, old, func(in map[string]any) { in["settings"].(map[string]any)["discovery"] = mode },
-			host("c1", cache.addr(), "in_service")))
+		r := startRouter(t, testConfig(t, old, func(in map[string]any) { in["settings"].(map[string]any)["discovery"] = mode },
+			endpointJSON("c1", cache.addr(), "in_service")))
 		last := receive(t, oldCalls, "call")
 		r.srv.MoveDiscovery("127.0.0.1:1")
 		r.srv.MoveDiscovery(moved) // a second signal before the first had any effect
@@ -130,15 +130,15 @@
 		if first.query != want {
 			t.Errorf("%s: call %s, want %s", mode, first.query, want)
 		}
-		last.reply <- hosts(5, true)
-		first.reply <- hosts(2, mode == "automatic", host("c1", cache.addr(), "in_service"), host("c2", "127.0.0.1:1", "terminating"))
+		last.reply <- endpointListJSON(5, true)
+		first.reply <- endpointListJSON(2, mode == "automatic", endpointJSON("c1", cache.addr(), "in_service"), endpointJSON("c2", "127.0.0.1:1", "terminating"))
 		if c := receive(t, calls, "next call"); !strings.Contains(c.query, "after=2&") {
 			t.Errorf("%s: call %s", mode, c.query)
 		}
 		c := dial(t, r.addr)
-		c.send(get("r1"))
-		receive(t, cache.commands, "command").reply(t, served)
-		c.want("value")
+		c.send(getCommand("r1"))
+		receive(t, cache.commands, "command").reply(t, servedReply)
+		c.wantLine("value")
 	}
 }
 
@@ -155,15 +155,15 @@
 
 // TestFailedWatchesBackOff: the delays grow and differ, up to a bound, until a list is received.
 func TestFailedWatchesBackOff(t *testing.T) {
-	r := newRig(t, newFakeCache(t).addr(), func(c *config.Config) { c.Settings.WatchRequired = false })
+	r := newLoopHarness(t, newFakeCache(t).addr(), func(c *config.Config) { c.Settings.WatchRequired = false })
 	r.do(func() {
 		delays := map[policy.Time]bool{}
 		for round := range 20 {
-			r.l.watchBackoff.Reset()
+			r.loop.watchBackoff.Reset()
 			for i := range 8 {
 				// Half of the drain grace: changes during an outage count as notified soon after its end.
-				longest := min(discovery.BackoffBase<<min(i, discovery.MaxBackoffDoublings), r.l.cfg.Settings.DrainGrace/2)
-				delay := failWatch(r.l)
+				longest := min(discovery.BackoffBase<<min(i, discovery.MaxBackoffDoublings), r.loop.cfg.Settings.DrainGrace/2)
+				delay := failWatch(r.loop)
 				if delays[delay] = true; delay < longest/2 || delay > longest {
 					t.Errorf("delay %d of round %d is %d us, want %d to %d", i, round, delay, longest/2, longest)
 				}
@@ -173,15 +173,15 @@
 			t.Errorf("only %d of %d delays differ", len(delays), 20*8)
 		}
 		list := discovery.EndpointList{Version: 5}
-		if r.l.applyEndpoints(list, list.Kind()); failWatch(r.l) > discovery.BackoffBase {
+		if r.loop.applyEndpoints(list, list.Kind()); failWatch(r.loop) > discovery.BackoffBase {
 			t.Error("after a list was received the delay is still a long one")
 		}
 		const longest = discovery.BackoffBase << discovery.MaxBackoffDoublings
-		r.l.cfg.Settings.DrainGrace = 10 * longest
+		r.loop.cfg.Settings.DrainGrace = 10 * longest
 		for range discovery.MaxBackoffDoublings {
-			failWatch(r.l)
+			failWatch(r.loop)
 		}
-		if delay := failWatch(r.l); delay < longest/2 {
+		if delay := failWatch(r.loop); delay < longest/2 {
 			t.Errorf("with a long drain grace the longest delay is %d", delay)
 		}
 	})
@@ -207,29 +207,29 @@
 	for _, mode := range []string{"automatic", "subscribe"} {
 		addr, calls := newFakeDiscovery(t)
 		cache := newFakeCache(t)
-		r := start(t, testConfig(t, addr, func(in map[string]any) {
+		r := startRouter(t, testConfig(t, addr, func(in map[string]any) {
 			settings := in["settings"].(map[string]any)
 			settings["discovery"] = mode
 			settings["rules"].(map[string]any)["askEvery"] = 1_000_000
-		}, host("c1", "127.0.0.1:1", "in_service")))
-		receive(t, calls, "call").reply <- hosts(9, false)
+		}, endpointJSON("c1", "127.0.0.1:1", "in_service")))
+		receive(t, calls, "call").reply <- endpointListJSON(9, false)
 		if c := receive(t, calls, "call"); !strings.Contains(c.query, "after=9&") {
 			t.Errorf("%s: call %s", mode, c.query)
 		} else {
-			c.reply <- hosts(4, false) // the service has restarted
+			c.reply <- endpointListJSON(4, false) // the service has restarted
 		}
 		snapshot := receive(t, calls, "call for a snapshot")
 		if snapshot.query != "/discovery/hosts" {
 			t.Errorf("%s: call %s", mode, snapshot.query)
 		}
-		snapshot.reply <- hosts(5, true, host("c1", cache.addr(), "in_service"))
+		snapshot.reply <- endpointListJSON(5, true, endpointJSON("c1", cache.addr(), "in_service"))
 		if c := receive(t, calls, "call"); !strings.Contains(c.query, "after=5&") {
 			t.Errorf("%s: call %s", mode, c.query)
 		}
 		c := dial(t, r.addr)
-		c.send(get("r1"))
-		receive(t, cache.commands, "command").reply(t, served)
-		c.want("value")
+		c.send(getCommand("r1"))
+		receive(t, cache.commands, "command").reply(t, servedReply)
+		c.wantLine("value")
 	}
 }
 
--- a/internal/router/settings_test.go
+++ b/internal/router/settings_test.go
@@ -32,17 +32,17 @@
 // TestRetriesFollowSettings: whether and where a request is retried comes from the settings alone.
 func TestRetriesFollowSettings(t *testing.T) {
 	for name, c := range map[string]settingsCase{
-		"idempotent, retried":                 {"seat-map", []string{closeConnection, served}, "value", false},
+		"idempotent, retried":                 {"seat-map", []string{closeConnection, servedReply}, "value", false},
 		"attempts are limited":                {"seat-map", []string{closeConnection, closeConnection}, "-BUSY 900", false},
 		"not idempotent, may have run":        {"seat-buy", []string{closeConnection}, "-ERR failed", false},
 		"not idempotent, failed":              {"seat-buy", []string{"-ERR failed\r\n"}, "-ERR failed", false},
-		"not idempotent, rejected once":       {"seat-buy", []string{"-BUSY\r\n", served}, "value", false},
+		"not idempotent, rejected once":       {"seat-buy", []string{"-BUSY\r\n", servedReply}, "value", false},
 		"not idempotent, rejected twice":      {"seat-buy", []string{"-BUSY\r\n", "-BUSY\r\n"}, "-BUSY 900", false},
 		"not idempotent, malformed reply":     {"seat-buy", []string{"*3\r\n$5\r\nvalueXX"}, "-ERR failed", false},
-		"idempotency key, retried in group":   {"hold-check", []string{closeConnection, served}, "value", true},
+		"idempotency key, retried in group":   {"hold-check", []string{closeConnection, servedReply}, "value", true},
 		"idempotency key, may have run":       {"hold-check", []string{closeConnection, closeConnection}, "-ERR failed", true},
 		"load report with other names":        {"seat-map", []string{"*3\r\n$5\r\nvalue\r\n$4\r\nmiss\r\n$14\r\nlat_ms=3,rif=2\r\n"}, "value", false},
-		"load report behind an error message": {"seat-map", []string{"-ERR failed lat_ms=3,rif=2\r\n", served}, "value", false},
+		"load report behind an error message": {"seat-map", []string{"-ERR failed lat_ms=3,rif=2\r\n", servedReply}, "value", false},
 	} {
 		t.Run(name, func(t *testing.T) { c.run(t) })
 	}
@@ -52,12 +52,12 @@
 func (c settingsCase) run(t *testing.T) {
 	t.Helper()
 	caches := map[string]*fakeCache{"c1": newFakeCache(t), "c2": newFakeCache(t)}
-	otherGroup := strings.Replace(host("c2", caches["c2"].addr(), "in_service"), `"group":1`, `"group":2`, 1)
-	r := start(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
+	otherGroup := strings.Replace(endpointJSON("c2", caches["c2"].addr(), "in_service"), `"group":1`, `"group":2`, 1)
+	r := startRouter(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
 		in["settings"] = json.RawMessage(otherSettings)
-	}, host("c1", caches["c1"].addr(), "in_service"), otherGroup))
+	}, endpointJSON("c1", caches["c1"].addr(), "in_service"), otherGroup))
 	client := dial(t, r.addr)
-	client.send(words("C.GET", "k1", "r1", "c="+c.class+",t=hall,d=20000,k=ab12"))
+	client.send(encodeCommand("C.GET", "k1", "r1", "c="+c.class+",t=hall,d=20000,k=ab12"))
 	first := ""
 	for i, reply := range c.replies {
 		id, cmd := receiveAttempt(t, caches["c1"], caches["c2"], i)
@@ -72,7 +72,7 @@
 			cmd.reply(t, reply)
 		}
 	}
-	client.want(c.want)
+	client.wantLine(c.want)
 	for id, cache := range caches {
 		select {
 		case cmd := <-cache.commands:
@@ -90,7 +90,7 @@
 		return "c1", cmd
 	case cmd = <-c2.commands:
 		return "c2", cmd
-	case <-time.After(patience):
+	case <-time.After(testTimeout):
 		t.Fatalf("attempt %d did not come", attempt)
 		panic("unreachable")
 	}
