--- a/policy/engine_test.go
+++ b/policy/engine_test.go
@@ -147,7 +147,7 @@
 			}
 		}
 		played++
-		b.advance(b.r.set.HealthCheckTimeout() + ms)
+		b.advance(b.r.settings.HealthCheckTimeout() + ms)
 	}
 }
 
@@ -157,16 +157,16 @@
 	for _, res := range []*Result{nil, result(ConnectFailed), result(ServerError), result(Rejected), result(TimedOut)} {
 		b := newBench(t, settings())
 		b.feed(&EndpointsUpdate{Kind: UpdateStale, Endpoints: fleet(4)})
-		b.rounds(threshold-1, "c01", res)
+		b.rounds(unhealthyThreshold-1, "c01", res)
 		if !b.r.caches["c01"].healthy {
-			t.Fatalf("%v: marked after %d failures", res, threshold-1)
+			t.Fatalf("%v: marked after %d failures", res, unhealthyThreshold-1)
 		}
 		b.rounds(1, "c01", res)
 		if b.r.caches["c01"].healthy {
-			t.Fatalf("%v: not marked after %d failures", res, threshold)
+			t.Fatalf("%v: not marked after %d failures", res, unhealthyThreshold)
 		}
 		b.rounds(1, "", nil)
-		if c := b.r.caches["c01"]; !c.healthy || c.fails != 0 {
+		if c := b.r.caches["c01"]; !c.healthy || c.failedChecks != 0 {
 			t.Fatalf("%v: not healthy after a success", res)
 		}
 	}
@@ -176,14 +176,14 @@
 func TestJudgedWhenRoundCompletes(t *testing.T) {
 	b := newBench(t, settings())
 	b.feed(&EndpointsUpdate{Kind: UpdateStale, Endpoints: fleet(3)})
-	b.rounds(threshold-1, "c01", result(ServerError))
+	b.rounds(unhealthyThreshold-1, "c01", result(ServerError))
 	for len(probes(b.advance(1*ms))) == 0 {
 	}
 	b.feed(&HealthCheckDone{Cache: "c01", Result: ServerError})
 	if !b.r.caches["c01"].healthy {
 		t.Fatal("marked before the round completed")
 	}
-	b.advance(b.r.set.HealthCheckTimeout() + ms)
+	b.advance(b.r.settings.HealthCheckTimeout() + ms)
 	if b.r.caches["c01"].healthy {
 		t.Fatal("not marked when the round completed")
 	}
@@ -197,7 +197,7 @@
 		for id := range int64(requests) {
 			b.ask(id+1, "read", uint64(id))
 			b.settle(id+1, 0)
-			rounds += float64(len(probes(b.advance(128*b.r.set.DrainGrace/Time(requests))))) / float64(caches)
+			rounds += float64(len(probes(b.advance(128*b.r.settings.DrainGrace/Time(requests))))) / float64(caches)
 		}
 		return rounds
 	}
@@ -209,7 +209,7 @@
 		t.Errorf("%v rounds of 50 probes with 1280 requests, want about one for 50 requests", thin)
 	}
 	if idle < 1 || idle > 3 {
-		t.Errorf("%v rounds of an idle router, want one in %d graces", idle, longestInterval)
+		t.Errorf("%v rounds of an idle router, want one in %d graces", idle, maxSkippedIntervals)
 	}
 }
 
@@ -235,7 +235,7 @@
 func TestUnhealthySkippedThenUsedAnyway(t *testing.T) {
 	b := newBench(t, settings())
 	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(6)})
-	b.r.asked[1] = 1000 // so that the key is not a hot one
+	b.r.requestCounts[1] = 1000 // so that the key is not a hot one
 	home := b.ask(1, "read", 42).Cache
 	b.settle(1, 0)
 	b.r.caches[home].healthy = false
@@ -258,13 +258,13 @@
 			b := newBench(t, settings())
 			b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(8)})
 			first := b.ask(1, class, 5)
-			q := b.r.reqs[1]
+			q := b.r.requests[1]
 			if first == nil {
 				t.Fatal("not sent")
 			}
 			q.attempts[0].pending, q.attempts[0].neverRan = false, res.NeverRan()
 			from := b.r.caches[first.Cache]
-			for _, c := range b.r.ready {
+			for _, c := range b.r.inService {
 				var want bool
 				switch {
 				case res.NeverRan() || class == "read" || class == "all":
@@ -274,17 +274,17 @@
 				case class == "cell":
 					want = c.Group == from.Group
 				}
-				if got := b.r.maySend(q, c); got != want {
+				if got := b.r.canSend(q, c); got != want {
 					t.Errorf("%s after %d: maySend to another = %v, want %v", class, res, got, want)
 				}
 			}
 			wantRefuse := res.NeverRan() || class == "read" || class == "all"
-			if got := b.r.mayRefuse(q); got != wantRefuse {
+			if got := b.r.canReject(q); got != wantRefuse {
 				t.Errorf("%s after %d: mayRefuse = %v, want %v", class, res, got, wantRefuse)
 			}
 			b.now += 501 * ms
 			b.r.now = b.now
-			if class == "all" && !res.NeverRan() && b.r.maySend(q, from) {
+			if class == "all" && !res.NeverRan() && b.r.canSend(q, from) {
 				t.Errorf("keyed request sent again after its repeats are forgotten")
 			}
 		}
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -34,7 +34,7 @@
 	const span, took = 4000 * ms, 150 * ms
 	out := Time(0) // time that attempts were out, over all routers
 	for _, b := range routers(t, 1) {
-		b.r.caches["c00"].keeps[0][7] = true
+		b.r.caches["c00"].recentKeys[0][7] = true
 		busy, from := map[int64]Time{}, b.now
 		for id := int64(1); b.now < from+span; id++ {
 			for _, s := range sends(b.feed(&Request{ID: id, Class: "read", Key: 7, HasKey: true, Deadline: b.now + 800*ms})) {
@@ -52,8 +52,8 @@
 			}
 		}
 	}
-	if most := float64(out) / span; most > 2*firstLimit {
-		t.Errorf("%.0f attempts of all routers were out at a slow cache on average, more than twice %d", most, firstLimit)
+	if most := float64(out) / span; most > 2*initialFleetLimit {
+		t.Errorf("%.0f attempts of all routers were out at a slow cache on average, more than twice %d", most, initialFleetLimit)
 	}
 }
 
@@ -61,7 +61,7 @@
 func TestFirstLimitGoesBySize(t *testing.T) {
 	b := quietBench(t, 2, nil)
 	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: []Endpoint{{ID: "big", Weight: 6}, {ID: "small", Weight: 2}}})
-	if big, small := b.r.caches["big"].limit, b.r.caches["small"].limit; big != 3*small {
+	if big, small := b.r.caches["big"].concurrencyLimit, b.r.caches["small"].concurrencyLimit; big != 3*small {
 		t.Errorf("first limits of %v and %v for sizes of 6 and 2", big, small)
 	}
 }
@@ -76,7 +76,7 @@
 			}
 		}
 	}
-	if most := retryBurst + manyRouters*5*retryShare; float64(retries) > most {
+	if most := maxFleetRetryBurst + manyRouters*5*retryRatio; float64(retries) > most {
 		t.Errorf("%d retries of all routers in one burst, more than %v", retries, most)
 	}
 }
@@ -92,16 +92,16 @@
 			b.settle(other, 0)
 			other++
 		}
-		limit, fetches := b.r.caches[to].limit, b.r.fetches
+		limit, fetches := b.r.caches[to].concurrencyLimit, b.r.originLimit
 		b.advance(50 * ms)
 		if serves {
 			b.feed(&AttemptDone{ID: other, Result: Served, Final: true, Miss: true, Load: LoadReport{Utilization: -1}})
 		}
 		b.advance(100 * ms)
-		if blamed := b.r.caches[to].limit < limit; blamed != serves {
+		if blamed := b.r.caches[to].concurrencyLimit < limit; blamed != serves {
 			t.Errorf("origin serves others: %v, silent cache blamed: %v", serves, blamed)
 		}
-		if spared := b.r.fetches < fetches; spared == serves {
+		if spared := b.r.originLimit < fetches; spared == serves {
 			t.Errorf("origin serves others: %v, origin blamed: %v", serves, spared)
 		}
 	}
@@ -116,22 +116,22 @@
 	c := b.r.caches["c01"]
 	for len(probes(b.advance(1*ms))) == 0 {
 	}
-	c.limit = .01
-	b.feed(&HealthCheckDone{Cache: "c01", Result: Served, Elapsed: 2 * b.r.patience})
-	if c.limit != .01 {
-		t.Errorf("a slow probe raised the limit to %v", c.limit)
+	c.concurrencyLimit = .01
+	b.feed(&HealthCheckDone{Cache: "c01", Result: Served, Elapsed: 2 * b.r.latencyThreshold})
+	if c.concurrencyLimit != .01 {
+		t.Errorf("a slow probe raised the limit to %v", c.concurrencyLimit)
 	}
 	for len(probes(b.advance(1*ms))) == 0 {
 		b.spare()
 	}
 	b.feed(&HealthCheckDone{Cache: "c01", Result: Served, Elapsed: 5 * ms})
-	if c.limit != b.r.firstPart(c) {
-		t.Errorf("a prompt probe left the limit at %v", c.limit)
+	if c.concurrencyLimit != b.r.initialLimit(c) {
+		t.Errorf("a prompt probe left the limit at %v", c.concurrencyLimit)
 	}
 }
 
 // spare lets the next round of probes start at the next beat.
-func (b *bench) spare() { b.r.spare = float64(len(b.r.ready)) }
+func (b *bench) spare() { b.r.healthCheckBudget = float64(len(b.r.inService)) }
 
 // The danger: after a restart most of an old list may be gone, and each request goes to caches that
 // are not there until its attempts are used up, at every router.
@@ -153,7 +153,7 @@
 			}
 		}
 	}
-	if perCache := float64(refused) / manyRouters / 6; perCache > awayThreshold+1.5 {
+	if perCache := float64(refused) / manyRouters / 6; perCache > connectFailureThreshold+1.5 {
 		t.Errorf("each router asked each cache that is gone %.1f times within 1.2 s", perCache)
 	}
 	if served < manyRouters*20 {
@@ -166,8 +166,8 @@
 	trials := map[Time]int{}
 	for _, b := range routers(t, 1) {
 		c := b.r.caches["c00"]
-		for range awayThreshold {
-			b.r.reached(c, false)
+		for range connectFailureThreshold {
+			b.r.noteConnect(c, false)
 		}
 		if !b.r.circuitOpen(c) {
 			t.Fatal("not passed over")
@@ -177,7 +177,7 @@
 		if b.feed(&TimerFired{}); b.r.circuitOpen(c) {
 			t.Fatal("no trial")
 		}
-		if b.r.reached(c, true); b.r.circuitOpen(c) {
+		if b.r.noteConnect(c, true); b.r.circuitOpen(c) {
 			t.Fatal("passed over though it was reached")
 		}
 	}
@@ -221,8 +221,8 @@
 			b.settle(key, 0)
 		}
 	}
-	if c.ejected || c.limit < b.r.firstPart(c)/2 {
-		t.Errorf("after an answer ejected is %v, the limit %v", c.ejected, c.limit)
+	if c.ejected || c.concurrencyLimit < b.r.initialLimit(c)/2 {
+		t.Errorf("after an answer ejected is %v, the limit %v", c.ejected, c.concurrencyLimit)
 	}
 }
 
@@ -232,7 +232,7 @@
 	atOnce, soon := 0, 0
 	for _, b := range routers(t, 1) {
 		b.advance(5000 * ms)
-		b.r.caches["c00"].keeps[0][7] = true
+		b.r.caches["c00"].recentKeys[0][7] = true
 		for id := int64(1); id <= 3; id++ {
 			if b.ask(id, "read", 7) != nil {
 				atOnce++
@@ -250,19 +250,19 @@
 func TestFleetPoolsAboveTheFirstLimit(t *testing.T) {
 	r := routers(t, 12)[0].r
 	high, low := r.caches["c00"], r.caches["c01"]
-	first := r.firstPart(high)
-	high.limit, low.limit = 3*first, first/4
+	first := r.initialLimit(high)
+	high.concurrencyLimit, low.concurrencyLimit = 3*first, first/4
 	for range 1000 {
-		r.pool(false)
+		r.adjustAllLimits(false)
 	}
-	if high.limit != first {
-		t.Errorf("bad verdicts on others took a limit to %v, not to the first of %v", high.limit, first)
+	if high.concurrencyLimit != first {
+		t.Errorf("bad verdicts on others took a limit to %v, not to the first of %v", high.concurrencyLimit, first)
 	}
 	for range 1000 {
-		r.pool(true)
+		r.adjustAllLimits(true)
 	}
-	if low.limit != first/4 {
-		t.Errorf("good verdicts on others took a cut limit to %v", low.limit)
+	if low.concurrencyLimit != first/4 {
+		t.Errorf("good verdicts on others took a cut limit to %v", low.concurrencyLimit)
 	}
 }
 
@@ -277,9 +277,9 @@
 		b := quietBench(t, 1, nil)
 		b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 		if i == 0 {
-			want = b.r.size
-		} else if b.r.size != want {
-			t.Fatalf("mean size %v, before it was %v", b.r.size, want)
+			want = b.r.meanWeight
+		} else if b.r.meanWeight != want {
+			t.Fatalf("mean size %v, before it was %v", b.r.meanWeight, want)
 		}
 	}
 }
@@ -289,11 +289,11 @@
 	for _, miss := range []bool{true, false} {
 		b := routers(t, 8)[0]
 		c := b.r.caches[b.ask(1, "read", 1).Cache]
-		b.advance(b.r.patience + 20*ms)
-		limit := c.limit
+		b.advance(b.r.latencyThreshold + 20*ms)
+		limit := c.concurrencyLimit
 		b.feed(&AttemptDone{ID: 1, Result: Served, Final: true, Miss: miss, Load: LoadReport{Utilization: -1}})
-		if rose := c.limit > limit; rose != miss {
-			t.Errorf("miss: %v, limit rose: %v (%v to %v)", miss, rose, limit, c.limit)
+		if rose := c.concurrencyLimit > limit; rose != miss {
+			t.Errorf("miss: %v, limit rose: %v (%v to %v)", miss, rose, limit, c.concurrencyLimit)
 		}
 	}
 }
@@ -334,7 +334,7 @@
 
 // listed has the list say that one cache has so much of its size left.
 func (b *bench) listed(cache string, left float64) {
-	es := fleet(len(b.r.ready))
+	es := fleet(len(b.r.inService))
 	for i := range es {
 		if es[i].ID == cache {
 			es[i].Weight *= left
@@ -351,12 +351,12 @@
 		asked, sent := 0, 0
 		for _, b := range bs {
 			for key := uint64(1); key <= 40; key++ {
-				if b.r.rank(key); b.r.nth(0).ID != home {
+				if b.r.rank(key); b.r.rankAt(0).ID != home {
 					continue
 				}
 				b.now += 50 * ms
 				asked++
-				b.r.keys, b.r.asked = [2]map[uint64]int{{}, {}}, [2]int{}
+				b.r.keyCounts, b.r.requestCounts = [2]map[uint64]int{{}, {}}, [2]int{}
 				id++
 				if s := b.ask(id, "read", key); s != nil {
 					if s.Cache == home {
@@ -370,7 +370,7 @@
 	}
 	bs := routers(t, 8)
 	for _, b := range bs {
-		b.r.set.LiveWeights = true
+		b.r.settings.LiveWeights = true
 	}
 	if got := share(bs); got < .95 {
 		t.Fatalf("%.2f of a cache's keys went there before it was crowded", got)
@@ -425,7 +425,7 @@
 		t.Errorf("%d of %d requests were refused at once when none had come back for 2 s", atOnce, len(bs)*50)
 	}
 	for _, b := range bs {
-		if b.advance(30000 * ms); b.r.admission() < 1 {
+		if b.advance(30000 * ms); b.r.currentAdmission() < 1 {
 			t.Fatal("a router that was asked nothing for 30 s still sends on only a part")
 		}
 	}
@@ -435,7 +435,7 @@
 func TestShutKeyIsRefusedAtOnce(t *testing.T) {
 	refused := 0
 	for _, b := range routers(t, 8) {
-		b.r.set.LiveWeights = true
+		b.r.settings.LiveWeights = true
 		es := fleet(8)
 		for range 20 {
 			for i := range es {
@@ -457,13 +457,13 @@
 // The danger: clients' retries of what is refused at once pay for probes, and a crowded fleet is probed most.
 func TestRefusedAtOnceEarnNoProbes(t *testing.T) {
 	b := routers(t, 8)[0]
-	b.r.admitted, b.r.admittedAt = 0, b.now
-	before := b.r.spare
+	b.r.admissionRatio, b.r.admissionRatioAt = 0, b.now
+	before := b.r.healthCheckBudget
 	for id := int64(1); id <= 50; id++ {
 		b.ask(id, "read", uint64(id))
 	}
-	if b.r.spare != before {
-		t.Errorf("50 requests refused at once earned %v probes", b.r.spare-before)
+	if b.r.healthCheckBudget != before {
+		t.Errorf("50 requests refused at once earned %v probes", b.r.healthCheckBudget-before)
 	}
 }
 
@@ -473,7 +473,7 @@
 	sent := 0
 	for _, b := range routers(t, 40) {
 		for range 200 {
-			b.r.judge(false)
+			b.r.updateAdmission(false)
 		}
 		for id := int64(1); id <= 20; id++ {
 			if b.ask(id, "read", uint64(id)) != nil {
@@ -491,9 +491,9 @@
 func TestProbeNotSentIsNoFailure(t *testing.T) {
 	b := newBench(t, settings())
 	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: fleet(3)})
-	b.rounds(3*threshold, "c01", result(NotSent))
-	if c := b.r.caches["c01"]; !c.healthy || c.fails > 0 {
-		t.Errorf("healthy is %v after probes that were not sent, %d count as failed", c.healthy, c.fails)
+	b.rounds(3*unhealthyThreshold, "c01", result(NotSent))
+	if c := b.r.caches["c01"]; !c.healthy || c.failedChecks > 0 {
+		t.Errorf("healthy is %v after probes that were not sent, %d count as failed", c.healthy, c.failedChecks)
 	}
 }
 
@@ -529,9 +529,9 @@
 				}
 			}
 			b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
-			b.r.fetches = math.Inf(1) // limits are not what is looked at
-			for _, c := range b.r.ready {
-				c.limit = math.Inf(1)
+			b.r.originLimit = math.Inf(1) // limits are not what is looked at
+			for _, c := range b.r.inService {
+				c.concurrencyLimit = math.Inf(1)
 			}
 			for id := int64(1); id <= 100; id++ {
 				if b.ask(id, "read", uint64(id)) != nil && c.hits && id%2 == 0 {
@@ -539,7 +539,7 @@
 				}
 				b.advance(20 * ms)
 			}
-			sum += b.r.admission()
+			sum += b.r.currentAdmission()
 		}
 		if mean := sum / manyRouters; mean > .9 != c.want {
 			t.Errorf("cold %v, prompt hits %v: %.2f of the keys are sent on", c.cold, c.hits, mean)
--- a/policy/health_test.go
+++ b/policy/health_test.go
@@ -24,7 +24,7 @@
 	const steps = 10 // an interval
 	for i := range n * steps {
 		b.spare()
-		told(i, probes(b.advance(b.r.set.HealthCheckInterval()/steps)))
+		told(i, probes(b.advance(b.r.settings.HealthCheckInterval()/steps)))
 	}
 }
 
@@ -38,7 +38,7 @@
 // The danger: probes grow with routers times caches, and take the caches' time.
 func TestFleetsProbesAtACacheAreBounded(t *testing.T) {
 	const span = 150
-	for _, routers := range []int{2, fleetProbes, 300, 1100, 2800} {
+	for _, routers := range []int{2, maxFleetChecks, 300, 1100, 2800} {
 		at := make([]float64, span*10) // probes of one cache, by step
 		total := 0.
 		for i := range routers {
@@ -49,7 +49,7 @@
 				b.pong(caches)
 			})
 		}
-		mean, want := total/span, min(float64(routers), fleetProbes)
+		mean, want := total/span, min(float64(routers), maxFleetChecks)
 		if mean < .85*want || mean > 1.05*want {
 			t.Errorf("%d routers: %.1f probes of a cache in an interval, want about %.0f", routers, mean, want)
 		}
@@ -81,21 +81,21 @@
 		seen := 0
 		b.intervals(2, func(_ int, caches []string) {
 			for _, id := range caches {
-				seen += b2i(id == to)
+				seen += boolToInt(id == to)
 			}
 		})
-		if seen == 0 || b.r.caches[to].fails == 0 {
-			t.Errorf("result %d: %d probes of the suspect in two rounds, %d failed", result, seen, b.r.caches[to].fails)
+		if seen == 0 || b.r.caches[to].failedChecks == 0 {
+			t.Errorf("result %d: %d probes of the suspect in two rounds, %d failed", result, seen, b.r.caches[to].failedChecks)
 		}
 		// It fails them: each round probes it, it is marked, and its first answer puts it back.
-		b.intervals(threshold, func(int, []string) {})
+		b.intervals(unhealthyThreshold, func(int, []string) {})
 		if b.r.caches[to].healthy {
 			t.Errorf("result %d: a cache that fails its probes is healthy", result)
 		}
 		again := 0
 		b.intervals(4, func(_ int, caches []string) {
 			for _, id := range caches {
-				again += b2i(id == to)
+				again += boolToInt(id == to)
 			}
 		})
 		if again != 4 {
@@ -118,15 +118,15 @@
 		n += len(caches)
 		b.pong(caches)
 	})
-	if most := span*fleetProbes/2800 + 8; n < 4 || n > most {
+	if most := span*maxFleetChecks/2800 + 8; n < 4 || n > most {
 		t.Errorf("%d probes of a suspect that answers them all, want 4 to %d", n, most)
 	}
 	// One that earns no more doubts has a clean record after its ordinary probe.
-	b.intervals(2*2800/fleetProbes, func(_ int, caches []string) {
+	b.intervals(2*2800/maxFleetChecks, func(_ int, caches []string) {
 		c.suspect = false
 		b.pong(caches)
 	})
-	if c.vain != 0 {
-		t.Errorf("%d vain suspicions are remembered", c.vain)
+	if c.unconfirmedChecks != 0 {
+		t.Errorf("%d vain suspicions are remembered", c.unconfirmedChecks)
 	}
 }
--- a/policy/limits_test.go
+++ b/policy/limits_test.go
@@ -37,14 +37,14 @@
 // The danger: a crowded cache serves everything late.
 func TestLimitHoldsThenSheds(t *testing.T) {
 	b := quietBench(t, 1, nil)
-	b.r.caches["c00"].keeps[0][7] = true // hits: the origin has no part in it
+	b.r.caches["c00"].recentKeys[0][7] = true // hits: the origin has no part in it
 	sent := 0
 	for id := range int64(40) {
 		if b.ask(id+1, "read", 7) != nil {
 			sent++
 		}
 	}
-	limit := b.r.caches["c00"].limit
+	limit := b.r.caches["c00"].concurrencyLimit
 	if sent == 0 || float64(sent) > limit+1 {
 		t.Fatalf("%d sent under a limit of %v", sent, limit)
 	}
@@ -53,7 +53,7 @@
 		t.Fatalf("%d of %d held requests shed within the hold", got, 40-sent)
 	}
 	b.advance(20 * ms)
-	if got := b.r.caches["c00"].limit; got >= limit {
+	if got := b.r.caches["c00"].concurrencyLimit; got >= limit {
 		t.Fatalf("overdue attempts left the limit at %v", got)
 	}
 }
@@ -75,18 +75,18 @@
 func TestLimitUnderOneLeavesGaps(t *testing.T) {
 	b := quietBench(t, 1, nil)
 	c := b.r.caches["c00"]
-	c.limit = 0.2
-	c.keeps[0][7] = true
+	c.concurrencyLimit = 0.2
+	c.recentKeys[0][7] = true
 	if b.ask(1, "read", 7) == nil {
 		t.Fatal("an idle cache gets nothing")
 	}
-	b.advance(2 * b.r.patience)
+	b.advance(2 * b.r.latencyThreshold)
 	b.answer(1, 0, Served, true)
-	c.limit = 0.2
+	c.concurrencyLimit = 0.2
 	if b.ask(2, "read", 7) != nil {
 		t.Fatal("no gap after a long attempt")
 	}
-	b.advance(10 * b.r.patience)
+	b.advance(10 * b.r.latencyThreshold)
 	if b.ask(3, "read", 7) == nil {
 		t.Fatal("nothing sent after the gap")
 	}
@@ -96,14 +96,14 @@
 func TestAloneAnAttemptMayTakeItsAim(t *testing.T) {
 	b := quietBench(t, 1, nil)
 	c := b.r.caches["c00"]
-	c.limit, c.prompt = b.r.alone(), false
+	c.concurrencyLimit, c.lastHitOnTime = b.r.routerShare(), false
 	b.ask(1, "read", 7)
 	b.advance(150 * ms)
-	if c.limit != b.r.alone() {
-		t.Fatalf("limit cut to %v within the aim", c.limit)
+	if c.concurrencyLimit != b.r.routerShare() {
+		t.Fatalf("limit cut to %v within the aim", c.concurrencyLimit)
 	}
 	b.advance(60 * ms)
-	if c.limit >= b.r.alone() {
+	if c.concurrencyLimit >= b.r.routerShare() {
 		t.Fatal("limit not cut after the aim")
 	}
 }
@@ -125,8 +125,8 @@
 	if len(used) < 4 {
 		t.Fatalf("a third of the traffic went to %v", used)
 	}
-	b.advance(5 * b.r.window())
-	if n := b.r.spread(5); n != 1 {
+	b.advance(5 * b.r.countWindow())
+	if n := b.r.replicaCount(5); n != 1 {
 		t.Fatalf("still spread over %d when no longer hot", n)
 	}
 }
@@ -142,7 +142,7 @@
 			}
 		}
 	}
-	if burst := int(b.r.retryBurstPart()); n < burst || n > burst+200*retryShare {
+	if burst := int(b.r.retryBurstLimit()); n < burst || n > burst+200*retryRatio {
 		t.Fatalf("%d retries of 200 failures", n)
 	}
 }
@@ -152,20 +152,20 @@
 	b := quietBench(t, 4, nil)
 	home := b.ask(1, "read", 42).Cache
 	b.settle(1, 0)
-	b.r.caches[home].limit, b.r.caches[home].credit = 0.2, -1e9
+	b.r.caches[home].concurrencyLimit, b.r.caches[home].timeTokens = 0.2, -1e9
 	b.r.retryBudget = 5
 	if s := b.ask(2, "read", 42); s == nil || s.Cache == home {
 		t.Fatalf("no overflow with budget: %v", s)
 	}
 	b.r.retryBudget = 0
 	for _, c := range b.r.caches {
-		c.keeps = [2]map[uint64]bool{{}, {}}
+		c.recentKeys = [2]map[uint64]bool{{}, {}}
 	}
-	b.r.fetches, b.r.fetching = 9, 5 // over half used: the origin has none to spare
+	b.r.originLimit, b.r.missesInFlight = 9, 5 // over half used: the origin has none to spare
 	if s := b.ask(3, "read", 42); s != nil {
 		t.Fatalf("overflow without budget: %v", s)
 	}
-	b.r.fetching = 0
+	b.r.missesInFlight = 0
 	if s := b.ask(4, "read", 42); s == nil {
 		t.Fatal("no overflow though the origin idles")
 	}
@@ -179,15 +179,15 @@
 			b.answer(id+1, 0, ServerError, true)
 		}
 	}
-	if b.r.fetches != 1 {
-		t.Fatalf("errors left the limit on misses at %v", b.r.fetches)
+	if b.r.originLimit != 1 {
+		t.Fatalf("errors left the limit on misses at %v", b.r.originLimit)
 	}
 	b.ask(100, "read", 1000)
 	if s := b.ask(101, "read", 1001); s != nil {
 		t.Fatal("a second likely miss went out")
 	}
 	for _, c := range b.r.caches {
-		c.keeps[0][7] = true
+		c.recentKeys[0][7] = true
 	}
 	if s := b.ask(102, "read", 7); s == nil {
 		t.Fatal("a likely hit was held for the origin's sake")
@@ -203,12 +203,12 @@
 	for _, prompt := range []bool{true, false} {
 		b := quietBench(t, 1, nil)
 		c := b.r.caches["c00"]
-		c.prompt = prompt
-		limit, fetches := c.limit, b.r.fetches
+		c.lastHitOnTime = prompt
+		limit, fetches := c.concurrencyLimit, b.r.originLimit
 		b.ask(1, "read", 7)
 		b.advance(190 * ms)
-		if (c.limit < limit) == prompt || (b.r.fetches < fetches) != prompt {
-			t.Errorf("prompt %v: limits %v to %v, %v to %v", prompt, limit, c.limit, fetches, b.r.fetches)
+		if (c.concurrencyLimit < limit) == prompt || (b.r.originLimit < fetches) != prompt {
+			t.Errorf("prompt %v: limits %v to %v, %v to %v", prompt, limit, c.concurrencyLimit, fetches, b.r.originLimit)
 		}
 	}
 }
@@ -222,7 +222,7 @@
 	n, key := 0, uint64(0)
 	for id := range int64(600) {
 		// Every third request is for a key that the second hash admits to the cold cache.
-		for key++; id%3 == 0 && (b.r.home(key) != "c03" || unit(mix(mix(key)+1)) >= b.r.set.WarmupStartShare); key++ {
+		for key++; id%3 == 0 && (b.r.home(key) != "c03" || unitInterval(mix(mix(key)+1)) >= b.r.settings.WarmupStartShare); key++ {
 		}
 		if s := b.ask(id+1, "read", key); s != nil && s.Cache == "c03" {
 			n++
@@ -242,20 +242,20 @@
 	b.feed(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 	c := b.r.caches["c03"]
 	key := uint64(1)
-	for unit(mix(mix(key)+1)) >= b.r.set.WarmupStartShare {
+	for unitInterval(mix(mix(key)+1)) >= b.r.settings.WarmupStartShare {
 		key++
 	}
 	q := &request{Request: &Request{Key: key, Deadline: b.now + 1e6}, class: &Class{}}
-	if !b.r.slowStart(q, c) {
+	if !b.r.slowStartAllows(q, c) {
 		t.Fatal("a first attempt is kept off")
 	}
-	q.attempts = []attempt{{to: b.r.caches["c01"], neverRan: true}}
-	if b.r.slowStart(q, c) {
+	q.attempts = []attempt{{cache: b.r.caches["c01"], neverRan: true}}
+	if b.r.slowStartAllows(q, c) {
 		t.Error("a retry is let in")
 	}
 	q.attempts = nil
-	b.r.keys[0][key], b.r.asked[0] = 30, 100
-	if b.r.slowStart(q, c) {
+	b.r.keyCounts[0][key], b.r.requestCounts[0] = 30, 100
+	if b.r.slowStartAllows(q, c) {
 		t.Error("a hot key is let in")
 	}
 }
@@ -276,28 +276,28 @@
 func TestMaySendGate(t *testing.T) {
 	b := quietBench(t, 3, func(s *Settings) { s.HedgingAllowed = false })
 	b.ask(1, "read", 9)
-	q, c := b.r.reqs[1], b.r.ready[0]
-	if b.r.maySend(q, c) {
+	q, c := b.r.requests[1], b.r.inService[0]
+	if b.r.canSend(q, c) {
 		t.Error("a second copy where copies are banned")
 	}
 	q.attempts[0].pending = false
-	if !b.r.maySend(q, c) {
+	if !b.r.canSend(q, c) {
 		t.Error("a retry is not allowed")
 	}
 	for _, cond := range []EndpointState{Draining, Removed} {
-		if c.State = cond; b.r.maySend(q, c) {
+		if c.State = cond; b.r.canSend(q, c) {
 			t.Errorf("sent to a cache in condition %d", cond)
 		}
 	}
 	c.State = InService
-	q.streams = true
-	if b.r.maySend(q, c) {
+	q.streaming = true
+	if b.r.canSend(q, c) {
 		t.Error("sent though the answer streams")
 	}
 	// An unsafe class keeps off even where its settings speak of keys.
 	q = &request{Request: &Request{Deadline: b.now + 1e6}, class: &Class{Effect: NonIdempotent, DedupScope: ScopeAll, KeyTTL: 1e9},
-		attempts: []attempt{{to: c, sent: b.now}}}
-	if b.r.maySend(q, c) || b.r.mayRefuse(q) {
+		attempts: []attempt{{cache: c, sentAt: b.now}}}
+	if b.r.canSend(q, c) || b.r.canReject(q) {
 		t.Error("an unsafe request that may have run was sent again or refused")
 	}
 }
@@ -309,7 +309,7 @@
 		s := b.ask(1, "read", 9)
 		b.advance(10 * ms)
 		if !silent {
-			b.r.caches[s.Cache].answered = b.r.now
+			b.r.caches[s.Cache].lastReplyAt = b.r.now
 		}
 		got := sends(b.advance(100 * ms))
 		if silent != (len(got) == 1) {
@@ -336,8 +336,8 @@
 	home := b.ask(1, "read", 42).Cache
 	b.settle(1, 0)
 	c := b.r.caches[home]
-	c.healthy, c.limit, c.lastSend = false, leastLimit, b.now
-	b.r.retryBudget, b.r.fetches, b.r.fetching = 0, 9, 5
+	c.healthy, c.concurrencyLimit, c.lastSentAt = false, minLimit, b.now
+	b.r.retryBudget, b.r.originLimit, b.r.missesInFlight = 0, 9, 5
 	if s := b.ask(2, "read", 42); s == nil || s.Cache == home {
 		t.Fatalf("got %v, want another cache", s)
 	}
@@ -350,14 +350,14 @@
 		b.ask(id+1, "read", uint64(id))
 	}
 	for _, c := range b.r.caches {
-		c.limit = leastLimit // no room anywhere
+		c.concurrencyLimit = minLimit // no room anywhere
 	}
-	if len(b.r.waiting) < 1000 {
-		t.Fatalf("only %d held", len(b.r.waiting))
+	if len(b.r.queue) < 1000 {
+		t.Fatalf("only %d held", len(b.r.queue))
 	}
-	b.r.ranks = b.r.ranks[:0]
-	allocs := testing.AllocsPerRun(5, b.r.admit)
-	if allocs > 8*admitTries {
+	b.r.ranking = b.r.ranking[:0]
+	allocs := testing.AllocsPerRun(5, b.r.dispatchQueued)
+	if allocs > 8*maxDispatchTries {
 		t.Fatalf("one answer looks at too many: %v allocations", allocs)
 	}
 }
@@ -366,32 +366,32 @@
 func TestBlameOfColdAndLateCaches(t *testing.T) {
 	b := quietBench(t, 1, nil)
 	c := b.r.caches["c00"]
-	c.coldFrom, c.warmAt, c.lastSend = b.now-9000*ms, b.now+1000*ms, b.now
+	c.warmupFrom, c.warmAt, c.lastSentAt = b.now-9000*ms, b.now+1000*ms, b.now
 	key := uint64(1)
-	for !b.r.slowStart(&request{Request: &Request{Key: key}}, c) {
+	for !b.r.slowStartAllows(&request{Request: &Request{Key: key}}, c) {
 		key++
 	}
-	fetches := b.r.fetches
+	fetches := b.r.originLimit
 	if b.ask(1, "read", key) == nil {
 		t.Fatal("not sent")
 	}
 	b.advance(190 * ms)
-	if b.r.fetches < fetches {
+	if b.r.originLimit < fetches {
 		t.Error("the origin is blamed for a cold cache")
 	}
 
 	b = quietBench(t, 1, nil)
 	c = b.r.caches["c00"]
-	c.keeps[0][7] = true
+	c.recentKeys[0][7] = true
 	b.ask(1, "read", 7)
 	b.advance(150 * ms)
-	if c.prompt {
+	if c.lastHitOnTime {
 		t.Error("a cache late with a likely hit still counts as prompt")
 	}
 	b.settle(1, 0)
 	b.ask(2, "read", 7)
 	b.settle(2, 0)
-	if !c.prompt {
+	if !c.lastHitOnTime {
 		t.Error("a hit in time does not make it prompt again")
 	}
 }
@@ -400,9 +400,9 @@
 func TestVerdictsCountInPartForAll(t *testing.T) {
 	b := quietBench(t, 12, nil)
 	for _, c := range b.r.caches {
-		c.limit *= 2
+		c.concurrencyLimit *= 2
 	}
-	before := b.r.caches["c00"].limit
+	before := b.r.caches["c00"].concurrencyLimit
 	var to string
 	var last int64
 	for key := uint64(1); to == "" || to == "c00"; key++ {
@@ -411,16 +411,16 @@
 		}
 		last = int64(key)
 	}
-	b.r.caches[to].prompt = false // so that the origin is not blamed
-	b.r.overdue(b.r.reqs[last], 0)
-	other, own := b.r.caches["c00"].limit, b.r.caches[to].limit
+	b.r.caches[to].lastHitOnTime = false // so that the origin is not blamed
+	b.r.attemptOverdue(b.r.requests[last], 0)
+	other, own := b.r.caches["c00"].concurrencyLimit, b.r.caches[to].concurrencyLimit
 	if before-other <= 0 || other <= own {
 		t.Errorf("an overdue write lowers the limit of its cache from %v to %v, of another to %v", before, own, other)
 	}
 	for range 1000 {
-		b.r.pool(false)
+		b.r.adjustAllLimits(false)
 	}
-	if got := b.r.caches["c00"].limit; got != b.r.alone() {
+	if got := b.r.caches["c00"].concurrencyLimit; got != b.r.routerShare() {
 		t.Errorf("the others' verdicts lower a limit to %v, not to one attempt of all routers", got)
 	}
 }
@@ -434,7 +434,7 @@
 				b.feed(&AttemptDone{ID: id + 1, Result: Served, Final: true, Miss: miss, Load: LoadReport{Utilization: -1}})
 			}
 		}
-		b.r.fetches = 2
+		b.r.originLimit = 2
 		for id := range int64(20) {
 			if b.ask(id+1000, "read", uint64(id+1000)) != nil {
 				n++
@@ -451,7 +451,7 @@
 func TestLimitFallsWhereAQuarterIsOverdue(t *testing.T) {
 	limit := 8.0
 	for i := range 40 {
-		(&Engine{set: Settings{Routers: 1}}).adjust(&limit, i%4 != 0, tolerated)
+		(&Engine{settings: Settings{Routers: 1}}).adjustLimit(&limit, i%4 != 0, toleratedLateShare)
 	}
 	if limit >= 8 {
 		t.Errorf("with a quarter overdue a limit of 8 went to %v", limit)
@@ -506,7 +506,7 @@
 	b := quietBench(t, 12, func(s *Settings) { s.MaxAttempts = 6 })
 	b.r.retryBudget = 0 // an attempt that met no cache costs none of it
 	tries, key := 0, uint64(0)
-	for tries < zoneThreshold { // caches of zone a can't be reached
+	for tries < zoneFailureThreshold { // caches of zone a can't be reached
 		key++
 		s := b.ask(int64(key), "read", key)
 		for n := 0; s != nil && b.r.caches[s.Cache].Zone == "a"; n++ {
@@ -517,10 +517,10 @@
 				s = &got[0]
 			}
 		}
-		if tries < zoneThreshold {
-			b.r.zones["a"].fails = tries // hits in zone b do not speak for zone a
+		if tries < zoneFailureThreshold {
+			b.r.zones["a"].connectFailures = tries // hits in zone b do not speak for zone a
 		}
-		b.settle(int64(key), len(b.r.reqs[int64(key)].attempts)-1)
+		b.settle(int64(key), len(b.r.requests[int64(key)].attempts)-1)
 	}
 	sentTo := func() (n int) {
 		for range 40 {
@@ -535,16 +535,16 @@
 		t.Errorf("%d of 40 sent to the lost zone", n)
 	}
 	for _, c := range b.r.caches {
-		c.limit = 100
+		c.concurrencyLimit = 100
 	}
-	b.r.fetches = 1e6
-	b.advance(b.r.set.WarmupTime/4 + ms)
+	b.r.originLimit = 1e6
+	b.advance(b.r.settings.WarmupTime/4 + ms)
 	if n := sentTo(); n != 1 {
 		t.Errorf("%d trials, want one", n)
 	}
-	for id, q := range b.r.reqs {
+	for id, q := range b.r.requests {
 		for i, a := range q.attempts {
-			if a.pending && a.to.Zone == "a" {
+			if a.pending && a.cache.Zone == "a" {
 				b.settle(id, i)
 			}
 		}
@@ -581,9 +581,9 @@
 }
 
 // home is the id of a key's first rank.
-func (r *Engine) home(key uint64) string {
-	r.rank(key)
-	return r.nth(0).ID
+func (e *Engine) home(key uint64) string {
+	e.rank(key)
+	return e.rankAt(0).ID
 }
 
 // The danger: a network that breaks connections uses up what the budget has for overload.
@@ -629,22 +629,22 @@
 		{4, 210 * ms, true},
 	} {
 		b := quietBench(t, 8, nil) // two routers: alone is four likely misses for this one
-		b.r.fetches = c.fetches
+		b.r.originLimit = c.fetches
 		b.ask(1, "read", 7)
 		b.advance(c.after)
-		if (b.r.fetches < c.fetches) != c.falls {
-			t.Errorf("limit %v after %d ms: %v", c.fetches, c.after/ms, b.r.fetches)
+		if (b.r.originLimit < c.fetches) != c.falls {
+			t.Errorf("limit %v after %d ms: %v", c.fetches, c.after/ms, b.r.originLimit)
 		}
 	}
 	b := quietBench(t, 8, nil)
-	b.r.fetches = 1
+	b.r.originLimit = 1
 	for id := range int64(50) { // each takes 3/4 of the aim
 		b.ask(id+1, "read", uint64(id))
 		b.advance(150 * ms)
 		b.feed(&AttemptDone{ID: id + 1, Result: Served, Final: true, Miss: true, Load: LoadReport{Utilization: -1}})
 	}
-	if b.r.fetches <= 1 {
-		t.Errorf("answers within the aim left the limit at %v", b.r.fetches)
+	if b.r.originLimit <= 1 {
+		t.Errorf("answers within the aim left the limit at %v", b.r.originLimit)
 	}
 }
 
@@ -654,20 +654,20 @@
 	b := quietBench(t, 8, nil)
 	home := b.ask(1, "read", 42).Cache
 	c := b.r.caches[home]
-	limit, budget := c.limit, b.r.retryBudget
+	limit, budget := c.concurrencyLimit, b.r.retryBudget
 	again := sends(b.answer(1, 0, Rejected, false))
-	if len(again) != 1 || again[0].Cache == home || c.limit != limit || b.r.retryBudget != budget {
-		t.Fatalf("after a refusal: sent to %v, limit %v to %v, budget %v to %v", again, limit, c.limit, budget, b.r.retryBudget)
+	if len(again) != 1 || again[0].Cache == home || c.concurrencyLimit != limit || b.r.retryBudget != budget {
+		t.Fatalf("after a refusal: sent to %v, limit %v to %v, budget %v to %v", again, limit, c.concurrencyLimit, budget, b.r.retryBudget)
 	}
 	b.settle(1, 1)
-	c.pending = 2 * firstLimit
+	c.inFlight = 2 * initialFleetLimit
 	b.ask(2, "all", 42)
-	c.pending -= firstLimit // more than the first part stay out
-	c.limit = 2 * firstLimit
-	clear(b.r.keys[0]) // so that the key is not hot, and goes home
+	c.inFlight -= initialFleetLimit // more than the first part stay out
+	c.concurrencyLimit = 2 * initialFleetLimit
+	clear(b.r.keyCounts[0]) // so that the key is not hot, and goes home
 	b.ask(3, "read", 42)
-	if b.answer(3, 0, Rejected, false); c.limit >= 2*firstLimit {
-		t.Fatalf("a refusal by a crowded cache left its limit at %v", c.limit)
+	if b.answer(3, 0, Rejected, false); c.concurrencyLimit >= 2*initialFleetLimit {
+		t.Fatalf("a refusal by a crowded cache left its limit at %v", c.concurrencyLimit)
 	}
 }
 
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -5,275 +5,275 @@
 import "slices"
 
 const (
-	holdShare  = .4 // of the aim that a request may wait for room
-	admitTries = 32 // held requests without room that are looked at for one answer
+	maxQueueShare    = .4 // of the aim that a request may wait for room
+	maxDispatchTries = 32 // held requests without room that are looked at for one answer
 )
 
 var unknownClass = Class{Effect: NonIdempotent}
 
-func (r *Engine) request(ev *Request) {
-	q := &request{Request: ev, class: r.classes[ev.Class], arrived: r.now}
+func (e *Engine) handleRequest(ev *Request) {
+	q := &request{Request: ev, class: e.classes[ev.Class], arrivedAt: e.now}
 	if q.class == nil {
 		q.class = &unknownClass
 	}
 	if !q.HasKey {
 		q.Request = &Request{}
 		*q.Request = *ev
-		q.Key = mix(uint64(ev.ID) ^ r.rng)
+		q.Key = mix(uint64(ev.ID) ^ e.randomState)
 	}
-	r.reqs[q.ID] = q
-	if r.now < q.Deadline {
+	e.requests[q.ID] = q
+	if e.now < q.Deadline {
 		// No request is lost: whatever else happens, this timer gives the final answer.
-		r.at(q.Deadline, func() { r.answer(q) })
-	}
-	r.retryBudget = min(r.retryBudget+retryShare, max(1, r.retryBurstPart()))
-	r.keys[0][q.Key]++
-	r.asked[0]++
-	if r.thin() && unit(mix(q.Key^r.own)) >= r.admission() {
-		r.shed[0]++
-		r.answer(q)
+		e.schedule(q.Deadline, func() { e.rejectOrFail(q) })
+	}
+	e.retryBudget = min(e.retryBudget+retryRatio, max(1, e.retryBurstLimit()))
+	e.keyCounts[0][q.Key]++
+	e.requestCounts[0]++
+	if e.sparseTraffic() && unitInterval(mix(q.Key^e.salt)) >= e.currentAdmission() {
+		e.shedCounts[0]++
+		e.rejectOrFail(q)
 		return
 	}
-	r.spare += probeShare / max(r.set.HealthCheckCost, 1e-9)
-	r.forward(q)
+	e.healthCheckBudget += healthCheckCostShare / max(e.settings.HealthCheckCost, 1e-9)
+	e.dispatch(q)
 }
 
-// forward sends a request on, holds it for room, or answers it when neither can be.
-func (r *Engine) forward(q *request) {
-	if r.isRetry(q) && r.retryBudget < 1 {
-		r.giveUp(q) // the danger: retries feed the overload that caused them
+// dispatch sends a request on, holds it for room, or answers it when neither can be.
+func (e *Engine) dispatch(q *request) {
+	if e.countsAsRetry(q) && e.retryBudget < 1 {
+		e.answerUnlessPending(q) // the danger: retries feed the overload that caused them
 		return
 	}
-	c, crowded := r.pick(q)
+	c, crowded := e.pickCache(q)
 	switch {
 	case c != nil:
-		r.send(q, c)
-	case crowded && r.now < q.holdUntil():
-		r.hold(q)
+		e.sendAttempt(q, c)
+	case crowded && e.now < q.queueDeadline():
+		e.enqueue(q)
 	default:
-		r.giveUp(q)
+		e.answerUnlessPending(q)
 	}
 }
 
-// giveUp answers a request unless an attempt is still out that may do so.
-func (r *Engine) giveUp(q *request) {
+// answerUnlessPending answers a request unless an attempt is still out that may do so.
+func (e *Engine) answerUnlessPending(q *request) {
 	if !slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.pending }) {
-		r.answer(q)
+		e.rejectOrFail(q)
 	}
 }
 
-// holdUntil is when a held request can no longer be served within its aim.
-func (q *request) holdUntil() Time {
-	return q.arrived + Time(holdShare*float64(min(q.class.LatencyObjective, q.Deadline-q.arrived)))
+// queueDeadline is when a held request can no longer be served within its aim.
+func (q *request) queueDeadline() Time {
+	return q.arrivedAt + Time(maxQueueShare*float64(min(q.class.LatencyObjective, q.Deadline-q.arrivedAt)))
 }
 
-// hold keeps a request until a cache has room. The danger it answers: a crowded
+// enqueue keeps a request until a cache has room. The danger it answers: a crowded
 // cache serves everything late, and late failures cost most.
-func (r *Engine) hold(q *request) {
-	if !q.held {
-		q.held = true
-		r.waiting = append(r.waiting, q)
-		r.at(q.holdUntil(), func() {
-			if q.held && !q.done {
-				r.shed[b2i(q.spares)]++
-				r.unhold(q)
-				r.giveUp(q)
+func (e *Engine) enqueue(q *request) {
+	if !q.queued {
+		q.queued = true
+		e.queue = append(e.queue, q)
+		e.schedule(q.queueDeadline(), func() {
+			if q.queued && !q.done {
+				e.shedCounts[boolToInt(q.originLimited)]++
+				e.dequeue(q)
+				e.answerUnlessPending(q)
 			}
 		})
 	}
 }
 
-func (r *Engine) unhold(q *request) {
-	q.held = false
-	if i := slices.Index(r.waiting, q); i >= 0 {
-		r.waiting = slices.Delete(r.waiting, i, i+1)
+func (e *Engine) dequeue(q *request) {
+	q.queued = false
+	if i := slices.Index(e.queue, q); i >= 0 {
+		e.queue = slices.Delete(e.queue, i, i+1)
 	}
 }
 
-// admit sends held requests on when there is room again, the latest first: the danger of
+// dispatchQueued sends held requests on when there is room again, the latest first: the danger of
 // the fair order is that in overload each one waits until it is too late.
-func (r *Engine) admit() {
+func (e *Engine) dispatchQueued() {
 	failed := 0
-	for i := len(r.waiting) - 1; i >= 0 && failed < admitTries; i-- {
-		q := r.waiting[i]
-		if c, _ := r.pick(q); c == nil {
+	for i := len(e.queue) - 1; i >= 0 && failed < maxDispatchTries; i-- {
+		q := e.queue[i]
+		if c, _ := e.pickCache(q); c == nil {
 			failed++ // the danger: with thousands held, trying all at each answer takes seconds
 		} else {
-			r.unhold(q)
-			r.send(q, c)
+			e.dequeue(q)
+			e.sendAttempt(q, c)
 		}
 	}
 }
 
-func (r *Engine) send(q *request, c *cache) {
-	if r.isRetry(q) || len(q.attempts) == 0 && q.astray && !r.originIdles() && !c.knows(q.Key) {
-		r.retryBudget--
+func (e *Engine) sendAttempt(q *request, c *cache) {
+	if e.countsAsRetry(q) || len(q.attempts) == 0 && q.spilledOver && !e.originHasCapacity() && !c.likelyCached(q.Key) {
+		e.retryBudget--
 	}
-	q.attempts = append(q.attempts, attempt{to: c, sent: r.now, pending: true, fetch: r.fetch(q, c)})
+	q.attempts = append(q.attempts, attempt{cache: c, sentAt: e.now, pending: true, likelyMiss: e.isLikelyMiss(q, c)})
 	n := len(q.attempts) - 1
-	c.pending++
-	c.uses++
-	r.uses++
-	c.sends = r.recent(c) + 1
-	c.lastSend = r.now
-	if q.attempts[n].fetch {
-		r.fetching++
-	}
-	if c.unmet >= awayThreshold {
-		r.delayHalfOpen(c)
-	}
-	if c.zone.fails >= zoneThreshold {
-		c.zone.halfOpenAt = r.now + r.set.WarmupTime/4 // the trial is one request
-	}
-	r.do(Send{ID: q.ID, Cache: c.ID, Deadline: q.Deadline, StartBefore: q.repeatBy(n)})
-	if r.thin() {
-		r.at(min(r.now+q.class.LatencyObjective, q.Deadline-1), func() {
+	c.inFlight++
+	c.attemptsSent++
+	e.attemptsSent++
+	c.recentAttempts = e.recentAttemptCount(c) + 1
+	c.lastSentAt = e.now
+	if q.attempts[n].likelyMiss {
+		e.missesInFlight++
+	}
+	if c.connectFailures >= connectFailureThreshold {
+		e.delayHalfOpen(c)
+	}
+	if c.zone.connectFailures >= zoneFailureThreshold {
+		c.zone.halfOpenAt = e.now + e.settings.WarmupTime/4 // the trial is one request
+	}
+	e.emit(Send{ID: q.ID, Cache: c.ID, Deadline: q.Deadline, StartBefore: q.repeatDeadline(n)})
+	if e.sparseTraffic() {
+		e.schedule(min(e.now+q.class.LatencyObjective, q.Deadline-1), func() {
 			a := &q.attempts[n]
-			if a.pending && !(a.fetch && r.prompt > a.sent && r.refilling()) {
-				r.judge(false)
+			if a.pending && !(a.likelyMiss && e.lastTimelyHitAt > a.sentAt && e.fleetWarmingUp()) {
+				e.updateAdmission(false)
 			}
 		})
 	}
-	r.at(r.now+r.patienceAt(c, q.class), func() {
+	e.schedule(e.now+e.latencyThresholdAt(c, q.class), func() {
 		if a := &q.attempts[n]; a.pending {
-			a.to.suspect = a.to.suspect || a.to.answered <= a.sent
-			r.overdue(q, n)
-			r.hedge(q, n)
+			a.cache.suspect = a.cache.suspect || a.cache.lastReplyAt <= a.sentAt
+			e.attemptOverdue(q, n)
+			e.hedge(q, n)
 		}
 	})
 }
 
-// patience is how long an attempt may take before it counts as overdue.
-func (c *Class) patience() Time { return max(c.LatencyObjective/2, 1) }
+// latencyThreshold is how long an attempt may take before it counts as overdue.
+func (c *Class) latencyThreshold() Time { return max(c.LatencyObjective/2, 1) }
 
-// patienceAt is the same at one cache: a slow one may take twice what its quicker hits take. The danger: its
+// latencyThresholdAt is the same at one cache: a slow one may take twice what its quicker hits take. The danger: its
 // hits take half of the aim with nothing else to do, and its limit falls until it does next to nothing.
-func (r *Engine) patienceAt(c *cache, class *Class) Time {
-	if r.thin() {
-		return class.patience() // it hears too little of one cache to know
+func (e *Engine) latencyThresholdAt(c *cache, class *Class) Time {
+	if e.sparseTraffic() {
+		return class.latencyThreshold() // it hears too little of one cache to know
 	}
-	return max(class.patience(), min(Time(slowBy*c.usual), Time(slowest*float64(class.LatencyObjective))))
+	return max(class.latencyThreshold(), min(Time(slowHitFactor*c.hitLatency), Time(maxThresholdShare*float64(class.LatencyObjective))))
 }
 
-// answer gives the final answer, once.
-func (r *Engine) answer(q *request) {
-	if q.done || q.streams {
+// rejectOrFail gives the final answer, once.
+func (e *Engine) rejectOrFail(q *request) {
+	if q.done || q.streaming {
 		return
 	}
-	if r.mayRefuse(q) {
-		r.do(Reject{ID: q.ID, RetryAfter: min(r.set.MaxRetryAfter, q.class.LatencyObjective)})
+	if e.canReject(q) {
+		e.emit(Reject{ID: q.ID, RetryAfter: min(e.settings.MaxRetryAfter, q.class.LatencyObjective)})
 	} else {
-		r.do(Fail{ID: q.ID})
+		e.emit(Fail{ID: q.ID})
 	}
-	r.finish(q)
+	e.finish(q)
 }
 
 // finish stops what is still out for a request that is over.
-func (r *Engine) finish(q *request) {
+func (e *Engine) finish(q *request) {
 	q.done = true
-	if q.held {
-		r.unhold(q)
+	if q.queued {
+		e.dequeue(q)
 	}
 	out := false
 	for i := range q.attempts {
 		if a := &q.attempts[i]; a.pending {
 			out = true
-			if r.set.CancelAllowed && !q.streams && !a.stopped {
-				a.stopped = true
-				r.do(Cancel{q.ID, i})
+			if e.settings.CancelAllowed && !q.streaming && !a.cancelled {
+				a.cancelled = true
+				e.emit(Cancel{q.ID, i})
 			}
 		}
 	}
 	if !out {
-		delete(r.reqs, q.ID)
+		delete(e.requests, q.ID)
 	}
 }
 
-func (r *Engine) outcome(ev *AttemptDone) {
-	q := r.reqs[ev.ID]
+func (e *Engine) attemptDone(ev *AttemptDone) {
+	q := e.requests[ev.ID]
 	if q == nil || ev.Attempt < 0 || ev.Attempt >= len(q.attempts) || !q.attempts[ev.Attempt].pending {
 		return
 	}
 	a := &q.attempts[ev.Attempt]
 	a.pending, a.neverRan = false, ev.Result.NeverRan()
-	a.to.pending--
-	r.took(a, q, ev.Result)
-	if took := r.now - a.sent; ev.Result == Rejected {
-		r.spend(a.to, max(took, r.patience)) // a refusal comes at once, and so would the next attempt
+	a.cache.inFlight--
+	e.updateGoodput(a, q, ev.Result)
+	if took := e.now - a.sentAt; ev.Result == Rejected {
+		e.spendTime(a.cache, max(took, e.latencyThreshold)) // a refusal comes at once, and so would the next attempt
 	} else {
-		r.spend(a.to, took)
+		e.spendTime(a.cache, took)
 	}
-	if a.fetch {
-		r.fetching--
+	if a.likelyMiss {
+		e.missesInFlight--
 	}
 	if ev.Result == Served || ev.Result == ServerError || ev.Result == Rejected {
-		a.to.answered = r.now
-		if a.to.ejected && ev.Result == Served {
-			a.to.ejected = false
-			a.to.limit = max(a.to.limit, r.firstPart(a.to)/2) // half, lest all come back at once
+		a.cache.lastReplyAt = e.now
+		if a.cache.ejected && ev.Result == Served {
+			a.cache.ejected = false
+			a.cache.concurrencyLimit = max(a.cache.concurrencyLimit, e.initialLimit(a.cache)/2) // half, lest all come back at once
 		}
-		r.reached(a.to, true)
+		e.noteConnect(a.cache, true)
 	} else if ev.Result == ConnectFailed {
-		a.unmet = true
-		r.reached(a.to, false)
+		a.connectFailed = true
+		e.noteConnect(a.cache, false)
 	}
-	if r.thin() && ev.Result == Served && r.now < a.sent+q.class.LatencyObjective {
-		r.judge(true)
+	if e.sparseTraffic() && ev.Result == Served && e.now < a.sentAt+q.class.LatencyObjective {
+		e.updateAdmission(true)
 	}
-	a.broke = ev.Result == ConnectionLost
-	a.to.suspect = a.to.suspect || a.broke || ev.Result == ServerError || ev.Result == ConnectFailed
+	a.connectionReset = ev.Result == ConnectionLost
+	a.cache.suspect = a.cache.suspect || a.connectionReset || ev.Result == ServerError || ev.Result == ConnectFailed
 	// A refusal speaks of crowding only where more is out than any cache is trusted with at first. The
 	// danger: one that stands still now and then loses its whole part of the work for good.
-	crowd := ev.Result == Rejected && float64(a.to.pending+1) > r.firstPart(a.to)
-	a.shunned = ev.Result == Rejected && !crowd
-	if a.to.pending == 0 && r.closesIdle(a.to) {
-		r.do(CloseIdleConnections{a.to.ID})
+	crowd := ev.Result == Rejected && float64(a.cache.inFlight+1) > e.initialLimit(a.cache)
+	a.rejectedWhileIdle = ev.Result == Rejected && !crowd
+	if a.cache.inFlight == 0 && e.shouldCloseIdle(a.cache) {
+		e.emit(CloseIdleConnections{a.cache.ID})
 	}
-	good := ev.Result == Served && r.now-a.sent < r.patienceAt(a.to, q.class)
-	if r.thin() && ev.Result == Served && ev.Miss {
+	good := ev.Result == Served && e.now-a.sentAt < e.latencyThresholdAt(a.cache, q.class)
+	if e.sparseTraffic() && ev.Result == Served && ev.Miss {
 		// The danger: where nearly half are misses, a limit can hardly rise, as the origin takes their time.
-		good = r.now-a.sent < r.fetchTime(q, a.to)
+		good = e.now-a.sentAt < e.missLatencyLimit(q, a.cache)
 	}
 	if good && !ev.Miss {
-		r.prompt = r.now
+		e.lastTimelyHitAt = e.now
 	}
-	if good && !a.fetch {
-		a.to.prompt = true
+	if good && !a.likelyMiss {
+		a.cache.lastHitOnTime = true
 	}
-	fetched := ev.Result == Served && a.fetch && r.now-a.sent < r.fetchTime(q, a.to)
+	fetched := ev.Result == Served && a.likelyMiss && e.now-a.sentAt < e.missLatencyLimit(q, a.cache)
 	if fetched && ev.Miss {
-		r.fetched = r.now
+		e.lastOriginReplyAt = e.now
 	}
-	if ev.Result == ServerError || fetched && float64(r.fetching+1) > r.fetches/2 {
-		r.adjust(&r.fetches, fetched, originTolerated)
-		r.fetches = max(1, r.fetches)
+	if ev.Result == ServerError || fetched && float64(e.missesInFlight+1) > e.originLimit/2 {
+		e.adjustLimit(&e.originLimit, fetched, toleratedOriginLateShare)
+		e.originLimit = max(1, e.originLimit)
 	}
-	if crowd || ev.Result == ConnectFailed || good && float64(a.to.pending+1) > a.to.limit/2 {
-		r.pool(good)
-		r.adjust(&a.to.limit, good, tolerated)
-	} else if ev.Result == Served && a.to.limit < r.alone() && r.now-a.sent < q.class.LatencyObjective {
-		r.adjust(&a.to.limit, true, tolerated)
+	if crowd || ev.Result == ConnectFailed || good && float64(a.cache.inFlight+1) > a.cache.concurrencyLimit/2 {
+		e.adjustAllLimits(good)
+		e.adjustLimit(&a.cache.concurrencyLimit, good, toleratedLateShare)
+	} else if ev.Result == Served && a.cache.concurrencyLimit < e.routerShare() && e.now-a.sentAt < q.class.LatencyObjective {
+		e.adjustLimit(&a.cache.concurrencyLimit, true, toleratedLateShare)
 	}
-	if a.fetch && (ev.Result == Served || ev.Result == ServerError) {
-		r.missing -= r.missing / missWindow
+	if a.likelyMiss && (ev.Result == Served || ev.Result == ServerError) {
+		e.missRatio -= e.missRatio / missRatioWindow
 		if ev.Miss || ev.Result == ServerError {
-			r.missing += 1.0 / missWindow
+			e.missRatio += 1.0 / missRatioWindow
 		}
 	}
 	if ev.Result == Served && !ev.Miss {
-		a.to.note(float64(r.now - a.sent))
+		a.cache.updateHitLatency(float64(e.now - a.sentAt))
 	}
 	if ev.Result == Served {
-		a.to.keeps[0][q.Key] = true
+		a.cache.recentKeys[0][q.Key] = true
 	}
-	defer r.admit()
+	defer e.dispatchQueued()
 	if ev.Final || q.done {
-		r.finish(q)
+		e.finish(q)
 		return
 	}
-	if r.now >= q.Deadline {
-		r.answer(q) // the danger: the time-out at the deadline still owes the answer
+	if e.now >= q.Deadline {
+		e.rejectOrFail(q) // the danger: the time-out at the deadline still owes the answer
 		return
 	}
-	r.forward(q)
+	e.dispatch(q)
 }
--- a/policy/slow_test.go
+++ b/policy/slow_test.go
@@ -14,7 +14,7 @@
 	aim := b.r.classes["read"].LatencyObjective
 	c := b.r.caches["c00"]
 	for key := range uint64(64) {
-		c.keeps[0][key] = true
+		c.recentKeys[0][key] = true
 	}
 	type out struct {
 		id      int64
@@ -26,9 +26,9 @@
 	good, all := 0, 0
 	took := func(acts []Action) {
 		for _, s := range sends(acts) {
-			share := max(1, float64(c.pending)/cores)
+			share := max(1, float64(c.inFlight)/cores)
 			due := b.now + Time(float64(base)*share*(0.75+0.6*rng.Float64()))
-			pending = append(pending, out{s.ID, len(b.r.reqs[s.ID].attempts) - 1, b.now, due})
+			pending = append(pending, out{s.ID, len(b.r.requests[s.ID].attempts) - 1, b.now, due})
 		}
 	}
 	id := int64(0)
@@ -43,7 +43,7 @@
 				pending = append(pending[:i], pending[i+1:]...)
 				i--
 				all++
-				good += b2i(b.now-p.at <= aim)
+				good += boolToInt(b.now-p.at <= aim)
 				took(b.feed(&AttemptDone{ID: p.id, Attempt: p.attempt, Result: Served, Elapsed: b.now - p.at, Final: true, Load: LoadReport{Utilization: -1}}))
 			}
 		}
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -55,9 +55,9 @@
 	from, told := 0, 0
 	for i, sent := range c.sends {
 		at := sent.at
-		told += b2i(sent.told)
+		told += boolToInt(sent.told)
 		for ; c.sends[from].at <= at-s.OverloadTime; from++ {
-			told -= b2i(c.sends[from].told)
+			told -= boolToInt(c.sends[from].told)
 		}
 		if 3*told < 2*(i-from+1) {
 			continue
@@ -144,7 +144,7 @@
 				c := caches[a.Cache]
 				c.sends = append(c.sends, coldSend{now, r.caches[a.Cache].StartedAt == c.StartedAt})
 				c.busyTo = max(c.busyTo, now)
-				o := &AttemptDone{ID: a.ID, Attempt: len(r.reqs[a.ID].attempts) - 1, Result: Rejected, Load: LoadReport{Utilization: -1}}
+				o := &AttemptDone{ID: a.ID, Attempt: len(r.requests[a.ID].attempts) - 1, Result: Rejected, Load: LoadReport{Utilization: -1}}
 				wait := Time(1 * ms)
 				if c.busyTo < now+cacheQueue {
 					c.busyTo += Time(1e6 / c.rate(&s, now))
@@ -154,7 +154,7 @@
 					if rs[i] != r {
 						return
 					}
-					if q := r.reqs[o.ID]; o.Final && q != nil && !q.done {
+					if q := r.requests[o.ID]; o.Final && q != nil && !q.done {
 						c.served++
 						if now > end-coldSpan {
 							served++
@@ -261,12 +261,12 @@
 			es[3].StartedAt = 1e9
 			r.Handle(1e9, &EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 			key := uint64(1)
-			for unit(mix(mix(key)+1)) >= r.set.WarmupStartShare {
+			for unitInterval(mix(mix(key)+1)) >= r.settings.WarmupStartShare {
 				key++ // of those that any cold cache may have
 			}
-			r.asked[0], r.keys[0][key] = 600, c.seen
+			r.requestCounts[0], r.keyCounts[0][key] = 600, c.seen
 			q := &request{Request: &Request{Key: key, Deadline: 2e9}, class: &Class{}}
-			sent += b2i(r.slowStart(q, r.caches["c03"]))
+			sent += boolToInt(r.slowStartAllows(q, r.caches["c03"]))
 		}
 		if sent < c.low || sent > c.high {
 			t.Errorf("a key seen %d times: %d of %d routers send it to a cold cache, want %d to %d", c.seen, sent, many,
--- a/policy/slowstartfleet_test.go
+++ b/policy/slowstartfleet_test.go
@@ -73,11 +73,11 @@
 	from, sum, told := 0, 0., 0.
 	for _, a := range c.arrived {
 		sum += a.work
-		told += float64(b2i(a.told)) * a.work
+		told += float64(boolToInt(a.told)) * a.work
 		for ; c.arrived[from].at <= a.at-s.OverloadTime; from++ {
 			old := c.arrived[from]
 			sum -= old.work
-			told -= float64(b2i(old.told)) * old.work
+			told -= float64(boolToInt(old.told)) * old.work
 		}
 		most := s.OverloadMultiple * c.capacity(s, max(a.at-s.OverloadTime/2, c.StartedAt)) * float64(s.OverloadTime) / 1e6
 		most += slack(most)
@@ -179,7 +179,7 @@
 				if rs[i] != r {
 					return
 				}
-				if q := r.reqs[o.ID]; o.Result == Served && q != nil && !q.done && now > starts {
+				if q := r.requests[o.ID]; o.Result == Served && q != nil && !q.done && now > starts {
 					answered++
 				}
 				feed(i, o)
@@ -203,7 +203,7 @@
 				c := byID[a.Cache]
 				work := .5 + rng.Float64()
 				c.arrived = append(c.arrived, arrival{now, work, r.caches[a.Cache].StartedAt == c.StartedAt})
-				o := &AttemptDone{ID: a.ID, Attempt: len(r.reqs[a.ID].attempts) - 1, Load: LoadReport{Utilization: -1}}
+				o := &AttemptDone{ID: a.ID, Attempt: len(r.requests[a.ID].attempts) - 1, Load: LoadReport{Utilization: -1}}
 				core := 0
 				for k := range c.busy {
 					if c.busy[k] = max(c.busy[k], now); c.busy[k] < c.busy[core] {
@@ -243,13 +243,13 @@
 	home := func(key uint64) (id string) {
 		best := math.Inf(1)
 		for _, c := range caches {
-			if score := -math.Log(unit(mix(key^hash(c.ID)))+1e-18) / c.Weight; score < best {
+			if score := -math.Log(unitInterval(mix(key^hash(c.ID)))+1e-18) / c.Weight; score < best {
 				best, id = score, c.ID
 			}
 		}
 		return id
 	}
-	for d.hot > 0 && (hot == 0 || home(hot) != hotHome || unit(mix(mix(hot)+1)) >= s.WarmupStartShare) {
+	for d.hot > 0 && (hot == 0 || home(hot) != hotHome || unitInterval(mix(mix(hot)+1)) >= s.WarmupStartShare) {
 		hot++
 	}
 	warm := 0. // of the sizes, before the start
@@ -414,20 +414,20 @@
 			es[3].StartedAt = 1e9
 			r.Handle(1e9, &EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: es})
 			q := &request{Request: &Request{Key: 1, Deadline: 2e9}, class: &Class{LatencyObjective: 600 * ms}}
-			for id := range 10 * takenWindow { // one of four attempts at warm caches is served
+			for id := range 10 * goodputWindow { // one of four attempts at warm caches is served
 				result := taken
 				if id%4 == 0 {
 					result = Served
 				}
-				r.took(&attempt{to: r.caches["c00"], sent: 1e9}, q, result)
+				r.updateGoodput(&attempt{cache: r.caches["c00"], sentAt: 1e9}, q, result)
 			}
 			r.now = 1e9 + 5000*ms
 			keys := 20
 			for ; keys > 0; q.Key++ {
-				if h := unit(mix(mix(q.Key) + 1)); seen == 1 || h < .2 { // all keys, or those it always gets
+				if h := unitInterval(mix(mix(q.Key) + 1)); seen == 1 || h < .2 { // all keys, or those it always gets
 					keys--
-					r.asked[0], r.keys[0][q.Key] = 600, seen
-					n += b2i(r.slowStart(q, r.caches["c03"]))
+					r.requestCounts[0], r.keyCounts[0][q.Key] = 600, seen
+					n += boolToInt(r.slowStartAllows(q, r.caches["c03"]))
 				}
 			}
 		}
