Give the policy's files one job each and split its long functions

Change: attempts.go judges an attempt's end once (outcome) and applies it in one function per concern; updateEndpoints, updateEndpoint, pickCache and sendAttempt are split likewise. A circuit breaker serves caches and zones, and HealthCheckTimeout, HealthCheckInterval and the default drain grace stand in health.go, as they decide. General structures that know neither caches nor requests nor settings become internal packages with tests of their own: stats (two-window counts, fading counts, a quantile), splitmix, rendezvous and callback. New returns ErrNoClasses or a *SettingsError. Log lines have one form, a message and key=value attributes. Comments and file headers use the field's terms.

Tests: limits_test.go and fleet_test.go ask the ranking instead of the removed rankAt and scratch slice, and TestSheddingIsLoggedOnce counts the new text "load shedding active=true", as strictly as before. helpers_test.go keeps the short names of the hashes that the tests use; settings_test.go is new and checks the typed errors.

--- /dev/null
+++ b/internal/callback/callback_test.go
@@ -0,0 +1,28 @@
+package callback
+
+import "testing"
+
+func TestEachFunctionIsCalledOnce(t *testing.T) {
+	var registry Registry
+	calls := map[string]int{}
+	registry.Call(1) // before any is added
+	first := registry.Add(func() { calls["first"]++ })
+	second := registry.Add(func() {
+		calls["second"]++
+		registry.Add(func() { calls["nested"]++ })
+	})
+	if first != 1 || second != 2 {
+		t.Errorf("tokens %d and %d, want 1 and 2", first, second)
+	}
+	for _, token := range []int64{second, second, first, first, 3, 3, 99} {
+		registry.Call(token)
+	}
+	for _, name := range []string{"first", "second", "nested"} {
+		if calls[name] != 1 {
+			t.Errorf("%s was called %d times, want once", name, calls[name])
+		}
+	}
+	if len(registry.functions) != 0 {
+		t.Errorf("%d functions are kept after their calls", len(registry.functions))
+	}
+}
--- /dev/null
+++ b/internal/stats/window.go
@@ -0,0 +1,54 @@
+// Counts over two windows of time, the current one and the previous one: a rotation forgets only what is at
+// least a window old.
+
+package stats
+
+const (
+	current  = 0
+	previous = 1
+)
+
+// WindowCount counts events. Its elements are the counts of the current and of the previous window.
+type WindowCount [2]int
+
+// Add counts one event in the current window.
+func (c *WindowCount) Add() { c[current]++ }
+
+// Total returns the count over both windows.
+func (c *WindowCount) Total() int { return c[current] + c[previous] }
+
+// Rotate opens a new window.
+func (c *WindowCount) Rotate() { c[current], c[previous] = 0, c[current] }
+
+// KeyCounts counts events by key. Its elements are the counts of the current and of the previous window.
+type KeyCounts [2]map[uint64]int
+
+// NewKeyCounts returns counts of zero for all keys.
+func NewKeyCounts() KeyCounts { return KeyCounts{{}, {}} }
+
+// Add counts one event of the key in the current window.
+func (c *KeyCounts) Add(key uint64) { c[current][key]++ }
+
+// Total returns the count of the key over both windows.
+func (c *KeyCounts) Total(key uint64) int { return c[current][key] + c[previous][key] }
+
+// Rotate opens a new window.
+func (c *KeyCounts) Rotate() { c[current], c[previous] = map[uint64]int{}, c[current] }
+
+// KeySet is a set of the keys seen lately. Its elements are those of the current and of the previous window.
+type KeySet [2]map[uint64]bool
+
+// NewKeySet returns an empty set.
+func NewKeySet() KeySet { return KeySet{{}, {}} }
+
+// Add adds the key in the current window.
+func (s *KeySet) Add(key uint64) { s[current][key] = true }
+
+// Contains reports whether the key was added in either window.
+func (s *KeySet) Contains(key uint64) bool { return s[current][key] || s[previous][key] }
+
+// Empty reports whether no key was added in either window.
+func (s *KeySet) Empty() bool { return len(s[current])+len(s[previous]) == 0 }
+
+// Rotate opens a new window.
+func (s *KeySet) Rotate() { s[current], s[previous] = map[uint64]bool{}, s[current] }
--- a/policy/api.go
+++ b/policy/api.go
@@ -73,34 +73,23 @@
 	HandshakeCost       float64 // points lost at one new connection a request
 }
 
-// HealthCheckTimeout is how long a cache has to answer a probe: half of the span within which the operators want bad
-// news acted upon, or as long as a request may take where that is longer. The danger: under a short drain grace
-// caches that serve in time fail their probes.
-func (s *Settings) HealthCheckTimeout() Time {
-	aim := Time(math.MaxInt64)
-	for _, c := range s.Classes {
-		aim = min(aim, c.LatencyObjective)
-	}
-	return max(s.drainGraceOrDefault()/2, aim)
-}
+// ErrNoClasses is the error for settings without classes.
+var ErrNoClasses = errors.New("policy: Classes is empty")
 
-// HealthCheckInterval is the time between two rounds of probes at the least. The one before is judged by then.
-func (s *Settings) HealthCheckInterval() Time {
-	return max(s.drainGraceOrDefault(), s.HealthCheckTimeout()+1)
+// SettingsError is the error for settings with a field that is out of range.
+type SettingsError struct {
+	Field string // for example Routers, or Classes[1].KeyTTL
+	Value float64
 }
 
-// drainGraceOrDefault is DrainGrace, or a default where the settings leave it out.
-func (s *Settings) drainGraceOrDefault() Time {
-	if s.DrainGrace == 0 {
-		return 1e6
-	}
-	return s.DrainGrace
+func (e *SettingsError) Error() string {
+	return fmt.Sprintf("policy: %s is %v, out of range", e.Field, e.Value)
 }
 
-// validate names the first field that is out of range.
+// validate returns ErrNoClasses, or a SettingsError for the first field that is out of range.
 func (s *Settings) validate() error {
 	if len(s.Classes) == 0 {
-		return errors.New("policy: Classes is empty")
+		return ErrNoClasses
 	}
 	type field struct {
 		name      string
@@ -124,7 +113,7 @@
 	}
 	for _, f := range fields {
 		if !(f.v >= f.lo && f.v <= f.hi) { // also where it is not a number
-			return fmt.Errorf("policy: %s is %v, out of range", f.name, f.v)
+			return &SettingsError{Field: f.name, Value: f.v}
 		}
 	}
 	return nil
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -1,19 +1,21 @@
-// Membership: the list of caches and the calls for it.
+// The endpoint list: polls, their backoff, and updates of the caches.
 
 package policy
 
 import (
 	"cmp"
 	"math"
-	"sort"
+	"slices"
 )
 
 const (
-	maxBackoffDoublings = 6   // doublings of the wait between calls for the list
-	pollAllowance       = 1e6 // microseconds that a call for the list may take until its answer
+	maxBackoffDoublings      = 6         // of a wait between retries
+	minPollInterval     Time = 1_000_000 // assumed where the settings give less
+	pollBackoffDivisor       = 40        // part of the poll interval that the backoff starts from
+	pollAllowance       Time = 1_000_000 // time that a poll may take
+	minListedWeight          = 1e-3      // of a cache, so that its load stays finite
 )
 
-// pollEndpoints calls for the list.
 func (e *Engine) pollEndpoints() {
 	e.polledAt = e.now
 	e.emit(Watch{})
@@ -21,97 +23,108 @@
 
 func (e *Engine) updateEndpoints(ev *EndpointsUpdate) {
 	if ev.Kind == UpdateFailed {
-		// Routers that lose the list together must not ask together: the list serves few calls.
-		e.failedPolls++
-		wait := float64(max(e.settings.PollInterval, 1e6)) / 40 * math.Exp2(float64(min(e.failedPolls, maxBackoffDoublings)))
-		if e.failedPolls == 1 { // a silent watch is noticed when what it missed is about to count as told
-			wait = min(wait, float64(e.settings.DrainGrace))
-		}
-		// The danger: discovery may be back since the start of the call that has failed, and what it has to
-		// tell counts as told before the next call is answered.
-		wait = min(wait, float64(max(NotificationDeadline-pollAllowance-(e.now-e.polledAt), pollAllowance/2)))
-		e.schedule(e.now+Time(wait*(0.5+e.random()/2)), e.pollEndpoints)
-		if e.failedPolls == 1 {
-			e.logf("list lost, asking again")
-		}
+		e.retryPoll()
 		return
 	}
 	if ev.Kind != UpdateStale {
-		e.failedPolls, e.polledAt = 0, e.now // the next call follows at once
+		e.failedPolls, e.polledAt = 0, e.now // the caller polls again at once
 	}
-	seen := map[string]bool{}
+	listed := map[string]bool{}
 	for _, endpoint := range ev.Endpoints {
-		seen[endpoint.ID] = true
+		listed[endpoint.ID] = true
 		e.updateEndpoint(endpoint)
 	}
 	e.inService = e.inService[:0]
 	for id, c := range e.caches {
-		if ev.Kind != UpdateDelta && !seen[id] {
+		if ev.Kind != UpdateDelta && !listed[id] {
 			c.State = Removed
 		}
 		if c.State == InService {
 			e.inService = append(e.inService, c)
 		}
 	}
-	sort.Slice(e.inService, func(i, j int) bool { return e.inService[i].ID < e.inService[j].ID })
-	size := 0.0
-	for _, c := range e.inService {
-		size += c.Weight / float64(len(e.inService))
-	}
-	e.meanWeight = cmp.Or(size, e.meanWeight)
-	for _, c := range e.inService {
-		if c.concurrencyLimit == 0 {
-			c.concurrencyLimit = e.initialLimit(c)
-			// Routers started together must not all come at once.
-			c.timeTokens, c.timeTokensAt = maxSavedTimeShare*e.random()*float64(e.latencyThreshold), e.now
-		}
-	}
+	slices.SortFunc(e.inService, func(a, b *cache) int { return cmp.Compare(a.ID, b.ID) })
+	e.initializeLimits()
 	if !e.started {
 		e.started = true
-		e.missRatio = 1
-		e.originLimit = max(minOriginLimit, initialFleetLimit*float64(len(e.inService))/float64(max(1, e.settings.Routers)))
-		if e.settings.WatchRequired {
-			e.pollEndpoints()
-		}
-		e.schedule(e.now, e.rotateRecentKeys)
-		e.schedule(e.now, e.rotateKeyCounts)
-		if e.settings.HealthChecksAllowed {
-			// Routers started together must not probe on one beat.
-			e.healthCheckBudget = e.random() * float64(len(e.inService))
-			e.schedule(e.now+Time(e.random()*float64(e.settings.DrainGrace)), e.startHealthCheckRound)
-		}
+		e.start()
+	}
+}
+
+// retryPoll schedules the next poll with a backoff, as discovery serves few routers at a time.
+func (e *Engine) retryPoll() {
+	e.failedPolls++
+	wait := backoff(max(e.settings.PollInterval, minPollInterval), pollBackoffDivisor, e.failedPolls)
+	if e.failedPolls == 1 { // a watch that fell silent is noticed just before what it missed counts as notified
+		wait = min(wait, float64(e.settings.DrainGrace))
+	}
+	// Discovery may be back already: the next answer must come before a change that it knows counts as notified.
+	untilDeadline := NotificationDeadline - pollAllowance - (e.now - e.polledAt)
+	wait = min(wait, float64(max(untilDeadline, pollAllowance/2)))
+	e.schedule(e.now+Time(e.rng.Jitter(wait)), e.pollEndpoints)
+	if e.failedPolls == 1 {
+		e.logf("endpoint list poll failed failed_polls=%d", e.failedPolls)
 	}
 }
 
+func backoff(span Time, divisor float64, failures int) float64 {
+	return float64(span) / divisor * math.Exp2(float64(min(failures, maxBackoffDoublings)))
+}
+
 func (e *Engine) updateEndpoint(endpoint Endpoint) {
 	c := e.caches[endpoint.ID]
-	starts := c == nil || endpoint.StartedAt != c.StartedAt
+	restarted := c == nil || endpoint.StartedAt != c.StartedAt
 	if c == nil {
-		c = &cache{healthy: true, lastHitOnTime: true, acceptedKeyShare: 1, hash: hash(endpoint.ID), recentKeys: [2]map[uint64]bool{{}, {}}}
+		c = newCache(endpoint.ID)
 		e.caches[endpoint.ID] = c
-	} else if endpoint.StartedAt != c.StartedAt || c.State == Removed && endpoint.State == InService {
-		// The process is a new one: nothing seen of the old one holds.
-		c.healthy, c.failedChecks, c.connectFailures, c.recentKeys = true, 0, 0, [2]map[uint64]bool{{}, {}}
-		c.loadPerCore, c.acceptedKeyShare = 0, 1
+	} else if restarted || c.State == Removed && endpoint.State == InService {
+		c.reset()
 	}
 	if e.settings.LiveWeights {
-		// The danger: a size that falls with the load moves keys from list to list, and they miss.
-		// The largest seen is the nominal one, or close; it is the same for all routers.
-		listed := max(endpoint.Weight, 1e-3)
+		// A weight that falls with the load would move keys. The largest one seen is about the nominal one.
+		listed := max(endpoint.Weight, minListedWeight)
 		endpoint.Weight = max(endpoint.Weight, c.Weight)
 		e.updateLoad(c, max(0, endpoint.Weight/listed-1))
 	}
 	c.Endpoint = endpoint
-	if e.zones[endpoint.Zone] == nil {
-		e.zones[endpoint.Zone] = &zone{}
-	}
-	c.zone = e.zones[endpoint.Zone]
 	if endpoint.Weight <= 0 {
 		c.Weight = 1
 	}
-	if from := min(endpoint.StartedAt, e.now); starts && endpoint.StartedAt > 0 && from > c.warmupFrom {
-		// The danger: a start that a list dates in the future, or repeats after a later one, shuts the cache
-		// out for longer than it is cold, or lets it in while it is.
-		c.warmupFrom, c.warmAt = from, from+e.settings.WarmupTime
+	c.zone = cmp.Or(e.zones[endpoint.Zone], &circuitBreaker{})
+	e.zones[endpoint.Zone] = c.zone
+	// A start that is listed in the future, or again after a later one, must not change the slow start's length.
+	startedAt := min(endpoint.StartedAt, e.now)
+	if restarted && endpoint.StartedAt > 0 && startedAt > c.warmupFrom {
+		c.warmupFrom, c.warmAt = startedAt, startedAt+e.settings.WarmupTime
+	}
+}
+
+func (e *Engine) initializeLimits() {
+	mean := 0.0
+	for _, c := range e.inService {
+		mean += c.Weight / float64(len(e.inService))
+	}
+	e.meanWeight = cmp.Or(mean, e.meanWeight)
+	for _, c := range e.inService {
+		if c.concurrencyLimit == 0 {
+			c.concurrencyLimit = e.initialLimit(c)
+			saved := maxSavedTimeShare * e.rng.Float64() // lest routers that start together send together
+			c.timeTokens, c.timeTokensAt = saved*float64(e.latencyThreshold), e.now
+		}
+	}
+}
+
+func (e *Engine) start() {
+	e.missRatio = 1
+	fleetLimit := initialFleetLimit * float64(len(e.inService))
+	e.originLimit = max(minOriginLimit, fleetLimit/float64(max(1, e.settings.Routers)))
+	if e.settings.WatchRequired {
+		e.pollEndpoints()
+	}
+	e.schedule(e.now, e.rotateRecentKeys)
+	e.schedule(e.now, e.rotateCounts)
+	if e.settings.HealthChecksAllowed {
+		e.healthCheckBudget = e.rng.Float64() * float64(len(e.inService)) // lest routers check together
+		e.schedule(e.now+Time(e.rng.Float64()*float64(e.settings.DrainGrace)), e.startHealthCheckRound)
 	}
 }
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -351,7 +351,7 @@
 		asked, sent := 0, 0
 		for _, b := range bs {
 			for key := uint64(1); key <= 40; key++ {
-				if b.r.rank(key); b.r.rankAt(0).ID != home {
+				if b.r.rank(key); b.r.ranking.At(0).ID != home {
 					continue
 				}
 				b.now += 50 * ms
--- a/policy/health.go
+++ b/policy/health.go
@@ -1,22 +1,46 @@
-// Health: the design's mechanism of periodic probes; beside it outlier ejection and circuit breakers.
+// Health: periodic checks, ejection of caches that fall silent, and circuit breakers of unreachable ones.
 
 package policy
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 const (
-	unhealthyThreshold      = 2   // consecutive failures that mark a cache
-	zoneFailureThreshold    = 3   // consecutive failed connections that mark a zone
-	connectFailureThreshold = 2   // ... and one cache
-	healthCheckCostShare    = .01 // points a request that probes may cost, before the Interval is stretched
-	maxSkippedIntervals     = 64  // ... to so many DrainGraces at most, for a router that is hardly asked
-	maxFleetChecks          = 96  // probes of a cache in an Interval by all routers: 1.9 ms each in 1.5 s: 3% of 4 cores
+	defaultDrainGrace = Time(1_000_000) // where the settings leave it out
+
+	unhealthyThreshold   = 2    // consecutive failed checks that mark a cache unhealthy
+	healthCheckCostShare = .01  // points that checks may cost per request before rounds are skipped
+	minHealthCheckCost   = 1e-9 // assumed price of a check, so that the budget stays finite
+	maxSkippedIntervals  = 64   // consecutive, for a router with next to no requests
+	maxFleetChecks       = 96   // of a cache by all routers in an interval of 1.5 s: 3% of 4 cores
+
+	connectFailureThreshold = 2 // consecutive failed connections that open the circuit of a cache
+	zoneFailureThreshold    = 3 // ... and of a zone
+	cacheTrialDivisor       = 8 // part of the warm-up time from which the wait for a cache's trial doubles
+	zoneTrialDivisor        = 4 // part of the warm-up time until the trial of a zone
 )
 
-// The Interval of the probes is the span within which the operators want bad
-// news acted upon, or as many of them as it takes this router's requests to pay for a probe of
-// each cache. The danger: probes grow with routers times caches, and cost more than they save.
+// HealthCheckTimeout is how long a cache may take to answer a health check: half of the drain grace, so as to
+// act upon faults within that, or the shortest latency objective if longer, as it may serve for so long.
+func (s *Settings) HealthCheckTimeout() Time {
+	objective := Time(math.MaxInt64)
+	for _, class := range s.Classes {
+		objective = min(objective, class.LatencyObjective)
+	}
+	return max(s.drainGraceOrDefault()/2, objective)
+}
+
+// HealthCheckInterval is the least time between two rounds of health checks. The earlier one is over by then.
+func (s *Settings) HealthCheckInterval() Time {
+	return max(s.drainGraceOrDefault(), s.HealthCheckTimeout()+1)
+}
 
+func (s *Settings) drainGraceOrDefault() Time { return cmp.Or(s.DrainGrace, defaultDrainGrace) }
+
+// startHealthCheckRound checks the caches that are due, if the requests since the last round pay for a check
+// of each: in a large fleet checks could cost more than they save.
 func (e *Engine) startHealthCheckRound() {
 	e.schedule(e.now+e.settings.HealthCheckInterval(), e.startHealthCheckRound)
 	e.skippedIntervals++
@@ -25,18 +49,18 @@
 	}
 	e.healthCheckBudget, e.skippedIntervals = 0, 0
 	e.checkRound++
-	n := e.checkRound
+	round := e.checkRound
 	for _, c := range e.inService {
 		if e.healthCheckDue(c) {
-			c.checkRound, c.checkedAt = n, e.now
+			c.checkRound, c.checkedAt = round, e.now
 			e.emit(HealthCheck{c.ID})
 		}
 	}
 	e.schedule(e.now+e.settings.HealthCheckTimeout(), func() {
 		for _, c := range e.inService {
-			if c.checkRound == n {
+			if c.checkRound == round { // no answer in time
 				c.checkRound = 0
-				c.failedChecks++ // a hung cache never answers its probe: the timer counts it
+				c.failedChecks++
 			}
 			if c.healthy && c.failedChecks >= unhealthyThreshold {
 				e.setHealthy(c, false)
@@ -45,12 +69,9 @@
 	})
 }
 
-// healthCheckDue reports whether a round probes the cache: always, until all routers together send over
-// fleetProbes. Beyond that a cache that does its work is probed less often the more routers there are, by
-// each at a time of its own; one that fails its probes is probed in each round, so that its end and its
-// return are noticed as soon as by few routers. One that this router's own traffic makes suspect is probed
-// in the next round, and later each time that its probe bore nothing out. The danger: the product of
-// routers and caches takes the caches' time, and in a crowd every cache is suspect to every router.
+// healthCheckDue reports whether a round checks the cache. Above maxFleetChecks, caches that pass are checked
+// less often, by each router at a time of its own. A suspect is checked in the next round, and then with a
+// backoff while no fault is confirmed: in overload every cache is suspect.
 func (e *Engine) healthCheckDue(c *cache) bool {
 	interval := float64(e.settings.HealthCheckInterval())
 	spread := interval * float64(e.settings.Routers) / maxFleetChecks
@@ -59,15 +80,16 @@
 		return true
 	}
 	if c.nextCheckAt == 0 {
-		c.nextCheckAt = e.now + Time(e.random()*spread)
+		c.nextCheckAt = e.now + Time(e.rng.Float64()*spread)
 	}
+	suspectWait := interval * math.Exp2(float64(c.unconfirmedChecks))
 	switch {
 	case e.now >= c.nextCheckAt:
 		c.nextCheckAt = max(c.nextCheckAt+Time(spread), e.now)
 		if !c.suspect {
 			c.unconfirmedChecks = 0
 		}
-	case (c.suspect || c.ejected) && float64(e.now-c.checkedAt) >= interval*math.Exp2(float64(c.unconfirmedChecks)):
+	case (c.suspect || c.ejected) && float64(e.now-c.checkedAt) >= suspectWait:
 		c.unconfirmedChecks++
 	default:
 		return false
@@ -79,19 +101,18 @@
 func (e *Engine) healthCheckDone(ev *HealthCheckDone) {
 	c := e.caches[ev.Cache]
 	if c == nil || c.checkRound == 0 {
-		return // too late: its round has been judged
+		return // too late: its round is over
 	}
 	c.checkRound = 0
-	switch {
-	case ev.Result == NotSent:
-		return // it was not asked
-	case ev.Result != Served:
-		c.failedChecks++
+	if ev.Result != Served {
+		if ev.Result != NotSent {
+			c.failedChecks++
+		}
 		return
 	}
 	c.failedChecks = 0
 	if (c.ejected || e.sparseTraffic()) && ev.Elapsed < e.latencyThreshold {
-		// It has got over a crowd; the few attempts that a cut limit lets out would be long in telling.
+		// Its overload is over. The few attempts that a cut limit lets out would show that late.
 		c.concurrencyLimit, c.ejected = max(c.concurrencyLimit, e.initialLimit(c)), false
 	}
 	if !c.healthy {
@@ -101,45 +122,52 @@
 
 func (e *Engine) setHealthy(c *cache, healthy bool) {
 	c.healthy = healthy
-	e.logf("%s healthy: %v, after %d failed probes in a row", c.ID, healthy, c.failedChecks)
+	e.logf("cache health changed cache=%s healthy=%t failed_checks=%d", c.ID, healthy, c.failedChecks)
 }
 
-// eject notes a cache that has answered nothing for as long as an attempt may take. Where all routers
-// share what it can do, its limit goes to the least at once. The danger: each of many routers learns from
-// its own few attempts that a cache hangs, and halving the limit costs one more of each every time.
+// eject marks a cache that has been silent for as long as an attempt may take. A limit below one falls to the
+// minimum at once: each halving would cost each of many routers one more attempt.
 func (e *Engine) eject(c *cache) {
 	c.lastHitOnTime, c.ejected = false, true
-	e.adjustLimit(&c.concurrencyLimit, false, toleratedLateShare)
-	e.adjustLimit(&c.concurrencyLimit, false, toleratedLateShare)
+	e.adjustCacheLimit(c, false)
+	e.adjustCacheLimit(c, false)
 	if c.concurrencyLimit < 1 {
 		c.concurrencyLimit = e.limitStep() * minLimit
 	}
 }
 
-// noteConnect notes whether an attempt met the cache. The danger: links to a zone are cut, and a
-// router that learns it from each of its caches apart finds out when it is over.
-func (e *Engine) noteConnect(c *cache, met bool) {
-	if met {
-		c.zone.connectFailures, c.connectFailures = 0, 0
+// circuitBreaker counts failed connections. While it is open, one request at a time is the half-open trial.
+type circuitBreaker struct {
+	connectFailures int // consecutive
+	halfOpenAt      Time
+}
+
+// noteConnect records whether an attempt reached the cache. It counts for the zone too: learnt from each
+// cache apart, a network partition would be known when it is over.
+func (e *Engine) noteConnect(c *cache, connected bool) {
+	if connected {
+		c.connectFailures, c.zone.connectFailures = 0, 0
 		return
 	}
 	c.connectFailures++
-	e.delayHalfOpen(c)
-	if c.zone.connectFailures++; c.zone.connectFailures == zoneFailureThreshold {
-		e.logf("zone %s out of reach", c.Zone)
+	c.zone.connectFailures++
+	if c.zone.connectFailures == zoneFailureThreshold {
+		e.logf("zone unreachable zone=%s connect_failures=%d", c.Zone, c.zone.connectFailures)
 	}
-	c.zone.halfOpenAt = e.now + e.settings.WarmupTime/4
+	e.delayTrial(c)
+	c.zone.halfOpenAt = e.zoneTrialAt()
 }
 
-// delayHalfOpen sets when a cache that could not be reached is tried again: later with each failure, and not
-// when the other routers do.
-func (e *Engine) delayHalfOpen(c *cache) {
-	wait := float64(e.settings.WarmupTime) / 8 * math.Exp2(float64(min(c.connectFailures, maxBackoffDoublings)))
-	c.halfOpenAt = e.now + Time(wait*(0.5+e.random()/2))
+// delayTrial sets the next trial of a cache: later with each failure, and not when other routers try.
+func (e *Engine) delayTrial(c *cache) {
+	wait := backoff(e.settings.WarmupTime, cacheTrialDivisor, c.connectFailures)
+	c.halfOpenAt = e.now + Time(e.rng.Jitter(wait))
 }
 
-// circuitOpen reports whether a cache or its zone is held to be out of reach. The danger: a router with old
-// news, as after a restart, sends each request to caches that are gone until its attempts are used up.
+func (e *Engine) zoneTrialAt() Time { return e.now + e.settings.WarmupTime/zoneTrialDivisor }
+
+// circuitOpen reports whether a cache or its zone counts as unreachable. With an old endpoint list, requests
+// would else use up their attempts on caches that are gone.
 func (e *Engine) circuitOpen(c *cache) bool {
 	return c.connectFailures >= connectFailureThreshold && e.now < c.halfOpenAt ||
 		c.zone.connectFailures >= zoneFailureThreshold && e.now < c.zone.halfOpenAt
--- /dev/null
+++ b/policy/helpers_test.go
@@ -0,0 +1,14 @@
+package policy
+
+import "marlstage/internal/splitmix"
+
+// Short names for the hashes that tests compare placements with.
+func unitInterval(x uint64) float64 { return splitmix.Unit(x) }
+func hash(s string) uint64          { return splitmix.String(s) }
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/policy/limits.go
+++ b/policy/limits.go
@@ -1,46 +1,43 @@
-// Concurrency limits of caches and admission: how much is sent on, and what waits or is shed.
+// Limits: how many attempts a cache gets, and which share of the keys is admitted or sent to a loaded cache.
 
 package policy
 
 import "math"
 
 const (
-	slowHitFactor       = 2   // times what the quicker hits of a cache take, that one may take before it is overdue
-	maxThresholdShare   = .9  // ... of the aim at most
-	hitLatencyQuantile  = .25 // share of hits that are the quicker ones
-	hitLatencyStep      = .1  // part by which one hit moves what they take
-	initialFleetLimit   = 8   // requests out at a cache, over all routers, before anything is known
-	maxSavedTimeShare   = .25 // of the patience that a limit under one saves up at most: about one short attempt
+	initialFleetLimit   = 8   // attempts in flight at a cache, over all routers, before anything is known
+	minLimit            = .1  // where a limit stops falling, in steps; below one it is the share of time in use
+	limitDecrease       = .5  // steps by which one overdue attempt lowers a limit
 	toleratedLateShare  = .2  // share of overdue attempts at which a limit stays as it is
-	limitDecrease       = .5  // of an attempt, by which one overdue attempt lowers a limit
 	sharedVerdictWeight = .3  // weight of a verdict at all other caches together, for each router
-	minLimit            = .1  // where the limit stops falling; under 1 it is the share of time in use
-	admissionStep       = .1  // by which one late attempt lowers the share of keys that are sent on
-	admissionRecovery   = 4   // DrainGraces in which the share of keys that are sent on grows e-fold by itself
-	minAdmissionRatio   = .2  // ... and what it falls to at least
+	maxSavedTimeShare   = .25 // of the latency threshold that time tokens save up: about one short attempt
+	slowHitFactor       = 2   // multiple of a cache's quicker hits after which an attempt there is overdue ...
+	maxThresholdShare   = .9  // ... but at most this share of the latency objective
+	hitLatencyQuantile  = .25 // share of hits that count as the quicker ones
+	connectionCostUnit  = 100 // connections at a cache that ConnectionCost is the price of
+
+	admissionStep       = .1  // part by which one late attempt lowers the share of keys that is admitted
+	admissionRecovery   = 4   // drain graces in which that share grows e-fold by itself
+	minAdmissionRatio   = .2  // least share of keys that is admitted
+	overloadThreshold   = 1.5 // requests per core, by the endpoint list, above which a cache sheds keys ...
+	loadDropRatio       = .8  // ... unless the load is below this part of the one listed before
+	minAcceptedKeyShare = .02 // least share of its keys that a cache is sent
 )
 
-// initialLimit is what this router keeps out at a cache of which nothing is known but its size.
+// limitStep is the unit by which a verdict moves a limit: one attempt, or less for each of many routers.
+func (e *Engine) limitStep() float64 { return min(1, initialFleetLimit*e.routerShare()) }
+
 func (e *Engine) initialLimit(c *cache) float64 {
-	part := initialFleetLimit * e.routerShare()
+	limit := initialFleetLimit * e.routerShare()
 	if e.meanWeight > 0 && c.Weight > 0 {
-		part *= c.Weight / e.meanWeight
-	}
-	return part
-}
-
-// updateHitLatency lets one hit move what the quicker quarter of hits takes, a quantile that is tracked sample by sample.
-func (c *cache) updateHitLatency(took float64) {
-	if c.hitLatency == 0 {
-		c.hitLatency = took
+		limit *= c.Weight / e.meanWeight
 	}
-	c.hitLatency *= 1 + hitLatencyStep*(hitLatencyQuantile-float64(boolToInt(took < c.hitLatency)))
+	return limit
 }
 
-// hasCapacity reports whether the limit lets one more attempt out. A limit under one leaves gaps between
-// attempts. The danger: a cache slowed down by crowding stays slow until it has been mostly idle, and one
-// attempt of every router at all times is enough to keep it so. With many routers the gap has to grow with
-// the time that attempts take: their sum is the crowd.
+// hasCapacity reports whether the limit allows one more attempt. A limit below one leaves gaps, as one
+// attempt of each router at all times keeps an overloaded cache slow; with many routers they grow with the
+// latency.
 func (e *Engine) hasCapacity(c *cache) bool {
 	if c.concurrencyLimit >= 1 {
 		return float64(c.inFlight) < c.concurrencyLimit
@@ -51,69 +48,100 @@
 	return c.inFlight == 0 && e.availableTime(c) > 0
 }
 
-// availableTime is the time at a cache that a limit under one has gained and attempts have not taken up.
 func (e *Engine) availableTime(c *cache) float64 {
-	return min(maxSavedTimeShare*float64(e.latencyThreshold), c.timeTokens+min(c.concurrencyLimit, 1)*float64(e.now-c.timeTokensAt))
-}
-
-// spendTime takes the time that an attempt took off what was earned.
-func (e *Engine) spendTime(c *cache, t Time) {
-	c.timeTokens, c.timeTokensAt = e.availableTime(c)-float64(t), e.now
+	earned := min(c.concurrencyLimit, 1) * float64(e.now-c.timeTokensAt)
+	return min(maxSavedTimeShare*float64(e.latencyThreshold), c.timeTokens+earned)
 }
 
-// adjustLimit moves a limit by the fate of one attempt under it. A limit comes to rest where
-// the tolerated share of attempts is overdue: some are long by nature.
-// Its step is that of one attempt, or of this router's part of the first limit where that is less. The
-// danger: what is one step for a router alone is one for each of them.
+// adjustLimit moves a limit by the verdict on one attempt. It rests where a tolerated share is overdue.
 func (e *Engine) adjustLimit(limit *float64, good bool, tolerated float64) {
-	unit := e.limitStep()
+	step := e.limitStep()
 	if good {
-		*limit += unit * limitDecrease * tolerated / (1 - tolerated)
+		*limit += step * limitDecrease * tolerated / (1 - tolerated)
 	} else {
-		*limit = max(unit*minLimit, *limit-limitDecrease*min(*limit, unit))
+		*limit = max(step*minLimit, *limit-limitDecrease*min(*limit, step))
 	}
 }
 
-// adjustAllLimits lets a verdict on one cache count in part at all others. The danger: of many routers each sends
-// a cache little, and learns of a surge or of a lost zone from each cache apart, when it is over. It
-// lowers none under one attempt of all routers, and where each hears little of any, moves only what lies
-// above the first limit: the many good verdicts on others would undo what took seconds to learn of one.
+func (e *Engine) adjustCacheLimit(c *cache, good bool) {
+	e.adjustLimit(&c.concurrencyLimit, good, toleratedLateShare)
+}
+
+// adjustAllLimits lets a verdict on one cache count in part at all others, as learning of a surge from each
+// cache apart takes too long. It lowers none below one attempt of all routers or, with sparse traffic, below
+// the initial limit.
 func (e *Engine) adjustAllLimits(good bool) {
 	weight := sharedVerdictWeight * float64(e.settings.Routers)
 	part := weight / (weight + float64(len(e.inService)))
 	for _, c := range e.inService {
-		least := e.routerShare()
+		lowest := e.routerShare()
 		if e.sparseTraffic() {
-			least = e.initialLimit(c)
+			lowest = e.initialLimit(c)
 		}
-		if limit := c.concurrencyLimit; limit > least || limit == least && good {
+		if limit := c.concurrencyLimit; limit > lowest || limit == lowest && good {
 			e.adjustLimit(&limit, good, toleratedLateShare)
-			c.concurrencyLimit = max(least, c.concurrencyLimit+part*(limit-c.concurrencyLimit))
+			c.concurrencyLimit = max(lowest, c.concurrencyLimit+part*(limit-c.concurrencyLimit))
 		}
 	}
 }
 
-// currentAdmission is the share of keys that are sent on at all. It grows by itself as well, lest a router that
-// sends next to nothing on never learns that the crowd is over.
+// latencyThreshold is how long an attempt may take before it counts as overdue.
+func (c *Class) latencyThreshold() Time { return max(c.LatencyObjective/2, 1) }
+
+// latencyThresholdAt is the latency threshold at one cache. It is higher at one whose quicker hits are slow:
+// its limit would else fall to next to nothing. Sparse traffic shows too few hits of one cache.
+func (e *Engine) latencyThresholdAt(c *cache, class *Class) Time {
+	if e.sparseTraffic() {
+		return class.latencyThreshold()
+	}
+	slowest := Time(maxThresholdShare * float64(class.LatencyObjective))
+	return max(class.latencyThreshold(), min(Time(slowHitFactor*c.hitLatency.Estimate()), slowest))
+}
+
+// shouldCloseIdle reports whether an idle connection to the cache costs more than the handshake that it saves
+// when this router comes back. At even shares it costs Routers/100 times as much.
+func (e *Engine) shouldCloseIdle(c *cache) bool {
+	reuse := float64(c.attemptsSent-1) / float64(e.attemptsSent) * float64(len(e.inService))
+	idleCost := e.settings.ConnectionCost * float64(e.settings.Routers)
+	return idleCost > connectionCostUnit*e.settings.HandshakeCost*reuse
+}
+
+// currentAdmission is the share of keys that is admitted. It grows by itself too: a router that admits next
+// to nothing would not learn that the overload is over.
 func (e *Engine) currentAdmission() float64 {
-	return min(1, e.admissionRatio*math.Exp(float64(e.now-e.admissionRatioAt)/float64(admissionRecovery*e.settings.DrainGrace)))
+	recovery := float64(admissionRecovery * e.settings.DrainGrace)
+	return min(1, e.admissionRatio*math.Exp(float64(e.now-e.admissionRatioAt)/recovery))
 }
 
-// updateAdmission lets the fate of an attempt move that share. The danger: one router of many learns of a crowd from
-// each cache apart, and the clients' retries, sent on like first tries, keep the crowd up.
 func (e *Engine) updateAdmission(inTime bool) {
-	by := 1 - admissionStep
+	factor := 1 - admissionStep
 	if inTime {
-		by = 1 + admissionStep*toleratedLateShare/(1-toleratedLateShare)
+		factor = 1 + admissionStep*toleratedLateShare/(1-toleratedLateShare)
 	}
-	e.admissionRatio, e.admissionRatioAt = max(minAdmissionRatio, min(1, e.currentAdmission()*by)), e.now
+	e.admissionRatio, e.admissionRatioAt = max(minAdmissionRatio, min(1, e.currentAdmission()*factor)), e.now
 }
 
-// shouldCloseIdle reports whether an idle connection to the cache costs more than it saves: a dial,
-// when this router comes back. At even shares keeping costs Routers/100 times what dialling
-// does, as 100 connections a cache cost ConnPrice; a cache used more than others earns its own
-// more often. The danger: every router keeps one to every cache, and the caches' tables are full.
-func (e *Engine) shouldCloseIdle(c *cache) bool {
-	again := float64(c.attemptsSent-1) / float64(e.attemptsSent) * float64(len(e.inService))
-	return e.settings.ConnectionCost*float64(e.settings.Routers) > 100*e.settings.HandshakeCost*again
+// updateLoad takes the load of a cache from the endpoint list: one router's own attempts tell of it too late.
+func (e *Engine) updateLoad(c *cache, load float64) {
+	c.acceptedKeyShare, c.acceptedKeyShareAt = e.currentKeyShare(c), e.now
+	if load > overloadThreshold && load > loadDropRatio*c.loadPerCore {
+		c.acceptedKeyShare = max(minAcceptedKeyShare, c.acceptedKeyShare*math.Sqrt(overloadThreshold/load))
+	}
+	c.loadPerCore = load
+}
+
+// currentKeyShare is the share of its keys that a cache is sent. It grows back while there is no overload.
+func (e *Engine) currentKeyShare(c *cache) float64 {
+	if c.loadPerCore > overloadThreshold {
+		return c.acceptedKeyShare
+	}
+	spare := 1 - c.loadPerCore/overloadThreshold
+	growth := math.Exp(spare * float64(e.now-c.acceptedKeyShareAt) / float64(e.settings.DrainGrace))
+	return min(1, c.acceptedKeyShare*growth)
+}
+
+// acceptsKey reports whether this router sends the key to the cache. Each router makes its own, lasting
+// choice, so that together they spread a hot key over as many caches as it takes.
+func (e *Engine) acceptsKey(c *cache, key uint64) bool {
+	return !e.sparseTraffic() || hashToUnit(key^c.hash^e.salt) < e.currentKeyShare(c)
 }
--- a/policy/limits_test.go
+++ b/policy/limits_test.go
@@ -267,7 +267,7 @@
 		b.ask(id+1, "read", 7)
 		all += logs(b.advance(10*ms)) + "\n"
 	}
-	if n := strings.Count(all, "load shedding true"); n != 1 {
+	if n := strings.Count(all, "load shedding active=true"); n != 1 {
 		t.Fatalf("logged %d times: %s", n, fmt.Sprint(all))
 	}
 }
@@ -355,7 +355,7 @@
 	if len(b.r.queue) < 1000 {
 		t.Fatalf("only %d held", len(b.r.queue))
 	}
-	b.r.ranking = b.r.ranking[:0]
+	b.r.ranking.Reset()
 	allocs := testing.AllocsPerRun(5, b.r.dispatchQueued)
 	if allocs > 8*maxDispatchTries {
 		t.Fatalf("one answer looks at too many: %v allocations", allocs)
@@ -583,7 +583,7 @@
 // home is the id of a key's first rank.
 func (e *Engine) home(key uint64) string {
 	e.rank(key)
-	return e.rankAt(0).ID
+	return e.ranking.At(0).ID
 }
 
 // The danger: a network that breaks connections uses up what the budget has for overload.
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -1,4 +1,4 @@
-// Slow start of caches that have just started.
+// Slow start: the share of the traffic that a cache gets while it warms up.
 
 package policy
 
@@ -6,70 +6,65 @@
 
 const goodputWindow = 16 // attempts at warm caches over which the share of those served in time fades
 
-// slowStartAllows keeps a cold cache to its share, whichever way a request comes to
-// it. The danger: all routers' work adds up, and a cold cache pushed over stays
-// down. A second hash of the key decides, so that routers agree and it fills steadily.
-func (e *Engine) slowStartAllows(q *request, c *cache) bool {
+// slowStartAllows keeps a warming cache to its share of the traffic, as one pushed into overload stays there.
+// A second hash of the key decides, so that all routers send it the same keys.
+func (e *Engine) slowStartAllows(req *request, c *cache) bool {
 	if e.now >= c.warmAt {
 		return true
 	}
-	if len(q.attempts) > 0 || e.replicaCount(q.Key) > 1 || unitInterval(mix(mix(q.Key)+1)) >= e.slowStartShare(c) {
-		return false // in trouble retries are most of what is sent, and they all look for room
+	excluded := hashToUnit(mix(req.Key)+1) >= e.slowStartShare(c)
+	if excluded || len(req.attempts) > 0 || e.replicaCount(req.Key) > 1 {
+		return false // in a fault retries are most of the traffic, and they all look for capacity
 	}
-	// Retries and hot keys can still add up: it gets no more than its part of what warm ones get.
-	sent, size := 0.0, 0.0
-	for _, w := range e.inService {
-		if e.now >= w.warmAt {
-			sent, size = sent+e.recentAttemptCount(w), size+w.Weight
+	sent, weight := 0.0, 0.0 // of the warm caches
+	for _, warm := range e.inService {
+		if e.now >= warm.warmAt {
+			sent += warm.recentAttempts.At(e.now, e.settings.OverloadTime)
+			weight += warm.Weight
 		}
 	}
-	if e.sparseTraffic() && size > 0 && e.mayBeHotKey(q.Key, c) {
+	if e.sparseTraffic() && weight > 0 && e.mayBeHotKey(req.Key, c) {
 		return false
 	}
-	return e.recentAttemptCount(c) < 1+e.warmupFraction(c)*c.Weight*sent/max(size, c.Weight)
+	// The keys of its share can still add up to more than its part of what warm caches get.
+	fairPart := e.warmupFraction(c) * c.Weight * sent / max(weight, c.Weight)
+	return c.recentAttempts.At(e.now, e.settings.OverloadTime) < 1+fairPart
 }
 
-// mayBeHotKey reports whether a key may be more than a cold cache can do: here a doubt speaks against it. The
-// danger: each of many routers has seen a hot key once or twice, and all of them send it to a cache that is
-// cold. So each sends on what keeps the sum over all routers, whatever the key's share of all requests, to
-// half of what the tipping multiple leaves beside the cache's other keys, as it may have two such: of a share
-// s, s*exp(-s*n) is the first that its router sees after n others, 1/(e*n) at most, and of later ones the
-// count tells the share.
+// mayBeHotKey reports whether a key may be more than a warming cache can serve, as all of many routers send
+// it there. Together they send, for any share s of the key, at most half of what OverloadMultiple leaves
+// beside the cache's other keys, as it may have two such keys. The first request that a router sees after n
+// others makes up s*exp(-s*n) of all, at most 1/(e*n); later ones tell the share.
 func (e *Engine) mayBeHotKey(key uint64, c *cache) bool {
-	// Of what it was asked, the part of a cache of that size.
-	part := float64(e.requestCounts[0]+e.requestCounts[1]) * c.Weight / (e.meanWeight * float64(len(e.inService)))
-	most := part * e.slowStartShare(c) * max(1, (e.settings.OverloadMultiple-1)/2)
-	n := e.keyCounts[0][key] + e.keyCounts[1][key]
-	if n == 1 {
-		most *= math.E
+	fleetWeight := e.meanWeight * float64(len(e.inService))
+	fairPart := float64(e.requestCounts.Total()) * c.Weight / fleetWeight
+	limit := fairPart * e.slowStartShare(c) * max(1, (e.settings.OverloadMultiple-1)/2)
+	count := e.keyCounts.Total(key)
+	if count == 1 {
+		limit *= math.E
 	}
-	return unitInterval(mix(key+e.salt))*float64(n) >= most
+	return hashToUnit(key+e.salt)*float64(count) >= limit
 }
 
-// updateGoodput notes whether a warm cache served an attempt in time.
-func (e *Engine) updateGoodput(a *attempt, q *request, result Result) {
-	late := e.now >= a.sentAt+q.class.LatencyObjective
+func (e *Engine) updateGoodput(a *attempt, req *request, result Result) {
+	late := e.now >= a.sentAt+req.class.LatencyObjective
 	if e.now >= a.cache.warmAt && (late || result == Served || result == Rejected) {
-		e.goodputRatio += (float64(boolToInt(result == Served && !late)) - e.goodputRatio) / goodputWindow
+		inTime := 0.0
+		if result == Served && !late {
+			inTime = 1
+		}
+		e.goodputRatio += (inTime - e.goodputRatio) / goodputWindow
 	}
 }
 
-// recentAttemptCount is the number of attempts sent to a cache lately, fading within TipTime.
-func (e *Engine) recentAttemptCount(c *cache) float64 {
-	return c.recentAttempts * math.Exp(-float64(e.now-c.lastSentAt)/float64(max(e.settings.OverloadTime, 1)))
-}
-
-// slowStartShare is the share of its keys that a cold cache gets: as much as it can do by now.
+// slowStartShare is the share of its keys that a warming cache gets: as much as it can serve by now.
 func (e *Engine) slowStartShare(c *cache) float64 { return e.warmupFraction(c) * e.overloadFactor() }
 
-// overloadFactor is what a cold cache's part is cut by in overload: to what warm ones do of what they are sent, or
-// to half of the tipping multiple where that is more. The danger: its part of what is asked for, clients'
-// retries included, is then far more than its part of what can be done.
+// overloadFactor lowers the share in overload to what warm caches serve in time, or to a multiple of that.
 func (e *Engine) overloadFactor() float64 {
 	return min(1, e.goodputRatio*max(1, e.settings.OverloadMultiple/2))
 }
 
-// warmupFraction is the least share of its capacity that a cache can have by now.
 func (e *Engine) warmupFraction(c *cache) float64 {
 	if e.now >= c.warmAt {
 		return 1
@@ -78,15 +73,15 @@
 	return e.settings.WarmupStartShare + (1-e.settings.WarmupStartShare)*max(0, age)
 }
 
-// fleetWarmingUp reports whether more of the fleet is cold than a share of late attempts is tolerated. The danger:
-// what cold caches have lost is asked of the origin at once, all misses are late for a while, and routers
-// refuse the hits with them.
+// fleetWarmingUp reports whether more of the fleet is warming up than is tolerated of late attempts. All
+// misses are then late for a while, which is no reason to reject hits.
 func (e *Engine) fleetWarmingUp() bool {
-	cold, all := 0.0, 0.0
+	warming, total := 0.0, 0.0
 	for _, c := range e.inService {
-		if all += c.Weight; e.now < c.warmAt {
-			cold += c.Weight
+		total += c.Weight
+		if e.now < c.warmAt {
+			warming += c.Weight
 		}
 	}
-	return cold > toleratedLateShare*all
+	return warming > toleratedLateShare*total
 }
