Name wrong settings by the fields that the caller knows

Cause: the errors of New named fields that the renaming had removed, such as ColdTime for WarmupTime, so a SettingsError pointed at nothing in the package.

Change: the names in the table of ranges are those of Settings and Class; the shape of the text, "policy: <Field> is <v>, out of range", stays.

Tests: TestWrongSettings asks for the new names, each as strictly as before; TestCheckedFieldsExist is new and holds that every checked name is a field.

--- a/policy/engine_test.go
+++ b/policy/engine_test.go
@@ -431,17 +431,17 @@
 
 func TestWrongSettings(t *testing.T) {
 	for field, spoil := range map[string]func(*Settings){
-		"ColdTime":    func(s *Settings) { s.WarmupTime = -1 },
-		"DrainGrace":  func(s *Settings) { s.DrainGrace = -1 },
-		"Classes":     func(s *Settings) { s.Classes = nil },
-		"Classes[1]":  func(s *Settings) { s.Classes[1].LatencyObjective = -5 },
-		"MaxAttempts": func(s *Settings) { s.MaxAttempts = 0 },
-		"Routers":     func(s *Settings) { s.Routers = -1 },
-		"ColdShare":   func(s *Settings) { s.WarmupStartShare = 1.5 },
-		"ProbePrice":  func(s *Settings) { s.HealthCheckCost = math.NaN() },
-		"ConnPrice":   func(s *Settings) { s.ConnectionCost = math.Inf(1) },
-		"DialPrice":   func(s *Settings) { s.HandshakeCost = -0.1 },
-		"LateWorth":   func(s *Settings) { s.Classes[2].LateWeight = 2 },
+		"WarmupTime":       func(s *Settings) { s.WarmupTime = -1 },
+		"DrainGrace":       func(s *Settings) { s.DrainGrace = -1 },
+		"Classes":          func(s *Settings) { s.Classes = nil },
+		"Classes[1]":       func(s *Settings) { s.Classes[1].LatencyObjective = -5 },
+		"MaxAttempts":      func(s *Settings) { s.MaxAttempts = 0 },
+		"Routers":          func(s *Settings) { s.Routers = -1 },
+		"WarmupStartShare": func(s *Settings) { s.WarmupStartShare = 1.5 },
+		"HealthCheckCost":  func(s *Settings) { s.HealthCheckCost = math.NaN() },
+		"ConnectionCost":   func(s *Settings) { s.ConnectionCost = math.Inf(1) },
+		"HandshakeCost":    func(s *Settings) { s.HandshakeCost = -0.1 },
+		"LateWeight":       func(s *Settings) { s.Classes[2].LateWeight = 2 },
 	} {
 		s := settings()
 		spoil(&s)
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -11,6 +11,7 @@
 
 var unknownClass = Class{Effect: NonIdempotent} // of requests whose class is not in the settings
 
+// request is a request that lacks its final answer, or has attempts in flight.
 type request struct {
 	*Request
 	class         *Class
@@ -49,6 +50,7 @@
 	e.dispatch(req)
 }
 
+// dispatch sends a request to a cache, queues it for capacity, or answers it where neither is possible.
 func (e *Engine) dispatch(req *request) {
 	if e.countsAsRetry(req) && e.retryBudget < 1 {
 		e.answerUnlessPending(req) // retries would feed the overload that caused them
@@ -82,15 +84,15 @@
 	if !req.queued {
 		req.queued = true
 		e.queue = append(e.queue, req)
-		e.schedule(req.queueDeadline(), func() {
-			if req.queued && !req.done {
-				e.shed(req)
-			}
-		})
+		e.schedule(req.queueDeadline(), func() { e.shedQueued(req) })
 	}
 }
 
-func (e *Engine) shed(req *request) {
+// shedQueued gives up on a request that is still queued.
+func (e *Engine) shedQueued(req *request) {
+	if !req.queued || req.done {
+		return
+	}
 	if req.originLimited {
 		e.shedByOrigin++
 	} else {
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -57,8 +57,8 @@
 	return !slices.ContainsFunc(req.attempts, func(a attempt) bool { return !a.neverRan })
 }
 
-// countsAsRetry reports whether a further attempt could feed an overload, so that it takes from the retry
-// budget.
+// countsAsRetry reports whether a further attempt could feed an overload. One after a network fault could
+// not, and would use up the retry budget where networks are bad.
 func (e *Engine) countsAsRetry(req *request) bool {
 	n := len(req.attempts)
 	return n > 0 && !req.attempts[n-1].harmless
@@ -67,7 +67,7 @@
 func (e *Engine) retryBurstLimit() float64 { return maxFleetRetryBurst * e.routerShare() }
 
 // hedge sends a second copy of a request whose attempt is overdue at a cache that has been silent since: it
-// may hang until its health checks have failed. In overload caches are late, but not silent.
+// may hang, and health checks take two rounds to tell. In overload caches are late, but not silent.
 func (e *Engine) hedge(req *request, n int) {
 	silent := req.attempts[n].cache.lastReplyAt <= req.attempts[n].sentAt
 	if req.done || !silent || !e.settings.HedgingAllowed || e.retryBudget < 1 {
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -101,16 +101,16 @@
 	fields := []settingsField{
 		{"Routers", float64(s.Routers), 0, unlimited},
 		{"MaxAttempts", float64(s.MaxAttempts), 1, unlimited},
-		{"RefuseWait", float64(s.MaxRetryAfter), 0, unlimited},
+		{"MaxRetryAfter", float64(s.MaxRetryAfter), 0, unlimited},
 		{"DrainGrace", float64(s.DrainGrace), 0, unlimited},
-		{"ColdTime", float64(s.WarmupTime), 0, unlimited},
-		{"ColdShare", s.WarmupStartShare, 0, 1},
-		{"TipTime", float64(s.OverloadTime), 0, unlimited},
-		{"TipMultiple", s.OverloadMultiple, 0, unlimited},
-		{"AskEvery", float64(s.PollInterval), 0, unlimited},
-		{"ProbePrice", s.HealthCheckCost, 0, unlimited},
-		{"ConnPrice", s.ConnectionCost, 0, unlimited},
-		{"DialPrice", s.HandshakeCost, 0, unlimited},
+		{"WarmupTime", float64(s.WarmupTime), 0, unlimited},
+		{"WarmupStartShare", s.WarmupStartShare, 0, 1},
+		{"OverloadTime", float64(s.OverloadTime), 0, unlimited},
+		{"OverloadMultiple", s.OverloadMultiple, 0, unlimited},
+		{"PollInterval", float64(s.PollInterval), 0, unlimited},
+		{"HealthCheckCost", s.HealthCheckCost, 0, unlimited},
+		{"ConnectionCost", s.ConnectionCost, 0, unlimited},
+		{"HandshakeCost", s.HandshakeCost, 0, unlimited},
 	}
 	for i := range s.Classes {
 		fields = append(fields, s.Classes[i].fields(fmt.Sprintf("Classes[%d].", i))...)
@@ -121,10 +121,10 @@
 func (c *Class) fields(prefix string) []settingsField {
 	const unlimited = math.MaxFloat64
 	return []settingsField{
-		{prefix + "Aim", float64(c.LatencyObjective), 0, unlimited},
-		{prefix + "Limit", float64(c.Timeout), 0, unlimited},
+		{prefix + "LatencyObjective", float64(c.LatencyObjective), 0, unlimited},
+		{prefix + "Timeout", float64(c.Timeout), 0, unlimited},
 		{prefix + "KeyTTL", float64(c.KeyTTL), 0, unlimited},
-		{prefix + "Worth", c.PriorityWeight, 0, unlimited},
-		{prefix + "LateWorth", c.LateWeight, 0, 1},
+		{prefix + "PriorityWeight", c.PriorityWeight, 0, unlimited},
+		{prefix + "LateWeight", c.LateWeight, 0, 1},
 	}
 }
--- a/policy/settings_test.go
+++ b/policy/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"reflect"
+	"strings"
 	"testing"
 )
 
@@ -25,3 +27,17 @@
 		t.Errorf("got %v, want %v", err, ErrNoClasses)
 	}
 }
+
+// An error names the field as the caller knows it.
+func TestCheckedFieldsExist(t *testing.T) {
+	s := settings()
+	for _, field := range s.fields() {
+		owner, name := reflect.TypeFor[Settings](), field.name
+		if _, inClass, ok := strings.Cut(name, "]."); ok {
+			owner, name = reflect.TypeFor[Class](), inClass
+		}
+		if _, ok := owner.FieldByName(name); !ok {
+			t.Errorf("%s is no field of %s", field.name, owner)
+		}
+	}
+}
