Keep the ranking and the end of an attempt as cheap as before

Change: a ranking takes all nodes at once and keeps their scores apart from them, and the outcome of an attempt stays on the stack.

--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -11,8 +11,9 @@
 // rank returns all nodes in the order of their ranks for the key.
 func rank(key uint64, weights map[string]float64, names ...string) []string {
 	var ranking Ranking[string]
-	for _, name := range names {
-		ranking.Add(name, splitmix.Mix(key^splitmix.String(name)), weights[name])
+	ranking.Reset(names)
+	for i, name := range names {
+		ranking.SetScore(i, Score(splitmix.Mix(key^splitmix.String(name)), weights[name]))
 	}
 	var ranked []string
 	for i := range ranking.Len() {
@@ -48,10 +49,10 @@
 
 func TestEqualScoresKeepTheirOrder(t *testing.T) {
 	var ranking Ranking[int]
-	for node := range 4 {
-		ranking.Add(node, 42, 1)
+	ranking.Reset([]int{0, 1, 2, 3, 4})
+	for i, score := range []float64{2, 2, 2, 2, 1} {
+		ranking.SetScore(i, score)
 	}
-	ranking.Add(4, math.MaxUint64, 1) // the lowest score
 	var ranked []int
 	for i := range ranking.Len() {
 		ranked = append(ranked, ranking.At(i))
@@ -63,8 +64,10 @@
 
 func TestSwapAndReset(t *testing.T) {
 	var ranking Ranking[int]
-	for node := range 5 {
-		ranking.Add(node, splitmix.Mix(uint64(node)), 1)
+	nodes := []int{0, 1, 2, 3, 4}
+	ranking.Reset(nodes)
+	for i := range nodes {
+		ranking.SetScore(i, Score(splitmix.Mix(uint64(i)), 1))
 	}
 	third := ranking.At(2)
 	first := ranking.At(0)
@@ -72,12 +75,13 @@
 	if a, b := ranking.At(0), ranking.At(2); a != third || b != first {
 		t.Errorf("ranks 0 and 2 are %d and %d, want %d and %d", a, b, third, first)
 	}
-	ranking.Reset()
-	if ranking.Len() != 0 {
-		t.Errorf("%d nodes after a reset", ranking.Len())
+	if want := []int{0, 1, 2, 3, 4}; !slices.Equal(nodes, want) {
+		t.Errorf("the ranking changed its argument to %v", nodes)
 	}
-	ranking.Add(9, 1, 1)
-	if got := ranking.At(0); got != 9 {
-		t.Errorf("first rank after a reset is %d, want 9", got)
+	ranking.Reset([]int{8, 9})
+	ranking.SetScore(0, 2)
+	ranking.SetScore(1, 1)
+	if n, got := ranking.Len(), ranking.At(0); n != 2 || got != 9 {
+		t.Errorf("after a reset: %d nodes, the first is %d, want 2 and 9", n, got)
 	}
 }
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -73,13 +73,13 @@
 		return
 	}
 	o := e.judge(req, ev)
-	e.recordResult(o)
+	e.recordResult(&o)
 	if o.cache.inFlight == 0 && e.shouldCloseIdle(o.cache) {
 		e.emit(CloseIdleConnections{o.cache.ID})
 	}
-	e.updateLimits(o)
+	e.updateLimits(&o)
 	if ev.Result == Served {
-		e.recordServed(o)
+		e.recordServed(&o)
 	}
 	switch {
 	case ev.Final || req.done:
@@ -92,9 +92,9 @@
 	e.dispatchQueued()
 }
 
-func (e *Engine) judge(req *request, ev *AttemptDone) *outcome {
+func (e *Engine) judge(req *request, ev *AttemptDone) outcome {
 	a := &req.attempts[ev.Attempt]
-	o := &outcome{AttemptDone: ev, attempt: a, request: req, elapsed: e.now - a.sentAt}
+	o := outcome{AttemptDone: ev, attempt: a, request: req, elapsed: e.now - a.sentAt}
 	missLimit := e.missLatencyLimit(req, a.cache)
 	limit := e.latencyThresholdAt(a.cache, req.class)
 	if e.sparseTraffic() && ev.Miss {
@@ -160,7 +160,6 @@
 	}
 }
 
-// recordServed notes what a served attempt shows of the cache, the origin and the router's own load.
 func (e *Engine) recordServed(o *outcome) {
 	o.cache.recentKeys.Add(o.request.Key)
 	if e.sparseTraffic() && o.inObjective {
--- a/policy/health.go
+++ b/policy/health.go
@@ -142,8 +142,7 @@
 	halfOpenAt      Time
 }
 
-// noteConnect records whether an attempt reached the cache. It counts for the zone too: learnt from each
-// cache apart, a network partition would be known when it is over.
+// noteConnect records whether an attempt reached the cache, and its zone: a partition shows there first.
 func (e *Engine) noteConnect(c *cache, connected bool) {
 	if connected {
 		c.connectFailures, c.zone.connectFailures = 0, 0
--- a/policy/limits_test.go
+++ b/policy/limits_test.go
@@ -355,7 +355,7 @@
 	if len(b.r.queue) < 1000 {
 		t.Fatalf("only %d held", len(b.r.queue))
 	}
-	b.r.ranking.Reset()
+	b.r.ranking.Reset(nil)
 	allocs := testing.AllocsPerRun(5, b.r.dispatchQueued)
 	if allocs > 8*maxDispatchTries {
 		t.Fatalf("one answer looks at too many: %v allocations", allocs)
--- a/policy/origin.go
+++ b/policy/origin.go
@@ -15,8 +15,7 @@
 // originHasCapacity reports whether the origin can take misses that could be avoided.
 func (e *Engine) originHasCapacity() bool { return float64(e.missesInFlight) < e.originLimit/2 }
 
-// originFull reports whether likely misses must wait. Only the share of true ones counts, as one of many
-// routers knows few keys.
+// originFull reports whether likely misses must wait. Of those in flight only the share of true ones counts.
 func (e *Engine) originFull() bool { return float64(e.missesInFlight)*e.missRatio >= e.originLimit }
 
 func (e *Engine) adjustOriginLimit(good bool) {
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -2,7 +2,11 @@
 
 package policy
 
-import "math"
+import (
+	"math"
+
+	"marlstage/internal/rendezvous"
+)
 
 const (
 	maxCandidates    = 4  // caches considered before one that is unhealthy is used after all
@@ -13,9 +17,9 @@
 
 // rank orders the caches in service for a key. All routers agree on the order.
 func (e *Engine) rank(key uint64) {
-	e.ranking.Reset()
-	for _, c := range e.inService {
-		e.ranking.Add(c, mix(key^c.hash), c.Weight)
+	e.ranking.Reset(e.inService)
+	for i, c := range e.inService {
+		e.ranking.SetScore(i, rendezvous.Score(mix(key^c.hash), c.Weight))
 	}
 	if replicas := min(e.replicaCount(key), e.ranking.Len()); replicas > 1 {
 		// A hot key would overload its primary, and the primary's other keys would miss elsewhere.
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -33,8 +33,7 @@
 }
 
 // repeatDeadline is the latest start of attempt n, as caches then forget the request's key; 0 is no limit.
-func (r *request) repeatDeadline(n int) Time {
-	deadline := Time(0)
+func (r *request) repeatDeadline(n int) (deadline Time) {
 	for _, a := range r.attempts[:n] {
 		expires := a.sentAt + r.class.KeyTTL
 		if r.class.Effect == IdempotentWithKey && !a.neverRan && (deadline == 0 || expires < deadline) {
