Name the attempt of an outcome instead of embedding it

Cause: the outcome of an attempt promoted the attempt's fields, so a write to the outcome changed the request, and it had both elapsed and Elapsed.

Change: the outcome names its attempt, and the time that this router measured is its latency; comments lose orphan lines and old words.

--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -15,9 +15,9 @@
 
 type outcome struct {
 	*AttemptDone
-	*attempt
 	request     *request
-	elapsed     Time // as measured by this router
+	attempt     *attempt
+	latency     Time // as measured by this router
 	inObjective bool // it was served within the latency objective
 	timely      bool // it was served before it counted as overdue
 	fetched     bool // a likely miss was served before it counted against the origin
@@ -74,8 +74,8 @@
 	}
 	o := e.judge(req, ev)
 	e.recordResult(&o)
-	if o.cache.inFlight == 0 && e.shouldCloseIdle(o.cache) {
-		e.emit(CloseIdleConnections{o.cache.ID})
+	if c := o.attempt.cache; c.inFlight == 0 && e.shouldCloseIdle(c) {
+		e.emit(CloseIdleConnections{c.ID})
 	}
 	e.updateLimits(&o)
 	if ev.Result == Served {
@@ -94,34 +94,34 @@
 
 func (e *Engine) judge(req *request, ev *AttemptDone) outcome {
 	a := &req.attempts[ev.Attempt]
-	o := outcome{AttemptDone: ev, attempt: a, request: req, elapsed: e.now - a.sentAt}
+	o := outcome{AttemptDone: ev, request: req, attempt: a, latency: e.now - a.sentAt}
 	missLimit := e.missLatencyLimit(req, a.cache)
 	limit := e.latencyThresholdAt(a.cache, req.class)
 	if e.sparseTraffic() && ev.Miss {
-		limit = missLimit // with nearly half misses a limit could hardly rise, as the origin takes their time
+		limit = missLimit // where nearly half are misses, limits could else hardly rise
 	}
-	o.inObjective = ev.Result == Served && o.elapsed < req.class.LatencyObjective
-	o.timely = ev.Result == Served && o.elapsed < limit
-	o.fetched = ev.Result == Served && a.likelyMiss && o.elapsed < missLimit
-	// At fewer in flight it is no sign of overload: one that pauses would lose its traffic for good.
+	o.inObjective = ev.Result == Served && o.latency < req.class.LatencyObjective
+	o.timely = ev.Result == Served && o.latency < limit
+	o.fetched = ev.Result == Served && a.likelyMiss && o.latency < missLimit
+	// With fewer in flight it is no sign of overload: a cache that pauses would lose its traffic for good.
 	o.overloaded = ev.Result == Rejected && float64(a.cache.inFlight) > e.initialLimit(a.cache)
 	return o
 }
 
-// recordResult notes how the attempt ended and what the cache has to do with it, and releases what it took.
+// recordResult notes how the attempt ended and whether the cache is at fault, and releases what it took.
 func (e *Engine) recordResult(o *outcome) {
-	c := o.cache
-	o.pending, o.neverRan = false, o.Result.NeverRan()
-	o.connectionReset = o.Result == ConnectionLost
-	networkFault := o.connectionReset || o.Result == ConnectFailed
-	o.harmless = networkFault || o.Result == Rejected && !o.overloaded
+	a, c := o.attempt, o.attempt.cache
+	a.pending, a.neverRan = false, o.Result.NeverRan()
+	a.connectionReset = o.Result == ConnectionLost
+	networkFault := a.connectionReset || o.Result == ConnectFailed
+	a.harmless = networkFault || o.Result == Rejected && !o.overloaded
 	c.suspect = c.suspect || networkFault || o.Result == ServerError
 	c.inFlight--
-	if o.likelyMiss {
+	if a.likelyMiss {
 		e.missesInFlight--
 	}
-	e.updateGoodput(o.attempt, o.request, o.Result)
-	spent := o.elapsed
+	e.updateGoodput(a, o.request, o.Result)
+	spent := o.latency
 	if o.Result == Rejected {
 		spent = max(spent, e.latencyThreshold) // a rejection comes at once, and so would the next attempt
 	}
@@ -141,7 +141,7 @@
 
 // updateLimits moves the limits of the origin and the caches: down on overload, up where they are in use.
 func (e *Engine) updateLimits(o *outcome) {
-	c := o.cache
+	c := o.attempt.cache
 	failed := o.Result == ServerError
 	if failed || o.fetched && float64(e.missesInFlight+1) > e.originLimit/2 {
 		e.adjustOriginLimit(o.fetched)
@@ -152,7 +152,7 @@
 	} else if o.inObjective && c.concurrencyLimit < e.routerShare() {
 		e.adjustCacheLimit(c, true)
 	}
-	if o.likelyMiss && (o.Result == Served || failed) {
+	if o.attempt.likelyMiss && (o.Result == Served || failed) {
 		e.missRatio -= e.missRatio / missRatioWindow
 		if o.Miss || failed {
 			e.missRatio += 1.0 / missRatioWindow
@@ -161,17 +161,18 @@
 }
 
 func (e *Engine) recordServed(o *outcome) {
-	o.cache.recentKeys.Add(o.request.Key)
+	c := o.attempt.cache
+	c.recentKeys.Add(o.request.Key)
 	if e.sparseTraffic() && o.inObjective {
 		e.updateAdmission(true)
 	}
 	if !o.Miss {
-		o.cache.hitLatency.Add(float64(o.elapsed), hitLatencyQuantile)
+		c.hitLatency.Add(float64(o.latency), hitLatencyQuantile)
 	}
 	if o.timely && !o.Miss {
 		e.lastTimelyHitAt = e.now
 	}
-	o.cache.lastHitOnTime = o.cache.lastHitOnTime || o.timely && !o.likelyMiss
+	c.lastHitOnTime = c.lastHitOnTime || o.timely && !o.attempt.likelyMiss
 	if o.fetched && o.Miss {
 		e.lastOriginReplyAt = e.now
 	}
--- a/policy/events.go
+++ b/policy/events.go
@@ -24,7 +24,7 @@
 	State     EndpointState
 }
 
-// UpdateKind says what an EndpointsUpdate holds.
+// UpdateKind says which endpoints an EndpointsUpdate contains.
 type UpdateKind uint8
 
 // The kinds of an update.
@@ -35,7 +35,7 @@
 	UpdateFailed                     // a poll failed or the watch broke; no endpoints
 )
 
-// EndpointsUpdate brings news of the endpoint list.
+// EndpointsUpdate is an update of the endpoint list.
 type EndpointsUpdate struct {
 	Kind      UpdateKind
 	Endpoints []Endpoint
@@ -90,7 +90,7 @@
 	Result  Result
 	Elapsed Time
 	Final   bool
-	Miss    bool // the cache had to ask the origin
+	Miss    bool // the cache had to fetch from the origin
 	Load    LoadReport
 }
 
--- a/policy/health.go
+++ b/policy/health.go
@@ -112,7 +112,7 @@
 	}
 	c.failedChecks = 0
 	if (c.ejected || e.sparseTraffic()) && ev.Elapsed < e.latencyThreshold {
-		// Its overload is over. The few attempts that a cut limit lets out would show that late.
+		// Its overload is over. With a low limit, the few attempts would be late to reveal that.
 		c.concurrencyLimit, c.ejected = max(c.concurrencyLimit, e.initialLimit(c)), false
 	}
 	if !c.healthy {
--- a/policy/limits.go
+++ b/policy/limits.go
@@ -35,9 +35,8 @@
 	return limit
 }
 
-// hasCapacity reports whether the limit allows one more attempt. A limit below one leaves gaps, as one
-// attempt of each router at all times keeps an overloaded cache slow; with many routers they grow with the
-// latency.
+// hasCapacity reports whether the limit allows one more attempt. A limit below one leaves gaps: one attempt
+// of each router at all times keeps an overloaded cache slow. With many routers, gaps grow with the latency.
 func (e *Engine) hasCapacity(c *cache) bool {
 	if c.concurrencyLimit >= 1 {
 		return float64(c.inFlight) < c.concurrencyLimit
@@ -68,11 +67,10 @@
 }
 
 // adjustAllLimits lets a verdict on one cache count in part at all others, as learning of a surge from each
-// cache apart takes too long. It lowers none below one attempt of all routers or, with sparse traffic, below
-// the initial limit.
+// cache apart takes too long. What it lowers stays above one attempt of all routers, or the initial limit.
 func (e *Engine) adjustAllLimits(good bool) {
 	weight := sharedVerdictWeight * float64(e.settings.Routers)
-	part := weight / (weight + float64(len(e.inService)))
+	share := weight / (weight + float64(len(e.inService)))
 	for _, c := range e.inService {
 		lowest := e.routerShare()
 		if e.sparseTraffic() {
@@ -80,7 +78,7 @@
 		}
 		if limit := c.concurrencyLimit; limit > lowest || limit == lowest && good {
 			e.adjustLimit(&limit, good, toleratedLateShare)
-			c.concurrencyLimit = max(lowest, c.concurrencyLimit+part*(limit-c.concurrencyLimit))
+			c.concurrencyLimit = max(lowest, c.concurrencyLimit+share*(limit-c.concurrencyLimit))
 		}
 	}
 }
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -42,8 +42,7 @@
 	return 1 + int(share*float64(len(e.inService))/hotKeyShare)
 }
 
-// pickCache returns the cache for the next attempt, or nil. It reports overload where only a lack of capacity
-// stands in the way.
+// pickCache returns the cache for the next attempt or nil, and whether only a lack of capacity is in the way.
 func (e *Engine) pickCache(req *request) (picked *cache, overloaded bool) {
 	var fallback *cache // the first unusable one with capacity
 	considered := 0
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -38,11 +38,11 @@
 	LateWeight       float64    // share of PriorityWeight that a later answer earns
 }
 
-// Settings is what an engine is told once, at its start.
+// Settings is what an engine is given once, at its start.
 type Settings struct {
 	Routers       int // how many routers share the load
 	Classes       []Class
-	WatchRequired bool // the endpoint list is sent only to those that ask
+	WatchRequired bool // the endpoint list is sent only to those that watch it
 	LiveWeights   bool // Endpoint.Weight is lowered by the current load
 
 	MaxAttempts         int
