--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -13,6 +13,7 @@
 	harmless        bool // it ended by a network fault, or was rejected while this router's load was low
 }
 
+// outcome is how an attempt ended, and what this router makes of that.
 type outcome struct {
 	*AttemptDone
 	request     *request
