Log a failed poll after the timer of the next one, as before

Change: the line stands after the timer again.

Result: the golden digest is unchanged; policy, internal/policylimit and internal/simprotocol pass.

--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -57,12 +57,14 @@
 	wait := backoff(max(e.settings.PollInterval, minPollInterval), pollBackoffDivisor, e.failedPolls)
 	if e.failedPolls == 1 { // a watch that fell silent is noticed just before what it missed counts as notified
 		wait = min(wait, float64(e.settings.DrainGrace))
-		e.logf("endpoint list poll failed failed_polls=%d", e.failedPolls)
 	}
 	// Discovery may be back already: the next answer must come before a change that it knows counts as notified.
 	untilDeadline := NotificationDeadline - pollAllowance - (e.now - e.polledAt)
 	wait = min(wait, float64(max(untilDeadline, pollAllowance/2)))
 	e.schedule(e.now+Time(e.rng.Jitter(wait)), e.pollEndpoints)
+	if e.failedPolls == 1 {
+		e.logf("endpoint list poll failed failed_polls=%d", e.failedPolls)
+	}
 }
 
 // backoff returns a wait that starts from a part of the span and doubles with each failure.
