Split the policy's longest tests and check the golden digest's writes

The zone test has its clients in zoneClients, the effect test checks one class and result in checkEffectRules, and the digest is written with Write, which cannot fail.

--- a/policy/admission_test.go
+++ b/policy/admission_test.go
@@ -10,11 +10,11 @@
 func TestFleetAdmitsWhatIsServedInTime(t *testing.T) {
 	harnesses := newRouterFleet(t, 40)
 	sentShare := func(firstID int64, answered bool) float64 {
-		n := 0
+		admitted := 0
 		for _, h := range harnesses {
 			for id := firstID; id < firstID+100; id++ {
 				if s := h.request(id, "read", uint64(id)); s != nil {
-					n++
+					admitted++
 					if answered {
 						h.serve(id, 0)
 					}
@@ -22,7 +22,7 @@
 				h.advance(20 * ms)
 			}
 		}
-		return float64(n) / float64(100*len(harnesses))
+		return float64(admitted) / float64(100*len(harnesses))
 	}
 	if got := sentShare(1000, true); got < .95 {
 		t.Fatalf("%.2f of the requests were admitted while all were served in time", got)
--- a/policy/connections_test.go
+++ b/policy/connections_test.go
@@ -31,16 +31,16 @@
 		}
 	}
 	oneCache := func(id int64) uint64 { return samePrimary[id%100] }
-	if n := countClosed(3, spread, nil); n > 40 {
-		t.Errorf("few routers closed %d of 400", n)
+	if closed := countClosed(3, spread, nil); closed > 40 {
+		t.Errorf("few routers closed %d of 400", closed)
 	}
-	if n := countClosed(600, spread, nil); n < 380 {
-		t.Errorf("many routers closed only %d of 400", n)
+	if closed := countClosed(600, spread, nil); closed < 380 {
+		t.Errorf("many routers closed only %d of 400", closed)
 	}
-	if n := countClosed(600, oneCache, func(s *Settings) { s.ConnectionCost = .01 }); n > 20 {
-		t.Errorf("closed %d of 400 to the one cache in use", n)
+	if closed := countClosed(600, oneCache, func(s *Settings) { s.ConnectionCost = .01 }); closed > 20 {
+		t.Errorf("closed %d of 400 to the one cache in use", closed)
 	}
-	if n := countClosed(600, spread, func(s *Settings) { s.ConnectionCost, s.HandshakeCost = 0, 0 }); n > 0 {
-		t.Errorf("closed %d where neither has a cost", n)
+	if closed := countClosed(600, spread, func(s *Settings) { s.ConnectionCost, s.HandshakeCost = 0, 0 }); closed > 0 {
+		t.Errorf("closed %d where neither has a cost", closed)
 	}
 }
--- a/policy/endpoints_test.go
+++ b/policy/endpoints_test.go
@@ -98,7 +98,7 @@
 		}
 		h.advance(1000 * ms)
 	}
-	if n := len(h.engine.caches); n > 20 {
-		t.Errorf("%d caches are remembered, of which 4 are listed", n)
+	if caches := len(h.engine.caches); caches > 20 {
+		t.Errorf("%d caches are remembered, of which 4 are listed", caches)
 	}
 }
--- a/policy/fleet_limits_test.go
+++ b/policy/fleet_limits_test.go
@@ -15,11 +15,11 @@
 				sentAt[s.ID] = h.now
 			}
 			h.advance(50 * ms)
-			for n := id; n > id-16; n-- {
-				if at, ok := sentAt[n]; ok && h.now >= at+serviceTime {
-					delete(sentAt, n)
+			for earlier := id; earlier > id-16; earlier-- {
+				if at, ok := sentAt[earlier]; ok && h.now >= at+serviceTime {
+					delete(sentAt, earlier)
 					inFlightTime += h.now - at
-					for _, s := range sendActions(h.finish(n, 0, Served, true)) {
+					for _, s := range sendActions(h.finish(earlier, 0, Served, true)) {
 						sentAt[s.ID] = h.now
 					}
 				}
--- a/policy/golden_test.go
+++ b/policy/golden_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"hash"
-	"io"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -243,9 +242,8 @@
 
 // note adds a line to the digest.
 func (t *goldenTimeline) note(format string, arguments ...any) {
-	fmt.Fprintf(t.digest, "%d ", t.now)
-	fmt.Fprintf(t.digest, format, arguments...)
-	io.WriteString(t.digest, "\n")
+	line := fmt.Sprintf("%d ", t.now) + fmt.Sprintf(format, arguments...) + "\n"
+	t.digest.Write([]byte(line))
 }
 
 // perform adds an action to the digest and carries it out.
--- a/policy/limits_test.go
+++ b/policy/limits_test.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"fmt"
 	"strings"
 	"testing"
 )
@@ -90,8 +89,8 @@
 		h.request(id+1, "read", 7)
 		all += logText(h.advance(10*ms)) + "\n"
 	}
-	if n := strings.Count(all, "load shedding true"); n != 1 {
-		t.Fatalf("logged %d times: %s", n, fmt.Sprint(all))
+	if lines := strings.Count(all, "load shedding true"); lines != 1 {
+		t.Fatalf("logged %d times: %s", lines, all)
 	}
 }
 
--- a/policy/origin_test.go
+++ b/policy/origin_test.go
@@ -83,7 +83,7 @@
 // One router of many knows few keys; the origin limit weighs its likely misses by how many were true ones, or most
 // of what it rejects would be hits.
 func TestOriginLimitCountsExpectedMisses(t *testing.T) {
-	sentAfter := func(miss bool) (n int) {
+	sentAfter := func(miss bool) (sent int) {
 		h := newTrafficHarness(t, 8, nil)
 		for id := range int64(400) {
 			if h.request(id+1, "read", uint64(id)) != nil {
@@ -93,10 +93,10 @@
 		h.engine.originLimit = 2
 		for id := range int64(20) {
 			if h.request(id+1000, "read", uint64(id+1000)) != nil {
-				n++
+				sent++
 			}
 		}
-		return n
+		return sent
 	}
 	if hits, misses := sentAfter(false), sentAfter(true); misses != 2 || hits < 10 {
 		t.Errorf("under an origin limit of 2, %d likely misses are sent where all were true misses, %d where none was",
--- a/policy/outlier_test.go
+++ b/policy/outlier_test.go
@@ -6,53 +6,85 @@
 func TestUnreachableZoneIsSkipped(t *testing.T) {
 	h := newTrafficHarness(t, 12, func(s *Settings) { s.MaxAttempts = 6 })
 	h.engine.retryBudget = 0 // an attempt without a connection needs none of it
-	failures, key := 0, uint64(0)
-	for failures < zoneFailureThreshold { // zone a is unreachable
-		key++
-		s := h.request(int64(key), "read", key)
-		for n := 0; s != nil && h.engine.caches[s.Cache].Zone == "a"; n++ {
+	clients := &zoneClients{engineHarness: h, zone: "a"}
+	clients.failUntilUnreachable()
+	if sends := clients.countSends(40); sends != 0 {
+		t.Errorf("%d of 40 sent to the unreachable zone", sends)
+	}
+	for _, c := range h.engine.caches {
+		c.concurrencyLimit = 100
+	}
+	h.engine.originLimit = 1e6
+	h.advance(h.engine.settings.WarmupTime/4 + ms)
+	if sends := clients.countSends(40); sends != 1 {
+		t.Errorf("%d trials, want one", sends)
+	}
+	clients.serveAll()
+	if sends := clients.countSends(40); sends < 10 {
+		t.Errorf("%d of 40 sent after the trial was served", sends)
+	}
+}
+
+// zoneClients sends requests, each for a key of its own, and looks at those that go to one zone.
+type zoneClients struct {
+	*engineHarness
+	zone    string
+	lastKey uint64 // and ID of the last request
+}
+
+// requestNext gives the engine the next request.
+func (z *zoneClients) requestNext() (id int64, send *Send) {
+	z.lastKey++
+	id = int64(z.lastKey)
+	return id, z.request(id, "read", z.lastKey)
+}
+
+// isInZone reports whether an attempt was sent to the zone.
+func (z *zoneClients) isInZone(send *Send) bool {
+	return send != nil && z.engine.caches[send.Cache].Zone == z.zone
+}
+
+// failUntilUnreachable lets connections to the zone fail until the engine takes it for unreachable. Requests are
+// served by other zones then.
+func (z *zoneClients) failUntilUnreachable() {
+	z.t.Helper()
+	failures := 0
+	for failures < zoneFailureThreshold {
+		id, send := z.requestNext()
+		for attempt := 0; z.isInZone(send); attempt++ {
 			failures++
-			if got := sendActions(h.finish(int64(key), n, ConnectFailed, false)); len(got) == 0 {
-				t.Fatal("no further attempt after a failed connection")
-			} else {
-				s = &got[0]
+			retries := sendActions(z.finish(id, attempt, ConnectFailed, false))
+			if len(retries) == 0 {
+				z.t.Fatal("no further attempt after a failed connection")
 			}
+			send = &retries[0]
 		}
 		if failures < zoneFailureThreshold {
-			h.engine.zones["a"].connectFailures = failures // replies from zone b must not reset the count of zone a
+			z.engine.zones[z.zone].connectFailures = failures // replies from elsewhere must not reset the count
 		}
-		h.serve(int64(key), len(h.engine.requests[int64(key)].attempts)-1)
+		z.serve(id, len(z.engine.requests[id].attempts)-1)
 	}
-	sentToZone := func() (n int) {
-		for range 40 {
-			key++
-			if s := h.request(int64(key), "read", key); s != nil && h.engine.caches[s.Cache].Zone == "a" {
-				n++
-			}
+}
+
+// countSends gives the engine requests and counts those that are sent to the zone.
+func (z *zoneClients) countSends(requests int) (sends int) {
+	for range requests {
+		if _, send := z.requestNext(); z.isInZone(send) {
+			sends++
 		}
-		return n
-	}
-	if n := sentToZone(); n != 0 {
-		t.Errorf("%d of 40 sent to the unreachable zone", n)
-	}
-	for _, c := range h.engine.caches {
-		c.concurrencyLimit = 100
-	}
-	h.engine.originLimit = 1e6
-	h.advance(h.engine.settings.WarmupTime/4 + ms)
-	if n := sentToZone(); n != 1 {
-		t.Errorf("%d trials, want one", n)
 	}
-	for id, req := range h.engine.requests {
+	return sends
+}
+
+// serveAll serves the attempts that are pending in the zone.
+func (z *zoneClients) serveAll() {
+	for id, req := range z.engine.requests {
 		for i, a := range req.attempts {
-			if a.pending && a.cache.Zone == "a" {
-				h.serve(id, i)
+			if a.pending && a.cache.Zone == z.zone {
+				z.serve(id, i)
 			}
 		}
 	}
-	if n := sentToZone(); n < 10 {
-		t.Errorf("%d of 40 sent after the trial was served", n)
-	}
 }
 
 // After a restart most of an old endpoint list may be gone. A router must not use up the attempts of each request
@@ -104,9 +136,9 @@
 			t.Fatal("skipped although it was reached")
 		}
 	}
-	for at, n := range trials {
-		if n > manyRouters/4 {
-			t.Errorf("%d of %d routers try again within 50 ms of %d ms", n, manyRouters, at*50)
+	for at, routers := range trials {
+		if routers > manyRouters/4 {
+			t.Errorf("%d of %d routers try again within 50 ms of %d ms", routers, manyRouters, at*50)
 		}
 	}
 }
--- a/policy/placement_test.go
+++ b/policy/placement_test.go
@@ -84,8 +84,8 @@
 		t.Fatalf("a third of the traffic went to %v", used)
 	}
 	h.advance(5 * h.engine.countWindow())
-	if n := h.engine.replicaCount(5); n != 1 {
-		t.Fatalf("still replicated on %d caches when no longer hot", n)
+	if replicas := h.engine.replicaCount(5); replicas != 1 {
+		t.Fatalf("still replicated on %d caches when no longer hot", replicas)
 	}
 }
 
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -212,7 +212,7 @@
 	}
 }
 
-// noteUnavailable records that the engine is told of a draining or removed cache, if it was not before.
+// noteUnavailable records that the engine is notified of a draining or removed cache, if it was not before.
 func (c *invariantChecker) noteUnavailable(id string) {
 	if _, ok := c.notifiedAt[id]; !ok {
 		c.notifiedAt[id] = c.harness.now
@@ -287,7 +287,7 @@
 	return true
 }
 
-// checkReject checks that a request may run again after the client has been told to retry.
+// checkReject checks that a request may run again after the client has been advised to retry.
 func (c *invariantChecker) checkReject(reject Reject) {
 	c.harness.t.Helper()
 	c.checkFinalAnswer(reject.ID)
--- a/policy/retries_test.go
+++ b/policy/retries_test.go
@@ -6,55 +6,53 @@
 func TestEffectRules(t *testing.T) {
 	for _, class := range []string{"read", "all", "zone", "cell", "once", "unheard-of"} {
 		for result := ServerError; result <= NotStored; result++ {
-			h := newEngineHarness(t, testSettings())
-			h.handle(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: testEndpoints(8)})
-			first := h.request(1, class, 5)
-			req := h.engine.requests[1]
-			if first == nil {
-				t.Fatal("not sent")
-			}
-			req.attempts[0].pending, req.attempts[0].neverRan = false, result.NeverRan()
-			from := h.engine.caches[first.Cache]
-			for _, c := range h.engine.inService {
-				var want bool
-				switch {
-				case result.NeverRan() || class == "read" || class == "all":
-					want = true
-				case class == "zone":
-					want = c.Zone == from.Zone
-				case class == "cell":
-					want = c.Group == from.Group
-				}
-				if got := h.engine.canSend(req, c); got != want {
-					t.Errorf("%s after %d: canSend to another = %v, want %v", class, result, got, want)
-				}
-			}
-			wantReject := result.NeverRan() || class == "read" || class == "all"
-			if got := h.engine.canReject(req); got != wantReject {
-				t.Errorf("%s after %d: canReject = %v, want %v", class, result, got, wantReject)
-			}
-			h.now += 501 * ms
-			h.engine.now = h.now
-			if class == "all" && !result.NeverRan() && h.engine.canSend(req, from) {
-				t.Errorf("request sent again after its idempotency key has expired")
-			}
+			checkEffectRules(t, class, result)
 		}
 	}
 }
 
+// checkEffectRules checks the rules on repeats for a request whose only attempt has ended with result.
+func checkEffectRules(t *testing.T, class string, result Result) {
+	t.Helper()
+	h := newEngineHarness(t, testSettings())
+	h.handle(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: testEndpoints(8)})
+	first := h.request(1, class, 5)
+	if first == nil {
+		t.Fatal("not sent")
+	}
+	req := h.engine.requests[1]
+	req.attempts[0].pending, req.attempts[0].neverRan = false, result.NeverRan()
+	from := h.engine.caches[first.Cache]
+	repeatableAnywhere := result.NeverRan() || class == "read" || class == "all"
+	for _, c := range h.engine.inService {
+		want := repeatableAnywhere || class == "zone" && c.Zone == from.Zone || class == "cell" && c.Group == from.Group
+		if got := h.engine.canSend(req, c); got != want {
+			t.Errorf("%s after %d: canSend to another = %v, want %v", class, result, got, want)
+		}
+	}
+	if got := h.engine.canReject(req); got != repeatableAnywhere {
+		t.Errorf("%s after %d: canReject = %v, want %v", class, result, got, repeatableAnywhere)
+	}
+	h.now += 501 * ms
+	h.engine.now = h.now
+	if class == "all" && !result.NeverRan() && h.engine.canSend(req, from) {
+		t.Errorf("request sent again after its idempotency key has expired")
+	}
+}
+
 // Retries must not feed the overload that caused them.
 func TestRetryBudget(t *testing.T) {
 	h := newTrafficHarness(t, 8, nil)
-	n := 0
+	retries := 0
 	for id := range int64(200) {
 		if h.request(id+1, "read", uint64(id)) != nil {
 			if len(sendActions(h.finish(id+1, 0, ServerError, false))) > 0 {
-				n++
+				retries++
 			}
 		}
 	}
-	if burst := int(h.engine.retryBurstLimit()); n < burst || n > burst+200*retryRatio {
-		t.Fatalf("%d retries of 200 failures", n)
+	if burst := int(h.engine.retryBurstLimit()); retries < burst || retries > burst+200*retryRatio {
+		t.Fatalf("%d retries of 200 failures", retries)
 	}
 }
 
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -9,15 +9,15 @@
 	endpoints[2].StartedAt = h.now
 	h.handle(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: endpoints})
 	countSends := func() int {
-		n := 0
+		sends := 0
 		for key := range uint64(4000) {
 			id := int64(h.now) + int64(key)
 			if s := h.request(id, "read", key); s != nil && s.Cache == "c02" {
-				n++
+				sends++
 			}
 			h.serve(id, 0)
 		}
-		return n
+		return sends
 	}
 	early := countSends()
 	h.advance(5000 * ms)
@@ -121,7 +121,11 @@
 		warmAt Time   // 0 where it is warm at the end
 	}{
 		{"in the future", []Time{announced + 60000*ms}, announced + 10000*ms},
-		{"in the future, repeated", []Time{announced + 60000*ms, announced + 60000*ms, announced + 60000*ms}, announced + 10000*ms},
+		{
+			"in the future, repeated",
+			[]Time{announced + 60000*ms, announced + 60000*ms, announced + 60000*ms},
+			announced + 10000*ms,
+		},
 		{"repeated", []Time{announced, announced, announced, announced}, announced + 10000*ms},
 		{"late", []Time{announced - 4000*ms}, announced + 6000*ms},
 		{"when it is warm", []Time{announced - 11000*ms}, 0},
