--- a/policy/engine.go
+++ b/policy/engine.go
@@ -7,7 +7,7 @@
 	"math"
 
 	"marlstage/internal/callback"
-	"marlstage/internal/rendezvous"
+	"marlstage/internal/partialsort"
 	"marlstage/internal/splitmix"
 	"marlstage/internal/stats"
 )
@@ -37,9 +37,9 @@
 	skippedIntervals  int     // health check intervals since the last round
 
 	requests      map[int64]*request
-	queue         []*request                 // waiting for capacity, in the order of arrival
-	ranking       rendezvous.Ranking[*cache] // for the key of the last call of rank
-	keyCounts     stats.KeyCounts            // requests by key
+	queue         []*request                  // waiting for capacity, in the order of arrival
+	ranking       partialsort.Ranking[*cache] // for the key of the last call of rank
+	keyCounts     stats.KeyCounts             // requests by key
 	requestCounts stats.WindowCount
 	attemptsSent  int     // ever
 	retryBudget   float64 // tokens for retries and hedges
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -2,24 +2,21 @@
 
 package policy
 
-import (
-	"math"
-
-	"marlstage/internal/rendezvous"
-)
+import "math"
 
 const (
-	maxCandidates    = 4  // caches considered before one that is unhealthy is used after all
-	hotKeyShare      = .5 // of a cache's fair share of the requests that one key may take
-	minHotKeyCount   = 2  // requests for a key before it can be hot
-	hotKeyDeviations = 2  // standard deviations by which chance may have raised a key's count
+	maxCandidates    = 4     // caches considered before one that is unhealthy is used after all
+	hotKeyShare      = .5    // of a cache's fair share of the requests that one key may take
+	minHotKeyCount   = 2     // requests for a key before it can be hot
+	hotKeyDeviations = 2     // standard deviations by which chance may have raised a key's count
+	minUnit          = 1e-18 // keeps the logarithm of a hash finite
 )
 
 // rank orders the caches in service for a key. All routers agree on the order.
 func (e *Engine) rank(key uint64) {
 	e.ranking.Reset(e.inService)
 	for i, c := range e.inService {
-		e.ranking.SetScore(i, rendezvous.Score(mix(key^c.hash), c.Weight))
+		e.ranking.SetScore(i, -math.Log(hashToUnit(key^c.hash)+minUnit)/c.Weight)
 	}
 	if replicas := min(e.replicaCount(key), e.ranking.Len()); replicas > 1 {
 		// A hot key would overload its primary, and the primary's other keys would miss elsewhere.
--- a/policy/settings_test.go
+++ b/policy/settings_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestSettingsErrorIsTyped(t *testing.T) {
-	s := settings()
+	s := testSettings()
 	s.Routers = -3
 	_, err := New(s, 1)
 	var wrong *SettingsError
@@ -21,7 +21,7 @@
 }
 
 func TestNoClassesIsASentinel(t *testing.T) {
-	s := settings()
+	s := testSettings()
 	s.Classes = nil
 	if _, err := New(s, 1); !errors.Is(err, ErrNoClasses) || err.Error() != "policy: Classes is empty" {
 		t.Errorf("got %v, want %v", err, ErrNoClasses)
@@ -30,7 +30,7 @@
 
 // An error names the field as the caller knows it.
 func TestCheckedFieldsExist(t *testing.T) {
-	s := settings()
+	s := testSettings()
 	for _, field := range s.fields() {
 		owner, name := reflect.TypeFor[Settings](), field.name
 		if _, inClass, ok := strings.Cut(name, "]."); ok {
