--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -1,117 +1,131 @@
-// Membership: the list of caches and the calls for it.
+// The endpoint list: polls, their backoff, and updates of the caches.
 
 package policy
 
 import (
 	"cmp"
 	"math"
-	"sort"
+	"slices"
 )
 
 const (
-	backoffMost = 6   // doublings of the wait between calls for the list
-	callRoom    = 1e6 // microseconds that a call for the list may take until its answer
+	maxBackoffDoublings      = 6         // of a wait between retries
+	minPollInterval     Time = 1_000_000 // assumed where the settings give less
+	pollBackoffDivisor       = 40        // part of the poll interval that the backoff starts from
+	pollAllowance       Time = 1_000_000 // time that a poll may take
+	minListedWeight          = 1e-3      // of a cache, so that its load stays finite
 )
 
-// watch calls for the list.
-func (r *Engine) watch() {
-	r.askedAt = r.now
-	r.do(Watch{})
+func (e *Engine) pollEndpoints() {
+	e.polledAt = e.now
+	e.emit(Watch{})
 }
 
-func (r *Engine) list(ev *EndpointsUpdate) {
+func (e *Engine) updateEndpoints(ev *EndpointsUpdate) {
 	if ev.Kind == UpdateFailed {
-		// Routers that lose the list together must not ask together: the list serves few calls.
-		r.calls++
-		wait := float64(max(r.set.PollInterval, 1e6)) / 40 * math.Exp2(float64(min(r.calls, backoffMost)))
-		if r.calls == 1 { // a silent watch is noticed when what it missed is about to count as told
-			wait = min(wait, float64(r.set.DrainGrace))
-		}
-		// The danger: discovery may be back since the start of the call that has failed, and what it has to
-		// tell counts as told before the next call is answered.
-		wait = min(wait, float64(max(NotificationDeadline-callRoom-(r.now-r.askedAt), callRoom/2)))
-		r.at(r.now+Time(wait*(0.5+r.random()/2)), r.watch)
-		if r.calls == 1 {
-			r.logf("list lost, asking again")
-		}
+		e.retryPoll()
 		return
 	}
 	if ev.Kind != UpdateStale {
-		r.calls, r.askedAt = 0, r.now // the next call follows at once
+		e.failedPolls, e.polledAt = 0, e.now // the caller polls again at once
 	}
-	seen := map[string]bool{}
-	for _, e := range ev.Endpoints {
-		seen[e.ID] = true
-		r.entry(e)
+	listed := map[string]bool{}
+	for _, endpoint := range ev.Endpoints {
+		listed[endpoint.ID] = true
+		e.updateEndpoint(endpoint)
 	}
-	r.ready = r.ready[:0]
-	for id, c := range r.caches {
-		if ev.Kind != UpdateDelta && !seen[id] {
+	e.inService = e.inService[:0]
+	for id, c := range e.caches {
+		if ev.Kind != UpdateDelta && !listed[id] {
 			c.State = Removed
 		}
 		if c.State == InService {
-			r.ready = append(r.ready, c)
+			e.inService = append(e.inService, c)
 		}
 	}
-	sort.Slice(r.ready, func(i, j int) bool { return r.ready[i].ID < r.ready[j].ID })
-	size := 0.0
-	for _, c := range r.ready {
-		size += c.Weight / float64(len(r.ready))
+	slices.SortFunc(e.inService, func(a, b *cache) int { return cmp.Compare(a.ID, b.ID) })
+	e.initializeLimits()
+	if !e.started {
+		e.started = true
+		e.start()
 	}
-	r.size = cmp.Or(size, r.size)
-	for _, c := range r.ready {
-		if c.limit == 0 {
-			c.limit = r.firstPart(c)
-			// Routers started together must not all come at once.
-			c.credit, c.creditAt = savedShare*r.random()*float64(r.patience), r.now
-		}
+}
+
+// retryPoll schedules the next poll with a backoff, as discovery serves few routers at a time.
+func (e *Engine) retryPoll() {
+	e.failedPolls++
+	wait := backoff(max(e.settings.PollInterval, minPollInterval), pollBackoffDivisor, e.failedPolls)
+	if e.failedPolls == 1 { // a watch that fell silent is noticed just before what it missed counts as notified
+		wait = min(wait, float64(e.settings.DrainGrace))
 	}
-	if !r.started {
-		r.started = true
-		r.missing = 1
-		r.fetches = max(leastFetches, firstLimit*float64(len(r.ready))/float64(max(1, r.set.Routers)))
-		if r.set.WatchRequired {
-			r.watch()
-		}
-		r.at(r.now, r.forget)
-		r.at(r.now, r.turn)
-		if r.set.HealthChecksAllowed {
-			// Routers started together must not probe on one beat.
-			r.spare = r.random() * float64(len(r.ready))
-			r.at(r.now+Time(r.random()*float64(r.set.DrainGrace)), r.probeRound)
-		}
+	// Discovery may be back already: the next answer must come before a change that it knows counts as notified.
+	untilDeadline := NotificationDeadline - pollAllowance - (e.now - e.polledAt)
+	wait = min(wait, float64(max(untilDeadline, pollAllowance/2)))
+	e.schedule(e.now+Time(e.rng.Jitter(wait)), e.pollEndpoints)
+	if e.failedPolls == 1 {
+		e.logf("endpoint list poll failed failed_polls=%d", e.failedPolls)
 	}
 }
 
-func (r *Engine) entry(e Endpoint) {
-	c := r.caches[e.ID]
-	starts := c == nil || e.StartedAt != c.StartedAt
+// backoff returns a wait that starts from a part of the span and doubles with each failure.
+func backoff(span Time, divisor float64, failures int) float64 {
+	return float64(span) / divisor * math.Exp2(float64(min(failures, maxBackoffDoublings)))
+}
+
+func (e *Engine) updateEndpoint(endpoint Endpoint) {
+	c := e.caches[endpoint.ID]
+	restarted := c == nil || endpoint.StartedAt != c.StartedAt
 	if c == nil {
-		c = &cache{healthy: true, prompt: true, open: 1, hash: hash(e.ID), keeps: [2]map[uint64]bool{{}, {}}}
-		r.caches[e.ID] = c
-	} else if e.StartedAt != c.StartedAt || c.State == Removed && e.State == InService {
-		// The process is a new one: nothing seen of the old one holds.
-		c.healthy, c.fails, c.unmet, c.keeps = true, 0, 0, [2]map[uint64]bool{{}, {}}
-		c.crowd, c.open = 0, 1
-	}
-	if r.set.LiveWeights {
-		// The danger: a size that falls with the load moves keys from list to list, and they miss.
-		// The largest seen is the nominal one, or close; it is the same for all routers.
-		listed := max(e.Weight, 1e-3)
-		e.Weight = max(e.Weight, c.Weight)
-		r.ease(c, max(0, e.Weight/listed-1))
+		c = newCache(endpoint.ID)
+		e.caches[endpoint.ID] = c
+	} else if restarted || c.State == Removed && endpoint.State == InService {
+		c.reset()
 	}
-	c.Endpoint = e
-	if r.zones[e.Zone] == nil {
-		r.zones[e.Zone] = &zone{}
+	if e.settings.LiveWeights {
+		// A weight that falls with the load would move keys. The largest one seen is about the nominal one.
+		listed := max(endpoint.Weight, minListedWeight)
+		endpoint.Weight = max(endpoint.Weight, c.Weight)
+		e.updateLoad(c, max(0, endpoint.Weight/listed-1))
 	}
-	c.zone = r.zones[e.Zone]
-	if e.Weight <= 0 {
+	c.Endpoint = endpoint
+	if endpoint.Weight <= 0 {
 		c.Weight = 1
 	}
-	if from := min(e.StartedAt, r.now); starts && e.StartedAt > 0 && from > c.coldFrom {
-		// The danger: a start that a list dates in the future, or repeats after a later one, shuts the cache
-		// out for longer than it is cold, or lets it in while it is.
-		c.coldFrom, c.warmAt = from, from+r.set.WarmupTime
+	c.zone = cmp.Or(e.zones[endpoint.Zone], &circuitBreaker{})
+	e.zones[endpoint.Zone] = c.zone
+	// A start that is listed in the future, or again after a later one, must not change the slow start's length.
+	startedAt := min(endpoint.StartedAt, e.now)
+	if restarted && endpoint.StartedAt > 0 && startedAt > c.warmupFrom {
+		c.warmupFrom, c.warmAt = startedAt, startedAt+e.settings.WarmupTime
+	}
+}
+
+func (e *Engine) initializeLimits() {
+	mean := 0.0
+	for _, c := range e.inService {
+		mean += c.Weight / float64(len(e.inService))
+	}
+	e.meanWeight = cmp.Or(mean, e.meanWeight)
+	for _, c := range e.inService {
+		if c.concurrencyLimit == 0 {
+			c.concurrencyLimit = e.initialLimit(c)
+			saved := maxSavedTimeShare * e.rng.Float64() // lest routers that start together send together
+			c.timeTokens, c.timeTokensAt = saved*float64(e.latencyThreshold), e.now
+		}
+	}
+}
+
+func (e *Engine) start() {
+	e.missRatio = 1
+	fleetLimit := initialFleetLimit * float64(len(e.inService))
+	e.originLimit = max(minOriginLimit, fleetLimit/float64(max(1, e.settings.Routers)))
+	if e.settings.WatchRequired {
+		e.pollEndpoints()
+	}
+	e.schedule(e.now, e.rotateRecentKeys)
+	e.schedule(e.now, e.rotateCounts)
+	if e.settings.HealthChecksAllowed {
+		e.healthCheckBudget = e.rng.Float64() * float64(len(e.inService)) // lest routers check together
+		e.schedule(e.now+Time(e.rng.Float64()*float64(e.settings.DrainGrace)), e.startHealthCheckRound)
 	}
 }
--- a/policy/origin.go
+++ b/policy/origin.go
@@ -1,66 +1,71 @@
-// The origin: what it likely has to serve, and how much of that is let out.
+// The origin: which attempts it likely has to serve, and the limit on those.
 
 package policy
 
 const (
-	leastFetches    = 1   // likely misses that one router may have out, at least
-	originTolerated = .15 // share of overdue likely misses that their limit bears: the origin is slow to recover
-	originShare     = .65 // of the aim after which a likely miss speaks against the origin
-	missWindow      = 64  // likely misses over which the share of true ones fades
+	minOriginLimit           = 1   // least limit on likely misses in flight
+	toleratedOriginLateShare = .15 // share of overdue likely misses at which the limit stays: recovery is slow
+	missObjectiveShare       = .65 // of the latency objective; a likely miss beyond it counts against the origin
+	missRatioWindow          = 64  // likely misses over which the share of true ones fades
 )
 
-// fetch reports whether the origin likely has to serve a read that is sent to the cache.
-func (r *Engine) fetch(q *request, c *cache) bool { return !q.Write && !c.knows(q.Key) }
+// likelyMissAt reports whether the origin likely has to serve a read that is sent to the cache.
+func (r *request) likelyMissAt(c *cache) bool { return !r.Write && !c.likelyCached(r.Key) }
 
-// knows reports whether the cache has answered for the key lately, so that it likely keeps it.
-func (c *cache) knows(key uint64) bool { return c.keeps[0][key] || c.keeps[1][key] }
+// originHasCapacity reports whether the origin can take misses that could be avoided.
+func (e *Engine) originHasCapacity() bool { return float64(e.missesInFlight) < e.originLimit/2 }
 
-func (r *Engine) originIdles() bool { return float64(r.fetching) < r.fetches/2 }
+// originFull reports whether likely misses must wait. Of those in flight only the share of true ones counts.
+func (e *Engine) originFull() bool { return float64(e.missesInFlight)*e.missRatio >= e.originLimit }
 
-// fetchTime is how long a likely miss may take before it speaks against the origin. The danger: where
-// misses are slow by themselves, fewer of them are no faster, and the limit finds no rest until
-// nothing is fetched. Once all routers together have one out at each cache, it may take its whole aim.
-func (r *Engine) fetchTime(q *request, c *cache) Time {
-	if r.fetches <= float64(len(r.ready))*r.alone() {
-		return q.class.LatencyObjective
+func (e *Engine) adjustOriginLimit(good bool) {
+	e.adjustLimit(&e.originLimit, good, toleratedOriginLateShare)
+	e.originLimit = max(minOriginLimit, e.originLimit)
+}
+
+// missLatencyLimit is how long a likely miss may take before it counts against the origin. Where few are in
+// flight, it is the whole objective: misses that are slow by nature do not become faster.
+func (e *Engine) missLatencyLimit(req *request, c *cache) Time {
+	objective := req.class.LatencyObjective
+	if e.originLimit <= float64(len(e.inService))*e.routerShare() {
+		return objective
 	}
-	slow := r.patienceAt(c, q.class) - q.class.patience()
-	return min(q.class.LatencyObjective, Time(originShare*float64(q.class.LatencyObjective))+slow)
+	slowness := e.latencyThresholdAt(c, req.class) - req.class.latencyThreshold()
+	return min(objective, Time(missObjectiveShare*float64(objective))+slowness)
 }
 
-// overdue blames a late attempt on the origin if it is a likely miss and the cache answered the
-// last likely hit in time, else on the cache. The danger: an origin that is asked for too much serves all of
-// it late, writes too, and goes on with work that nobody waits for; a cache likewise.
-func (r *Engine) overdue(q *request, n int) {
-	a := &q.attempts[n]
-	c := a.to
-	if a.fetch && c.prompt && r.now >= c.warmAt { // a cold one is slow itself and has few hits
-		r.at(a.sent+r.fetchTime(q, c), func() {
-			a := &q.attempts[n]
-			switch {
-			case !a.pending:
-			case c.answered <= a.sent && r.fetched > a.sent:
-				// The danger: one router of many knows few keys, and nearly all that a stuck cache
-				// leaves lying counts as a likely miss. The origin has served others meanwhile.
-				r.eject(c)
-			default:
-				r.adjust(&r.fetches, false, originTolerated)
-				r.fetches = max(1, r.fetches)
-			}
-		})
+// attemptOverdue blames a late attempt on the origin if it is a likely miss and the cache served the last
+// likely hit in time, else on the cache.
+func (e *Engine) attemptOverdue(req *request, n int) {
+	a := &req.attempts[n]
+	c := a.cache
+	if a.likelyMiss && c.lastHitOnTime && e.now >= c.warmAt { // a warming one is slow itself and has few hits
+		e.schedule(a.sentAt+e.missLatencyLimit(req, c), func() { e.missOverdue(&req.attempts[n]) })
 		return
 	}
-	c.prompt = false
-	if c.limit > r.alone() {
-		r.pool(false)
-		r.adjust(&c.limit, false, tolerated)
+	c.lastHitOnTime = false
+	if c.concurrencyLimit > e.routerShare() {
+		e.adjustAllLimits(false)
+		e.adjustCacheLimit(c, false)
 		return
 	}
-	// The danger: where all caches are slow by themselves, less load makes none of them faster,
-	// and a share of nothing is served. Alone, an attempt may take its whole aim.
-	r.at(a.sent+q.class.LatencyObjective, func() {
-		if q.attempts[n].pending {
-			r.adjust(&c.limit, false, tolerated)
+	// Caches that are slow by nature do not become faster: a sole attempt may take its whole objective.
+	e.schedule(a.sentAt+req.class.LatencyObjective, func() {
+		if req.attempts[n].pending {
+			e.adjustCacheLimit(c, false)
 		}
 	})
 }
+
+// missOverdue blames an overdue likely miss on the origin, or on a cache that is silent while the origin
+// serves others: to one of many routers, most of what a hung cache holds is a likely miss.
+func (e *Engine) missOverdue(a *attempt) {
+	if !a.pending {
+		return
+	}
+	if a.cache.lastReplyAt <= a.sentAt && e.lastOriginReplyAt > a.sentAt {
+		e.eject(a.cache)
+	} else {
+		e.adjustOriginLimit(false)
+	}
+}
