--- a/internal/router/budgets_test.go
+++ b/internal/router/budgets_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"marlstage/internal/discovery"
+	"marlstage/internal/resp"
 	"marlstage/policy"
 )
 
@@ -87,7 +88,7 @@
 // TestShortRepliesPassWithFullMemoryBudget checks that replies pass which take no more than the
 // substitute for those that do not fit.
 func TestShortRepliesPassWithFullMemoryBudget(t *testing.T) {
-	for _, reply := range []string{busyReply, "-BUSY 1500\r\n", "+PONG\r\n"} {
+	for _, reply := range []string{resp.BusyReply, "-BUSY 1500\r\n", "+PONG\r\n"} {
 		slot := newReplySlot(newMemoryBudget(0))
 		slot.fill([]byte(reply))
 		if got := string(<-slot.reply); got != reply {
--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -18,12 +18,17 @@
 
 // Replies to commands that are not requests.
 const (
-	pongReply           = "+PONG\r\n"
-	quitReply           = "+OK\r\n"
 	notReadyReply       = "-LOADING no caches are known yet\r\n"
 	unknownCommandReply = "-ERR unknown command\r\n"
 )
 
+// Errors of commands that can be parsed, but that no proper client sends. Clients see their text.
+var (
+	errInlineCommand         = errors.New("a command is an array of bulk strings")
+	errMissingIdempotencyKey = errors.New("k is needed")
+	errUnknownClass          = errors.New("c names no class")
+)
+
 // handleCommand carries out one command. raw is the command as it was received.
 func (c *clientConn) handleCommand(args [][]byte, raw []byte) connState {
 	if len(args) == 0 {
@@ -32,11 +37,11 @@
 	readAt := c.srv.loop.clock()
 	verb := args[0][:min(len(args[0]), maxVerbSize)]
 	switch strings.ToUpper(string(verb)) {
-	case "PING":
+	case resp.VerbPing:
 		return c.reply(c.pingReply(args))
-	case "QUIT":
-		return c.replyAndClose([]byte(quitReply))
-	case "C.GET", "C.SET":
+	case resp.VerbQuit:
+		return c.replyAndClose([]byte(resp.OKReply))
+	case resp.VerbGet, resp.VerbSet:
 		return c.handleRequest(raw, readAt)
 	default:
 		return c.reply([]byte(unknownCommandReply))
@@ -51,7 +56,7 @@
 	case len(args) > 1:
 		return redcon.AppendBulk(nil, args[1])
 	default:
-		return []byte(pongReply)
+		return []byte(resp.PongReply)
 	}
 }
 
@@ -67,13 +72,13 @@
 		err = c.srv.validate(raw, cmd)
 	}
 	if err != nil {
-		return c.reply(redcon.AppendError(nil, "ERR "+err.Error()))
+		return c.reply(resp.AppendError(nil, err.Error()))
 	}
 	slot := newReplySlot(c.srv.memory)
 	// Many short commands take a multiple of their bytes in memory.
 	charge := int64(len(raw) + requestOverhead)
 	if !slot.memory.tryAcquire(charge) {
-		return c.reply([]byte(busyReply))
+		return c.reply([]byte(resp.BusyReply))
 	}
 	slot.charge = charge
 	if !c.enqueue(slot) {
@@ -89,16 +94,16 @@
 // without the idempotency key by which caches drop duplicates.
 func (s *Server) validate(raw []byte, cmd resp.Command) error {
 	if raw[0] != redcon.Array {
-		return errors.New("a command is an array of bulk strings")
+		return errInlineCommand
 	}
 	for _, class := range s.cfg.Settings.Classes {
 		if class.Name != cmd.Class {
 			continue
 		}
 		if class.Effect == policy.IdempotentWithKey && cmd.Write && !cmd.HasIdempotencyKey {
-			return errors.New("k is needed")
+			return errMissingIdempotencyKey
 		}
 		return nil
 	}
-	return errors.New("c names no class")
+	return errUnknownClass
 }
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -6,8 +6,6 @@
 	"os"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"marlstage/internal/resp"
 )
 
@@ -36,7 +34,7 @@
 
 // reply returns the error as it is sent to the client.
 func (e *protocolError) reply() []byte {
-	return redcon.AppendError(nil, "ERR Protocol error: "+e.err.Error())
+	return resp.AppendError(nil, "Protocol error: "+e.err.Error())
 }
 
 // commandReader reads commands from a client's connection.
--- a/internal/router/disconnect_test.go
+++ b/internal/router/disconnect_test.go
@@ -309,7 +309,7 @@
 	})
 	first := receive(d.t, d.cache.commands, "command")
 	d.do(func() {
-		first.reply(d.t, failedReply)
+		first.reply(d.t, resp.FailedReply)
 		d.waitForQueuedEvents(1)
 		d.disconnect(client, how)
 	})
--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -11,11 +11,7 @@
 	"marlstage/policy"
 )
 
-const (
-	eventQueueSize     = 1024      // functions posted to the loop before their senders wait
-	sweepInterval      = 1_000_000 // microseconds between sweeps of idle upstream connections, at most
-	sweepsPerKeepalive = 8         // sweeps within the keepalive time of a cache, at least
-)
+const eventQueueSize = 1024 // functions posted to the loop before their senders wait
 
 // policyEngine makes the decisions: *policy.Engine, or a scripted one in tests.
 type policyEngine interface {
@@ -177,7 +173,7 @@
 	case policy.Reject:
 		l.finishRequest(action.ID, resp.AppendBusy(nil, action.RetryAfter))
 	case policy.Fail:
-		l.finishRequest(action.ID, []byte(failedReply))
+		l.finishRequest(action.ID, []byte(resp.FailedReply))
 	case policy.SetTimer:
 		l.schedule(action.At, func() {
 			l.pendingEvents = append(l.pendingEvents, &policy.TimerFired{Token: action.Token})
--- a/internal/router/outcome_test.go
+++ b/internal/router/outcome_test.go
@@ -225,7 +225,7 @@
 	}
 	r.do(func() { r.loop.perform(policy.Reject{ID: q.id}) })
 	r.wantOutcome(policy.NotSent)
-	if got := string(receive(t, q.slot.reply, "reply")); got != busyReply {
+	if got := string(receive(t, q.slot.reply, "reply")); got != resp.BusyReply {
 		t.Errorf("the client got %q", got)
 	}
 }
--- a/internal/router/pools.go
+++ b/internal/router/pools.go
@@ -1,7 +1,10 @@
 package router
 
-// minSweepInterval is the shortest time in microseconds between sweeps for idle connections.
-const minSweepInterval = 1_000
+const (
+	minSweepInterval   = 1_000     // microseconds between sweeps of idle upstream connections, at least
+	sweepInterval      = 1_000_000 // microseconds between these sweeps, at most
+	sweepsPerKeepalive = 8         // sweeps within the keepalive time of a cache, at least
+)
 
 // acquireDescriptor reserves a descriptor for a connection to a cache server. If none is left, the
 // connection that has been idle for longest, to whichever server, is closed for it.
--- a/internal/router/reply_slot.go
+++ b/internal/router/reply_slot.go
@@ -2,12 +2,6 @@
 
 import "marlstage/internal/resp"
 
-// Replies of the router's own to requests.
-const (
-	busyReply   = resp.BusyReply
-	failedReply = resp.FailedReply
-)
-
 // replySlot reserves the place of a reply among those of its connection.
 type replySlot struct {
 	memory *memoryBudget
@@ -20,13 +14,13 @@
 }
 
 // fill provides the reply; nil stands for none. It does not block and is called once. A reply beyond
-// the memory budget, which many replies to slow readers may use up, is replaced by failedReply.
+// the memory budget, which many replies to slow readers may use up, is replaced by resp.FailedReply.
 func (s *replySlot) fill(reply []byte) {
 	switch size := int64(len(reply)); {
-	case len(reply) <= len(failedReply):
+	case len(reply) <= len(resp.FailedReply):
 		s.memory.acquire(size) // no substitute would be smaller
 	case !s.memory.tryAcquire(size):
-		reply = []byte(failedReply)
+		reply = []byte(resp.FailedReply)
 		s.memory.acquire(int64(len(reply)))
 	}
 	s.reply <- reply
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -21,7 +21,7 @@
 // engine as a request.
 func (l *eventLoop) acceptRequest(c *clientConn, slot *replySlot, cmd resp.Command, readAt policy.Time) {
 	if l.cfg.Transport.MaxOpen > 0 && l.openRequests >= l.cfg.Transport.MaxOpen {
-		slot.fill([]byte(busyReply)) // the engine does not see it, and it is never forwarded
+		slot.fill([]byte(resp.BusyReply)) // the engine does not see it, and it is never forwarded
 		return
 	}
 	cmd.Timeout = l.boundTimeout(cmd.Timeout, readAt)
