Undo the wider wait in the flood test: its failure has another cause

Cause: took an accept loop that lags for the cause of "N bytes are still counted".

Change: the test is as it was.

--- a/internal/router/flood_test.go
+++ b/internal/router/flood_test.go
@@ -77,10 +77,7 @@
 			sending.Wait()
 			other.close()
 			waitUntil(t, "the end of all connections", func() bool {
-				srv.mu.Lock()
-				defer srv.mu.Unlock()
-				// The accept loop may hold the descriptor of the next connection.
-				return len(srv.clients) == 0 && srv.descriptors.clientConns.Load() <= 1
+				return srv.descriptors.clientConns.Load() <= 1 // the accept loop has taken that of the next connection
 			})
 			if inUse := srv.memory.inUse.Load(); inUse != 0 {
 				t.Errorf("%d bytes are still counted", inUse)
