Put the system calls on sockets behind one interface in a package of its own

Cause: system call errors could not be injected into tests; client and cache side each had their own raw calls. Change: internal/socket wraps a connection and makes accept, dial, read, write, peek, poll and ioctl through socket.System. Client reads and writes go through it too. No decision changes; what the calls make of errors is as before.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"time"
+
+	"marlstage/internal/socket"
 )
 
 const (
@@ -25,9 +27,9 @@
 		if closing {
 			s.setAcceptDeadline(time.Now().Add(finalAcceptTimeout))
 		}
-		nc, err := s.listener.Accept()
+		nc, err := socket.Accept(s.system, s.listener)
 		if err == nil {
-			s.startClient(nc.(*net.TCPConn))
+			s.startClient(nc)
 			continue
 		}
 		s.descriptors.releaseClient()
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -2,12 +2,12 @@
 
 import (
 	"errors"
-	"net"
 	"os"
 	"sync/atomic"
 	"time"
 
 	"marlstage/internal/resp"
+	"marlstage/internal/socket"
 	"marlstage/policy"
 )
 
@@ -31,7 +31,7 @@
 // each, and a writer sends the replies in that order.
 type clientConn struct {
 	srv            *Server
-	nc             *net.TCPConn
+	nc             *socket.Conn
 	requests       map[int64]*request // without a final reply; owned by the event loop
 	replies        chan *replySlot    // in the order of the commands
 	draining       atomic.Bool        // the connection is to be closed between requests
@@ -44,7 +44,7 @@
 	readEnded chan struct{} // closed when nothing more is read
 }
 
-func newClientConn(s *Server, nc *net.TCPConn) *clientConn {
+func newClientConn(s *Server, nc *socket.Conn) *clientConn {
 	c := &clientConn{
 		srv:       s,
 		nc:        nc,
@@ -108,9 +108,9 @@
 		case c.lingering.Load():
 			return
 		default: // the deadline was that of a command, or closeWhenIdle has interrupted the read
-			c.setReadDeadline(time.Time{})
+			c.nc.SetReadDeadline(time.Time{})
 			if c.lingering.Load() {
-				c.setReadDeadline(time.Now().Add(c.lingerTime()))
+				c.nc.SetReadDeadline(time.Now().Add(c.lingerTime()))
 			}
 		}
 	}
--- a/internal/router/client_writer.go
+++ b/internal/router/client_writer.go
@@ -23,10 +23,10 @@
 	}
 	// Idle connections that were never answered are closed at once: while they linger, they occupy
 	// descriptors that queued connections need.
-	if connected && (answered || c.hasUnread()) {
+	if connected && (answered || c.nc.HasUnread()) {
 		c.linger()
 	}
-	c.close()
+	c.nc.Close()
 	c.srv.removeClient(c)
 }
 
@@ -45,12 +45,12 @@
 // if it cannot be sent, it closes the connection; the reader then reports the client as gone.
 func (c *clientConn) writeReply(reply []byte) bool {
 	if reply != nil {
-		c.setWriteDeadline(time.Now().Add(writeTimeout))
+		c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := c.nc.Write(reply); err == nil {
 			return true
 		}
 	}
-	c.close()
+	c.nc.Close()
 	return false
 }
 
@@ -68,14 +68,14 @@
 // oversized command or of a request that crosses the close, would reset it and lose the reply.
 func (c *clientConn) linger() {
 	idle := c.srv.loop.clock()-c.lastReplyAt.Load() > c.srv.lingerTime.Microseconds()
-	if idle && !c.hasUnread() && !c.hasUnacknowledged() {
+	if idle && !c.nc.HasUnread() && !c.nc.HasUnacknowledged() {
 		return
 	}
 	if c.nc.CloseWrite() != nil {
 		return
 	}
 	c.lingering.Store(true)
-	c.setReadDeadline(time.Now().Add(c.lingerTime()))
+	c.nc.SetReadDeadline(time.Now().Add(c.lingerTime()))
 	<-c.readEnded
 }
 
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -172,6 +172,6 @@
 // connection is to be closed and is between requests. While requests are in flight it is read on,
 // as a command that follows them on an open connection has to be accepted.
 func (c *clientConn) awaitRead(partial bool, deadline time.Time) bool {
-	c.setReadDeadline(deadline)
-	return !c.draining.Load() || partial || c.pendingReplies.Load() > 0 || c.hasUnread()
+	c.nc.SetReadDeadline(deadline)
+	return !c.draining.Load() || partial || c.pendingReplies.Load() > 0 || c.nc.HasUnread()
 }
--- a/internal/router/dial.go
+++ b/internal/router/dial.go
@@ -3,9 +3,9 @@
 import (
 	"errors"
 	"net"
-	"syscall"
 	"time"
 
+	"marlstage/internal/socket"
 	"marlstage/policy"
 )
 
@@ -30,7 +30,7 @@
 }
 
 // dialDone takes the outcome of a dial: a connection, or an error.
-func (p *pool) dialDone(c *upstreamConn, nc net.Conn, raw syscall.RawConn, err error) {
+func (p *pool) dialDone(c *upstreamConn, nc *socket.Conn, err error) {
 	switch {
 	case c.closed: // while it was being established
 		if nc != nil {
@@ -40,7 +40,7 @@
 		p.dialFailed(c, err)
 	default:
 		p.dialing--
-		c.nc, c.raw, c.connectedAt = nc, raw, p.loop.now
+		c.nc, c.connectedAt = nc, p.loop.now
 		p.release(c)
 	}
 }
@@ -62,17 +62,3 @@
 	var ne net.Error
 	return errors.As(err, &ne) && ne.Timeout()
 }
-
-// dialTCP connects to a cache server, without TCP keep-alive probes.
-func dialTCP(addr string, timeout time.Duration) (net.Conn, syscall.RawConn, error) {
-	nc, err := (&net.Dialer{Timeout: timeout, KeepAlive: -1}).Dial("tcp", addr)
-	if err != nil {
-		return nil, nil, err
-	}
-	raw, err := nc.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		nc.Close()
-		return nil, nil, err
-	}
-	return nc, raw, nil
-}
--- a/internal/router/dial_test.go
+++ b/internal/router/dial_test.go
@@ -158,7 +158,7 @@
 		}
 		q.attempts[0].finish(policy.ConnectFailed, nil) // its dial deadline has passed
 		r.loop.perform(policy.Send{ID: later.id, Cache: "c1"})
-		p.dialDone(first, nil, nil, os.ErrDeadlineExceeded)
+		p.dialDone(first, nil, os.ErrDeadlineExceeded)
 		if later.attempts[0].state != attemptQueued {
 			t.Error("the later attempt has ended")
 		}
--- a/internal/router/disconnect_test.go
+++ b/internal/router/disconnect_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"marlstage/internal/resp"
+	"marlstage/internal/socket"
 	"marlstage/policy"
 )
 
@@ -421,7 +422,11 @@
 	if _, err := io.WriteString(other, getCommand("r1")); err != nil {
 		b.Fatal(err)
 	}
-	c := &clientConn{nc: nc.(*net.TCPConn)}
+	conn, err := socket.NewConn(nc, socket.Linux{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	c := &clientConn{nc: conn}
 	for b.Loop() {
 		if c.hungUp() {
 			b.Fatal("the client is still connected")
--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -8,6 +8,7 @@
 	"marlstage/internal/config"
 	"marlstage/internal/discovery"
 	"marlstage/internal/resp"
+	"marlstage/internal/socket"
 	"marlstage/policy"
 )
 
@@ -23,6 +24,7 @@
 // goroutine may call. It never blocks on a socket.
 type eventLoop struct {
 	cfg           *config.Config
+	system        socket.System
 	engine        policyEngine
 	ctx           context.Context // parent of the context of each watch
 	events        chan func()
@@ -60,6 +62,7 @@
 	}
 	l := &eventLoop{
 		cfg:              cfg,
+		system:           socket.Linux{},
 		engine:           engine,
 		events:           make(chan func(), eventQueueSize),
 		logLines:         make(chan string, logQueueSize),
--- a/internal/router/idle_conn_test.go
+++ b/internal/router/idle_conn_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"marlstage/internal/config"
+	"marlstage/internal/socket"
 	"marlstage/policy"
 )
 
@@ -57,12 +58,12 @@
 				r := newLoopHarness(t, cache.addr(), nil)
 				q := r.newRequest(nil)
 				addr, conns := nonReadingServer(t)
-				nc, raw, err := dialTCP(addr, testTimeout)
+				nc, err := socket.Dial(socket.Linux{}, addr, testTimeout)
 				if err != nil {
 					t.Fatal(err)
 				}
 				t.Cleanup(func() { nc.Close() })
-				c := &upstreamConn{addr: cache.addr(), nc: nc, raw: raw} // without a reader
+				c := &upstreamConn{addr: cache.addr(), nc: nc} // without a reader
 				end(receive(t, conns, "connection"))
 				waitUntil(t, "the end", func() bool { return !c.isSilent() })
 				r.do(func() {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"marlstage/internal/config"
+	"marlstage/internal/socket"
 )
 
 const (
@@ -22,6 +23,7 @@
 type Server struct {
 	cfg         *config.Config
 	listener    net.Listener
+	system      socket.System
 	loop        *eventLoop
 	descriptors *descriptorBudget
 	memory      *memoryBudget
@@ -53,6 +55,7 @@
 	return &Server{
 		cfg:               cfg,
 		listener:          listener,
+		system:            loop.system,
 		loop:              loop,
 		descriptors:       descriptors,
 		memory:            newMemoryBudget(cfg.Limits.MemoryMB),
@@ -163,7 +166,7 @@
 }
 
 // startClient serves a client's connection, whose descriptor has been acquired.
-func (s *Server) startClient(nc *net.TCPConn) {
+func (s *Server) startClient(nc *socket.Conn) {
 	c := newClientConn(s, nc)
 	s.mu.Lock()
 	s.clients[c] = struct{}{}
--- a/internal/router/upstream_conn.go
+++ b/internal/router/upstream_conn.go
@@ -1,13 +1,12 @@
 package router
 
 import (
-	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"marlstage/internal/resp"
+	"marlstage/internal/socket"
 	"marlstage/policy"
 )
 
@@ -19,8 +18,7 @@
 type upstreamConn struct {
 	pool        *pool
 	addr        string
-	nc          net.Conn // nil until the connection is established
-	raw         syscall.RawConn
+	nc          *socket.Conn // nil until the connection is established
 	connectedAt policy.Time
 	attempt     *attempt    // that it carries
 	earlyReply  *resp.Reply // arrived before the loop learned that its request was completely written
@@ -46,13 +44,13 @@
 // run dials and then reads replies until the connection ends. It runs in its own goroutine.
 func (c *upstreamConn) run(addr string, timeout time.Duration) {
 	loop := c.pool.loop
-	nc, raw, err := dialTCP(addr, timeout)
-	loop.post(func() { c.pool.dialDone(c, nc, raw, err) })
+	nc, err := socket.Dial(loop.system, addr, timeout)
+	loop.post(func() { c.pool.dialDone(c, nc, err) })
 	if err != nil {
 		return
 	}
 	defer nc.Close()
-	in := &sequencedReader{conn: c, raw: raw}
+	in := &sequencedReader{conn: c, nc: nc}
 	var buf []byte
 	for {
 		reply, rest, err := resp.ReadReply(in, buf)
--- a/internal/router/upstream_conn_test.go
+++ b/internal/router/upstream_conn_test.go
@@ -9,6 +9,7 @@
 	"marlstage/internal/config"
 	"marlstage/internal/discovery"
 	"marlstage/internal/resp"
+	"marlstage/internal/socket"
 	"marlstage/policy"
 )
 
@@ -210,13 +211,13 @@
 				c := &upstreamConn{pool: p, addr: p.addr}
 				p.conns[c] = struct{}{}
 				p.dialing++
-				nc, raw, err := dialTCP(p.addr, testTimeout)
+				nc, err := socket.Dial(socket.Linux{}, p.addr, testTimeout)
 				if err != nil {
 					t.Error(err)
 					return
 				}
 				change(p, c)
-				p.dialDone(c, nc, raw, nil)
+				p.dialDone(c, nc, nil)
 				if harness.loop.upstreamConns != 0 || p.dialing != 0 || len(p.conns) != 0 || len(p.idle) != 0 {
 					t.Errorf("%d descriptors, %d dials, %d connections, %d idle",
 						harness.loop.upstreamConns, p.dialing, len(p.conns), len(p.idle))
--- a/internal/router/upstream_write.go
+++ b/internal/router/upstream_write.go
@@ -16,7 +16,7 @@
 		return
 	}
 	buf := a.encode(c.pool.loop.now)
-	n, err := c.tryWrite(buf)
+	n, err := c.nc.TryWrite(buf)
 	if n == 0 && err != nil {
 		c.failUnsent(a, isNew) // the server had closed the connection
 		return
--- /dev/null
+++ b/internal/socket/conn.go
@@ -0,0 +1,214 @@
+package socket
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Conn is a TCP connection. Its methods may be called from several goroutines.
+type Conn struct {
+	tcp    *net.TCPConn
+	raw    syscall.RawConn
+	system System
+}
+
+// NotTCPError reports a connection that is no TCP connection.
+type NotTCPError struct{ Conn net.Conn }
+
+// Error names the connection's type.
+func (e *NotTCPError) Error() string { return fmt.Sprintf("%T is no TCP connection", e.Conn) }
+
+// NewConn wraps a connection. If it fails, it has closed the connection.
+func NewConn(nc net.Conn, system System) (*Conn, error) {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		nc.Close()
+		return nil, &NotTCPError{nc}
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return &Conn{tcp: tcp, raw: raw, system: system}, nil
+}
+
+// Accept waits for the next connection of a listener.
+func Accept(system System, listener net.Listener) (*Conn, error) {
+	nc, err := system.Accept(listener)
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(nc, system)
+}
+
+// Dial connects to an address, within the timeout.
+func Dial(system System, addr string, timeout time.Duration) (*Conn, error) {
+	nc, err := system.Dial(addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(nc, system)
+}
+
+// Read implements io.Reader. It waits until something has arrived or the read deadline has passed.
+func (c *Conn) Read(b []byte) (int, error) {
+	return c.readWith(func(fd int) (int, error) { return c.readNow(fd, b) })
+}
+
+// ReadLocked reads like Read. It holds the lock while it reads from the socket, and calls received
+// before it releases the lock if bytes have arrived.
+func (c *Conn) ReadLocked(b []byte, lock sync.Locker, received func()) (int, error) {
+	return c.readWith(func(fd int) (int, error) {
+		lock.Lock()
+		defer lock.Unlock()
+		n, err := c.readNow(fd, b)
+		if n > 0 {
+			received()
+		}
+		return n, err
+	})
+}
+
+// readWith waits until read, which does not wait, has read something or failed.
+func (c *Conn) readWith(read func(fd int) (int, error)) (n int, err error) {
+	waitErr := c.raw.Read(func(fd uintptr) (done bool) {
+		n, err = read(int(fd))
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	switch {
+	case waitErr != nil:
+		return 0, waitErr
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// readNow reads what has arrived, without waiting.
+func (c *Conn) readNow(fd int, b []byte) (n int, err error) {
+	err = retryInterrupted(func() error {
+		n, err = c.system.Read(fd, b)
+		return err
+	})
+	return max(n, 0), err
+}
+
+// Write implements io.Writer. It waits until all is written or the write deadline has passed.
+func (c *Conn) Write(b []byte) (written int, err error) {
+	waitErr := c.raw.Write(func(fd uintptr) (done bool) {
+		for written < len(b) && err == nil {
+			var n int
+			n, err = c.writeNow(int(fd), b[written:])
+			written += n
+		}
+		if errors.Is(err, syscall.EAGAIN) {
+			err = nil
+			return false
+		}
+		return true
+	})
+	return written, errors.Join(waitErr, err)
+}
+
+// TryWrite writes what the socket takes, without waiting.
+func (c *Conn) TryWrite(b []byte) (n int, err error) {
+	waitErr := c.raw.Write(func(fd uintptr) (done bool) {
+		n, err = c.writeNow(int(fd), b)
+		return true
+	})
+	if errors.Is(err, syscall.EAGAIN) {
+		return 0, nil
+	}
+	return n, errors.Join(waitErr, err)
+}
+
+// writeNow writes as much as the socket takes, without waiting.
+func (c *Conn) writeNow(fd int, b []byte) (n int, err error) {
+	err = retryInterrupted(func() error {
+		n, err = c.system.Write(fd, b)
+		return err
+	})
+	return max(n, 0), err
+}
+
+// IsSilent reports whether neither bytes nor the end of the connection have arrived that are not
+// read yet.
+func (c *Conn) IsSilent() bool {
+	silent := false
+	err := c.raw.Control(func(fd uintptr) {
+		_, err := c.system.Peek(int(fd), make([]byte, 1))
+		silent = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
+	})
+	return err == nil && silent
+}
+
+// HasUnread reports whether bytes have been received that are not read yet.
+func (c *Conn) HasUnread() bool {
+	n := 0
+	err := c.raw.Control(func(fd uintptr) {
+		// On an error nothing can be read, and n is not positive.
+		n, _ = c.system.Peek(int(fd), make([]byte, 1))
+	})
+	return err == nil && n > 0
+}
+
+// HasUnacknowledged reports whether the peer's machine has yet to acknowledge some of what was
+// written.
+func (c *Conn) HasUnacknowledged() bool {
+	n := 0
+	var queryErr error
+	err := c.raw.Control(func(fd uintptr) {
+		n, queryErr = c.system.UnacknowledgedBytes(int(fd))
+	})
+	return errors.Join(err, queryErr) == nil && n > 0
+}
+
+// HungUp reports whether the peer has closed its side of the connection or reset it, even if bytes
+// that were sent before are not read yet.
+func (c *Conn) HungUp() bool {
+	hungUp := false
+	err := c.raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, pollErr := c.system.Poll(fds)
+		hungUp = pollErr == nil && n > 0 && fds[0].Revents&unix.POLLRDHUP != 0
+	})
+	return hungUp || err != nil
+}
+
+// SetReadDeadline sets the deadline of the pending read and of further ones; zero stands for none.
+func (c *Conn) SetReadDeadline(deadline time.Time) {
+	_ = c.tcp.SetReadDeadline(deadline) // fails only on a closed connection, which the read reports
+}
+
+// SetWriteDeadline sets the deadline of the pending write and of further ones; zero stands for none.
+func (c *Conn) SetWriteDeadline(deadline time.Time) {
+	_ = c.tcp.SetWriteDeadline(deadline) // fails only on a closed connection, which the write reports
+}
+
+// CloseWrite ends the sending side of the connection.
+func (c *Conn) CloseWrite() error { return c.tcp.CloseWrite() }
+
+// Close closes the connection. It may be closed already.
+func (c *Conn) Close() {
+	_ = c.tcp.Close() // nothing can be done about an error on a connection that is given up
+}
+
+// retryInterrupted repeats a system call that a signal has interrupted.
+func retryInterrupted(call func() error) error {
+	for {
+		err := call()
+		if !errors.Is(err, syscall.EINTR) {
+			return err
+		}
+	}
+}
