--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -147,9 +147,9 @@
 
 func (c *clientConn) replyAndLeave(reply []byte, next connState) connState {
 	slot := newReplySlot(c.srv.memory)
-	slot.fill(reply)
 	if !c.enqueue(slot) {
 		return connGone
 	}
+	slot.fill(reply) // only now, as the writer releases the reply's memory
 	return next
 }
--- /dev/null
+++ b/internal/router/faulty_system_test.go
@@ -0,0 +1,178 @@
+package router
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"marlstage/internal/socket"
+)
+
+// systemCall names a call of socket.System.
+type systemCall string
+
+const (
+	callAccept         systemCall = "accept"
+	callDial           systemCall = "dial"
+	callRead           systemCall = "read"
+	callWrite          systemCall = "write"
+	callPeek           systemCall = "peek"
+	callPoll           systemCall = "poll"
+	callUnacknowledged systemCall = "unacknowledged bytes"
+)
+
+// fault is what happens to one system call. Without an error the call is made.
+type fault struct {
+	err      error
+	maxBytes int           // if positive, the most that a read or write transfers: a short count
+	begun    chan struct{} // if not nil, closed when the call is reached, ...
+	resume   chan struct{} // ... which then waits until this is closed: a stall without a sleep
+}
+
+// faultySystem makes system calls with scripted faults. Calls with nothing scripted are made as they
+// are. Where decide is set, it is asked for the fault of a call on a descriptor, 0 if there is none.
+type faultySystem struct {
+	socket.Linux
+	mu     sync.Mutex
+	script map[systemCall][]fault
+	calls  map[systemCall]int
+	decide func(call systemCall, fd int) *fault
+}
+
+func newFaultySystem() *faultySystem {
+	return &faultySystem{script: map[systemCall][]fault{}, calls: map[systemCall]int{}}
+}
+
+// inject scripts the faults of the next calls of a kind, in their order.
+func (s *faultySystem) inject(call systemCall, faults ...fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.script[call] = append(s.script[call], faults...)
+}
+
+// injectError has the next calls of a kind fail, count times.
+func (s *faultySystem) injectError(call systemCall, err error, count int) {
+	for range count {
+		s.inject(call, fault{err: err})
+	}
+}
+
+// callCount returns how many calls of a kind were made, those with faults included.
+func (s *faultySystem) callCount(call systemCall) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[call]
+}
+
+// pending returns how many scripted faults of a kind have not happened yet.
+func (s *faultySystem) pending(call systemCall) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.script[call])
+}
+
+// next counts a call and returns its fault, after the stall if it has one.
+func (s *faultySystem) next(call systemCall, fd int) fault {
+	s.mu.Lock()
+	s.calls[call]++
+	var f fault
+	if len(s.script[call]) > 0 {
+		f, s.script[call] = s.script[call][0], s.script[call][1:]
+	} else if s.decide != nil {
+		if decided := s.decide(call, fd); decided != nil {
+			f = *decided
+		}
+	}
+	s.mu.Unlock()
+	if f.begun != nil {
+		close(f.begun)
+	}
+	if f.resume != nil {
+		<-f.resume
+	}
+	return f
+}
+
+func (f fault) limit(b []byte) []byte {
+	if f.maxBytes > 0 {
+		return b[:min(len(b), f.maxBytes)]
+	}
+	return b
+}
+
+func (s *faultySystem) Accept(listener net.Listener) (net.Conn, error) {
+	if f := s.next(callAccept, 0); f.err != nil {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: f.err}
+	}
+	return s.Linux.Accept(listener)
+}
+
+func (s *faultySystem) Dial(addr string, timeout time.Duration) (net.Conn, error) {
+	if f := s.next(callDial, 0); f.err != nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: f.err}
+	}
+	return s.Linux.Dial(addr, timeout)
+}
+
+func (s *faultySystem) Read(fd int, b []byte) (int, error) {
+	f := s.next(callRead, fd)
+	if f.err != nil {
+		return -1, f.err
+	}
+	return s.Linux.Read(fd, f.limit(b))
+}
+
+func (s *faultySystem) Write(fd int, b []byte) (int, error) {
+	f := s.next(callWrite, fd)
+	if f.err != nil {
+		return -1, f.err
+	}
+	return s.Linux.Write(fd, f.limit(b))
+}
+
+func (s *faultySystem) Peek(fd int, b []byte) (int, error) {
+	if f := s.next(callPeek, fd); f.err != nil {
+		return -1, f.err
+	}
+	return s.Linux.Peek(fd, b)
+}
+
+func (s *faultySystem) Poll(fds []unix.PollFd) (int, error) {
+	if f := s.next(callPoll, int(fds[0].Fd)); f.err != nil {
+		return -1, f.err
+	}
+	return s.Linux.Poll(fds)
+}
+
+func (s *faultySystem) UnacknowledgedBytes(fd int) (int, error) {
+	if f := s.next(callUnacknowledged, fd); f.err != nil {
+		return 0, f.err
+	}
+	return s.Linux.UnacknowledgedBytes(fd)
+}
+
+// useFaultySystem has a server that does not run yet make its system calls through a faulty system.
+func useFaultySystem(srv *Server) *faultySystem {
+	system := newFaultySystem()
+	srv.system, srv.loop.system = system, system
+	return system
+}
+
+// TestFaultySystem checks that a scripted fault happens once.
+func TestFaultySystem(t *testing.T) {
+	system := newFaultySystem()
+	system.injectError(callDial, unix.ENOBUFS, 1)
+	if _, err := system.Dial("127.0.0.1:1", testTimeout); !errors.Is(err, unix.ENOBUFS) {
+		t.Errorf("dial: %v", err)
+	}
+	if _, err := system.Dial(newFakeCache(t).addr(), testTimeout); err != nil {
+		t.Errorf("the next dial: %v", err)
+	}
+	if system.callCount(callDial) != 2 || system.pending(callDial) != 0 {
+		t.Errorf("%d calls, %d faults pending", system.callCount(callDial), system.pending(callDial))
+	}
+}
