End the accept loop of a drain only when the listener's queue is empty

Cause: package net checks a listener's deadline before it looks for a connection, and acceptLoop (accept.go, `timedOut && closing`) took a deadline that had passed for an empty queue. drain then closed the listener, which resets the queued connections and the requests that were sent on them. Two ways in: a stall of more than finalAcceptTimeout (20 ms) between SetDeadline and Accept, and, without any stall, drain's own setAcceptDeadline(time.Now()) landing after that of the accept loop, which accepts queued connections as soon as `closing` is closed.

Change: after a timeout the listener is asked with poll(2), timeout 0, whether connections are queued (socket.HasQueuedConnections). Where poll fails for a moment (EINTR, ENOMEM) the loop goes on; where a listener cannot be asked it behaves as before.

Ruled out: errors of accept (EMFILE, ENFILE, ENOBUFS, ENOMEM and those of a connection) did not end the loop of a drain before either; TestAcceptErrorsWhileDraining holds that, with the errors of poll.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -33,12 +33,15 @@
 			continue
 		}
 		s.descriptors.releaseClient()
-		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 		switch {
-		case errors.Is(err, net.ErrClosed), timedOut && closing:
+		case errors.Is(err, net.ErrClosed):
 			return err
-		case timedOut:
-			// drain has interrupted Accept: the router closes.
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			// Outside of closing drain has interrupted Accept. The deadline may also have passed
+			// before Accept looked for a connection, which then is still queued.
+			if closing && !socket.HasQueuedConnections(s.system, s.listener) {
+				return err
+			}
 		default:
 			// The process is out of descriptors, or the connection was reset while it was queued.
 			// Neither may end the router; queued connections wait.
--- /dev/null
+++ b/internal/router/accept_error_test.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// newReadyServer makes a server that knows one cache and does not run yet.
+func newReadyServer(t *testing.T) *Server {
+	t.Helper()
+	srv, err := New(testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", "127.0.0.1:1", "in_service")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return srv
+}
+
+// deadlineListener reports the deadlines that are set and replaces some of them.
+type deadlineListener struct {
+	*net.TCPListener
+	set     chan time.Time               // receives each deadline once it is set
+	replace func(at time.Time) time.Time // returns the deadline to be set
+}
+
+func (l *deadlineListener) SetDeadline(at time.Time) error {
+	err := l.TCPListener.SetDeadline(l.replace(at))
+	l.set <- at
+	return err
+}
+
+// useDeadlineListener installs a deadlineListener in a server that does not run yet.
+func useDeadlineListener(srv *Server, replace func(at time.Time) time.Time) *deadlineListener {
+	listener := &deadlineListener{srv.listener.(*net.TCPListener), make(chan time.Time, 1000), replace}
+	srv.listener = listener
+	return listener
+}
+
+// TestDrainAcceptsQueueAfterStall checks that the accept loop does not take a deadline that passed
+// before it looked at the listener for an empty queue: closing the listener would reset the queued
+// connections, and the requests that were sent on them.
+func TestDrainAcceptsQueueAfterStall(t *testing.T) {
+	srv := newReadyServer(t)
+	srv.lateAcceptTime = 0
+	system := useFaultySystem(srv)
+	firstAccept := fault{begun: make(chan struct{}), resume: make(chan struct{})}
+	system.inject(callAccept, firstAccept)
+	deadlines := 0
+	listener := useDeadlineListener(srv, func(at time.Time) time.Time {
+		if deadlines++; deadlines <= 3 {
+			return time.Unix(1, 0) // as though the router were held up until the deadline has passed
+		}
+		return at
+	})
+	router := startServer(t, srv)
+	receive(t, firstAccept.begun, "call of accept")
+	client := dial(t, router.addr)
+	client.send(encodeCommand("PING"))
+	router.stop()
+	receive(t, listener.set, "interruption of accept")
+	close(firstAccept.resume)
+	client.wantLine("+PONG")
+	client.wantClosed()
+	if err := receive(t, router.ended, "end of the router"); err != nil {
+		t.Error(err)
+	}
+}
+
+// acceptErrors are the errors that accept(2) documents: of the connection taken from the queue, and
+// of a machine that is short of resources.
+var acceptErrors = struct{ connection, shortage []unix.Errno }{
+	connection: []unix.Errno{
+		unix.ECONNABORTED, unix.EINTR, unix.EAGAIN, unix.EPERM, unix.ENETDOWN, unix.EPROTO, unix.ENOPROTOOPT,
+		unix.EHOSTDOWN, unix.ENONET, unix.EHOSTUNREACH, unix.EOPNOTSUPP, unix.ENETUNREACH, unix.ETIMEDOUT,
+	},
+	shortage: []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM},
+}
+
+// TestAcceptErrorsWhileDraining checks that no error of accept ends the accept loop while connections
+// are queued.
+func TestAcceptErrorsWhileDraining(t *testing.T) {
+	srv := newReadyServer(t)
+	srv.lateAcceptTime = 0
+	system := useFaultySystem(srv)
+	firstAccept := fault{begun: make(chan struct{}), resume: make(chan struct{})}
+	system.inject(callAccept, firstAccept)
+	for range 2 {
+		for _, errno := range append(acceptErrors.shortage, acceptErrors.connection...) {
+			system.injectError(callAccept, errno, 1)
+		}
+	}
+	system.injectError(callPoll, unix.ENOMEM, 1)
+	system.injectError(callPoll, unix.EINTR, 2)
+	listener := useDeadlineListener(srv, func(at time.Time) time.Time { return at })
+	router := startServer(t, srv)
+	receive(t, firstAccept.begun, "call of accept")
+	client := dial(t, router.addr)
+	client.send(encodeCommand("PING"))
+	router.stop()
+	receive(t, listener.set, "interruption of accept")
+	close(firstAccept.resume)
+	client.wantLine("+PONG")
+	client.wantClosed()
+	if err := receive(t, router.ended, "end of the router"); err != nil {
+		t.Error(err)
+	}
+	if left := system.pending(callAccept) + system.pending(callPoll); left > 0 {
+		t.Errorf("%d errors are left", left)
+	}
+}
