Retry accept at once after the error of a queued connection

Cause: acceptLoop slept acceptBackoff (10 ms) after any error of accept. Linux passes errors that are pending on the new connection as errors of accept (EPROTO, ENETDOWN, EHOSTUNREACH and others; package net itself repeats ECONNABORTED and EINTR), so that many connections that failed while queued delayed those behind them by 10 ms each: 100 of them by a second.

Change: only a shortage of resources (EMFILE, ENFILE, ENOBUFS, ENOMEM) waits at once. Other errors are retried at once, up to 99 in a row, so that an error that stays does not spin the loop.

Ruled out: no error of accept ended the router or was logged.

Result: TestAcceptErrorsOfConnections, with a long backoff, fails without the change ("no reply: i/o timeout") and passes with it, 10 of 10 times with -race.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"syscall"
 	"time"
 
 	"marlstage/internal/socket"
@@ -11,6 +12,7 @@
 
 const (
 	acceptBackoff      = 10 * time.Millisecond  // before a descriptor is sought again
+	maxAcceptRetries   = 100                    // of failed calls in a row, before one waits for the backoff
 	firstCommandGrace  = 100 * time.Millisecond // for a new connection's first command to arrive before it may be evicted
 	finalAcceptTimeout = 20 * time.Millisecond  // for each Accept of a queued connection while the router drains
 )
@@ -19,6 +21,7 @@
 // the kernel has accepted them, so requests may already have been sent on them, and closing the
 // listener would reset them.
 func (s *Server) acceptLoop() error {
+	var failures acceptFailures
 	for {
 		if !s.waitForDescriptor() {
 			return net.ErrClosed
@@ -29,6 +32,7 @@
 		}
 		nc, err := socket.Accept(s.system, s.listener)
 		if err == nil {
+			failures.reset()
 			s.startClient(nc)
 			continue
 		}
@@ -42,14 +46,36 @@
 			if closing && !socket.HasQueuedConnections(s.system, s.listener) {
 				return err
 			}
-		default:
-			// The process is out of descriptors, or the connection was reset while it was queued.
-			// Neither may end the router; queued connections wait.
+		case failures.needBackoff(err):
 			time.Sleep(s.acceptBackoff)
 		}
 	}
 }
 
+// acceptFailures counts errors of accept in a row. None of them may end the router: the process or
+// the machine is short of resources, or a connection has failed while it was queued.
+type acceptFailures struct{ inRow int }
+
+func (f *acceptFailures) reset() { f.inRow = 0 }
+
+// needBackoff counts an error and reports whether to wait before the next call. A failed connection
+// does not delay those queued behind it, unless so many fail that the loop would spin.
+func (f *acceptFailures) needBackoff(err error) bool {
+	f.inRow++
+	return isResourceShortage(err) || f.inRow%maxAcceptRetries == 0
+}
+
+// isResourceShortage reports whether descriptors or memory were lacking, so that a call that is
+// repeated at once would fail again.
+func isResourceShortage(err error) bool {
+	for _, errno := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
 // waitForDescriptor waits for a descriptor for one more client. It reports false once no more
 // clients are accepted. While there is no descriptor, it evicts the connection that has been idle
 // for longest, as the protocol allows between requests, so that idle clients do not shut out
--- a/internal/router/accept_error_test.go
+++ b/internal/router/accept_error_test.go
@@ -78,6 +78,48 @@
 	shortage: []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM},
 }
 
+// TestAcceptErrorsOfConnections checks that connections which fail before they are accepted do not
+// delay the one behind them.
+func TestAcceptErrorsOfConnections(t *testing.T) {
+	srv := newReadyServer(t)
+	srv.acceptBackoff = 2 * testTimeout
+	system := useFaultySystem(srv)
+	for range 5 {
+		for _, errno := range acceptErrors.connection {
+			system.injectError(callAccept, errno, 1)
+		}
+	}
+	client := dial(t, startServer(t, srv).addr)
+	client.send(encodeCommand("PING"))
+	client.wantLine("+PONG")
+	if left := system.pending(callAccept) + system.pending(callPoll); left > 0 {
+		t.Errorf("%d errors are left", left)
+	}
+}
+
+// TestAcceptBackoff checks that errors of connections wait only where too many come in a row, and
+// that a shortage of resources always waits.
+func TestAcceptBackoff(t *testing.T) {
+	for _, errno := range acceptErrors.shortage {
+		var failures acceptFailures
+		if !failures.needBackoff(&net.OpError{Op: "accept", Err: errno}) {
+			t.Errorf("no backoff after %v", errno)
+		}
+	}
+	for _, errno := range acceptErrors.connection {
+		var failures acceptFailures
+		backoffs := 0
+		for range 10 * maxAcceptRetries {
+			if failures.needBackoff(&net.OpError{Op: "accept", Err: errno}) {
+				backoffs++
+			}
+		}
+		if backoffs != 10 {
+			t.Errorf("%d backoffs in %d times %v", backoffs, 10*maxAcceptRetries, errno)
+		}
+	}
+}
+
 // TestAcceptErrorsWhileDraining checks that no error of accept ends the accept loop while connections
 // are queued.
 func TestAcceptErrorsWhileDraining(t *testing.T) {
