Answer everything that was read before SIGKILL, and read nothing later

Causes, all in the drain: - server.go: drain returned at a fixed time, 0.65 s after the longest timeout, and the process ended with whatever was unanswered then. A client that sends on and on is never between requests, so its connection was read until that moment and cut in the middle; so were requests whose timeouts were longer, and connections still queued for a descriptor. - drainDeadline lay 0.15 s before the earliest SIGKILL: one stall of 0.15 s before the router notices the signal, or before it writes, used all of it (timeout 3 s: due after 3.55 s, SIGKILL after 3.7 s). - beginDrain ran 0.5 s after the signal, so that deadlines of requests before that were not bounded: with a timeout of 20 s they outlast SIGKILL and hold up the replies to all later ones behind them.

Change: the last replies are due 0.35 s after the longest timeout (two stalls and 50 ms before the earliest SIGKILL; 0.5 s after the signal at least, as clients still open connections). From the signal on deadlines are cut to that; when it has come, open requests fail, later ones get -BUSY from the loop, and the readers stop, so that the rest stays unread. Only the first command of a connection that waited for a descriptor is still read and answered; a partial command gets its error line. The process ends once all connections are closed; 6 s later at the latest, as no connection outlasts that. command_reader.go (awaitRead, fill) takes a few lines for the end of reading.

Tests: TestDrainBoundsRequestDeadlines keeps its checks, and the stricter TestDrainTimeLeavesRoomForStalls has its one on SIGKILL. TestDrainTimeout also checks the replies. TestDrainWithRequestsInFlight accepts late connections for 5 s, so its last replies are due later, too.

Ruled out: a request whose deadline has passed when the policy sees it is answered at once (its attempt ends as NotSent, then rejectOrFail), also with all caches hanging.

--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -120,6 +120,9 @@
 	r.updateDeadline()
 	partial := len(r.buf) > 0
 	if !r.conn.awaitRead(partial, r.deadline) {
+		if partial {
+			return &protocolError{errCommandTimeout}
+		}
 		return errIdleClose
 	}
 	n, err := r.conn.nc.Read(r.buf[len(r.buf):cap(r.buf)])
@@ -170,8 +173,12 @@
 
 // awaitRead sets the deadline of the next read; zero stands for none. It reports false if the
 // connection is to be closed and is between requests. While requests are in flight it is read on,
-// as a command that follows them on an open connection has to be accepted.
+// as a command that follows them on an open connection has to be accepted. Once the last replies of
+// a drain are due, only the first command of a connection is still read, and is answered at once.
 func (c *clientConn) awaitRead(partial bool, deadline time.Time) bool {
 	c.nc.SetReadDeadline(deadline)
+	if c.srv.readingEnded.Load() {
+		return !partial && !c.hasCommand.Load() && c.nc.HasUnread()
+	}
 	return !c.draining.Load() || partial || c.pendingReplies.Load() > 0 || c.nc.HasUnread()
 }
--- a/internal/router/drain_test.go
+++ b/internal/router/drain_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"marlstage/internal/resp"
+	"marlstage/policy"
 )
 
 // TestDrainWithRequestsInFlight checks that after SIGTERM connections and requests are still
@@ -19,6 +22,7 @@
 		t.Fatal(err)
 	}
 	srv.lateAcceptTime = 5 * time.Second // long enough for a slow machine
+	srv.drainTime = testTimeout
 	router := startServer(t, srv)
 	idle := dial(t, router.addr)
 	busy := dial(t, router.addr)
@@ -43,22 +47,28 @@
 }
 
 // TestDrainTimeout checks that neither a request without a reply nor a partial command delays the
-// end of the router beyond the longest deadline.
+// end of the router beyond the longest deadline, and that both are answered.
 func TestDrainTimeout(t *testing.T) {
 	srv, err := New(testConfig(t, silentDiscovery(t), nil))
 	if err != nil {
 		t.Fatal(err)
 	}
 	srv.loop.engine = &scriptedEngine{} // does not reply
-	srv.loop.maxTimeout = 1000
+	srv.lateAcceptTime = time.Millisecond
+	srv.drainTime = 2 * time.Millisecond
 	router := startServer(t, srv)
 	waiting := dial(t, router.addr)
 	partial := dial(t, router.addr)
 	waiting.send(encodeCommand("PING") + getCommand("r1"))
 	waiting.readLine() // not ready, since no cache is known
+	(&loopHarness{t: t, loop: srv.loop}).waitForOpenRequests(1)
 	partial.send(encodeCommand("PING") + "*4\r\n$5\r\nC.G")
 	partial.readLine()
 	router.stop()
+	waiting.wantLine("-ERR failed")
+	waiting.wantClosed()
+	partial.wantLine("-ERR Protocol error: " + errCommandTimeout.Error())
+	partial.wantClosed()
 	if err := receive(t, router.ended, "end of the router"); err != nil {
 		t.Error(err)
 	}
@@ -156,20 +166,61 @@
 	}
 }
 
+// TestDrainTimeLeavesRoomForStalls checks that the last replies have reached their clients before
+// SIGKILL where the router is held up before it notices SIGTERM, and again before it writes, and that
+// the router serves for as long as new connections come.
+func TestDrainTimeLeavesRoomForStalls(t *testing.T) {
+	const (
+		stall              = 150 * time.Millisecond
+		newConnectionsCome = 400 * time.Millisecond
+	)
+	for _, longest := range []time.Duration{0, 50, 200, 1000, 3000, 20000} {
+		longest *= time.Millisecond
+		killedAt := min(longest, 3*time.Second) + 700*time.Millisecond
+		due := drainTimeFor(longest.Microseconds())
+		if due <= newConnectionsCome {
+			t.Errorf("timeout %v: the last replies are due after %v", longest, due)
+		}
+		if longest >= stall && due+2*stall >= killedAt {
+			t.Errorf("timeout %v: the last replies are due after %v, SIGKILL comes after %v", longest, due, killedAt)
+		}
+		if due+stall >= killedAt {
+			t.Errorf("timeout %v: the last replies are due after %v, SIGKILL comes after %v", longest, due, killedAt)
+		}
+	}
+}
+
 // TestDrainBoundsRequestDeadlines checks that requests are answered before SIGKILL, however long
-// their clients would wait.
+// their clients would wait: those accepted before SIGTERM, those accepted later, and those that come
+// when the last replies are due.
 func TestDrainBoundsRequestDeadlines(t *testing.T) {
 	harness := newLoopHarness(t, "127.0.0.1:1", nil)
+	early := harness.newRequest(nil)
+	var due policy.Time
 	harness.do(func() {
-		harness.loop.beginDrain(harness.loop.now)
-		killedAt := harness.loop.now + (maxDrainTimeout + drainSlack).Microseconds()
-		if harness.loop.drainDeadline >= killedAt {
-			t.Errorf("the last replies come %d us after SIGTERM, and SIGKILL after %d",
-				harness.loop.drainDeadline-harness.loop.now, killedAt-harness.loop.now)
-		}
+		due = harness.loop.now + early.command.Timeout/2
+		harness.loop.beginDrain(due)
+	})
+	later := harness.newRequest(nil)
+	if later.deadline != due {
+		t.Errorf("deadline %d, want %d", later.deadline, due)
+	}
+	late := newReplySlot(newMemoryBudget(192))
+	harness.do(func() {
+		harness.loop.now = due
+		harness.loop.runDueTimers()
+		harness.loop.acceptRequest(early.client, late, early.command, due)
 	})
-	if req := harness.newRequest(nil); req.deadline != harness.loop.drainDeadline {
-		t.Errorf("deadline %d, want %d", req.deadline, harness.loop.drainDeadline)
+	for name, req := range map[string]*request{"early": early, "later": later} {
+		if reply := receive(t, req.slot.reply, "reply"); string(reply) != resp.FailedReply {
+			t.Errorf("%s request: reply %q", name, reply)
+		}
+	}
+	if reply := receive(t, late.reply, "reply"); string(reply) != resp.BusyReply {
+		t.Errorf("late request: reply %q", reply)
+	}
+	if open := harness.openRequests(); open != 0 {
+		t.Errorf("%d requests are open", open)
 	}
 }
 
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -20,7 +20,9 @@
 // acceptRequest takes a command that a client sent, read at the given time, and reports it to the
 // engine as a request.
 func (l *eventLoop) acceptRequest(c *clientConn, slot *replySlot, cmd resp.Command, readAt policy.Time) {
-	if l.cfg.Transport.MaxOpen > 0 && l.openRequests >= l.cfg.Transport.MaxOpen {
+	tooMany := l.cfg.Transport.MaxOpen > 0 && l.openRequests >= l.cfg.Transport.MaxOpen
+	tooLate := l.drainDeadline > 0 && l.now >= l.drainDeadline
+	if tooMany || tooLate {
 		slot.fill([]byte(resp.BusyReply)) // the engine does not see it, and it is never forwarded
 		return
 	}
@@ -61,11 +63,22 @@
 	return timeout
 }
 
-// beginDrain bounds the deadlines of further requests, as the router was told to terminate at the
-// given time.
-func (l *eventLoop) beginDrain(terminatedAt policy.Time) {
-	longest := min(l.maxTimeout, maxDrainTimeout.Microseconds())
-	l.drainDeadline = terminatedAt + longest + (drainSlack - drainReplyMargin).Microseconds()
+// beginDrain has all requests answered by the given time, as the router was told to terminate. The
+// deadlines of further requests are bounded by it.
+func (l *eventLoop) beginDrain(lastRepliesDue policy.Time) {
+	l.drainDeadline = lastRepliesDue
+	l.schedule(lastRepliesDue, l.failOpenRequests)
+}
+
+// failOpenRequests ends the requests that were accepted before the router was told to terminate,
+// with timeouts that outlast it. An unanswered one would also hold up the replies behind it.
+func (l *eventLoop) failOpenRequests() {
+	for _, r := range l.requests {
+		if !r.done {
+			l.finish(r, []byte(resp.FailedReply))
+			l.pendingEvents = append(l.pendingEvents, &policy.ClientGone{ID: r.id})
+		}
+	}
 }
 
 // clientGone ends the requests of a client that has disconnected.
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -6,17 +6,28 @@
 	"log"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"marlstage/internal/config"
 	"marlstage/internal/socket"
+	"marlstage/policy"
 )
 
 const (
-	lateAcceptTime   = 500 * time.Millisecond // after SIGTERM, in which clients may still open connections
-	maxDrainTimeout  = 3 * time.Second        // of the longest request timeout, as much as counts before SIGKILL
-	drainSlack       = 650 * time.Millisecond // beyond the longest timeout, for the drain; SIGKILL may follow 50 ms later
-	drainReplyMargin = 100 * time.Millisecond // before the end of the drain, when the last replies are due
+	lateAcceptTime  = 500 * time.Millisecond // after SIGTERM, in which clients may still open connections
+	maxDrainTimeout = 3 * time.Second        // of the longest request timeout, as much as counts before SIGKILL
+	killDelay       = 700 * time.Millisecond // beyond the longest timeout; SIGKILL may follow then
+	maxStall        = 150 * time.Millisecond // for which the process may be held up between two steps
+	replyTravelTime = 50 * time.Millisecond  // for a reply to reach the client's machine
+
+	// Beyond the longest timeout, when the last replies are due. The process may be held up before it
+	// notices SIGTERM, and again between the time that a reply is due and its write.
+	lastReplyDelay = killDelay - 2*maxStall - replyTravelTime
+
+	// After the last replies are due, for clients that are slow to read theirs. All connections end
+	// within it.
+	lastWriteTime = writeTimeout + lingerTime
 )
 
 // Server accepts clients' connections and serves them with an event loop.
@@ -34,6 +45,9 @@
 	closing chan struct{}            // closed when only connections already queued by the kernel are accepted
 	ended   chan struct{}            // closed when no more connections are accepted
 
+	readingEnded atomic.Bool // no command is read any more on a connection that has had one
+
+	drainTime         time.Duration // after SIGTERM, when the last replies are due
 	lateAcceptTime    time.Duration // after SIGTERM, in which clients may still open connections
 	commandTimeout    time.Duration // for a client to send a complete command
 	acceptBackoff     time.Duration // before a descriptor is sought again
@@ -62,6 +76,7 @@
 		clients:           map[*clientConn]struct{}{},
 		closing:           make(chan struct{}),
 		ended:             make(chan struct{}),
+		drainTime:         drainTimeFor(loop.maxTimeout),
 		lateAcceptTime:    lateAcceptTime,
 		commandTimeout:    commandTimeout,
 		acceptBackoff:     acceptBackoff,
@@ -92,39 +107,65 @@
 	return nil
 }
 
-// drain answers the requests that have been accepted, for no longer than the longest request
-// timeout and some slack. Connections are accepted for a while, and then those that the kernel has
-// queued. acceptEnded reports the end of the accept loop.
+// drainTimeFor returns how long after SIGTERM the last replies are due, where the longest timeout of
+// a request is the given one. SIGKILL must not find a request unanswered, and clients that have not
+// heard of the end of the router must find it serving.
+func drainTimeFor(maxTimeout policy.Time) time.Duration {
+	timeout := min(time.Duration(maxTimeout)*time.Microsecond, maxDrainTimeout)
+	return max(timeout+lastReplyDelay, lateAcceptTime)
+}
+
+// drain answers the requests that have been accepted, by the time that the last replies are due.
+// Connections are accepted for a while, and then those that the kernel has queued. acceptEnded
+// reports the end of the accept loop.
 func (s *Server) drain(acceptEnded <-chan error) {
 	log.Print("draining")
-	timeout := time.After(time.Duration(s.loop.maxTimeout)*time.Microsecond + drainSlack)
-	begun := s.loop.clock()
+	lastReplies := time.After(s.drainTime)
+	timeout := time.After(s.drainTime + lastWriteTime)
+	due := s.loop.clock() + s.drainTime.Microseconds()
+	s.loop.post(func() { s.loop.beginDrain(due) })
 	time.Sleep(s.lateAcceptTime)
-	s.loop.post(func() { s.loop.beginDrain(begun) })
 	close(s.closing)
 	s.closeIdleClients() // frees descriptors for the queued connections
 	s.setAcceptDeadline(time.Now())
+	drained := make(chan struct{})
+	go func() {
+		s.awaitDrained(acceptEnded)
+		close(drained)
+	}()
 	select {
-	case <-acceptEnded:
+	case <-drained:
+		return
+	case <-lastReplies:
+		s.endReading()
+	}
+	select {
+	case <-drained:
 	case <-timeout:
 		close(s.ended)
-		return
+		s.listener.Close()
 	}
+}
+
+// awaitDrained waits until no more connections are accepted, closes the listener, and waits until
+// all client connections are closed.
+func (s *Server) awaitDrained(acceptEnded <-chan error) {
+	<-acceptEnded
 	s.listener.Close()
 	s.closeIdleClients() // no client is added any more
-	s.waitForClients(timeout)
+	s.wg.Wait()
 }
 
-// waitForClients waits until all client connections are closed or the timeout fires.
-func (s *Server) waitForClients(timeout <-chan time.Time) {
-	closed := make(chan struct{})
-	go func() {
-		s.wg.Wait()
-		close(closed)
-	}()
-	select {
-	case <-closed:
-	case <-timeout:
+// endReading has the client connections closed once all commands that have been read are answered.
+// A client that sends on and on would else keep its connection open until SIGKILL, which leaves
+// commands unanswered.
+func (s *Server) endReading() {
+	s.readingEnded.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.clients {
+		c.draining.Store(true)
+		c.interruptRead()
 	}
 }
 
