Write the router's own lines through the log queue

Cause: server.go logged "serving on" and "draining", and cmd/cacherouter the errors of SIGHUP, with package log. A log that nobody reads blocks these writes once its pipe is full: the router did not accept, or did not drain and was killed with everything unanswered, or ignored each further SIGHUP.

Change: all lines go through the event loop's queue, which drops lines that cannot be written.

Result: TestBlockedLogDoesNotBlockTheRouter fails without the change ("no reply: i/o timeout", "no end of the router came") and passes with it, 5 of 5 times with -race.

--- a/cmd/cacherouter/main.go
+++ b/cmd/cacherouter/main.go
@@ -9,7 +9,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -75,7 +74,7 @@
 	for range hangup {
 		cfg, err := readConfig(path)
 		if err != nil {
-			log.Print("SIGHUP: ", err)
+			srv.Log("SIGHUP: " + err.Error())
 			continue
 		}
 		srv.MoveDiscovery(cfg.Discovery)
--- a/internal/router/drain_test.go
+++ b/internal/router/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"log"
 	"os"
 	"testing"
 	"time"
@@ -252,3 +253,25 @@
 		t.Errorf("the connection ended with %v", err)
 	}
 }
+
+// TestBlockedLogDoesNotBlockTheRouter checks that a log which nobody reads keeps the router neither
+// from serving nor from ending.
+func TestBlockedLogDoesNotBlockTheRouter(t *testing.T) {
+	writer := blockedWriter{release: make(chan struct{})}
+	log.SetOutput(writer)
+	t.Cleanup(func() {
+		close(writer.release)
+		log.SetOutput(os.Stderr)
+	})
+	srv := newReadyServer(t)
+	srv.lateAcceptTime = 0
+	router := startServer(t, srv)
+	client := dial(t, router.addr)
+	client.send(encodeCommand("PING"))
+	client.wantLine("+PONG")
+	router.stop()
+	client.wantClosed()
+	if err := receive(t, router.ended, "end of the router"); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -94,8 +93,8 @@
 		stopLoop()
 		<-s.loop.done
 	}()
+	s.Log(fmt.Sprintf("serving on %s", s.listener.Addr()))
 	go s.loop.run(loopCtx)
-	log.Printf("serving on %s", s.listener.Addr())
 	acceptEnded := make(chan error, 1)
 	go func() { acceptEnded <- s.acceptLoop() }()
 	select {
@@ -119,7 +118,7 @@
 // Connections are accepted for a while, and then those that the kernel has queued. acceptEnded
 // reports the end of the accept loop.
 func (s *Server) drain(acceptEnded <-chan error) {
-	log.Print("draining")
+	s.Log("draining")
 	lastReplies := time.After(s.drainTime)
 	timeout := time.After(s.drainTime + lastWriteTime)
 	due := s.loop.clock() + s.drainTime.Microseconds()
@@ -197,6 +196,9 @@
 	s.loop.post(func() { s.loop.moveDiscovery(&moved) })
 }
 
+// Log queues a line for the log. A log that nobody reads does not block the caller.
+func (s *Server) Log(line string) { s.loop.log(line) }
+
 // closeIdleClients has each client connection closed as soon as it has no request in flight.
 func (s *Server) closeIdleClients() {
 	s.mu.Lock()
