Prefer a filled reply slot to the end of the event loop

Cause: client_writer.go, awaitReply selected between the slot and the end of the loop. Where both were ready, Go picks one at random, so that a reply which the loop had given before it ended was dropped half of the time, and its connection closed.

Change: after the end of the loop the slot is looked at once more; the loop fills no slot after it.

Result: TestFilledSlotIsPreferredToTheEndOfTheLoop fails without the change (`reply ""`) and passes with it.

--- a/internal/router/client_writer.go
+++ b/internal/router/client_writer.go
@@ -37,6 +37,11 @@
 	case reply := <-slot.reply:
 		return reply
 	case <-c.srv.loop.done:
+	}
+	select {
+	case reply := <-slot.reply: // the loop's last one
+		return reply
+	default:
 		return nil
 	}
 }
--- a/internal/router/drain_test.go
+++ b/internal/router/drain_test.go
@@ -275,3 +275,20 @@
 		t.Error(err)
 	}
 }
+// TestFilledSlotIsPreferredToTheEndOfTheLoop checks that a reply which was given before the event
+// loop ended is not dropped.
+func TestFilledSlotIsPreferredToTheEndOfTheLoop(t *testing.T) {
+	loop := &eventLoop{done: make(chan struct{})}
+	close(loop.done)
+	client := &clientConn{srv: &Server{loop: loop}}
+	for range 100 {
+		slot := newReplySlot(newMemoryBudget(192))
+		slot.fill([]byte(resp.PongReply))
+		if reply := client.awaitReply(slot); string(reply) != resp.PongReply {
+			t.Fatalf("reply %q", reply)
+		}
+	}
+	if reply := client.awaitReply(newReplySlot(newMemoryBudget(192))); reply != nil {
+		t.Errorf("reply %q of a slot that was not filled", reply)
+	}
+}
