Take signals from the first moment to the last, and outlive the log's reader

Causes, in cmd/cacherouter/main.go: - SIGTERM was caught only after the configuration had been read, so that during the start it ended the process by its default action; - `defer stop()` brought that default action back before the process had ended: a SIGTERM in the last moment of a shutdown turned a clean exit into an end by signal; - Go ends a process by SIGPIPE when it writes to a standard error that nobody reads any more: the next log line after the end of the log's reader, of a SIGHUP or a failed poll, reset all connections.

Change: SIGTERM and SIGINT are caught before the file is read and never released; SIGPIPE is ignored.

Ruled out: SIGTERM twice, and SIGHUP during the drain (TestSignalsDuringShutdown); SIGHUP before the server runs waits in its channel, then in the event loop's queue.

--- a/cmd/cacherouter/main.go
+++ b/cmd/cacherouter/main.go
@@ -35,16 +35,17 @@
 	if path == "" {
 		return errNoConfig
 	}
-	// Before the file is read: a SIGHUP must not end the program, and what
-	// changes in the file from here on must not be missed.
+	// Before the file is read: no signal must end the program other than by a
+	// drain, and what changes in the file from here on must not be missed.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
+	ctx := untilTerminated()
+	// A log whose reader has gone would end the program at its next line.
+	signal.Ignore(syscall.SIGPIPE)
 	cfg, err := readConfig(path)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	cfg.Limits.Apply()
 	srv, err := router.New(cfg)
 	if err != nil {
@@ -54,6 +55,19 @@
 	return srv.Run(ctx)
 }
 
+// untilTerminated returns a context that ends with the first SIGTERM or
+// SIGINT. Further ones have no effect, up to the end of the program.
+func untilTerminated() context.Context {
+	ctx, terminate := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		terminate()
+	}()
+	return ctx
+}
+
 // readConfig reads and parses the configuration file.
 func readConfig(path string) (*config.Config, error) {
 	raw, err := os.ReadFile(path)
--- /dev/null
+++ b/cmd/cacherouter/signal_test.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// killAtEnd ends a program that the test leaves behind, or that hangs.
+func killAtEnd(t *testing.T, cmd *exec.Cmd) {
+	t.Helper()
+	kill := func() { _ = cmd.Process.Kill() } // fails only if the program has ended
+	watchdog := time.AfterFunc(testTimeout, kill)
+	t.Cleanup(func() {
+		watchdog.Stop()
+		kill()
+	})
+}
+
+// TestSIGTERMWhileStarting checks that a SIGTERM during the start ends the program as a later one.
+func TestSIGTERMWhileStarting(t *testing.T) {
+	cmd := newCommand(t, "")
+	fifo := filepath.Join(t.TempDir(), "config.json")
+	if err := syscall.Mkfifo(fifo, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+fifo)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	killAtEnd(t, cmd)
+	config, err := os.OpenFile(fifo, os.O_WRONLY, 0) // returns once the program has opened it
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fmt.Fprintf(config, configFormat, "127.0.0.1:0", "127.0.0.1:1"); err != nil {
+		t.Error(err)
+	}
+	config.Close()
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("after SIGTERM: %v", err)
+	}
+}
+
+// TestSIGTERMUpToTheEnd checks that signals which come up to the end of the program do not change how
+// it ends.
+func TestSIGTERMUpToTheEnd(t *testing.T) {
+	cmd := newCommand(t, fmt.Sprintf(configFormat, "127.0.0.1:0", "127.0.0.1:1"))
+	startServing(t, cmd)
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	for cmd.Process.Signal(syscall.SIGTERM) == nil {
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("after SIGTERM: %v", err)
+	}
+}
+
+// TestClosedLog checks that the program outlives the reader of its log.
+func TestClosedLog(t *testing.T) {
+	cmd := newCommand(t, fmt.Sprintf(configFormat, "127.0.0.1:0", "127.0.0.1:1"))
+	logReader, logWriter, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd.Stderr = logWriter
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	killAtEnd(t, cmd)
+	logWriter.Close()
+	line, err := bufio.NewReader(logReader).ReadString('\n')
+	_, addr, ok := strings.Cut(strings.TrimSpace(line), "serving on ")
+	if !ok {
+		t.Fatalf("the program logged %q, %v", line, err)
+	}
+	logReader.Close()
+	if err := os.WriteFile(configPath(cmd), []byte("{}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil { // logs that the file is invalid
+		t.Fatal(err)
+	}
+	ping(t, addr)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil { // logs the drain
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("after SIGTERM: %v", err)
+	}
+}
--- a/internal/router/drain_test.go
+++ b/internal/router/drain_test.go
@@ -275,6 +275,7 @@
 		t.Error(err)
 	}
 }
+
 // TestFilledSlotIsPreferredToTheEndOfTheLoop checks that a reply which was given before the event
 // loop ended is not dropped.
 func TestFilledSlotIsPreferredToTheEndOfTheLoop(t *testing.T) {
