Leave unread what arrives once a client's connection is closed between requests

Cause: clientConn.discard (client_conn.go) read and dropped all that came behind the last command, also where the connection was closed between requests, so that a request that crossed the close was read and never answered. Ways in: errIdleClose of the first-command timeout and of drain and eviction (commandReader.fill, awaitRead), QUIT, and linger and writeLoop, which lingered (and so read) because HasUnread saw bytes. Also: a read whose deadline has passed does not look at the socket, so a command that was whole in time was dropped or answered 'did not come whole in time'; and after maxDiscarded bytes discard ended, so that nobody noticed the client's end, and the close over the rest reset the connection before earlier replies were received.

Change: the last look before a connection is given up is a read (readArrived), and what it finds is served. Once that found nothing, the connection is never read again: the reader waits for the client's end by poll (awaitHangup). Only behind a malformed command, where no request can be found, the rest is discarded, and beyond maxDiscarded it is left unread and the client's end waited for.

Ruled out: bytes between the last read and CloseWrite are not served any more; they stay unread, and the client sends that request again. A request behind QUIT in the same read is dropped as before.

--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -40,7 +40,7 @@
 	case resp.VerbPing:
 		return c.reply(c.pingReply(args))
 	case resp.VerbQuit:
-		return c.replyAndClose([]byte(resp.OKReply))
+		return c.replyAndLeave([]byte(resp.OKReply), connClosing)
 	case resp.VerbGet, resp.VerbSet:
 		return c.handleRequest(raw, readAt)
 	default:
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -15,16 +15,17 @@
 	maxPipelined        = 512                     // commands of one connection that may await their replies
 	maxDiscarded        = 4 * resp.MaxCommandSize // bytes read and discarded after the last command
 	discardBufferSize   = 4 << 10                 // bytes discarded with one read, at most
-	hangupCheckInterval = 100 * time.Millisecond  // between checks for a disconnect while the reply queue is full
+	hangupCheckInterval = 25 * time.Millisecond   // between checks for a disconnect while nothing is read
 )
 
 // connState is the state in which handling a command leaves a client's connection.
 type connState uint8
 
 const (
-	connOpen    connState = iota // further commands are read
-	connClosing                  // no further commands are read; the client may still read its replies
-	connGone                     // the client has disconnected
+	connOpen      connState = iota // further commands are read
+	connClosing                    // nothing more is read; the client may still read its replies
+	connMalformed                  // like connClosing, but no command can be found in what follows
+	connGone                       // the client has disconnected
 )
 
 // clientConn is a client's connection. A reader takes commands from it and queues a reply slot for
@@ -40,8 +41,10 @@
 	hasCommand     atomic.Bool        // a command has been received
 	lastReplyAt    atomic.Int64       // when the last reply was written, or the connection accepted; policy.Time
 
-	lingering atomic.Bool   // all replies are written, and the client is given time to read them
-	readEnded chan struct{} // closed when nothing more is read
+	lingering   atomic.Bool   // all replies are written, and the client is given time to read them, ...
+	lingerEnd   atomic.Int64  // ... until then, ...
+	lingerLimit atomic.Int64  // ... and until then while replies are not acknowledged; policy.Time
+	readEnded   chan struct{} // closed when the reader has ended
 }
 
 func newClientConn(s *Server, nc *socket.Conn) *clientConn {
@@ -73,18 +76,21 @@
 	return c.hasCommand.Load() || c.lastReplyAt.Load() < newSince
 }
 
-// readLoop handles commands until the connection ends or takes no more, and then discards what
-// else is received.
+// readLoop handles commands until the connection ends or takes no more, and then waits until it may
+// be closed.
 func (c *clientConn) readLoop() {
 	defer c.srv.wg.Done()
 	defer close(c.readEnded)
 	state := c.readCommands()
 	close(c.replies)
-	if state == connGone {
+	switch state {
+	case connGone:
 		c.reportGone()
-		return
+	case connMalformed:
+		c.discard()
+	default:
+		c.awaitHangup()
 	}
-	c.discard()
 }
 
 // reportGone has the event loop end the client's requests.
@@ -92,9 +98,25 @@
 	c.srv.loop.post(func() { c.srv.loop.clientGone(c) })
 }
 
-// discard reads and drops what the client sends after its last command, for as long as replies are
-// due and the client may read them. Without it a client that disconnects meanwhile would go
-// unnoticed, and its requests would be forwarded.
+// awaitHangup waits until the client has disconnected or the connection may be closed. It reads
+// nothing: a request that is read would have to be answered, while the client sends one once more
+// that was left unread.
+func (c *clientConn) awaitHangup() {
+	for {
+		c.nc.SetReadDeadline(time.Now().Add(hangupCheckInterval))
+		if c.lingerOver() {
+			return
+		}
+		if err := c.nc.AwaitHangup(); !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.reportGone()
+			return
+		}
+	}
+}
+
+// discard reads and drops what the client sends behind a malformed command, for as long as replies
+// are due and the client may read them. A client that sends all before it reads, and a short error
+// reply, would otherwise not meet.
 func (c *clientConn) discard() {
 	buf := make([]byte, discardBufferSize)
 	for total := 0; total < maxDiscarded; {
@@ -105,15 +127,16 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.reportGone()
 			return
-		case c.lingering.Load():
+		case c.lingerOver():
 			return
-		default: // the deadline was that of a command, or closeWhenIdle has interrupted the read
+		default: // the deadline was that of a command, or the read was interrupted
 			c.nc.SetReadDeadline(time.Time{})
 			if c.lingering.Load() {
-				c.nc.SetReadDeadline(time.Now().Add(c.lingerTime()))
+				c.nc.SetReadDeadline(time.Now().Add(hangupCheckInterval))
 			}
 		}
 	}
+	c.awaitHangup()
 }
 
 // enqueue queues a reply slot for the writer and reports whether the client is still connected.
@@ -140,11 +163,7 @@
 // reply queues a reply of the router's own and leaves the connection open.
 func (c *clientConn) reply(reply []byte) connState { return c.replyAndLeave(reply, connOpen) }
 
-// replyAndClose queues a reply of the router's own as the connection's last.
-func (c *clientConn) replyAndClose(reply []byte) connState {
-	return c.replyAndLeave(reply, connClosing)
-}
-
+// replyAndLeave queues a reply of the router's own and returns the next state of the connection.
 func (c *clientConn) replyAndLeave(reply []byte, next connState) connState {
 	slot := newReplySlot(c.srv.memory)
 	if !c.enqueue(slot) {
--- a/internal/router/client_writer.go
+++ b/internal/router/client_writer.go
@@ -21,9 +21,9 @@
 		}
 		c.replyDone(slot, reply)
 	}
-	// Idle connections that were never answered are closed at once: while they linger, they occupy
-	// descriptors that queued connections need.
-	if connected && (answered || c.nc.HasUnread()) {
+	// Connections that were never answered are closed at once: while they linger, they occupy
+	// descriptors that queued connections need. A request that has just arrived is unread.
+	if connected && answered {
 		c.linger()
 	}
 	c.nc.Close()
@@ -64,21 +64,42 @@
 	}
 }
 
-// linger lets the client read the last reply. Closing a connection while bytes still arrive, of an
-// oversized command or of a request that crosses the close, would reset it and lose the reply.
+// linger lets the client read the last reply. Closing a connection while bytes are unread or still
+// arrive, of an oversized command or of a request that crosses the close, resets it, and replies
+// that are not acknowledged would be lost.
 func (c *clientConn) linger() {
-	idle := c.srv.loop.clock()-c.lastReplyAt.Load() > c.srv.lingerTime.Microseconds()
-	if idle && !c.nc.HasUnread() && !c.nc.HasUnacknowledged() {
+	now := c.srv.loop.clock()
+	idle := now-c.lastReplyAt.Load() > c.srv.lingerTime.Microseconds()
+	unacknowledged := c.nc.HasUnacknowledged()
+	if idle && !unacknowledged && !c.nc.HasUnread() {
 		return
 	}
 	if c.nc.CloseWrite() != nil {
 		return
 	}
+	end := now + c.lingerTime().Microseconds()
+	c.lingerEnd.Store(end)
+	c.lingerLimit.Store(end)
+	if unacknowledged {
+		c.lingerLimit.Store(max(end, now+writeTimeout.Microseconds()))
+	}
 	c.lingering.Store(true)
-	c.nc.SetReadDeadline(time.Now().Add(c.lingerTime()))
+	c.interruptRead()
 	<-c.readEnded
 }
 
+// lingerOver reports whether the client has had the time to read the last reply.
+func (c *clientConn) lingerOver() bool {
+	now := c.srv.loop.clock()
+	switch {
+	case !c.lingering.Load() || now < c.lingerEnd.Load():
+		return false
+	case now >= c.lingerLimit.Load():
+		return true
+	}
+	return !c.nc.HasUnacknowledged()
+}
+
 // lingerTime is shorter on a connection that is evicted. Otherwise many clients that ignore the
 // router's end of their connections would shut out the PING that checks whether it is ready.
 func (c *clientConn) lingerTime() time.Duration {
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -43,6 +43,7 @@
 	buf      []byte    // received, and not yet handled
 	deadline time.Time // for the first command, or the rest of a partial one; zero if none is due
 	evicting bool      // the deadline has been brought forward, as the connection is evicted
+	late     int       // bytes read by readArrived since the last command
 }
 
 // newCommandReader makes a reader that expects the first command in time: a silent peer must not
@@ -52,7 +53,7 @@
 }
 
 // readCommands reads and handles commands until the connection takes no more. It returns
-// connClosing or connGone.
+// connClosing, connMalformed or connGone.
 func (c *clientConn) readCommands() connState {
 	r := newCommandReader(c)
 	for {
@@ -76,7 +77,7 @@
 	var malformed *protocolError
 	switch {
 	case errors.As(err, &malformed):
-		return c.replyAndClose(malformed.reply())
+		return c.replyAndLeave(malformed.reply(), connMalformed)
 	case errors.Is(err, errIdleClose):
 		return connClosing
 	default:
@@ -118,9 +119,9 @@
 func (r *commandReader) fill() error {
 	r.grow()
 	r.updateDeadline()
-	partial := len(r.buf) > 0
-	if !r.conn.awaitRead(partial, r.deadline) {
-		return errIdleClose
+	r.conn.nc.SetReadDeadline(r.deadline)
+	if len(r.buf) == 0 && r.conn.closesBetweenRequests() {
+		return r.readArrived(errIdleClose)
 	}
 	n, err := r.conn.nc.Read(r.buf[len(r.buf):cap(r.buf)])
 	r.buf = r.buf[:len(r.buf)+n]
@@ -132,12 +133,28 @@
 	case r.deadline.IsZero() || time.Now().Before(r.deadline):
 		return nil // closeWhenIdle has interrupted the read: the next one checks whether to close
 	case len(r.buf) > 0:
-		return &protocolError{errCommandTimeout}
+		return r.readArrived(&protocolError{errCommandTimeout})
 	default:
-		return errIdleClose
+		return r.readArrived(errIdleClose)
 	}
 }
 
+// readArrived takes the last look at the socket before the connection is given up for a reason, which
+// it returns if nothing has arrived. The deadline of a read may pass without a look, and a request
+// that arrived before must be served. After many bytes without a command it looks no more.
+func (r *commandReader) readArrived(reason error) error {
+	if r.late > resp.MaxCommandSize {
+		return reason
+	}
+	n, err := r.conn.nc.ReadArrived(r.buf[len(r.buf):cap(r.buf)])
+	r.buf = r.buf[:len(r.buf)+n]
+	r.late += n
+	if n == 0 && err == nil {
+		return reason
+	}
+	return err
+}
+
 // grow makes room for a read in a full buffer.
 func (r *commandReader) grow() {
 	if len(r.buf) == cap(r.buf) {
@@ -166,12 +183,12 @@
 func (r *commandReader) clearDeadline() {
 	r.deadline = time.Time{}
 	r.evicting = false
+	r.late = 0
 }
 
-// awaitRead sets the deadline of the next read; zero stands for none. It reports false if the
-// connection is to be closed and is between requests. While requests are in flight it is read on,
-// as a command that follows them on an open connection has to be accepted.
-func (c *clientConn) awaitRead(partial bool, deadline time.Time) bool {
-	c.nc.SetReadDeadline(deadline)
-	return !c.draining.Load() || partial || c.pendingReplies.Load() > 0 || c.nc.HasUnread()
+// closesBetweenRequests reports whether the connection is to be closed and is between requests. While
+// requests are in flight it is read on, as a command that follows them on an open connection has to
+// be accepted.
+func (c *clientConn) closesBetweenRequests() bool {
+	return c.draining.Load() && c.pendingReplies.Load() == 0
 }
--- a/internal/router/disconnect_test.go
+++ b/internal/router/disconnect_test.go
@@ -22,7 +22,12 @@
 // TestClientDisconnectsAfterLastCommand checks that a disconnect is noticed although no more
 // commands are taken from the client, so that nothing is forwarded for it.
 func TestClientDisconnectsAfterLastCommand(t *testing.T) {
-	for end, wire := range map[string]string{"draining": "", "QUIT": encodeCommand("QUIT"), "protocol error": "*x\r\n"} {
+	for end, wire := range map[string]string{
+		"draining":       "",
+		"QUIT":           encodeCommand("QUIT"),
+		"protocol error": "*x\r\n",
+		"much rubbish":   rubbishBeyondDiscard(),
+	} {
 		for how, disconnect := range disconnects {
 			t.Run(end+", "+how, func(t *testing.T) {
 				router, harness := startScriptedRouter(t)
--- a/internal/router/faulty_system_test.go
+++ b/internal/router/faulty_system_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,6 +42,8 @@
 	script map[systemCall][]fault
 	calls  map[systemCall]int
 	decide func(call systemCall, fd int) *fault
+
+	bytesRead atomic.Int64 // by all reads; peeks do not count
 }
 
 func newFaultySystem() *faultySystem {
@@ -123,7 +126,9 @@
 	if f.err != nil {
 		return -1, f.err
 	}
-	return s.Linux.Read(fd, f.limit(b))
+	n, err := s.Linux.Read(fd, f.limit(b))
+	s.bytesRead.Add(int64(max(n, 0)))
+	return n, err
 }
 
 func (s *faultySystem) Write(fd int, b []byte) (int, error) {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -94,6 +94,23 @@
 	return n, nil
 }
 
+// ReadArrived reads what has arrived, without waiting and whatever the read deadline is. It returns
+// neither bytes nor an error if nothing has arrived.
+func (c *Conn) ReadArrived(b []byte) (n int, err error) {
+	controlErr := c.raw.Control(func(fd uintptr) {
+		n, err = c.readNow(int(fd), b)
+	})
+	switch {
+	case controlErr != nil:
+		return 0, controlErr
+	case errors.Is(err, syscall.EAGAIN):
+		return 0, nil
+	case err == nil && n == 0:
+		return 0, io.EOF
+	}
+	return n, err
+}
+
 // readNow reads what has arrived, without waiting.
 func (c *Conn) readNow(fd int, b []byte) (n int, err error) {
 	err = retryInterrupted(func() error {
@@ -177,14 +194,22 @@
 // that were sent before are not read yet.
 func (c *Conn) HungUp() bool {
 	hungUp := false
-	err := c.raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, pollErr := c.system.Poll(fds)
-		hungUp = pollErr == nil && n > 0 && fds[0].Revents&unix.POLLRDHUP != 0
-	})
+	err := c.raw.Control(func(fd uintptr) { hungUp = c.hungUpNow(int(fd)) })
 	return hungUp || err != nil
 }
 
+func (c *Conn) hungUpNow(fd int) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := c.system.Poll(fds)
+	return err == nil && n > 0 && fds[0].Revents&unix.POLLRDHUP != 0
+}
+
+// AwaitHangup waits until HungUp would report true or the read deadline has passed. What arrives
+// meanwhile stays unread.
+func (c *Conn) AwaitHangup() error {
+	return c.raw.Read(func(fd uintptr) (done bool) { return c.hungUpNow(int(fd)) })
+}
+
 // SetReadDeadline sets the deadline of the pending read and of further ones; zero stands for none.
 func (c *Conn) SetReadDeadline(deadline time.Time) {
 	_ = c.tcp.SetReadDeadline(deadline) // fails only on a closed connection, which the read reports
