Take a look at a socket that fails neither for yes nor for no

Cause: HungUp, HasUnread, HasUnacknowledged and IsSilent (internal/socket/conn.go) did not repeat an interrupted call and took its error, and any other, for 'connected', 'nothing unread', 'all acknowledged' and (EINTR) 'silent': an attempt started for a client that had left, or a connection was closed over unread bytes or unacknowledged replies. HungUp looked for POLLRDHUP alone, not for POLLHUP or POLLERR.

Change: interrupted calls are repeated, 100 times at most. HasUnread and HasUnacknowledged are true and IsSilent is false where the call fails.

--- a/internal/router/disconnect_test.go
+++ b/internal/router/disconnect_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"golang.org/x/sys/unix"
+
 	"marlstage/internal/resp"
 	"marlstage/internal/socket"
 	"marlstage/policy"
@@ -131,6 +133,7 @@
 	harness  *loopHarness
 	engine   *sendingEngine
 	listener *gatedListener
+	system   *faultySystem
 }
 
 // newDisconnectTest starts the router. Its engine sends nothing until the test sets loop.engine to
@@ -149,6 +152,7 @@
 		cache:    cache,
 		engine:   &sendingEngine{scriptedEngine{outcomes: make(chan *policy.AttemptDone, 1000)}},
 		listener: &gatedListener{srv.listener, make(chan struct{}, 1000)},
+		system:   useFaultySystem(srv),
 	}
 	srv.listener = d.listener
 	srv.loop.engine = &d.engine.scriptedEngine
@@ -267,6 +271,7 @@
 		run       func(d *disconnectTest, how func(*testClient)) // called while the loop is free
 	}{
 		"first attempt":                       {1, (*disconnectTest).beforeFirstAttempt},
+		"first attempt, and a poll fails":     {1, (*disconnectTest).beforeFirstAttemptWithFailingPoll},
 		"behind unread commands":              {1, (*disconnectTest).behindUnreadCommands},
 		"retry":                               {1, (*disconnectTest).beforeRetry},
 		"hedged request":                      {2, (*disconnectTest).beforeHedge},
@@ -295,6 +300,15 @@
 	})
 }
 
+func (d *disconnectTest) beforeFirstAttemptWithFailingPoll(how func(*testClient)) {
+	client, req := d.sendRequest()
+	d.do(func() {
+		d.disconnect(client, how)
+		d.system.injectError(callPoll, unix.ENOMEM, 3)
+		d.perform(req, "c1")
+	})
+}
+
 func (d *disconnectTest) behindUnreadCommands(how func(*testClient)) {
 	client := d.dial()
 	client.send(strings.Repeat(getCommand("r1"), 2*maxPipelined))
@@ -407,6 +421,23 @@
 	})
 }
 
+// TestFailedPollLosesNoRequest checks that a request is served whose client could not be looked at for
+// a moment.
+func TestFailedPollLosesNoRequest(t *testing.T) {
+	for _, failure := range []error{unix.ENOMEM, unix.EINTR} {
+		t.Run(failure.Error(), func(t *testing.T) {
+			d := newDisconnectTest(t, 1)
+			client, req := d.sendRequest()
+			d.system.injectError(callPoll, failure, 1000)
+			d.do(func() { d.perform(req, "c1") })
+			waitUntil(t, "failed polls", func() bool { return d.system.pending(callPoll) < 1000 })
+			d.system.clear(callPoll)
+			receive(t, d.cache.commands, "command").reply(t, servedReply)
+			client.wantLine("value")
+		})
+	}
+}
+
 // BenchmarkDisconnectCheck measures the check for a disconnect before an attempt's first byte.
 func BenchmarkDisconnectCheck(b *testing.B) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/router/faulty_system_test.go
+++ b/internal/router/faulty_system_test.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// clear removes the scripted faults of a kind that have not happened yet.
+func (s *faultySystem) clear(call systemCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.script[call] = nil
+}
+
 // callCount returns how many calls of a kind were made, those with faults included.
 func (s *faultySystem) callCount(call systemCall) int {
 	s.mu.Lock()
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -22,17 +22,18 @@
 // pool holds the connections to one cache server and the attempts that are queued for one. All of
 // it belongs to the event loop.
 type pool struct {
-	loop           *eventLoop
-	name           string
-	addr           string
-	startedAt      policy.Time // start of the server's incarnation, by the endpoint list
-	inService      bool        // by the endpoint list, new requests may be sent to the server
-	conns          map[*upstreamConn]struct{}
-	idle           []*upstreamConn // in the order of their last use
-	dialing        int             // connections that are being established
-	settleTimerSet bool            // a timer is set for when an idle connection has settled
-	maxConns       int
-	queue          []*attempt // first in, first out
+	loop                *eventLoop
+	name                string
+	addr                string
+	startedAt           policy.Time // start of the server's incarnation, by the endpoint list
+	inService           bool        // by the endpoint list, new requests may be sent to the server
+	conns               map[*upstreamConn]struct{}
+	idle                []*upstreamConn // in the order of their last use
+	dialing             int             // connections that are being established
+	settleTimerSet      bool            // a timer is set for when an idle connection has settled
+	clientCheckTimerSet bool            // a timer is set for another check of the client at the head of the queue
+	maxConns            int
+	queue               []*attempt // first in, first out
 }
 
 func newPool(l *eventLoop, name string) *pool {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -12,6 +12,12 @@
 	"golang.org/x/sys/unix"
 )
 
+// hangupEvents show that the peer has closed its side of a connection or that the connection is broken.
+const hangupEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+
+// maxInterrupts bounds how often a system call is repeated at once that a signal has interrupted.
+const maxInterrupts = 100
+
 // Conn is a TCP connection. Its methods may be called from several goroutines.
 type Conn struct {
 	tcp    *net.TCPConn
@@ -159,55 +165,70 @@
 }
 
 // IsSilent reports whether neither bytes nor the end of the connection have arrived that are not
-// read yet.
+// read yet. If that cannot be told, it is not silent.
 func (c *Conn) IsSilent() bool {
-	silent := false
-	err := c.raw.Control(func(fd uintptr) {
-		_, err := c.system.Peek(int(fd), make([]byte, 1))
-		silent = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
-	})
-	return err == nil && silent
+	_, err := c.peek()
+	return errors.Is(err, syscall.EAGAIN)
 }
 
-// HasUnread reports whether bytes have been received that are not read yet.
+// HasUnread reports whether bytes have been received that are not read yet, or that cannot be told.
 func (c *Conn) HasUnread() bool {
-	n := 0
-	err := c.raw.Control(func(fd uintptr) {
-		// On an error nothing can be read, and n is not positive.
-		n, _ = c.system.Peek(int(fd), make([]byte, 1))
+	n, err := c.peek()
+	return n > 0 || err != nil && !errors.Is(err, syscall.EAGAIN)
+}
+
+// peek looks for a byte that has arrived, without reading it.
+func (c *Conn) peek() (n int, err error) {
+	controlErr := c.raw.Control(func(fd uintptr) {
+		err = retryInterrupted(func() error {
+			n, err = c.system.Peek(int(fd), make([]byte, 1))
+			return err
+		})
 	})
-	return err == nil && n > 0
+	return n, errors.Join(controlErr, err)
 }
 
 // HasUnacknowledged reports whether the peer's machine has yet to acknowledge some of what was
-// written.
+// written, or that cannot be told.
 func (c *Conn) HasUnacknowledged() bool {
 	n := 0
 	var queryErr error
 	err := c.raw.Control(func(fd uintptr) {
-		n, queryErr = c.system.UnacknowledgedBytes(int(fd))
+		queryErr = retryInterrupted(func() error {
+			n, queryErr = c.system.UnacknowledgedBytes(int(fd))
+			return queryErr
+		})
 	})
-	return errors.Join(err, queryErr) == nil && n > 0
+	return errors.Join(err, queryErr) != nil || n > 0
 }
 
 // HungUp reports whether the peer has closed its side of the connection or reset it, even if bytes
-// that were sent before are not read yet.
-func (c *Conn) HungUp() bool {
-	hungUp := false
-	err := c.raw.Control(func(fd uintptr) { hungUp = c.hungUpNow(int(fd)) })
-	return hungUp || err != nil
+// that were sent before are not read yet. It fails if that cannot be told. A connection that was
+// closed on this side counts as hung up.
+func (c *Conn) HungUp() (hungUp bool, err error) {
+	controlErr := c.raw.Control(func(fd uintptr) { hungUp, err = c.hungUpNow(int(fd)) })
+	if controlErr != nil {
+		return true, nil
+	}
+	return hungUp, err
 }
 
-func (c *Conn) hungUpNow(fd int) bool {
+func (c *Conn) hungUpNow(fd int) (bool, error) {
 	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := c.system.Poll(fds)
-	return err == nil && n > 0 && fds[0].Revents&unix.POLLRDHUP != 0
+	err := retryInterrupted(func() error {
+		_, err := c.system.Poll(fds)
+		return err
+	})
+	return err == nil && fds[0].Revents&hangupEvents != 0, err
 }
 
-// AwaitHangup waits until HungUp would report true or the read deadline has passed. What arrives
-// meanwhile stays unread.
+// AwaitHangup waits until the peer has hung up or the read deadline has passed. What arrives meanwhile
+// stays unread.
 func (c *Conn) AwaitHangup() error {
-	return c.raw.Read(func(fd uintptr) (done bool) { return c.hungUpNow(int(fd)) })
+	return c.raw.Read(func(fd uintptr) (done bool) {
+		hungUp, err := c.hungUpNow(int(fd))
+		return err == nil && hungUp
+	})
 }
 
 // SetReadDeadline sets the deadline of the pending read and of further ones; zero stands for none.
@@ -228,12 +249,15 @@
 	_ = c.tcp.Close() // nothing can be done about an error on a connection that is given up
 }
 
-// retryInterrupted repeats a system call that a signal has interrupted.
+// retryInterrupted repeats a system call that a signal has interrupted. If it is interrupted each
+// time, it fails with that.
 func retryInterrupted(call func() error) error {
-	for {
-		err := call()
+	err := call()
+	for range maxInterrupts {
 		if !errors.Is(err, syscall.EINTR) {
-			return err
+			break
 		}
+		err = call()
 	}
+	return err
 }
--- /dev/null
+++ b/internal/socket/conn_test.go
@@ -0,0 +1,212 @@
+package socket
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const testTimeout = 30 * time.Second
+
+// failingSystem fails the next calls of each kind with the errors listed for it.
+type failingSystem struct {
+	Linux
+	poll, peek, unacknowledged []error
+	pollEvents                 int16 // reported by polls in place of what the socket shows, if not 0
+}
+
+// takeError removes the first of the errors.
+func takeError(errs *[]error) error {
+	if len(*errs) == 0 {
+		return nil
+	}
+	err := (*errs)[0]
+	*errs = (*errs)[1:]
+	return err
+}
+
+func (s *failingSystem) Poll(fds []unix.PollFd) (int, error) {
+	if err := takeError(&s.poll); err != nil {
+		return -1, err
+	}
+	if s.pollEvents != 0 {
+		fds[0].Revents = s.pollEvents
+		return 1, nil
+	}
+	return s.Linux.Poll(fds)
+}
+
+func (s *failingSystem) Peek(fd int, b []byte) (int, error) {
+	if err := takeError(&s.peek); err != nil {
+		return -1, err
+	}
+	return s.Linux.Peek(fd, b)
+}
+
+func (s *failingSystem) UnacknowledgedBytes(fd int) (int, error) {
+	if err := takeError(&s.unacknowledged); err != nil {
+		return 0, err
+	}
+	return s.Linux.UnacknowledgedBytes(fd)
+}
+
+// newPair makes a connection whose calls go through the system, and its peer.
+func newPair(t *testing.T, system System) (*Conn, *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peer.Close() })
+	conn, err := Accept(system, listener)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(conn.Close)
+	return conn, peer.(*net.TCPConn)
+}
+
+// send has the peer send a byte and waits until it has arrived.
+func send(t *testing.T, conn *Conn, peer *net.TCPConn) {
+	t.Helper()
+	if _, err := io.WriteString(peer, "x"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "a byte", func() bool {
+		n := 0
+		err := conn.raw.Control(func(fd uintptr) { n, _ = Linux{}.Peek(int(fd), make([]byte, 1)) })
+		return err == nil && n > 0
+	})
+}
+
+// await waits until the condition holds.
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out waiting for %s", what)
+		}
+	}
+}
+
+// fillSendBuffer writes until the peer, which reads nothing, takes no more.
+func fillSendBuffer(t *testing.T, conn *Conn) {
+	t.Helper()
+	for b := make([]byte, 1<<20); ; {
+		n, err := conn.TryWrite(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n == 0 {
+			return
+		}
+	}
+}
+
+// TestLooksAreRepeatedWhenInterrupted checks that a signal does not change what a look at the socket
+// reports.
+func TestLooksAreRepeatedWhenInterrupted(t *testing.T) {
+	interrupts := []error{syscall.EINTR, syscall.EINTR}
+	t.Run("HungUp", func(t *testing.T) {
+		system := &failingSystem{}
+		conn, peer := newPair(t, system)
+		peer.Close()
+		await(t, "the end", func() bool { hungUp, _ := conn.HungUp(); return hungUp })
+		system.poll = interrupts
+		if hungUp, err := conn.HungUp(); !hungUp || err != nil {
+			t.Errorf("a closed connection: hung up %t, %v", hungUp, err)
+		}
+	})
+	t.Run("HasUnread", func(t *testing.T) {
+		system := &failingSystem{}
+		conn, peer := newPair(t, system)
+		send(t, conn, peer)
+		system.peek = interrupts
+		if !conn.HasUnread() {
+			t.Error("a byte is not seen")
+		}
+	})
+	t.Run("IsSilent", func(t *testing.T) {
+		system := &failingSystem{}
+		conn, peer := newPair(t, system)
+		send(t, conn, peer)
+		system.peek = interrupts
+		if conn.IsSilent() {
+			t.Error("silent, although a byte has arrived")
+		}
+	})
+	t.Run("HasUnacknowledged", func(t *testing.T) {
+		system := &failingSystem{}
+		conn, _ := newPair(t, system)
+		fillSendBuffer(t, conn)
+		system.unacknowledged = interrupts
+		if !conn.HasUnacknowledged() {
+			t.Error("all acknowledged, although the peer reads nothing")
+		}
+	})
+}
+
+// TestFailedLooks checks that a look which fails is never taken for the answer on which a connection
+// is closed or an attempt is written.
+func TestFailedLooks(t *testing.T) {
+	for _, failure := range []error{syscall.ENOMEM, syscall.ENOBUFS, syscall.EINVAL} {
+		t.Run(failure.Error(), func(t *testing.T) {
+			system := &failingSystem{
+				poll:           []error{failure},
+				peek:           []error{failure, failure}, // one for each look
+				unacknowledged: []error{failure},
+			}
+			conn, _ := newPair(t, system)
+			if hungUp, err := conn.HungUp(); hungUp || !errors.Is(err, failure) {
+				t.Errorf("hung up %t, %v", hungUp, err)
+			}
+			if !conn.HasUnread() {
+				t.Error("nothing unread")
+			}
+			if conn.IsSilent() {
+				t.Error("silent")
+			}
+			if !conn.HasUnacknowledged() {
+				t.Error("all acknowledged")
+			}
+		})
+	}
+}
+
+// TestBrokenConnectionIsHungUp checks that the end of a connection is seen whichever event shows it.
+func TestBrokenConnectionIsHungUp(t *testing.T) {
+	for name, events := range map[string]int16{
+		"error":  unix.POLLERR,
+		"hangup": unix.POLLHUP,
+		"both":   unix.POLLERR | unix.POLLHUP,
+		"reader": unix.POLLRDHUP,
+	} {
+		conn, _ := newPair(t, &failingSystem{pollEvents: events})
+		if hungUp, err := conn.HungUp(); !hungUp || err != nil {
+			t.Errorf("%s: hung up %t, %v", name, hungUp, err)
+		}
+	}
+}
+
+// TestInterruptsWithoutEnd checks that a signal for each call ends neither in a loop without end nor in a
+// wrong answer.
+func TestInterruptsWithoutEnd(t *testing.T) {
+	system := &failingSystem{}
+	for range 10 * maxInterrupts {
+		system.poll = append(system.poll, syscall.EINTR)
+	}
+	conn, _ := newPair(t, system)
+	if hungUp, err := conn.HungUp(); hungUp || !errors.Is(err, syscall.EINTR) {
+		t.Errorf("hung up %t, %v", hungUp, err)
+	}
+}
