Repeat reads and writes of connections that fail for a moment

Cause: Conn.Write and readWith (internal/socket/conn.go) gave up at ENOBUFS and ENOMEM. writeReply (client_writer.go) then closed the client's connection with the rest of the reply unsent, and the reader took a failed read for the client's end. A write that Linux refuses with EAGAIN for want of memory, while the send buffer has room, waited for an event that never comes, until the 5 s of the reply were over.

Ruled out: short counts of reads and writes were continued already (short_counts passes without the change), EINTR too. ECONNRESET, EPIPE, ETIMEDOUT and EHOSTUNREACH stay real ends (TestBrokenClientWrites passes without it).

--- a/internal/router/client_writer.go
+++ b/internal/router/client_writer.go
@@ -1,12 +1,15 @@
 package router
 
 import (
+	"errors"
+	"os"
 	"time"
 )
 
 const (
-	writeTimeout = 5 * time.Second // for a reply to a client that does not read
-	lingerTime   = time.Second     // for a client to read the last reply before its connection is closed
+	writeTimeout       = 5 * time.Second        // for a reply to a client that does not read
+	writeRetryInterval = 100 * time.Millisecond // between attempts to write to a socket that took nothing
+	lingerTime         = time.Second            // for a client to read the last reply before its connection is closed
 )
 
 // writeLoop sends the replies in the order of the commands and then closes the connection.
@@ -44,16 +47,27 @@
 // writeReply sends a reply and reports whether the client is still connected. Without a reply, or
 // if it cannot be sent, it closes the connection; the reader then reports the client as gone.
 func (c *clientConn) writeReply(reply []byte) bool {
-	if reply != nil {
-		c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := c.nc.Write(reply); err == nil {
-			return true
-		}
+	if reply != nil && c.writeAll(reply) == nil {
+		return true
 	}
 	c.nc.Close()
 	return false
 }
 
+// writeAll writes all bytes within the timeout. It does not rely on the event that a socket has room
+// again, as there is none where a write was refused for want of memory.
+func (c *clientConn) writeAll(b []byte) error {
+	timeout := time.Now().Add(writeTimeout)
+	for {
+		c.nc.SetWriteDeadline(time.Now().Add(writeRetryInterval))
+		n, err := c.nc.Write(b)
+		b = b[n:]
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(timeout) {
+			return err
+		}
+	}
+}
+
 // replyDone releases what was reserved for a reply. If the connection is to be closed and no other
 // reply is due, it interrupts the reader.
 func (c *clientConn) replyDone(slot *replySlot, reply []byte) {
--- a/internal/router/faulty_system_test.go
+++ b/internal/router/faulty_system_test.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// setDecide sets decide in a system that is in use.
+func (s *faultySystem) setDecide(decide func(call systemCall, fd int) *fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decide = decide
+}
+
 // clear removes the scripted faults of a kind that have not happened yet.
 func (s *faultySystem) clear(call systemCall) {
 	s.mu.Lock()
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -83,8 +83,19 @@
 	})
 }
 
-// readWith waits until read, which does not wait, has read something or failed.
+// readWith waits until read, which does not wait, has read something or failed for good.
 func (c *Conn) readWith(read func(fd int) (int, error)) (n int, err error) {
+	var backoff transientBackoff
+	for {
+		n, err = c.readOnceReady(read)
+		if !backoff.wait(err) {
+			return n, err
+		}
+	}
+}
+
+// readOnceReady waits until read, which does not wait, has read something or failed.
+func (c *Conn) readOnceReady(read func(fd int) (int, error)) (n int, err error) {
 	waitErr := c.raw.Read(func(fd uintptr) (done bool) {
 		n, err = read(int(fd))
 		return !errors.Is(err, syscall.EAGAIN)
@@ -100,21 +111,23 @@
 	return n, nil
 }
 
-// ReadArrived reads what has arrived, without waiting and whatever the read deadline is. It returns
-// neither bytes nor an error if nothing has arrived.
+// ReadArrived reads what has arrived, without waiting for more and whatever the read deadline is. It
+// returns neither bytes nor an error if nothing has arrived.
 func (c *Conn) ReadArrived(b []byte) (n int, err error) {
-	controlErr := c.raw.Control(func(fd uintptr) {
-		n, err = c.readNow(int(fd), b)
-	})
-	switch {
-	case controlErr != nil:
-		return 0, controlErr
-	case errors.Is(err, syscall.EAGAIN):
-		return 0, nil
-	case err == nil && n == 0:
-		return 0, io.EOF
+	var backoff transientBackoff
+	for {
+		controlErr := c.raw.Control(func(fd uintptr) { n, err = c.readNow(int(fd), b) })
+		switch {
+		case controlErr != nil:
+			return 0, controlErr
+		case errors.Is(err, syscall.EAGAIN):
+			return 0, nil
+		case err == nil && n == 0:
+			return 0, io.EOF
+		case !backoff.wait(err):
+			return n, err
+		}
 	}
-	return n, err
 }
 
 // readNow reads what has arrived, without waiting.
@@ -127,7 +140,20 @@
 }
 
 // Write implements io.Writer. It waits until all is written or the write deadline has passed.
-func (c *Conn) Write(b []byte) (written int, err error) {
+func (c *Conn) Write(b []byte) (int, error) {
+	written := 0
+	var backoff transientBackoff
+	for {
+		n, err := c.writeUntilError(b[written:])
+		written += n
+		if !backoff.wait(err) {
+			return written, err
+		}
+	}
+}
+
+// writeUntilError writes until all is written, a write fails, or the write deadline has passed.
+func (c *Conn) writeUntilError(b []byte) (written int, err error) {
 	waitErr := c.raw.Write(func(fd uintptr) (done bool) {
 		for written < len(b) && err == nil {
 			var n int
--- a/internal/socket/conn_test.go
+++ b/internal/socket/conn_test.go
@@ -120,7 +120,9 @@
 	t.Run("HungUp", func(t *testing.T) {
 		system := &failingSystem{}
 		conn, peer := newPair(t, system)
-		peer.Close()
+		if err := peer.Close(); err != nil {
+			t.Fatal(err)
+		}
 		await(t, "the end", func() bool { hungUp, _ := conn.HungUp(); return hungUp })
 		system.poll = interrupts
 		if hungUp, err := conn.HungUp(); !hungUp || err != nil {
