--- a/internal/router/client_writer.go
+++ b/internal/router/client_writer.go
@@ -1,12 +1,15 @@
 package router
 
 import (
+	"errors"
+	"os"
 	"time"
 )
 
 const (
-	writeTimeout = 5 * time.Second // for a reply to a client that does not read
-	lingerTime   = time.Second     // for a client to read the last reply before its connection is closed
+	writeTimeout       = 5 * time.Second        // for a reply to a client that does not read
+	writeRetryInterval = 100 * time.Millisecond // between attempts to write to a socket that took nothing
+	lingerTime         = time.Second            // for a client to read the last reply before its connection is closed
 )
 
 // writeLoop sends the replies in the order of the commands and then closes the connection.
@@ -21,9 +24,9 @@
 		}
 		c.replyDone(slot, reply)
 	}
-	// Idle connections that were never answered are closed at once: while they linger, they occupy
-	// descriptors that queued connections need.
-	if connected && (answered || c.nc.HasUnread()) {
+	// Connections that were never answered are closed at once: while they linger, they occupy
+	// descriptors that queued connections need. A request that has just arrived is unread.
+	if connected && answered {
 		c.linger()
 	}
 	c.nc.Close()
@@ -49,16 +52,27 @@
 // writeReply sends a reply and reports whether the client is still connected. Without a reply, or
 // if it cannot be sent, it closes the connection; the reader then reports the client as gone.
 func (c *clientConn) writeReply(reply []byte) bool {
-	if reply != nil {
-		c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := c.nc.Write(reply); err == nil {
-			return true
-		}
+	if reply != nil && c.writeAll(reply) == nil {
+		return true
 	}
 	c.nc.Close()
 	return false
 }
 
+// writeAll writes all bytes within the timeout. It does not rely on the event that a socket has room
+// again, as there is none where a write was refused for want of memory.
+func (c *clientConn) writeAll(b []byte) error {
+	timeout := time.Now().Add(writeTimeout)
+	for {
+		c.nc.SetWriteDeadline(time.Now().Add(writeRetryInterval))
+		n, err := c.nc.Write(b)
+		b = b[n:]
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(timeout) {
+			return err
+		}
+	}
+}
+
 // replyDone releases what was reserved for a reply. If the connection is to be closed and no other
 // reply is due, it interrupts the reader.
 func (c *clientConn) replyDone(slot *replySlot, reply []byte) {
@@ -69,21 +83,42 @@
 	}
 }
 
-// linger lets the client read the last reply. Closing a connection while bytes still arrive, of an
-// oversized command or of a request that crosses the close, would reset it and lose the reply.
+// linger lets the client read the last reply. Closing a connection while bytes are unread or still
+// arrive, of an oversized command or of a request that crosses the close, resets it, and replies
+// that are not acknowledged would be lost.
 func (c *clientConn) linger() {
-	idle := c.srv.loop.clock()-c.lastReplyAt.Load() > c.srv.lingerTime.Microseconds()
-	if idle && !c.nc.HasUnread() && !c.nc.HasUnacknowledged() {
+	now := c.srv.loop.clock()
+	idle := now-c.lastReplyAt.Load() > c.srv.lingerTime.Microseconds()
+	unacknowledged := c.nc.HasUnacknowledged()
+	if idle && !unacknowledged && !c.nc.HasUnread() {
 		return
 	}
 	if c.nc.CloseWrite() != nil {
 		return
 	}
+	end := now + c.lingerTime().Microseconds()
+	c.lingerEnd.Store(end)
+	c.lingerLimit.Store(end)
+	if unacknowledged {
+		c.lingerLimit.Store(max(end, now+writeTimeout.Microseconds()))
+	}
 	c.lingering.Store(true)
-	c.nc.SetReadDeadline(time.Now().Add(c.lingerTime()))
+	c.interruptRead()
 	<-c.readEnded
 }
 
+// lingerOver reports whether the client has had the time to read the last reply.
+func (c *clientConn) lingerOver() bool {
+	now := c.srv.loop.clock()
+	switch {
+	case !c.lingering.Load() || now < c.lingerEnd.Load():
+		return false
+	case now >= c.lingerLimit.Load():
+		return true
+	}
+	return !c.nc.HasUnacknowledged()
+}
+
 // lingerTime is shorter on a connection that is evicted. Otherwise many clients that ignore the
 // router's end of their connections would shut out the PING that checks whether it is ready.
 func (c *clientConn) lingerTime() time.Duration {
--- a/internal/router/faulty_system_test.go
+++ b/internal/router/faulty_system_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,6 +42,8 @@
 	script map[systemCall][]fault
 	calls  map[systemCall]int
 	decide func(call systemCall, fd int) *fault
+
+	bytesRead atomic.Int64 // by all reads; peeks do not count
 }
 
 func newFaultySystem() *faultySystem {
@@ -61,6 +64,20 @@
 	}
 }
 
+// setDecide sets decide in a system that is in use.
+func (s *faultySystem) setDecide(decide func(call systemCall, fd int) *fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decide = decide
+}
+
+// clear removes the scripted faults of a kind that have not happened yet.
+func (s *faultySystem) clear(call systemCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.script[call] = nil
+}
+
 // callCount returns how many calls of a kind were made, those with faults included.
 func (s *faultySystem) callCount(call systemCall) int {
 	s.mu.Lock()
@@ -123,7 +140,9 @@
 	if f.err != nil {
 		return -1, f.err
 	}
-	return s.Linux.Read(fd, f.limit(b))
+	n, err := s.Linux.Read(fd, f.limit(b))
+	s.bytesRead.Add(int64(max(n, 0)))
+	return n, err
 }
 
 func (s *faultySystem) Write(fd int, b []byte) (int, error) {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -12,6 +12,12 @@
 	"golang.org/x/sys/unix"
 )
 
+// hangupEvents show that the peer has closed its side of a connection or that the connection is broken.
+const hangupEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+
+// maxInterrupts bounds how often a system call is repeated at once that a signal has interrupted.
+const maxInterrupts = 100
+
 // Conn is a TCP connection. Its methods may be called from several goroutines.
 type Conn struct {
 	tcp    *net.TCPConn
@@ -77,8 +83,19 @@
 	})
 }
 
-// readWith waits until read, which does not wait, has read something or failed.
+// readWith waits until read, which does not wait, has read something or failed for good.
 func (c *Conn) readWith(read func(fd int) (int, error)) (n int, err error) {
+	var backoff transientBackoff
+	for {
+		n, err = c.readOnceReady(read)
+		if !backoff.wait(err) {
+			return n, err
+		}
+	}
+}
+
+// readOnceReady waits until read, which does not wait, has read something or failed.
+func (c *Conn) readOnceReady(read func(fd int) (int, error)) (n int, err error) {
 	waitErr := c.raw.Read(func(fd uintptr) (done bool) {
 		n, err = read(int(fd))
 		return !errors.Is(err, syscall.EAGAIN)
@@ -94,6 +111,25 @@
 	return n, nil
 }
 
+// ReadArrived reads what has arrived, without waiting for more and whatever the read deadline is. It
+// returns neither bytes nor an error if nothing has arrived.
+func (c *Conn) ReadArrived(b []byte) (n int, err error) {
+	var backoff transientBackoff
+	for {
+		controlErr := c.raw.Control(func(fd uintptr) { n, err = c.readNow(int(fd), b) })
+		switch {
+		case controlErr != nil:
+			return 0, controlErr
+		case errors.Is(err, syscall.EAGAIN):
+			return 0, nil
+		case err == nil && n == 0:
+			return 0, io.EOF
+		case !backoff.wait(err):
+			return n, err
+		}
+	}
+}
+
 // readNow reads what has arrived, without waiting.
 func (c *Conn) readNow(fd int, b []byte) (n int, err error) {
 	err = retryInterrupted(func() error {
@@ -104,7 +140,20 @@
 }
 
 // Write implements io.Writer. It waits until all is written or the write deadline has passed.
-func (c *Conn) Write(b []byte) (written int, err error) {
+func (c *Conn) Write(b []byte) (int, error) {
+	written := 0
+	var backoff transientBackoff
+	for {
+		n, err := c.writeUntilError(b[written:])
+		written += n
+		if !backoff.wait(err) {
+			return written, err
+		}
+	}
+}
+
+// writeUntilError writes until all is written, a write fails, or the write deadline has passed.
+func (c *Conn) writeUntilError(b []byte) (written int, err error) {
 	waitErr := c.raw.Write(func(fd uintptr) (done bool) {
 		for written < len(b) && err == nil {
 			var n int
@@ -142,47 +191,70 @@
 }
 
 // IsSilent reports whether neither bytes nor the end of the connection have arrived that are not
-// read yet.
+// read yet. If that cannot be told, it is not silent.
 func (c *Conn) IsSilent() bool {
-	silent := false
-	err := c.raw.Control(func(fd uintptr) {
-		_, err := c.system.Peek(int(fd), make([]byte, 1))
-		silent = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
-	})
-	return err == nil && silent
+	_, err := c.peek()
+	return errors.Is(err, syscall.EAGAIN)
 }
 
-// HasUnread reports whether bytes have been received that are not read yet.
+// HasUnread reports whether bytes have been received that are not read yet, or that cannot be told.
 func (c *Conn) HasUnread() bool {
-	n := 0
-	err := c.raw.Control(func(fd uintptr) {
-		// On an error nothing can be read, and n is not positive.
-		n, _ = c.system.Peek(int(fd), make([]byte, 1))
+	n, err := c.peek()
+	return n > 0 || err != nil && !errors.Is(err, syscall.EAGAIN)
+}
+
+// peek looks for a byte that has arrived, without reading it.
+func (c *Conn) peek() (n int, err error) {
+	controlErr := c.raw.Control(func(fd uintptr) {
+		err = retryInterrupted(func() error {
+			n, err = c.system.Peek(int(fd), make([]byte, 1))
+			return err
+		})
 	})
-	return err == nil && n > 0
+	return n, errors.Join(controlErr, err)
 }
 
 // HasUnacknowledged reports whether the peer's machine has yet to acknowledge some of what was
-// written.
+// written, or that cannot be told.
 func (c *Conn) HasUnacknowledged() bool {
 	n := 0
 	var queryErr error
 	err := c.raw.Control(func(fd uintptr) {
-		n, queryErr = c.system.UnacknowledgedBytes(int(fd))
+		queryErr = retryInterrupted(func() error {
+			n, queryErr = c.system.UnacknowledgedBytes(int(fd))
+			return queryErr
+		})
 	})
-	return errors.Join(err, queryErr) == nil && n > 0
+	return errors.Join(err, queryErr) != nil || n > 0
 }
 
 // HungUp reports whether the peer has closed its side of the connection or reset it, even if bytes
-// that were sent before are not read yet.
-func (c *Conn) HungUp() bool {
-	hungUp := false
-	err := c.raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, pollErr := c.system.Poll(fds)
-		hungUp = pollErr == nil && n > 0 && fds[0].Revents&unix.POLLRDHUP != 0
+// that were sent before are not read yet. It fails if that cannot be told. A connection that was
+// closed on this side counts as hung up.
+func (c *Conn) HungUp() (hungUp bool, err error) {
+	controlErr := c.raw.Control(func(fd uintptr) { hungUp, err = c.hungUpNow(int(fd)) })
+	if controlErr != nil {
+		return true, nil
+	}
+	return hungUp, err
+}
+
+func (c *Conn) hungUpNow(fd int) (bool, error) {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	err := retryInterrupted(func() error {
+		_, err := c.system.Poll(fds)
+		return err
+	})
+	return err == nil && fds[0].Revents&hangupEvents != 0, err
+}
+
+// AwaitHangup waits until the peer has hung up or the read deadline has passed. What arrives meanwhile
+// stays unread.
+func (c *Conn) AwaitHangup() error {
+	return c.raw.Read(func(fd uintptr) (done bool) {
+		hungUp, err := c.hungUpNow(int(fd))
+		return err == nil && hungUp
 	})
-	return hungUp || err != nil
 }
 
 // SetReadDeadline sets the deadline of the pending read and of further ones; zero stands for none.
@@ -203,12 +275,15 @@
 	_ = c.tcp.Close() // nothing can be done about an error on a connection that is given up
 }
 
-// retryInterrupted repeats a system call that a signal has interrupted.
+// retryInterrupted repeats a system call that a signal has interrupted. If it is interrupted each
+// time, it fails with that.
 func retryInterrupted(call func() error) error {
-	for {
-		err := call()
+	err := call()
+	for range maxInterrupts {
 		if !errors.Is(err, syscall.EINTR) {
-			return err
+			break
 		}
+		err = call()
 	}
+	return err
 }
