Write all of an attempt's command in the event loop, with a check before each part

Cause: where the first write was short, writeRemainder (upstream_write.go) wrote the rest in a goroutine that looked at nothing: the client's end was noticed by the client's reader alone, so a command was completed (which is when an attempt begins) for a client that had left; the timeout in the command was computed at its first byte, and told a server hundreds of milliseconds later; a first write that took nothing (EAGAIN) left the first byte to the goroutine, which did not see a drain; ENOBUFS or ENOMEM of a write failed the attempt as the server's fault; and a reply that came before the command was complete was served, though it can't have been made for the request.

Ruled out: a write that ends after close. net.Conn.Close waits for the call that holds the descriptor, so the outcome was known before the final answer was given.

Change: the loop writes all parts itself. Before each it checks the client's socket, the deadline, the start window and the request, and that nothing has arrived; a socket that takes nothing is tried again after 1 to 16 ms. A command is given up 0.1 s after the timeout in it was computed (unless nothing of it was written: then it is computed anew). sequence counts attempts that are completely written, and a reply counts only for one. abandoned, abandonResult, earlyReply, writeDone and writeRemainder's goroutine go.

The tests that write 64 MB to a server that does not read allow themselves long writes (allowSlowWrites), as their subject is what ends such a write.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -20,16 +20,14 @@
 // attempt is one attempt of a request, or a health check if it has no request. It has exactly one
 // outcome.
 type attempt struct {
-	request       *request
-	number        int // of the request's attempts, from 0
-	pool          *pool
-	sentAt        policy.Time
-	deadline      policy.Time
-	startBefore   policy.Time // the server must not begin it at or after this time; 0 for no limit
-	state         attemptState
-	conn          *upstreamConn // that carries it; nil while it is queued and once it is done
-	abandoned     bool          // while it was partly written
-	abandonResult policy.Result // of an abandoned attempt, if it turns out to be completely written
+	request     *request
+	number      int // of the request's attempts, from 0
+	pool        *pool
+	sentAt      policy.Time
+	deadline    policy.Time
+	startBefore policy.Time // the server must not begin it at or after this time; 0 for no limit
+	state       attemptState
+	conn        *upstreamConn // that carries it; nil while it is queued and once it is done
 }
 
 // dialDeadline is the time by which the attempt must have a connection.
@@ -65,9 +63,9 @@
 	case attemptQueued:
 		a.finish(policy.NotSent, nil)
 	case attemptWriting:
-		// Whether the last byte has been written is known when the writer has stopped: see writeDone.
-		a.abandoned, a.abandonResult = true, reason
+		// The server does not begin a command without its last byte.
 		a.conn.close()
+		a.finish(policy.NotSent, nil)
 	case attemptWritten:
 		a.conn.close()
 		a.finish(reason, nil)
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -42,6 +42,11 @@
 // canStart is the last check before an attempt's first byte is written: everything may have changed
 // while it was queued.
 func (p *pool) canStart(a *attempt) bool {
+	return p.canComplete(a) && p.inService
+}
+
+// canComplete reports whether the rest of an attempt's command may be written.
+func (p *pool) canComplete(a *attempt) bool {
 	r := a.request
 	if r != nil && !r.done && r.client.hungUp() {
 		// The event that the client is gone may still be queued. The client's socket is asked each
@@ -51,7 +56,7 @@
 	now := p.loop.now
 	requestDone := r != nil && r.done
 	inStartWindow := a.startBefore == 0 || now < a.startBefore
-	return p.inService && now < a.deadline && inStartWindow && !requestDone
+	return now < a.deadline && inStartWindow && !requestDone
 }
 
 // dispatchWhenSettled sets a timer for when the first idle connection settles. There is one timer at
--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -46,6 +46,7 @@
 	upstreamConns     int         // connections to all caches, those being dialed included
 	descriptorStarved bool        // an attempt waits for a descriptor
 	settleTime        policy.Time // between a reply on an upstream connection and its next request
+	maxWriteTime      policy.Time // for a command to a cache, once the timeout in it is computed
 	canServe          atomic.Bool // some known cache is in service; any goroutine may read it
 
 	discovery        *discovery.Client
@@ -73,6 +74,7 @@
 		pools:            map[string]*pool{},
 		descriptors:      descriptors,
 		settleTime:       defaultSettleTime,
+		maxWriteTime:     defaultMaxWriteTime,
 		discovery:        newDiscoveryClient(cfg),
 		endpointsVersion: cfg.Known.Version,
 	}
--- a/internal/router/outcome_test.go
+++ b/internal/router/outcome_test.go
@@ -117,6 +117,7 @@
 func TestResetDuringWriteIsConnectFailed(t *testing.T) {
 	addr, conns := nonReadingServer(t)
 	r := newLoopHarness(t, addr, nil)
+	r.allowSlowWrites()
 	r.sendAttempt(largeRequest(r), long)
 	nc := receive(t, conns, "connection")
 	if _, err := nc.Read(make([]byte, 1)); err != nil { // the write has begun
@@ -129,6 +130,7 @@
 func TestCancelDuringWriteIsNotSent(t *testing.T) {
 	addr, conns := nonReadingServer(t)
 	r := newLoopHarness(t, addr, nil)
+	r.allowSlowWrites()
 	q := largeRequest(r)
 	r.sendAttempt(q, long)
 	if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil { // the write has begun
@@ -218,6 +220,7 @@
 func TestFinalReplyStopsPartialWrite(t *testing.T) {
 	addr, conns := nonReadingServer(t)
 	r := newLoopHarness(t, addr, nil)
+	r.allowSlowWrites()
 	q := largeRequest(r)
 	r.sendAttempt(q, long)
 	if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil {
--- a/internal/router/start_window_test.go
+++ b/internal/router/start_window_test.go
@@ -16,6 +16,7 @@
 func TestRetryIsWrittenWithinStartWindow(t *testing.T) {
 	addr, conns := nonReadingServer(t)
 	r := newLoopHarness(t, addr, nil)
+	r.allowSlowWrites()
 	q := largeRequest(r)
 	r.do(func() { r.loop.perform(policy.Send{ID: q.id, Cache: "c1", StartBefore: r.loop.now + 1_000_000}) })
 	nc := receive(t, conns, "connection")
--- a/internal/router/upstream_conn.go
+++ b/internal/router/upstream_conn.go
@@ -20,19 +20,19 @@
 	addr        string
 	nc          *socket.Conn // nil until the connection is established
 	connectedAt policy.Time
-	attempt     *attempt    // that it carries
-	earlyReply  *resp.Reply // arrived before the loop learned that its request was completely written
+	attempt     *attempt     // that it carries
+	write       commandWrite // of that attempt, while it is partly written
 	idleSince   policy.Time
 	closed      bool
 
 	// mu is held by the reader while it reads from the socket and notes what arrived, and by the
-	// loop while it checks that nothing has arrived and begins an attempt.
+	// loop while it checks that nothing has arrived and writes.
 	mu         sync.Mutex
-	sequence   atomic.Uint32 // attempts begun on the connection
+	sequence   atomic.Uint32 // attempts completely written to the connection
 	replyBegun atomic.Bool   // part of a reply has been read
 }
 
-// isNew reports whether the connection has not carried an attempt yet.
+// isNew reports whether no attempt has been completely written to the connection yet.
 func (c *upstreamConn) isNew() bool { return c.sequence.Load() == 0 }
 
 // matchesEndpoint reports whether the connection leads to the address and the incarnation of the
@@ -69,24 +69,18 @@
 }
 
 // replyReceived takes a reply whose first bytes arrived when the given number of attempts had been
-// begun. inStep is false if more bytes arrived behind it.
+// completely written. inStep is false if more bytes arrived behind it.
 func (c *upstreamConn) replyReceived(reply *resp.Reply, sequence uint32, inStep bool) {
 	if c.closed {
 		return
 	}
 	a := c.attempt
-	if a == nil || sequence != c.sequence.Load() {
-		// It replies to no request, or arrived before the request was begun. Later replies can't be
-		// assigned to requests either.
+	if a == nil || a.state != attemptWritten || sequence != c.sequence.Load() {
+		// It replies to no request, or arrived before the request was completely written. Later replies
+		// can't be assigned to requests either.
 		c.connectionLost()
 		return
 	}
-	if a.state == attemptWriting {
-		if c.earlyReply == nil {
-			c.earlyReply = reply
-		}
-		return
-	}
 	result := reply.Result
 	if a.request == nil && reply.Pong {
 		result = policy.Served
@@ -103,14 +97,7 @@
 func (c *upstreamConn) connectionLost() {
 	c.pool.closeConn(c)
 	if a := c.attempt; a != nil {
-		switch {
-		case a.state != attemptWriting:
-			a.finish(policy.ConnectionLost, nil)
-		case !a.abandoned:
-			// The writer's outcome is still to come. An abandoned attempt keeps its own result, as
-			// the router itself has closed the connection.
-			a.abandoned, a.abandonResult = true, policy.ConnectionLost
-		}
+		c.fail(a)
 	}
 	c.pool.dispatch()
 }
--- a/internal/router/upstream_socket.go
+++ b/internal/router/upstream_socket.go
@@ -3,14 +3,14 @@
 import "marlstage/internal/socket"
 
 // sequencedReader reads from a connection's socket. With the first bytes of a reply it notes how many
-// attempts had been begun by then.
+// attempts had been completely written by then.
 type sequencedReader struct {
 	conn     *upstreamConn
 	nc       *socket.Conn
 	sequence uint32 // 0 until the first bytes of a reply have arrived
 }
 
-// Read implements io.Reader. The read and the note of it are one step for beginAttempt.
+// Read implements io.Reader. The read and the note of it are one step for tryWrite.
 func (r *sequencedReader) Read(b []byte) (int, error) {
 	return r.nc.ReadLocked(b, &r.conn.mu, r.noteSequence)
 }
--- a/internal/router/upstream_write.go
+++ b/internal/router/upstream_write.go
@@ -1,51 +1,78 @@
 package router
 
 import (
+	"errors"
+
+	"golang.org/x/sys/unix"
+
 	"marlstage/policy"
 )
 
-// writeAttempt writes the attempt at the head of the pool's queue. The loop itself writes as much as
-// the socket takes at once, which is nearly always all of it, so that nothing happens between
-// canStart and the first byte. A goroutine writes the remainder.
+const (
+	// defaultMaxWriteTime is the time in microseconds that writing a command may take, from when the
+	// timeout in it was computed. The server counts that timeout from the command's last byte.
+	defaultMaxWriteTime = 100_000
+	// minWriteDelay and maxWriteDelay are the times in microseconds until a socket that took nothing
+	// is tried again. The delay doubles from one to the other.
+	minWriteDelay = 1_000
+	maxWriteDelay = 16_000
+)
+
+// errOutOfStep reports that something has arrived on a connection before a command was complete. It
+// would be taken for the beginning of the reply, or the end of the connection for a reset after
+// which the request may have been executed.
+var errOutOfStep = errors.New("unexpected bytes or end of the connection")
+
+// commandWrite is the progress of writing an attempt's command.
+type commandWrite struct {
+	command   []byte
+	written   int         // bytes of the command
+	encodedAt policy.Time // when the timeout in the command was computed
+	delay     policy.Time // until the socket is tried again
+}
+
+// writeAttempt writes the attempt at the head of the pool's queue. The socket nearly always takes
+// all of it at once. All of a command is written by the loop, so that nothing happens between the
+// check whether the attempt may go on and the last byte, at which the server begins it.
 func (c *upstreamConn) writeAttempt(a *attempt) {
 	isNew := c.isNew()
-	if !c.beginAttempt() {
-		// What has arrived would be taken for the beginning of the reply, or the end of the
-		// connection for a reset after which the request may have been executed.
-		c.failUnsent(a, isNew)
-		return
-	}
-	buf := a.encode(c.pool.loop.now)
-	n, err := c.nc.TryWrite(buf)
+	now := c.pool.loop.now
+	command := a.encode(now)
+	n, err := c.tryWrite(command)
 	if n == 0 && err != nil {
-		c.failUnsent(a, isNew) // the server had closed the connection
+		c.failUnsent(a, isNew)
 		return
 	}
 	c.pool.queue = c.pool.queue[1:]
 	c.attempt, a.conn = a, c
-	switch {
-	case err != nil:
-		a.state = attemptWriting
-		c.close()
-		a.finish(policy.ConnectFailed, nil)
-	case n == len(buf):
-		a.state = attemptWritten
-	default:
-		a.state = attemptWriting
-		go c.writeRemainder(a, buf[n:])
-	}
+	a.state = attemptWriting
+	c.write = commandWrite{command: command, encodedAt: now, delay: minWriteDelay}
+	c.wrote(a, n, err)
+	c.writeRemainder(a)
 }
 
-// beginAttempt counts an attempt unless anything has arrived before it. The lock keeps bytes from
-// arriving unnoticed between the check and the count.
-func (c *upstreamConn) beginAttempt() bool {
+// tryWrite writes as much of the rest of a command as the socket takes at once, unless anything has
+// arrived before. The lock keeps bytes from being read unnoticed between the check and the write.
+func (c *upstreamConn) tryWrite(rest []byte) (n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.isSilent() {
-		return false
+		return 0, errOutOfStep
 	}
-	c.sequence.Add(1)
-	return true
+	n, err = c.nc.TryWrite(rest)
+	if isTransient(err) {
+		err = nil
+	}
+	if n == len(rest) {
+		c.sequence.Add(1)
+	}
+	return n, err
+}
+
+// isTransient reports whether a system call on a socket failed for want of memory in the kernel,
+// which says nothing about the connection.
+func isTransient(err error) bool {
+	return errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.ENOMEM)
 }
 
 // failUnsent closes a connection that can't carry the attempt, of which not a byte has been written.
@@ -58,32 +85,70 @@
 	}
 }
 
-// writeRemainder writes what the socket didn't take at once. It runs in its own goroutine.
-func (c *upstreamConn) writeRemainder(a *attempt, buf []byte) {
-	n, _ := c.nc.Write(buf) // an error leaves the write incomplete
-	c.pool.loop.post(func() { c.writeDone(a, n == len(buf)) })
+// wrote takes the outcome of a write of n bytes.
+func (c *upstreamConn) wrote(a *attempt, n int, err error) {
+	c.write.written += n
+	if c.write.written == len(c.write.command) {
+		a.state = attemptWritten
+		c.write = commandWrite{}
+	}
+	if err != nil {
+		c.fail(a)
+	}
 }
 
-// writeDone takes the outcome of writeRemainder. An incomplete request has not been executed,
-// whatever became of the connection.
-func (c *upstreamConn) writeDone(a *attempt, complete bool) {
-	if a.state != attemptWriting {
-		return
+// fail closes the connection and ends the attempt that it carries. A server does not begin a command
+// that is not complete.
+func (c *upstreamConn) fail(a *attempt) {
+	result := policy.ConnectionLost
+	if a.state == attemptWriting {
+		result = policy.ConnectFailed
 	}
-	abandonedByRouter := a.abandoned && a.abandonResult != policy.ConnectionLost
+	c.close()
+	a.finish(result, nil)
+}
+
+// writeRemainder goes on with a command that the socket has not taken completely, and tries again
+// later if the socket takes nothing. Before each write it checks that the attempt may go on.
+func (c *upstreamConn) writeRemainder(a *attempt) {
+	for a.state == attemptWriting {
+		c.pool.loop.now = c.pool.loop.clock()
+		if !c.canContinue(a) {
+			return
+		}
+		n, err := c.tryWrite(c.write.command[c.write.written:])
+		c.wrote(a, n, err)
+		if n == 0 && err == nil {
+			c.scheduleWrite(a)
+			return
+		}
+		c.write.delay = minWriteDelay
+	}
+}
+
+// scheduleWrite has the loop go on with the command after a delay.
+func (c *upstreamConn) scheduleWrite(a *attempt) {
+	c.pool.loop.scheduleAfter(c.write.delay, func() { c.writeRemainder(a) })
+	c.write.delay = min(2*c.write.delay, maxWriteDelay)
+}
+
+// canContinue checks that an attempt whose command is not complete may go on, and ends it otherwise.
+func (c *upstreamConn) canContinue(a *attempt) bool {
+	now := c.pool.loop.now
+	begun := c.write.written > 0
+	// A drain binds attempts from their first byte on.
+	allowed := c.pool.canComplete(a) && (begun || c.pool.inService)
 	switch {
-	case !complete && abandonedByRouter:
-		a.finish(policy.NotSent, nil)
-	case !complete:
-		c.close()
-		a.finish(policy.ConnectFailed, nil)
-	case c.earlyReply != nil && !abandonedByRouter:
-		// The server may have closed the connection behind its reply.
-		c.close()
-		a.finish(c.earlyReply.Result, c.earlyReply)
-	case a.abandoned:
-		a.finish(a.abandonResult, nil)
-	default:
-		a.state = attemptWritten
+	case a.state != attemptWriting: // the check has found that the client is gone
+		return false
+	case !allowed:
+		a.abandon(policy.NotSent)
+		return false
+	case !begun:
+		c.write.command, c.write.encodedAt = a.encode(now), now
+	case now-c.write.encodedAt > c.pool.loop.maxWriteTime:
+		c.fail(a) // the server would count the timeout that it is sent from too late
+		return false
 	}
+	return true
 }
