Don't take a late reply for the next one if the process was held up before the write

Cause: tryWrite (before: beginAttempt and writeAttempt) looks whether anything has arrived and then writes. If the process is held up between the two for up to 0.15 s, a second reply to the earlier request that arrives in that time is read after the write and gets the sequence number of the new attempt: its client is sent the value of another request.

Ruled out: bytes that arrive before the look (TestDuplicateReplyReadBeforeNextRequest), and within the settle time (TestLateDuplicateReply). A duplicate reply that arrives only after the write of the next command can't be told from its reply, as replies carry no id.

--- a/internal/router/upstream_write.go
+++ b/internal/router/upstream_write.go
@@ -16,6 +16,9 @@
 	// is tried again. The delay doubles from one to the other.
 	minWriteDelay = 1_000
 	maxWriteDelay = 16_000
+	// maxUninterrupted is the time in microseconds between two successive system calls beyond which
+	// the process counts as having been held up between them.
+	maxUninterrupted = 5_000
 )
 
 // errOutOfStep reports that something has arrived on a connection before a command was complete. It
@@ -56,6 +59,8 @@
 func (c *upstreamConn) tryWrite(rest []byte) (n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	isNew := c.isNew()
+	begunAt := c.pool.loop.clock()
 	if !c.isSilent() {
 		return 0, errOutOfStep
 	}
@@ -66,6 +71,11 @@
 	if n == len(rest) {
 		c.sequence.Add(1)
 	}
+	heldUp := c.pool.loop.clock()-begunAt > maxUninterrupted
+	if heldUp && !isNew && !c.isSilent() {
+		// A late reply to an earlier request may have arrived between the check and the write.
+		return n, errOutOfStep
+	}
 	return n, err
 }
 
--- a/internal/router/upstream_write_test.go
+++ b/internal/router/upstream_write_test.go
@@ -164,3 +164,26 @@
 		})
 	}
 }
+
+// TestLateReplyDuringStall checks that a second reply to a request is not taken for the reply to the
+// next one, if it arrives while the process is held up between its look at the connection and the
+// write.
+func TestLateReplyDuringStall(t *testing.T) {
+	cache := newFakeCache(t)
+	harness := newLoopHarness(t, cache.addr(), nil)
+	system := harness.useFaultySystem()
+	harness.do(func() { harness.loop.settleTime = 0 })
+	first := harness.serveRequest(cache)
+	req := harness.newRequest(nil)
+	stall := fault{begun: make(chan struct{}), resume: make(chan struct{})}
+	system.inject(callWrite, stall)
+	harness.loop.post(func() { harness.loop.perform(policy.Send{ID: req.id, Cache: "c1"}) })
+	receive(t, stall.begun, "write")
+	first.reply(t, otherServedReply)
+	const length = 150_000
+	over := harness.loop.clock() + length
+	waitUntil(t, "the end of the stall", func() bool { return harness.loop.clock() > over })
+	close(stall.resume)
+	harness.wantOutcome(policy.ConnectionLost)
+	receive(t, cache.closed, "end of the connection")
+}
