Outlast faults of the router's own machine in dials, and don't repeat a peer's timeout

Causes, both in dialFailed (dial.go): - isTimeout held for every error that calls itself a timeout, so for ETIMEDOUT and EAGAIN of connect too: the attempt at the head was kept and dialed again at once, without end until its dial deadline. - ENFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH and the like were told to the policy as ConnectFailed of that server: requests fail at once, all together, and the circuits of healthy servers open.

Ruled out: a failed SyscallConn. It fails only for a connection that is nil, so never after a dial. ETIMEDOUT and EHOSTUNREACH come from the peer or the network to it, and stay ConnectFailed.

Change: only the dialer's own timeout is one. After a fault of the own machine, as connect(2) and socket(2) list them, dials to that server pause for 10 to 80 ms and the queued attempts wait for further ones, until their dial deadline. Then they end as NotSent, which the policy holds against no server and which never ran; with ENETUNREACH and ENETDOWN as ConnectFailed, as a route that is missing for so long is like a server that can't be reached.

Tests, on the code before: - TestDialErrorOfPeerIsConnectFailed: connection timed out: outcome 7, want 4 - TestDialIsRepeatedAfterFaultOfOwnMachine: no command came (ENETUNREACH, ENOBUFS) - TestLastingDialFault: outcome 4, want 7 (ENOBUFS, EAGAIN) All pass with the change, three times under the race detector.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -40,13 +40,7 @@
 	if a.state != attemptQueued {
 		return
 	}
-	result := policy.ConnectFailed
-	if len(a.pool.conns) == 0 {
-		// No descriptor was left to dial with, which says nothing about the server: with more
-		// servers than descriptors, healthy ones would count as unreachable.
-		result = policy.NotSent
-	}
-	a.finish(result, nil)
+	a.finish(a.pool.missingConnResult(), nil)
 }
 
 // startWindowClosed ends the attempt unless it has been completely written. A server begins a
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -22,17 +22,20 @@
 // pool holds the connections to one cache server and the attempts that are queued for one. All of
 // it belongs to the event loop.
 type pool struct {
-	loop           *eventLoop
-	name           string
-	addr           string
-	startedAt      policy.Time // start of the server's incarnation, by the endpoint list
-	inService      bool        // by the endpoint list, new requests may be sent to the server
-	conns          map[*upstreamConn]struct{}
-	idle           []*upstreamConn // in the order of their last use
-	dialing        int             // connections that are being established
-	settleTimerSet bool            // a timer is set for when an idle connection has settled
-	maxConns       int
-	queue          []*attempt // first in, first out
+	loop            *eventLoop
+	name            string
+	addr            string
+	startedAt       policy.Time // start of the server's incarnation, by the endpoint list
+	inService       bool        // by the endpoint list, new requests may be sent to the server
+	conns           map[*upstreamConn]struct{}
+	idle            []*upstreamConn // in the order of their last use
+	dialing         int             // connections that are being established
+	settleTimerSet  bool            // a timer is set for when an idle connection has settled
+	maxConns        int
+	dialFault       dialFault   // of the last dials, if the router's own machine was at fault
+	dialPause       policy.Time // length of the last pause of dials
+	dialPausedUntil policy.Time
+	queue           []*attempt // first in, first out
 }
 
 func newPool(l *eventLoop, name string) *pool {
