Repeat a read from a cache that fails for want of kernel memory

Cause: upstreamConn.run took every error of a read for the end of the connection, so that ENOMEM, which recv(2) lists, made a request on a whole connection one that may have run: it is retried at a price, or fails if it may not be repeated. Ruled out: EINTR (repeated), EAGAIN (waited for) and short reads.

Change: sequencedReader repeats such a read after 2 ms, until the connection is closed.

Test: TestReadFailsForAMoment, before: outcome 5, want 0 (ENOBUFS); passes with the change.

--- a/internal/router/upstream_socket.go
+++ b/internal/router/upstream_socket.go
@@ -1,6 +1,13 @@
 package router
 
-import "marlstage/internal/socket"
+import (
+	"time"
+
+	"marlstage/internal/socket"
+)
+
+// readRetryDelay is the time until a read that failed for want of kernel memory is repeated.
+const readRetryDelay = 2 * time.Millisecond
 
 // sequencedReader reads from a connection's socket. With the first bytes of a reply it notes how many
 // attempts had been completely written by then.
@@ -10,9 +17,16 @@
 	sequence uint32 // 0 until the first bytes of a reply have arrived
 }
 
-// Read implements io.Reader. The read and the note of it are one step for tryWrite.
+// Read implements io.Reader. The read and the note of it are one step for tryWrite. A read that
+// fails for want of kernel memory is repeated: the connection is whole, and the reply on its way.
 func (r *sequencedReader) Read(b []byte) (int, error) {
-	return r.nc.ReadLocked(b, &r.conn.mu, r.noteSequence)
+	for {
+		n, err := r.nc.ReadLocked(b, &r.conn.mu, r.noteSequence)
+		if !isTransient(err) {
+			return n, err
+		}
+		time.Sleep(readRetryDelay)
+	}
 }
 
 func (r *sequencedReader) noteSequence() {
--- a/internal/router/upstream_write_test.go
+++ b/internal/router/upstream_write_test.go
@@ -187,3 +187,19 @@
 	harness.wantOutcome(policy.ConnectionLost)
 	receive(t, cache.closed, "end of the connection")
 }
+
+// TestReadFailsForAMoment checks that a read which fails for want of kernel memory is repeated.
+func TestReadFailsForAMoment(t *testing.T) {
+	for _, err := range []error{unix.ENOMEM, unix.ENOBUFS, unix.EINTR} {
+		t.Run(err.Error(), func(t *testing.T) {
+			cache := newFakeCache(t)
+			harness := newLoopHarness(t, cache.addr(), nil)
+			system := harness.useFaultySystem()
+			harness.sendAttempt(harness.newRequest(nil), long)
+			cmd := receive(t, cache.commands, "command")
+			system.inject(callRead, fault{maxBytes: 1}, fault{err: err}, fault{maxBytes: 1}, fault{err: err})
+			cmd.reply(t, servedReply)
+			harness.wantOutcome(policy.Served)
+		})
+	}
+}
