Count a request's deadline from its arrival, also if it lay unread for long

Cause: clientConn.handleCommand took the clock when it handled a command (client_commands.go, readAt). A reader that waits because the reply queue or the event queue is full handles the next commands of its buffer, and those in the socket, seconds after they arrived; their deadlines, and so the timeouts that caches are told, were too late by that time.

Ruled out: the rounding of d (down, at least 1 ms), d of 0 (answered at once), negative or too large (an error), and the clock at the write (read in dispatch just before it; TestDispatchReadsTheClock).

Change: the time of a command is that of the read that brought its last byte. Where the reader was away for over 20 ms and bytes lie unread, they count as having arrived at the end of the read before. The ordinary path takes a clock reading more for each read, and no system call.

Left: bytes that arrive while a connection waits in the listener's queue count from its acceptance.

TestDeadlineCountsFromLastByte and TestArrivalTime check that no deadline becomes too early.

--- /dev/null
+++ b/internal/router/arrival_test.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"strings"
+	"testing"
+
+	"marlstage/policy"
+)
+
+// timeoutSlack is the time in microseconds by which the timeout that a cache is told may exceed what
+// its client has left.
+const timeoutSlack = 150_000
+
+// TestDeadlineCountsFromArrival checks that the deadlines of commands which lay unhandled for long,
+// as their client reads no replies, count from when they arrived.
+func TestDeadlineCountsFromArrival(t *testing.T) {
+	router, harness := startScriptedRouter(t)
+	client := dial(t, router.addr)
+	const commands = 3 * maxPipelined
+	client.send(strings.Repeat(getCommand("r"), commands))
+	harness.waitForFullReplyQueue()
+	latest := harness.loop.clock() + harness.latestTimeout() + timeoutSlack
+	resumed := harness.loop.clock() + 2*timeoutSlack
+	waitUntil(t, "the end of a long wait", func() bool { return harness.loop.clock() > resumed })
+	answered := 0
+	waitUntil(t, "all requests", func() bool {
+		harness.do(func() {
+			for id, req := range harness.loop.requests {
+				if req.deadline > latest {
+					t.Errorf("a deadline is %d us too late", req.deadline-latest)
+				}
+				harness.loop.perform(policy.Fail{ID: id})
+				answered++
+			}
+		})
+		return answered == commands || t.Failed()
+	})
+}
+
+// latestTimeout is the timeout of the requests that getCommand makes.
+func (h *loopHarness) latestTimeout() policy.Time { return long.Microseconds() }
+
+// TestDeadlineCountsFromLastByte checks that the deadline of a command counts from its last byte, and
+// not from an earlier command or its own first byte.
+func TestDeadlineCountsFromLastByte(t *testing.T) {
+	for name, before := range map[string]string{
+		"idle":           "",
+		"full buffer":    strings.Repeat("\r\n", minReadBuffer/2),
+		"part of itself": getCommand("r1")[:20],
+	} {
+		t.Run(name, func(t *testing.T) {
+			router, harness := startScriptedRouter(t)
+			client := dial(t, router.addr)
+			client.send(before)
+			late := harness.loop.clock() + timeoutSlack
+			waitUntil(t, "the end of a long wait", func() bool { return harness.loop.clock() > late })
+			client.send(strings.TrimPrefix(getCommand("r1"), before))
+			req := harness.onlyRequest()
+			if early := late + harness.latestTimeout() - req.deadline; early > 0 {
+				t.Errorf("the deadline is %d us too early", early)
+			}
+		})
+	}
+}
+
+// TestArrivalTime checks what a reader concludes from its reads about when a command has arrived.
+func TestArrivalTime(t *testing.T) {
+	const gap = 10 * maxReadGap
+	for name, c := range map[string]struct {
+		reads func(*arrivalTime)
+		want  policy.Time
+	}{
+		"waited for":     {func(a *arrivalTime) { a.noteRead(gap, false, false) }, gap},
+		"lay unread":     {func(a *arrivalTime) { a.noteRead(gap, true, false) }, 0},
+		"lay for longer": {func(a *arrivalTime) { a.noteRead(gap, true, true); a.noteRead(gap+1, true, false) }, 0},
+		"new after lying": {func(a *arrivalTime) { a.noteRead(gap, true, true); a.noteRead(2*gap, false, false) },
+			2 * gap},
+		"after an interrupted read": {func(a *arrivalTime) { a.noteEmptyRead(gap); a.noteRead(gap+1, true, false) }, gap},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var arrival arrivalTime
+			c.reads(&arrival)
+			if arrival.at != c.want {
+				t.Errorf("it arrived at %d, want %d", arrival.at, c.want)
+			}
+		})
+	}
+}
--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -29,12 +29,12 @@
 	errUnknownClass          = errors.New("c names no class")
 )
 
-// handleCommand carries out one command. raw is the command as it was received.
-func (c *clientConn) handleCommand(args [][]byte, raw []byte) connState {
+// handleCommand carries out one command. raw is the command as it was received, arrivedAt the time
+// of its last byte.
+func (c *clientConn) handleCommand(args [][]byte, raw []byte, arrivedAt policy.Time) connState {
 	if len(args) == 0 {
 		return connOpen
 	}
-	readAt := c.srv.loop.clock()
 	verb := args[0][:min(len(args[0]), maxVerbSize)]
 	switch strings.ToUpper(string(verb)) {
 	case resp.VerbPing:
@@ -42,7 +42,7 @@
 	case resp.VerbQuit:
 		return c.replyAndClose([]byte(resp.OKReply))
 	case resp.VerbGet, resp.VerbSet:
-		return c.handleRequest(raw, readAt)
+		return c.handleRequest(raw, arrivedAt)
 	default:
 		return c.reply([]byte(unknownCommandReply))
 	}
@@ -61,7 +61,7 @@
 }
 
 // handleRequest hands a command that caches serve to the event loop.
-func (c *clientConn) handleRequest(raw []byte, readAt policy.Time) connState {
+func (c *clientConn) handleRequest(raw []byte, arrivedAt policy.Time) connState {
 	// The request outlives the read buffer, so its arguments are parsed from a copy.
 	args, _, err := resp.NextCommand(bytes.Clone(raw))
 	if err != nil {
@@ -85,7 +85,7 @@
 		slot.memory.release(slot.charge)
 		return connGone
 	}
-	c.srv.loop.post(func() { c.srv.loop.acceptRequest(c, slot, cmd, readAt) })
+	c.srv.loop.post(func() { c.srv.loop.acceptRequest(c, slot, cmd, arrivedAt) })
 	return connOpen
 }
 
--- /dev/null
+++ b/internal/router/command_arrival.go
@@ -0,0 +1,38 @@
+package router
+
+import "marlstage/policy"
+
+// maxReadGap is the time in microseconds that a connection may go without a read before what is
+// unread by then counts as having arrived in that time.
+const maxReadGap = 20_000
+
+// arrivalTime tells since when the bytes that were read last may have been there. A client counts
+// the timeout of a request from when it has sent it, however long the request lies unread because
+// the replies to earlier ones have to be written first.
+type arrivalTime struct {
+	at     policy.Time // by which the last bytes had not arrived yet, or had just arrived
+	readAt policy.Time // end of the last read
+	filled bool        // that read filled its buffer, so there may have been more
+}
+
+// mayHaveWaited reports whether bytes that are unread now may have arrived long ago.
+func (t *arrivalTime) mayHaveWaited(now policy.Time) bool {
+	return t.filled || now-t.readAt > maxReadGap
+}
+
+// noteRead takes a read that has just ended. waited is true if bytes were unread before it although
+// they may have arrived long ago; filled is true if it filled its buffer.
+func (t *arrivalTime) noteRead(now policy.Time, waited, filled bool) {
+	switch {
+	case !waited:
+		t.at = now
+	case !t.filled:
+		t.at = t.readAt // the read before this one took all that was there
+	}
+	t.readAt, t.filled = now, filled
+}
+
+// noteEmptyRead takes a read that has ended without bytes, as it was interrupted.
+func (t *arrivalTime) noteEmptyRead(now policy.Time) {
+	t.readAt, t.filled = now, false
+}
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -40,15 +40,20 @@
 // commandReader reads commands from a client's connection.
 type commandReader struct {
 	conn     *clientConn
-	buf      []byte    // received, and not yet handled
-	deadline time.Time // for the first command, or the rest of a partial one; zero if none is due
-	evicting bool      // the deadline has been brought forward, as the connection is evicted
+	buf      []byte      // received, and not yet handled
+	deadline time.Time   // for the first command, or the rest of a partial one; zero if none is due
+	evicting bool        // the deadline has been brought forward, as the connection is evicted
+	arrival  arrivalTime // of the last bytes in buf
 }
 
 // newCommandReader makes a reader that expects the first command in time: a silent peer must not
 // occupy a descriptor for ever.
 func newCommandReader(c *clientConn) *commandReader {
-	return &commandReader{conn: c, deadline: time.Now().Add(c.srv.commandTimeout)}
+	return &commandReader{
+		conn:     c,
+		deadline: time.Now().Add(c.srv.commandTimeout),
+		arrival:  arrivalTime{readAt: c.srv.loop.clock()},
+	}
 }
 
 // readCommands reads and handles commands until the connection takes no more. It returns
@@ -60,7 +65,7 @@
 		if err != nil {
 			return c.readFailed(err)
 		}
-		if state := c.handleCommand(args, raw); state != connOpen {
+		if state := c.handleCommand(args, raw, r.arrival.at); state != connOpen {
 			return state
 		}
 		if len(args) > 0 {
@@ -122,8 +127,7 @@
 	if !r.conn.awaitRead(partial, r.deadline) {
 		return errIdleClose
 	}
-	n, err := r.conn.nc.Read(r.buf[len(r.buf):cap(r.buf)])
-	r.buf = r.buf[:len(r.buf)+n]
+	err := r.read()
 	switch {
 	case err == nil:
 		return nil
@@ -138,6 +142,20 @@
 	}
 }
 
+// read adds what one read returns to the buffer and notes when it has arrived.
+func (r *commandReader) read() error {
+	clock := r.conn.srv.loop.clock
+	waited := r.arrival.mayHaveWaited(clock()) && r.conn.nc.HasUnread()
+	n, err := r.conn.nc.Read(r.buf[len(r.buf):cap(r.buf)])
+	r.buf = r.buf[:len(r.buf)+n]
+	if n > 0 {
+		r.arrival.noteRead(clock(), waited, len(r.buf) == cap(r.buf))
+	} else if !waited {
+		r.arrival.noteEmptyRead(clock())
+	}
+	return err
+}
+
 // grow makes room for a read in a full buffer.
 func (r *commandReader) grow() {
 	if len(r.buf) == cap(r.buf) {
--- a/internal/router/dial_fault_test.go
+++ b/internal/router/dial_fault_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -60,10 +61,8 @@
 		t.Run(err.Error(), func(t *testing.T) {
 			t.Parallel()
 			want := policy.ConnectFailed
-			for _, fault := range machineFaults {
-				if err == fault {
-					want = policy.NotSent
-				}
+			if slices.Contains(machineFaults, err) {
+				want = policy.NotSent
 			}
 			const dialTimeout = 500 * time.Millisecond
 			harness := newLoopHarness(t, "127.0.0.1:1", func(c *config.Config) {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -17,19 +17,19 @@
 	attempts        []*attempt
 }
 
-// acceptRequest takes a command that a client sent, read at the given time, and reports it to the
+// acceptRequest takes a command of a client, which arrived at the given time, and reports it to the
 // engine as a request.
-func (l *eventLoop) acceptRequest(c *clientConn, slot *replySlot, cmd resp.Command, readAt policy.Time) {
+func (l *eventLoop) acceptRequest(c *clientConn, slot *replySlot, cmd resp.Command, arrivedAt policy.Time) {
 	if l.cfg.Transport.MaxOpen > 0 && l.openRequests >= l.cfg.Transport.MaxOpen {
 		slot.fill([]byte(resp.BusyReply)) // the engine does not see it, and it is never forwarded
 		return
 	}
-	cmd.Timeout = l.boundTimeout(cmd.Timeout, readAt)
+	cmd.Timeout = l.boundTimeout(cmd.Timeout, arrivedAt)
 	l.lastID++
 	r := &request{
 		id:       l.lastID,
 		command:  cmd,
-		deadline: readAt + cmd.Timeout,
+		deadline: arrivedAt + cmd.Timeout,
 		client:   c,
 		slot:     slot,
 	}
@@ -51,12 +51,12 @@
 // boundTimeout limits the timeout that a client asked for. The longest timeout of the settings
 // bounds how long timers keep a request in memory. While the router drains, requests have to be
 // answered before the process is killed.
-func (l *eventLoop) boundTimeout(timeout, readAt policy.Time) policy.Time {
+func (l *eventLoop) boundTimeout(timeout, arrivedAt policy.Time) policy.Time {
 	if l.maxTimeout > 0 {
 		timeout = min(timeout, l.maxTimeout)
 	}
 	if l.drainDeadline > 0 {
-		timeout = max(0, min(timeout, l.drainDeadline-readAt))
+		timeout = max(0, min(timeout, l.drainDeadline-arrivedAt))
 	}
 	return timeout
 }
