--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -40,16 +40,21 @@
 // commandReader reads commands from a client's connection.
 type commandReader struct {
 	conn     *clientConn
-	buf      []byte    // received, and not yet handled
-	deadline time.Time // for the first command, or the rest of a partial one; zero if none is due
-	evicting bool      // the deadline has been brought forward, as the connection is evicted
-	late     int       // bytes read by readArrived since the last command
+	buf      []byte      // received, and not yet handled
+	deadline time.Time   // for the first command, or the rest of a partial one; zero if none is due
+	evicting bool        // the deadline has been brought forward, as the connection is evicted
+	arrival  arrivalTime // of the last bytes in buf
+	late     int         // bytes read by readArrived since the last command
 }
 
 // newCommandReader makes a reader that expects the first command in time: a silent peer must not
 // occupy a descriptor for ever.
 func newCommandReader(c *clientConn) *commandReader {
-	return &commandReader{conn: c, deadline: time.Now().Add(c.srv.commandTimeout)}
+	return &commandReader{
+		conn:     c,
+		deadline: time.Now().Add(c.srv.commandTimeout),
+		arrival:  arrivalTime{readAt: c.srv.loop.clock()},
+	}
 }
 
 // readCommands reads and handles commands until the connection takes no more. It returns
@@ -61,7 +66,7 @@
 		if err != nil {
 			return c.readFailed(err)
 		}
-		if state := c.handleCommand(args, raw); state != connOpen {
+		if state := c.handleCommand(args, raw, r.arrival.at); state != connOpen {
 			return state
 		}
 		if len(args) > 0 {
@@ -127,8 +132,7 @@
 	case !partial && r.conn.closesBetweenRequests():
 		return r.readArrived(errIdleClose)
 	}
-	n, err := r.conn.nc.Read(r.buf[len(r.buf):cap(r.buf)])
-	r.buf = r.buf[:len(r.buf)+n]
+	err := r.read()
 	switch {
 	case err == nil:
 		return nil
@@ -166,12 +170,29 @@
 	n, err := r.conn.nc.ReadArrived(r.buf[len(r.buf):cap(r.buf)])
 	r.buf = r.buf[:len(r.buf)+n]
 	r.late += n
+	if n > 0 {
+		r.arrival.noteRead(r.conn.srv.loop.clock(), false, len(r.buf) == cap(r.buf))
+	}
 	if n == 0 && err == nil {
 		return reason
 	}
 	return err
 }
 
+// read adds what one read returns to the buffer and notes when it has arrived.
+func (r *commandReader) read() error {
+	clock := r.conn.srv.loop.clock
+	waited := r.arrival.mayHaveWaited(clock()) && r.conn.nc.HasUnread()
+	n, err := r.conn.nc.Read(r.buf[len(r.buf):cap(r.buf)])
+	r.buf = r.buf[:len(r.buf)+n]
+	if n > 0 {
+		r.arrival.noteRead(clock(), waited, len(r.buf) == cap(r.buf))
+	} else if !waited {
+		r.arrival.noteEmptyRead(clock())
+	}
+	return err
+}
+
 // grow makes room for a read in a full buffer.
 func (r *commandReader) grow() {
 	if len(r.buf) == cap(r.buf) {
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -51,10 +51,15 @@
 // canStart is the last check before an attempt's first byte is written: everything may have changed
 // while it was queued.
 func (p *pool) canStart(a *attempt) bool {
+	return p.inService && p.canComplete(a)
+}
+
+// canComplete reports whether the rest of an attempt's command may be written.
+func (p *pool) canComplete(a *attempt) bool {
 	now := p.loop.now
 	requestDone := a.request != nil && a.request.done
 	inStartWindow := a.startBefore == 0 || now < a.startBefore
-	return p.inService && now < a.deadline && inStartWindow && !requestDone
+	return now < a.deadline && inStartWindow && !requestDone
 }
 
 // endIfClientGone ends a request whose client has disconnected. The event that the client is gone may
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -33,6 +33,9 @@
 	settleTimerSet      bool            // a timer is set for when an idle connection has settled
 	clientCheckTimerSet bool            // a timer is set for another check of the client at the head of the queue
 	maxConns            int
+	dialFault           dialFault   // of the last dials, if the router's own machine was at fault
+	dialPause           policy.Time // length of the last pause of dials
+	dialPausedUntil     policy.Time
 	queue               []*attempt // first in, first out
 }
 
--- a/internal/socket/transient.go
+++ b/internal/socket/transient.go
@@ -12,9 +12,9 @@
 	transientTimeout    = 5 * time.Second // after which a transient error is taken for a lasting one
 )
 
-// isTransient reports whether a read or write failed for want of memory or by a signal, which says
+// IsTransient reports whether a read or write failed for want of memory or by a signal, which says
 // nothing about the connection.
-func isTransient(err error) bool {
+func IsTransient(err error) bool {
 	return errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.EINTR)
 }
 
@@ -27,7 +27,7 @@
 
 // wait reports whether the call is to be repeated, after a wait.
 func (b *transientBackoff) wait(err error) bool {
-	if !isTransient(err) {
+	if !IsTransient(err) {
 		return false
 	}
 	now := time.Now()
