Date starts of cache servers by when the list tells of them if the wall clock was off

Cause: eventLoop.clock reads the wall clock once, when the process starts, and since_ms was judged by it alone. Started with the clock an hour ahead, the router took a server that had just started for warm (failback); an hour behind, it took every server started within that hour for cold, and pool.update cut such a start down to now in each list, so that each list closed the idle connections of the server as if it had restarted. Change: startTimes converts the listed starts to the loop's clock, for the pools and the policy alike, once for each incarnation. An age that can't be right (below 0, or more than 2 s beyond the last contact to the discovery service) is replaced by the least age that the other starts allow, as one clock dates them all. Ruled out: a step of the wall clock while the process runs. eventLoop.clock adds a monotonic span to its first reading, timers are set from it, and the deadlines of sockets and contexts carry a monotonic reading. Not covered: a server that is first listed by the first list that is up to date, with the clock ahead: it can't be told from one that started an hour ago. With a right clock, nothing changes unless a start is listed more than 2 s late while the service answers; the server is then taken for younger than it is. TestConnectionsToPreviousIncarnation gives its start in the future to the loop as a list does, since the pool itself no longer has to expect one; its check is the same.

--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -23,10 +23,12 @@
 	return discovery.NewClient(discoveryClientConfig(cfg))
 }
 
-// applyEndpoints applies an endpoint list to the pools and queues it for the policy.
+// applyEndpoints applies an endpoint list to the pools and queues it for the policy. Both get its
+// start times by the loop's clock.
 func (l *eventLoop) applyEndpoints(list discovery.EndpointList, kind policy.UpdateKind) {
 	l.endpointsVersion = list.Version
 	l.watchBackoff.Reset()
+	list.Endpoints = l.startTimes.convert(&list, kind, l.now)
 	l.updatePools(&list)
 	l.canServe.Store(l.hasInServicePool())
 	l.pendingEvents = append(l.pendingEvents, &policy.EndpointsUpdate{Kind: kind, Endpoints: list.Endpoints})
@@ -91,6 +93,7 @@
 // notified of the failure; elsewhere the loop retries by itself.
 func (l *eventLoop) watchFailed(err error) {
 	l.watching = false
+	l.startTimes.contactLost()
 	l.log("discovery: " + err.Error())
 	if errors.Is(err, discovery.ErrOutOfOrder) {
 		l.endpointsVersion = discovery.NoVersion // the same call would get the same response for ever
@@ -110,6 +113,7 @@
 	if l.watching {
 		l.cancelWatch()
 	}
+	l.startTimes.contactLost()
 	l.discovery.CloseIdleConnections()
 	l.discovery = newDiscoveryClient(cfg)
 	l.watching = false
--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -30,8 +30,9 @@
 	events        chan func()
 	logLines      chan string
 	done          chan struct{} // closed when the loop has ended
-	startTime     time.Time
-	now           policy.Time // time of the event being handled
+	started       time.Time     // a reading of the monotonic clock ...
+	startedUnix   policy.Time   // ... and of the wall clock, which may be off, at the same moment
+	now           policy.Time   // time of the event being handled
 	timers        timerHeap
 	pendingEvents []policy.Event // events that the engine has not handled yet
 	lastID        int64          // last number given to a request or a timer
@@ -50,6 +51,7 @@
 
 	discovery        *discovery.Client
 	endpointsVersion int64 // version of the endpoint list
+	startTimes       *startTimes
 	watching         bool
 	watchBackoff     discovery.Backoff  // between watches that the engine does not ask for
 	cancelWatch      context.CancelFunc // ends the open watch
@@ -60,6 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
+	now := time.Now()
 	l := &eventLoop{
 		cfg:              cfg,
 		system:           socket.Linux{},
@@ -67,7 +70,8 @@
 		events:           make(chan func(), eventQueueSize),
 		logLines:         make(chan string, logQueueSize),
 		done:             make(chan struct{}),
-		startTime:        time.Now(),
+		started:          now,
+		startedUnix:      now.UnixMicro(),
 		requests:         map[int64]*request{},
 		maxTimeout:       longestTimeout(cfg.Settings.Classes),
 		pools:            map[string]*pool{},
@@ -75,6 +79,7 @@
 		settleTime:       defaultSettleTime,
 		discovery:        newDiscoveryClient(cfg),
 		endpointsVersion: cfg.Known.Version,
+		startTimes:       newStartTimes(),
 	}
 	// A client's PING may be answered before the loop has applied the known endpoints.
 	l.canServe.Store(cfg.Known.HasInService())
@@ -92,7 +97,7 @@
 // clock returns Unix time in microseconds. From the start on it follows the monotonic clock, so
 // that a step of the system's clock does not move deadlines.
 func (l *eventLoop) clock() policy.Time {
-	return l.startTime.UnixMicro() + time.Since(l.startTime).Microseconds()
+	return l.startedUnix + time.Since(l.started).Microseconds()
 }
 
 // post has f run by the loop. After the loop has ended it does nothing.
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -44,13 +44,11 @@
 	}
 }
 
-// update applies the server's entry in the endpoint list.
+// update applies the server's entry in the endpoint list, with its start time by the loop's clock.
 func (p *pool) update(addr string, startedAt policy.Time, inService bool) {
 	if addr != p.addr {
 		p.move(addr)
 	}
-	// A start that the list dates in the future would exclude every connection.
-	startedAt = min(startedAt, p.loop.now)
 	if startedAt != p.startedAt {
 		p.restart(startedAt)
 	}
--- a/internal/router/upstream_conn_test.go
+++ b/internal/router/upstream_conn_test.go
@@ -239,7 +239,7 @@
 	harness.serveRequest(cache)
 	harness.do(func() { // a start time in the future excludes no connection
 		p := harness.loop.pools["c1"]
-		p.update(cache.addr(), harness.loop.now+1_000_000_000, true)
+		harness.applyStart(cache.addr(), harness.loop.now+1_000_000_000)
 		c := &upstreamConn{pool: p, addr: p.addr, connectedAt: harness.loop.now}
 		if !c.matchesEndpoint() {
 			t.Error("a connection opened now is not used")
