Pause between calls to a discovery service that answers at once without news

Cause: discovery.Client.Watch calls again at once after each response. A service that does not wait (an agent that ignores wait_ms, or is being replaced) and has nothing new was called as fast as it replied, and each reply went through the event loop. Change: a call that brought no newer version is followed by the next no sooner than 50 ms after its own begin. Lists with news are still followed at once.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -24,6 +24,11 @@
 	// be received before policy.NotificationDeadline.
 	optionalWatchWait = 2 * time.Second
 
+	// minCallInterval is the least time from one call that brings no news to the
+	// next. It keeps a service that does not wait from taking all processor
+	// time, and is short enough not to end the watch.
+	minCallInterval = 50 * time.Millisecond
+
 	hostsPath             = "/discovery/hosts"
 	maxResponseSize       = 8 << 20  // bytes of a response's body, ...
 	responseMemoryDivisor = 16       // ... also bounded by this part of the memory: parsing takes several times the size
@@ -109,15 +114,35 @@
 
 // Watch hands on each list that follows the given version, until a call fails
 // or the context ends; it returns why. It calls again at once after each
-// response, as a pause would be a gap in the watch.
+// response, as a pause would be a gap in the watch, unless the service responds
+// without any news faster than is of use.
 func (c *Client) Watch(ctx context.Context, version int64, handle func(EndpointList)) error {
 	for {
+		begun := time.Now()
 		list, err := c.Poll(ctx, version)
 		if err != nil {
 			return err
 		}
+		hasNews := list.Version != version
 		version = list.Version
 		handle(list)
+		if !hasNews {
+			if err := sleepUntil(ctx, begun.Add(minCallInterval)); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// sleepUntil waits until the given time. It fails if the context ends first.
+func sleepUntil(ctx context.Context, at time.Time) error {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -123,3 +123,19 @@
 		}
 	}
 }
+
+// TestFruitlessRepliesDoNotSpin: a service that replies at once though it has nothing new is not called as fast as it
+// replies.
+func TestFruitlessRepliesDoNotSpin(t *testing.T) {
+	addr, bodies := newFakeService(t)
+	lists, _ := startWatch(t, newTestClient(addr))
+	const replies = 5
+	begun := time.Now()
+	for range replies {
+		bodies <- listJSON(5, false)
+		receive(t, lists, "list")
+	}
+	if elapsed := time.Since(begun); elapsed < (replies-1)*minCallInterval {
+		t.Errorf("%d calls within %v", replies, elapsed)
+	}
+}
