--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -54,6 +54,9 @@
 	startTimes       *startTimes
 	watching         bool
 	watchBackoff     discovery.Backoff  // between watches that the engine does not ask for
+	retriesInARow    int                // watches that the loop has retried by itself since the last list
+	movedAt          policy.Time        // move to another service, from which no list has come yet; 0 if none
+	nextFailureLine  policy.Time        // before that, failed watches are not logged
 	cancelWatch      context.CancelFunc // ends the open watch
 }
 
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -14,6 +14,8 @@
 	pollBackoffDivisor       = 40        // part of the poll interval that the backoff starts from
 	pollAllowance       Time = 1_000_000 // time that a poll may take
 	minListedWeight          = 1e-3      // of a cache, so that its load stays finite
+
+	pollFailureLineInterval Time = 10_000_000 // least time between two log lines about failed polls
 )
 
 func (e *Engine) pollEndpoints() {
@@ -62,7 +64,8 @@
 	untilDeadline := NotificationDeadline - pollAllowance - (e.now - e.polledAt)
 	wait = min(wait, float64(max(untilDeadline, pollAllowance/2)))
 	e.schedule(e.now+Time(e.rng.Jitter(wait)), e.pollEndpoints)
-	if e.failedPolls == 1 {
+	if e.failedPolls == 1 && e.now >= e.nextPollFailureLine {
+		e.nextPollFailureLine = e.now + pollFailureLineInterval
 		e.logf("endpoint list poll failed failed_polls=%d", e.failedPolls)
 	}
 }
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -32,6 +32,8 @@
 	failedPolls int      // consecutive failed polls of the endpoint list
 	polledAt    Time     // start of the last poll, or the last update
 
+	nextPollFailureLine Time // before that, failed polls are not logged
+
 	checkRound        int     // number of the last round of health checks
 	healthCheckBudget float64 // health checks earned by requests and not sent yet
 	skippedIntervals  int     // health check intervals since the last round
