--- /dev/null
+++ b/internal/router/oracle_client_test.go
@@ -0,0 +1,197 @@
+package router
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Request classes of the tests with an oracle.
+const (
+	classRead = "read" // may be repeated
+	classPut  = "put"  // may be repeated with its idempotency key
+	classOnce = "once" // must not run twice
+)
+
+// oracleClient is a client whose requests the oracle judges. It must not fail the test by itself, as
+// it may run beside the test's goroutine.
+type oracleClient struct {
+	oracle *oracle
+	nc     *net.TCPConn
+	conn   *oracleConn
+	ended  chan struct{} // closed when nothing more is received
+
+	mu       sync.Mutex
+	answers  int
+	progress chan struct{} // receives when an answer has come; has capacity one
+}
+
+// dialOracle connects a client to a router.
+func dialOracle(o *oracle, addr string) (*oracleClient, error) {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	tcp := nc.(*net.TCPConn)
+	c := &oracleClient{
+		oracle:   o,
+		nc:       tcp,
+		conn:     o.clientConnected(tcp),
+		ended:    make(chan struct{}),
+		progress: make(chan struct{}, 1),
+	}
+	go c.readAnswers()
+	return c, nil
+}
+
+// encodeRequest returns a request on the wire.
+func encodeRequest(r *oracleRequest) string {
+	options := fmt.Sprintf("c=%s,d=%d", r.class, r.timeout.Milliseconds())
+	switch r.class {
+	case classRead:
+		return encodeCommand("C.GET", "key-"+r.id, r.id, options)
+	case classPut:
+		return encodeCommand("C.SET", "key-"+r.id, r.id, options+",k="+r.id, strings.Repeat("v", 3000))
+	default:
+		return encodeCommand("C.SET", "key-"+r.id, r.id, options, "v")
+	}
+}
+
+// send writes requests with one write, or in two pieces that the first request's middle divides.
+func (c *oracleClient) send(requests []*oracleRequest, inPieces bool) {
+	var wire strings.Builder
+	firstSize := 0
+	for _, r := range requests {
+		encoded := encodeRequest(r)
+		c.oracle.willWrite(c.conn, len(encoded), r)
+		wire.WriteString(encoded)
+		if firstSize == 0 {
+			firstSize = len(encoded)
+		}
+	}
+	pieces := []string{wire.String()}
+	if inPieces {
+		pieces = []string{wire.String()[:firstSize/2], wire.String()[firstSize/2:]}
+	}
+	for _, piece := range pieces {
+		if _, err := io.WriteString(c.nc, piece); err != nil {
+			return // not known to be written whole
+		}
+	}
+	c.oracle.wroteWhole(requests)
+}
+
+// awaitAnswers waits until the given number of answers have come on the connection. It reports false
+// if the connection ended before, or at the timeout.
+func (c *oracleClient) awaitAnswers(total int, timeout time.Duration) bool {
+	expired := time.After(timeout)
+	for {
+		c.mu.Lock()
+		enough := c.answers >= total
+		c.mu.Unlock()
+		if enough {
+			return true
+		}
+		select {
+		case <-c.progress:
+		case <-c.ended:
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.answers >= total
+		case <-expired:
+			return false
+		}
+	}
+}
+
+// hasEnded reports whether the connection has ended.
+func (c *oracleClient) hasEnded() bool {
+	select {
+	case <-c.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// close closes the connection as the client's own wish.
+func (c *oracleClient) close() {
+	c.oracle.clientEnds(c.conn)
+	_ = c.nc.Close() // it may be closed already
+}
+
+// reset closes the connection with a reset.
+func (c *oracleClient) reset() {
+	c.oracle.clientEnds(c.conn)
+	_ = c.nc.SetLinger(0) // fails only on a closed connection
+	_ = c.nc.Close()
+}
+
+// readAnswers reports answers to the oracle until the connection ends.
+func (c *oracleClient) readAnswers() {
+	defer close(c.ended)
+	defer c.nc.Close()
+	received := &recordingReader{source: c.nc}
+	reader := bufio.NewReader(received)
+	for {
+		answer, size, err := readAnswer(reader)
+		if err != nil {
+			c.oracle.connectionEnded(c.conn, string(received.bytes))
+			return
+		}
+		received.bytes = received.bytes[size:]
+		c.oracle.answered(c.conn, answer)
+		c.mu.Lock()
+		c.answers++
+		c.mu.Unlock()
+		select {
+		case c.progress <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// recordingReader keeps the bytes that were read from its source.
+type recordingReader struct {
+	source io.Reader
+	bytes  []byte
+}
+
+func (r *recordingReader) Read(b []byte) (int, error) {
+	n, err := r.source.Read(b)
+	r.bytes = append(r.bytes, b[:n]...)
+	return n, err
+}
+
+var errNoAnswer = errors.New("neither a bulk string nor a line")
+
+// readAnswer reads one answer and returns it, a bulk string without its frame, and its bytes on the
+// wire.
+func readAnswer(reader *bufio.Reader) (answer string, size int, err error) {
+	line, err := reader.ReadString('\n')
+	if err != nil {
+		return "", 0, err
+	}
+	content, ok := strings.CutPrefix(line, "$")
+	if !ok {
+		if !strings.HasPrefix(line, "-") && !strings.HasPrefix(line, "+") {
+			return "", 0, errNoAnswer
+		}
+		return strings.TrimSuffix(line, "\r\n"), len(line), nil
+	}
+	length, err := strconv.Atoi(strings.TrimSuffix(content, "\r\n"))
+	if err != nil || length < 0 {
+		return "", 0, errNoAnswer
+	}
+	bulk := make([]byte, length+len("\r\n"))
+	if _, err := io.ReadFull(reader, bulk); err != nil {
+		return "", 0, err
+	}
+	return string(bulk[:length]), len(line) + len(bulk), nil
+}
--- /dev/null
+++ b/internal/router/oracle_test.go
@@ -0,0 +1,377 @@
+package router
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"marlstage/internal/resp"
+)
+
+// Limits of the operators' rules.
+const (
+	lateReplyAllowance = 500 * time.Millisecond // of a final answer after the client's timeout
+	disconnectGrace    = 100 * time.Millisecond // after a client's end, in which an attempt may still begin
+	timeoutAllowance   = 150 * time.Millisecond // by which the timeout told to a cache may exceed what is left
+)
+
+// oracle judges every request that a client has written whole: whether it got exactly one complete
+// answer that was made for it, and whether an attempt of it began when none may any more. Clients,
+// caches and the system calls of the router report to it. Its methods may be called from any
+// goroutine.
+type oracle struct {
+	loadSlack time.Duration    // added to every limit on times, for a machine under load
+	now       func() time.Time // time.Now, unless a test moves the clock by itself
+
+	mu        sync.Mutex
+	requests  map[string]*oracleRequest
+	conns     map[string]*oracleConn     // by the address of the client's side
+	upstreams map[string]*upstreamStream // by the address of the router's side
+	attempts  []oracleAttempt
+	drained   map[string]time.Time // by cache: since when the router knows that it drains
+}
+
+// oracleRequest is a request that a client has written.
+type oracleRequest struct {
+	id        string
+	class     string
+	timeout   time.Duration
+	start     int64 // of its bytes among those that the client wrote to its connection
+	writtenAt time.Time
+	order     int // among the requests of its connection
+	conn      *oracleConn
+}
+
+// oracleConn is a client's connection.
+type oracleConn struct {
+	addr      string
+	requests  []*oracleRequest // in the order of their bytes
+	answers   []oracleAnswer
+	remainder string // of an answer that did not come whole
+	written   int64  // bytes that the client wrote
+	read      int64  // bytes that the router has read
+	clientEnd time.Time
+	routerEnd time.Time
+	broken    bool // the client's end is a fault of the network
+	client    *net.TCPConn
+}
+
+// oracleAnswer is a complete answer that a client received.
+type oracleAnswer struct {
+	wire string
+	at   time.Time
+}
+
+// oracleAttempt is a complete command that reached a cache.
+type oracleAttempt struct {
+	id        string
+	cache     string
+	upstream  string // address of the router's side of the connection
+	index     int    // among the commands of the connection
+	timeout   time.Duration
+	arrivedAt time.Time
+	mayRun    bool // the cache did not turn it away
+}
+
+// upstreamStream is what the router wrote to a connection to a cache.
+type upstreamStream struct {
+	partial []byte // bytes of an incomplete command
+	begins  []time.Time
+}
+
+func newOracle(loadSlack time.Duration) *oracle {
+	return &oracle{
+		loadSlack: loadSlack,
+		now:       time.Now,
+		requests:  map[string]*oracleRequest{},
+		conns:     map[string]*oracleConn{},
+		upstreams: map[string]*upstreamStream{},
+		drained:   map[string]time.Time{},
+	}
+}
+
+// connection returns the record of the connection with the given address of the client's side. The
+// router may report before the client does.
+func (o *oracle) connection(addr string) *oracleConn {
+	c := o.conns[addr]
+	if c == nil {
+		c = &oracleConn{addr: addr}
+		o.conns[addr] = c
+	}
+	return c
+}
+
+// clientConnected notes a client's connection.
+func (o *oracle) clientConnected(nc *net.TCPConn) *oracleConn {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c := o.connection(nc.LocalAddr().String())
+	c.client = nc
+	return c
+}
+
+// willWrite notes requests that the client is about to write, each with the number of its bytes.
+func (o *oracle) willWrite(c *oracleConn, size int, r *oracleRequest) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r.conn = c
+	r.order = len(c.requests)
+	r.start = c.written
+	c.written += int64(size)
+	c.requests = append(c.requests, r)
+	o.requests[r.id] = r
+}
+
+// wroteWhole notes that requests were written to their last byte.
+func (o *oracle) wroteWhole(requests []*oracleRequest) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range requests {
+		r.writtenAt = o.now()
+	}
+}
+
+func (o *oracle) answered(c *oracleConn, wire string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c.answers = append(c.answers, oracleAnswer{wire, o.now()})
+}
+
+// clientEnds notes that the client is about to close its connection.
+func (o *oracle) clientEnds(c *oracleConn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if c.clientEnd.IsZero() && c.routerEnd.IsZero() {
+		c.clientEnd = o.now()
+	}
+}
+
+// connectionEnded notes that the client received the end of its connection, and the bytes of an
+// answer before it that is not whole.
+func (o *oracle) connectionEnded(c *oracleConn, remainder string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if c.clientEnd.IsZero() && c.routerEnd.IsZero() {
+		c.routerEnd = o.now()
+		c.remainder = remainder
+	}
+}
+
+// breakConnection has the network break a client's connection. It reports false if that has ended
+// before or is not known yet.
+func (o *oracle) breakConnection(addr string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c := o.connection(addr)
+	if c.client == nil || !c.clientEnd.IsZero() || !c.routerEnd.IsZero() {
+		return false
+	}
+	c.clientEnd, c.broken = o.now(), true
+	_ = c.client.SetLinger(0) // fails only on a closed connection
+	_ = c.client.Close()
+	return true
+}
+
+// routerRead notes bytes that the router read from a client.
+func (o *oracle) routerRead(addr string, n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.connection(addr).read += int64(n)
+}
+
+// upstreamWriteBegins notes that the router is about to write to a cache.
+func (o *oracle) upstreamWriteBegins(addr string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.upstreams[addr]
+	if s == nil {
+		s = &upstreamStream{}
+		o.upstreams[addr] = s
+	}
+	if len(s.partial) == 0 {
+		s.begins = append(s.begins, o.now())
+	}
+}
+
+// upstreamWrote notes what the router wrote to a cache.
+func (o *oracle) upstreamWrote(addr string, written []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.upstreams[addr]
+	if len(s.partial) == 0 && len(written) == 0 {
+		s.begins = s.begins[:len(s.begins)-1] // it has not begun
+		return
+	}
+	s.partial = append(s.partial, written...)
+	if _, size, err := resp.NextCommand(s.partial); err == nil {
+		s.partial = s.partial[size:]
+	}
+}
+
+// attemptArrived notes a complete command that reached a cache.
+func (o *oracle) attemptArrived(a oracleAttempt) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a.arrivedAt = o.now()
+	o.attempts = append(o.attempts, a)
+}
+
+// cacheDrained notes that the router has learned and applied that a cache drains.
+func (o *oracle) cacheDrained(cache string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.drained[cache] = o.now()
+}
+
+// servedBy is the value of a cache's answer to the request with the given id.
+func servedBy(id string) string { return "value-of-" + id }
+
+// violations returns what broke the rules, in a stable order. The test is over by then, and every
+// connection has ended or has been waited for.
+func (o *oracle) violations() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var found []string
+	for _, c := range o.conns {
+		found = append(found, o.judgeConn(c)...)
+	}
+	for _, a := range o.attempts {
+		found = append(found, o.judgeAttempt(a)...)
+	}
+	found = append(found, o.judgeRepeats()...)
+	slices.Sort(found)
+	return found
+}
+
+func (o *oracle) judgeConn(c *oracleConn) (found []string) {
+	report := func(r *oracleRequest, format string, args ...any) {
+		found = append(found, fmt.Sprintf("%s: ", r.id)+fmt.Sprintf(format, args...)+c.describe())
+	}
+	for i, r := range c.requests {
+		switch {
+		case i < len(c.answers):
+			if what := o.judgeAnswer(r, c.answers[i]); what != "" {
+				report(r, "%s", what)
+			}
+		case r.writtenAt.IsZero(): // not written whole, or never known to be
+		case !c.clientEnd.IsZero():
+		case c.routerEnd.IsZero():
+			report(r, "lost: no answer in time")
+		case i == len(c.answers) && c.remainder != "":
+			report(r, "lost: the answer ends after %q", c.remainder)
+		case c.read > r.start:
+			report(r, "lost: the router has read it and ended the connection")
+		}
+	}
+	if len(c.answers) > len(c.requests) {
+		found = append(found, fmt.Sprintf("%d answers to %d requests on one connection%s",
+			len(c.answers), len(c.requests), c.describe()))
+	}
+	return found
+}
+
+// describe says how far a connection came.
+func (c *oracleConn) describe() string {
+	return fmt.Sprintf(" (%s: %d of %d bytes read, %d of %d requests answered)",
+		c.addr, c.read, c.written, len(c.answers), len(c.requests))
+}
+
+// judgeAnswer says what is wrong with an answer to a request, if anything is.
+func (o *oracle) judgeAnswer(r *oracleRequest, a oracleAnswer) string {
+	due := r.timeout + lateReplyAllowance + o.loadSlack
+	switch {
+	case !r.writtenAt.IsZero() && a.at.Sub(r.writtenAt) > due:
+		return fmt.Sprintf("late answer, after %v", a.at.Sub(r.writtenAt))
+	case strings.HasPrefix(a.wire, "-ERR Protocol error"):
+		return fmt.Sprintf("wrong answer %q to a proper command", a.wire)
+	case strings.HasPrefix(a.wire, "-BUSY"), strings.HasPrefix(a.wire, "-ERR"):
+		return ""
+	case a.wire != servedBy(r.id):
+		return fmt.Sprintf("wrong answer %q", a.wire)
+	}
+	return ""
+}
+
+// begin returns when an attempt began: with the router's first write, where that is known.
+func (o *oracle) begin(a oracleAttempt) time.Time {
+	if s := o.upstreams[a.upstream]; s != nil && a.index < len(s.begins) {
+		return s.begins[a.index]
+	}
+	return a.arrivedAt
+}
+
+func (o *oracle) judgeAttempt(a oracleAttempt) (found []string) {
+	report := func(format string, args ...any) {
+		found = append(found, fmt.Sprintf("%s: ", a.id)+fmt.Sprintf(format, args...))
+	}
+	r := o.requests[a.id]
+	if r == nil {
+		report("an attempt of a request that no client wrote")
+		return found
+	}
+	begin := o.begin(a)
+	if since, ok := o.drained[a.cache]; ok && begin.After(since) {
+		report("an attempt began at draining cache %s, %v after the router knew", a.cache, begin.Sub(since))
+	}
+	if r.order < len(r.conn.answers) {
+		if late := begin.Sub(r.conn.answers[r.order].at); late > 0 {
+			report("an attempt began %v after the final answer", late)
+		}
+	}
+	if end := r.conn.clientEnd; !end.IsZero() {
+		if late := begin.Sub(end); late > disconnectGrace+o.loadSlack {
+			report("an attempt began %v after the client's end", late)
+		}
+	}
+	if r.writtenAt.IsZero() {
+		return found
+	}
+	left := r.timeout - begin.Sub(r.writtenAt)
+	if left < -timeoutAllowance-o.loadSlack {
+		report("an attempt began %v after the deadline", -left)
+	}
+	if excess := a.timeout - left; excess > timeoutAllowance+o.loadSlack {
+		report("a cache was told a timeout of %v, %v more than was left", a.timeout, excess)
+	}
+	return found
+}
+
+// judgeRepeats looks for requests that must not run twice and were sent again.
+func (o *oracle) judgeRepeats() (found []string) {
+	ran := map[string]int{}
+	for _, a := range o.attempts {
+		r := o.requests[a.id]
+		if r == nil || r.class != classOnce {
+			continue
+		}
+		if ran[a.id] > 0 {
+			found = append(found, fmt.Sprintf("%s: sent again, although it may have run", a.id))
+		}
+		if a.mayRun {
+			ran[a.id]++
+		}
+	}
+	return found
+}
+
+// answerCounts returns how many requests were served, rejected and failed.
+func (o *oracle) answerCounts() (served, busy, failed int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, c := range o.conns {
+		for _, a := range c.answers {
+			switch {
+			case strings.HasPrefix(a.wire, "-BUSY"):
+				busy++
+			case strings.HasPrefix(a.wire, "-"):
+				failed++
+			default:
+				served++
+			}
+		}
+	}
+	return served, busy, failed
+}
