--- /dev/null
+++ b/internal/router/fault_matrix_clients_test.go
@@ -0,0 +1,197 @@
+package router
+
+import "fmt"
+
+// clientScript is what a client of the matrix does.
+type clientScript struct {
+	name    string
+	batches []requestBatch
+	meets   bool                  // it is waited for before the situation begins
+	leave   func(c *oracleClient) // if not nil, how it leaves over its last batch instead of waiting
+}
+
+// requestBatch is a number of requests that a client writes at once, and whose answers it awaits.
+type requestBatch struct {
+	class    string
+	size     int
+	inPieces bool
+	held     bool          // caches hold back the answer to one of them
+	begins   chan struct{} // if not nil, closed when the batch may be written
+	meets    bool          // the situation begins once the batch is written
+}
+
+// repeated returns so many batches of one kind.
+func repeated(count int, batch requestBatch) (batches []requestBatch) {
+	for range count {
+		batches = append(batches, batch)
+	}
+	return batches
+}
+
+// scripts returns the clients of a cell.
+func (m *matrixRun) scripts() []clientScript {
+	scripts := []clientScript{
+		m.script("sequential", requestBatch{class: classRead, size: 1}, 3, true),
+		m.script("pipelined", requestBatch{class: classRead, size: 5}, 1, true),
+		m.script("slow", requestBatch{class: classRead, size: 2, inPieces: true}, 1, true),
+		m.script("put", requestBatch{class: classPut, size: 2}, 2, true),
+		m.script("once", requestBatch{class: classOnce, size: 2}, 2, true),
+		m.script("idle", requestBatch{class: classRead, size: 1}, 1, false),
+		{name: "late", batches: repeated(2, requestBatch{class: classRead, size: 2, begins: m.fired})},
+		m.restingScript(),
+	}
+	if m.situation == situationClientLeaves {
+		scripts = append(scripts, m.leavingScripts()...)
+	}
+	return scripts
+}
+
+// script returns a client that sends some batches, one that the situation finds in flight, and more.
+func (m *matrixRun) script(name string, batch requestBatch, before int, inFlight bool) clientScript {
+	batches := repeated(before, batch)
+	meeting := batch
+	meeting.meets, meeting.held = true, inFlight
+	batches = append(batches, meeting)
+	following := batch
+	following.begins = m.fired
+	return clientScript{name: name, batches: append(batches, repeated(4, following)...), meets: true}
+}
+
+// restingScript returns a client whose connection is at rest when the situation begins, and which
+// sends as the router may be ending the connection.
+func (m *matrixRun) restingScript() clientScript {
+	return clientScript{name: "resting", meets: true, batches: []requestBatch{
+		{class: classRead, size: 1, meets: true},
+		{class: classRead, size: 3, begins: m.released},
+		{class: classRead, size: 1, begins: m.released},
+	}}
+}
+
+// leavingScripts returns clients that leave while their requests are in flight, or at once after
+// writing them.
+func (m *matrixRun) leavingScripts() (scripts []clientScript) {
+	leave := map[string]func(*oracleClient){"close": (*oracleClient).close, "reset": (*oracleClient).reset}
+	for how, leave := range leave {
+		inFlight := requestBatch{class: classRead, size: 3, held: true, meets: true}
+		unread := requestBatch{class: classRead, size: 3, begins: m.fired}
+		scripts = append(scripts,
+			clientScript{name: "leaves in flight by " + how, batches: []requestBatch{inFlight}, meets: true, leave: leave},
+			clientScript{name: "leaves at once by " + how, batches: []requestBatch{unread}, leave: leave},
+			clientScript{
+				name:    "leaves a used connection by " + how,
+				batches: []requestBatch{{class: classPut, size: 1, meets: true}, unread},
+				meets:   true,
+				leave:   leave,
+			})
+	}
+	return scripts
+}
+
+// matrixSession is a client with its present connection.
+type matrixSession struct {
+	run    *matrixRun
+	script clientScript
+	client *oracleClient
+	sent   int  // requests on the present connection
+	met    bool // the situation need not wait for the client any more
+}
+
+// runClient plays a client.
+func (m *matrixRun) runClient(script clientScript) {
+	s := &matrixSession{run: m, script: script}
+	defer s.meet()
+	for i, batch := range script.batches {
+		if batch.begins != nil {
+			<-batch.begins
+		}
+		last := i == len(script.batches)-1
+		if !s.perform(i, batch, last) {
+			return
+		}
+	}
+	if s.client != nil {
+		s.client.close()
+		<-s.client.ended
+	}
+}
+
+// meet lets the situation begin, as far as this client is concerned.
+func (s *matrixSession) meet() {
+	if s.script.meets && !s.met {
+		s.met = true
+		s.run.arrived.Done()
+	}
+}
+
+// perform sends a batch and awaits its answers, with what the router did not read sent again. It
+// reports false if the router takes no more connections.
+func (s *matrixSession) perform(number int, batch requestBatch, last bool) bool {
+	requests := s.newRequests(number, batch)
+	for range 1 + maxResends {
+		if !s.connect() {
+			return false
+		}
+		s.client.send(requests, batch.inPieces)
+		s.sent += len(requests)
+		if batch.meets {
+			s.meet()
+		}
+		if last && s.script.leave != nil {
+			if batch.meets {
+				<-s.run.fired
+			}
+			s.script.leave(s.client)
+			return true
+		}
+		if s.client.awaitAnswers(s.sent, answerWait) {
+			return true
+		}
+		if !s.client.hasEnded() {
+			s.run.oracle.waitedInVain(s.client.conn)
+			_ = s.client.nc.Close()
+			<-s.client.ended
+			return true
+		}
+		requests = s.resent(requests)
+		if len(requests) == 0 {
+			return true
+		}
+	}
+	s.run.t.Errorf("%s: the router did not read a request on %d connections", requests[0].id, maxResends+1)
+	return true
+}
+
+func (s *matrixSession) newRequests(number int, batch requestBatch) (requests []*oracleRequest) {
+	for i := range batch.size {
+		id := fmt.Sprintf("%s-%d-%d", s.script.name, number, i)
+		if batch.held && i == batch.size/2 {
+			id += "-" + heldMark
+		}
+		requests = append(requests, &oracleRequest{id: id, class: batch.class, timeout: matrixTimeout})
+	}
+	return requests
+}
+
+// resent returns the requests that are to be sent again on a new connection, as new ones.
+func (s *matrixSession) resent(requests []*oracleRequest) (again []*oracleRequest) {
+	for _, r := range s.run.oracle.unread(s.client.conn, requests) {
+		again = append(again, &oracleRequest{id: r.id + "-again", class: r.class, timeout: r.timeout})
+	}
+	return again
+}
+
+// connect opens a connection unless one is open. It reports false if the router takes no more.
+func (s *matrixSession) connect() bool {
+	if s.client != nil && !s.client.hasEnded() {
+		return true
+	}
+	client, err := dialOracle(s.run.oracle, s.run.router.addr)
+	if err != nil {
+		if s.run.situation != situationTerminate {
+			s.run.t.Errorf("%s could not connect: %v", s.script.name, err)
+		}
+		return false
+	}
+	s.client, s.sent = client, 0
+	return true
+}
--- /dev/null
+++ b/internal/router/fault_matrix_test.go
@@ -0,0 +1,280 @@
+package router
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// situation is what goes on in a cell of the matrix beside the faults.
+type situation string
+
+const (
+	situationCalm         situation = "calm"
+	situationTerminate    situation = "SIGTERM"
+	situationReload       situation = "SIGHUP"
+	situationDrain        situation = "draining caches"
+	situationClientLeaves situation = "client leaves"
+)
+
+const (
+	matrixParallel  = 8                       // cells that run at once, at most
+	matrixTimeout   = 2500 * time.Millisecond // of the requests
+	matrixSlack     = 250 * time.Millisecond  // of the oracle's limits on times
+	matrixLateTime  = 100 * time.Millisecond  // after SIGTERM, in which clients may open connections
+	answerWait      = 10 * time.Second        // for answers, after which they count as lost
+	retryAfterLeave = 500 * time.Millisecond  // until caches fail the requests of clients that have left
+	maxResends      = 3                       // of a request that the router does not read
+	pollInterval    = 2 * time.Millisecond    // between looks at a condition
+)
+
+var (
+	faultTargets = []faultTarget{
+		targetAccept, targetConnect, targetClientRead, targetClientWrite, targetUpstreamRead, targetUpstreamWrite,
+		targetDiscovery,
+	}
+	faultKinds = []faultKind{
+		faultTransient, faultInterrupted, faultShortCount, faultReset, faultTimeout, faultStall,
+	}
+	situations = []situation{
+		situationCalm, situationTerminate, situationReload, situationDrain, situationClientLeaves,
+	}
+)
+
+// TestFaultMatrix runs a router with the real policy through each combination of a fault and a
+// situation, and has the oracle judge every request.
+func TestFaultMatrix(t *testing.T) {
+	running := make(chan struct{}, matrixParallel)
+	for _, target := range faultTargets {
+		for _, kind := range faultKinds {
+			for _, situation := range situations {
+				t.Run(fmt.Sprintf("%s/%s/%s", target, kind, situation), func(t *testing.T) {
+					t.Parallel()
+					running <- struct{}{}
+					defer func() { <-running }()
+					newMatrixRun(t, target, kind, situation).run()
+				})
+			}
+		}
+	}
+}
+
+// matrixRun is the run of one cell.
+type matrixRun struct {
+	t         *testing.T
+	situation situation
+	oracle    *oracle
+	router    *runningRouter
+	system    *matrixSystem
+	discovery *matrixDiscovery
+	moved     []*matrixDiscovery // where SIGHUP moves discovery to, one after the other
+	caches    []*oracleCache
+
+	arrived  sync.WaitGroup // clients on their way to the situation
+	fired    chan struct{}  // closed when the situation has begun
+	released chan struct{}  // closed when caches answer the requests that they hold back
+}
+
+// newMatrixRun starts the router of a cell.
+func newMatrixRun(t *testing.T, target faultTarget, kind faultKind, situation situation) *matrixRun {
+	t.Helper()
+	m := &matrixRun{
+		t:         t,
+		situation: situation,
+		oracle:    newOracle(matrixSlack),
+		fired:     make(chan struct{}),
+		released:  make(chan struct{}),
+	}
+	for i := range 3 {
+		m.caches = append(m.caches, newOracleCache(t, m.oracle, fmt.Sprint("c", i+1), m.answer))
+	}
+	discoveryKind := kind
+	if target != targetDiscovery {
+		discoveryKind = ""
+	}
+	m.discovery = newMatrixDiscovery(t, discoveryKind)
+	m.discovery.publish(2, m.endpoints("in_service")...)
+	for range 2 {
+		moved := newMatrixDiscovery(t, discoveryKind)
+		moved.publish(2, m.endpoints("in_service")...)
+		m.moved = append(m.moved, moved)
+	}
+	srv, err := New(testConfig(t, m.discovery.addr, matrixSettings, m.endpoints("in_service")...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv.lateAcceptTime = matrixLateTime
+	m.system = useMatrixSystem(srv, m.oracle, target, kind)
+	m.router = startServer(t, srv)
+	return m
+}
+
+// matrixSettings adds a class that must not run twice, and has the router watch by itself.
+func matrixSettings(in map[string]any) {
+	settings := in["settings"].(map[string]any)
+	settings["discovery"] = "automatic"
+	once := map[string]any{
+		"name": classOnce, "effect": "non_idempotent", "aim": 5_000_000, "hardLimit": 20_000_000,
+		"worth": 1, "lateWorth": 0.5,
+	}
+	settings["categories"] = append(settings["categories"].([]any), once)
+}
+
+// endpoints lists the caches, the first of them with the given status.
+func (m *matrixRun) endpoints(first string) (list []string) {
+	status := first
+	for _, c := range m.caches {
+		list = append(list, endpointJSON(c.name, c.addr(), status))
+		status = "in_service"
+	}
+	return list
+}
+
+const heldMark = "held" // in the id of a request that caches hold back until the situation has begun
+
+// answer is how the caches answer an attempt: some first ones fail, so that requests are retried.
+func (m *matrixRun) answer(id string, attempt int) cacheAnswer {
+	if strings.Contains(id, heldMark) {
+		if m.situation == situationClientLeaves && attempt == 0 {
+			return cacheAnswer{wire: "-ERR failed\r\n", after: m.released}
+		}
+		return cacheAnswer{wire: servedWire(id), after: m.released}
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(id)) // never fails
+	switch {
+	case attempt == 0 && hash.Sum32()%8 == 0:
+		return cacheAnswer{wire: "-ERR failed\r\n"}
+	case attempt == 0 && hash.Sum32()%8 == 1:
+		return cacheAnswer{} // closes the connection
+	default:
+		return cacheAnswer{wire: servedWire(id)}
+	}
+}
+
+// run plays the cell and checks what the oracle has seen.
+func (m *matrixRun) run() {
+	var clients sync.WaitGroup
+	for _, script := range m.scripts() {
+		clients.Add(1)
+		if script.meets {
+			m.arrived.Add(1)
+		}
+		go func() {
+			defer clients.Done()
+			m.runClient(script)
+		}()
+	}
+	m.await("clients before the situation", &m.arrived)
+	m.fire()
+	m.await("the clients", &clients)
+	m.checkBudgets()
+	for _, violation := range m.oracle.violations() {
+		m.t.Error(violation)
+	}
+	served, busy, failed := m.oracle.answerCounts()
+	m.t.Logf("%d served, %d rejected, %d failed, %d calls with faults", served, busy, failed, m.system.faultCount())
+	if served == 0 {
+		m.t.Error("no request was served")
+	}
+}
+
+// await waits for a group.
+func (m *matrixRun) await(what string, group *sync.WaitGroup) {
+	m.t.Helper()
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	receive(m.t, done, "end of "+what)
+}
+
+// fire begins the situation and then has the caches answer what they hold back.
+func (m *matrixRun) fire() {
+	release := func() { close(m.released) }
+	switch m.situation {
+	case situationCalm:
+		close(m.fired)
+	case situationTerminate:
+		m.router.stop()
+		close(m.fired)
+		receive(m.t, m.router.srv.closing, "drain")
+	case situationReload:
+		for _, moved := range m.moved {
+			m.router.srv.MoveDiscovery(moved.addr)
+		}
+		close(m.fired)
+		receive(m.t, m.moved[len(m.moved)-1].called, "call at the new address")
+	case situationDrain:
+		m.discovery.publish(3, m.endpoints("terminating")...)
+		close(m.fired)
+		m.eventually("the draining state", m.firstCacheDrains)
+	case situationClientLeaves:
+		close(m.fired)
+		time.AfterFunc(retryAfterLeave, release)
+		return
+	}
+	release()
+}
+
+// firstCacheDrains reports whether the router knows that the first cache drains, and tells the
+// oracle so before the router can begin another attempt.
+func (m *matrixRun) firstCacheDrains() bool {
+	drains := make(chan bool, 1)
+	m.router.srv.loop.post(func() {
+		p := m.router.srv.loop.pools[m.caches[0].name]
+		draining := p == nil || !p.inService
+		if draining {
+			m.oracle.cacheDrained(m.caches[0].name)
+		}
+		drains <- draining
+	})
+	return receive(m.t, drains, "look at a pool")
+}
+
+// eventually waits until a condition holds.
+func (m *matrixRun) eventually(what string, condition func() bool) {
+	m.t.Helper()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	expired := time.After(testTimeout)
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-expired:
+			m.t.Errorf("timed out waiting for %s", what)
+			return
+		}
+	}
+}
+
+// checkBudgets stops the router and checks that it has given back all that it counts.
+func (m *matrixRun) checkBudgets() {
+	m.t.Helper()
+	srv := m.router.srv
+	if m.situation != situationTerminate {
+		m.eventually("the end of all requests", func() bool {
+			open := make(chan int, 1)
+			srv.loop.post(func() { open <- srv.loop.openRequests })
+			return receive(m.t, open, "number of open requests") == 0
+		})
+		m.eventually("the release of the memory", func() bool { return srv.memory.inUse.Load() == 0 })
+		m.router.stop()
+	}
+	if err := receive(m.t, m.router.ended, "end of the router"); err != nil {
+		m.t.Errorf("the router ended with %v", err)
+	}
+	m.eventually("the release of the clients' descriptors", func() bool {
+		return srv.descriptors.clientConns.Load() == 0
+	})
+	if inUse := srv.memory.inUse.Load(); inUse != 0 {
+		m.t.Errorf("%d bytes of the memory budget are in use at the end", inUse)
+	}
+	if open, conns := srv.loop.openRequests, srv.loop.upstreamConns; open != 0 || conns != 0 {
+		m.t.Errorf("%d open requests and %d connections to caches at the end", open, conns)
+	}
+}
--- a/internal/router/oracle_test.go
+++ b/internal/router/oracle_test.go
@@ -56,6 +56,7 @@
 	clientEnd time.Time
 	routerEnd time.Time
 	broken    bool // the client's end is a fault of the network
+	unmet     bool // the client has given up waiting for an answer
 	client    *net.TCPConn
 }
 
@@ -160,6 +161,29 @@
 	}
 }
 
+// waitedInVain notes that a client got no answer although it waited for longer than any may take.
+func (o *oracle) waitedInVain(c *oracleConn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c.unmet = true
+}
+
+// unread returns those of the requests that the router has ended the connection over without an
+// answer and without having read any of their bytes. The client sends them once more.
+func (o *oracle) unread(c *oracleConn, requests []*oracleRequest) (unread []*oracleRequest) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if c.routerEnd.IsZero() {
+		return nil
+	}
+	for _, r := range requests {
+		if r.order >= len(c.answers) && c.read <= r.start {
+			unread = append(unread, r)
+		}
+	}
+	return unread
+}
+
 // breakConnection has the network break a client's connection. It reports false if that has ended
 // before or is not known yet.
 func (o *oracle) breakConnection(addr string) bool {
@@ -258,7 +282,7 @@
 			}
 		case r.writtenAt.IsZero(): // not written whole, or never known to be
 		case !c.clientEnd.IsZero():
-		case c.routerEnd.IsZero():
+		case c.routerEnd.IsZero(), c.unmet:
 			report(r, "lost: no answer in time")
 		case i == len(c.answers) && c.remainder != "":
 			report(r, "lost: the answer ends after %q", c.remainder)
