--- a/internal/router/fault_matrix_test.go
+++ b/internal/router/fault_matrix_test.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -34,6 +35,8 @@
 	retryAfterLeave = 500 * time.Millisecond  // until caches fail the requests of clients that have left
 	minServedShare  = 0.75                    // of the answers; the rest are rejections and errors
 	maxResends      = 3                       // of a request that the router does not read
+	holdUpInterval  = 10 * time.Millisecond   // between looks at the clock
+	minHoldUp       = 50 * time.Millisecond   // between two looks that counts
 	pollInterval    = 2 * time.Millisecond    // between looks at a condition
 )
 
@@ -103,6 +106,7 @@
 		fired:     make(chan struct{}),
 		released:  make(chan struct{}),
 	}
+	m.oracle.heldUp = measureHoldUps(t)
 	for i := range 3 {
 		m.caches = append(m.caches, newOracleCache(t, m.oracle, fmt.Sprint("c", i+1), m.answer))
 	}
@@ -299,3 +303,28 @@
 		m.t.Errorf("%d open requests and %d connections to caches at the end", open, conns)
 	}
 }
+
+// measureHoldUps returns a function that tells for how long, in all, the machine has kept the process
+// from running since.
+func measureHoldUps(t *testing.T) (heldUp func() time.Duration) {
+	var total atomic.Int64
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		ticker := time.NewTicker(holdUpInterval)
+		defer ticker.Stop()
+		for last := time.Now(); ; {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+			now := time.Now()
+			if gap := now.Sub(last); gap > minHoldUp {
+				total.Add(int64(gap))
+			}
+			last = now
+		}
+	}()
+	return func() time.Duration { return time.Duration(total.Load()) }
+}
