--- a/internal/router/fault_matrix_clients_test.go
+++ b/internal/router/fault_matrix_clients_test.go
@@ -31,6 +31,7 @@
 	held     bool          // caches hold back the answer to one of them
 	begins   chan struct{} // if not nil, closed when the batch may be written
 	meets    bool          // the situation begins once the batch is written
+	crosses  bool          // it is written when the router looks at the connection before it ends it
 }
 
 // repeated returns so many batches of one kind.
@@ -77,12 +78,12 @@
 }
 
 // restingScript returns a client whose connection is at rest when the situation begins, and which
-// sends as the router may be ending the connection.
+// sends as the router is ending the connection, if it does.
 func (m *matrixRun) restingScript() clientScript {
 	return clientScript{name: "resting", meets: true, batches: []requestBatch{
-		{class: classRead, size: 1, meets: true},
-		{class: classRead, size: 3, begins: m.released},
-		{class: classRead, size: 1, begins: m.released},
+		{class: classRead, size: 1},
+		{class: classRead, size: 3, crosses: true},
+		{class: classRead, size: 1},
 	}}
 }
 
@@ -152,6 +153,9 @@
 		if batch.begins != nil {
 			<-batch.begins
 		}
+		if batch.crosses && !s.awaitCrossing() {
+			return
+		}
 		last := i == len(script.batches)-1
 		if !s.perform(i, batch, last) {
 			return
@@ -163,6 +167,18 @@
 	}
 }
 
+// awaitCrossing lets the situation begin and waits for the router to look at the connection before it
+// ends it. It reports false if the router takes no more connections.
+func (s *matrixSession) awaitCrossing() bool {
+	if !s.connect() {
+		return false
+	}
+	s.run.system.crossing.Store(&closeCrossing{addr: s.client.conn.addr, write: s.run.crossed})
+	s.meet()
+	<-s.run.crossed
+	return true
+}
+
 // meet lets the situation begin, as far as this client is concerned.
 func (s *matrixSession) meet() {
 	if s.script.meets && !s.met {
--- a/internal/router/fault_matrix_system_test.go
+++ b/internal/router/fault_matrix_system_test.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -53,6 +55,8 @@
 	target faultTarget
 	kind   faultKind
 
+	crossing atomic.Pointer[closeCrossing] // nil if no client waits to cross a close
+
 	mu     sync.Mutex
 	peers  map[int]*matrixPeer // by descriptor
 	counts map[systemCall]int  // calls at the target
@@ -140,6 +144,45 @@
 	return n, err
 }
 
+// closeCrossing is a client that is to write just after the router has seen that nothing has arrived
+// from it.
+type closeCrossing struct {
+	addr  string        // of the client's side
+	write chan struct{} // closed when it is to write
+}
+
+// Peek implements socket.System. If a client is to cross the close of its connection, it does so
+// behind this look.
+func (s *matrixSystem) Peek(fd int, b []byte) (int, error) {
+	n, err := s.faultySystem.Peek(fd, b)
+	crossing := s.crossing.Load()
+	if crossing == nil || !errors.Is(err, syscall.EAGAIN) || s.peer(fd).addr != crossing.addr {
+		return n, err
+	}
+	if s.crossing.CompareAndSwap(crossing, nil) {
+		close(crossing.write)
+		s.awaitBytes(fd)
+	}
+	return n, err
+}
+
+// awaitBytes waits until something has arrived on a connection.
+func (s *matrixSystem) awaitBytes(fd int) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	expired := time.After(testTimeout)
+	for {
+		if n, err := s.Linux.Peek(fd, make([]byte, 1)); n > 0 || !errors.Is(err, syscall.EAGAIN) {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-expired:
+			return
+		}
+	}
+}
+
 // isAtTarget reports whether a call is one of those that the cell disturbs. Looks at a connection go
 // with its reads. A short count of accept or connect is one of the first transfers thereafter.
 func (s *matrixSystem) isAtTarget(call systemCall, peer matrixPeer) bool {
--- a/internal/router/fault_matrix_test.go
+++ b/internal/router/fault_matrix_test.go
@@ -26,18 +26,19 @@
 )
 
 const (
-	matrixParallel  = 8                       // cells that run at once, at most
-	matrixTimeout   = 2500 * time.Millisecond // of the requests
-	answerSlack     = 10 * time.Second        // of the oracle's limit on answers
-	attemptSlack    = 250 * time.Millisecond  // of its limits on attempts
-	matrixLateTime  = 100 * time.Millisecond  // after SIGTERM, in which clients may open connections
-	answerWait      = 20 * time.Second        // for answers, after which they count as lost
-	retryAfterLeave = 500 * time.Millisecond  // until caches fail the requests of clients that have left
-	minServedShare  = 0.75                    // of the answers; the rest are rejections and errors
-	maxResends      = 3                       // of a request that the router does not read
-	holdUpInterval  = 10 * time.Millisecond   // between looks at the clock
-	minHoldUp       = 50 * time.Millisecond   // between two looks that counts
-	pollInterval    = 2 * time.Millisecond    // between looks at a condition
+	matrixParallel  = 8                                     // cells that run at once, at most
+	matrixTimeout   = 2500 * time.Millisecond               // of the requests
+	answerSlack     = 10 * time.Second                      // of the oracle's limit on answers
+	attemptSlack    = 250 * time.Millisecond                // of its limits on attempts
+	matrixLateTime  = 100 * time.Millisecond                // after SIGTERM, in which clients may open connections
+	answerWait      = 20 * time.Second                      // for answers, after which they count as lost
+	retryAfterLeave = 500 * time.Millisecond                // until caches fail the requests of clients that have left
+	minServedShare  = 0.75                                  // of the answers; the rest are rejections and errors
+	maxResends      = 3                                     // of a request that the router does not read
+	holdUpInterval  = 10 * time.Millisecond                 // between looks at the clock
+	minHoldUp       = 50 * time.Millisecond                 // between two looks that counts
+	crossingTimeout = matrixLateTime + 300*time.Millisecond // after SIGTERM, for the router to look at a connection
+	pollInterval    = 2 * time.Millisecond                  // between looks at a condition
 )
 
 var (
@@ -94,6 +95,7 @@
 	arrived  sync.WaitGroup // clients on their way to the situation
 	fired    chan struct{}  // closed when the situation has begun
 	released chan struct{}  // closed when caches answer the requests that they hold back
+	crossed  chan struct{}  // closed when the router ends the resting connection, if it does
 }
 
 // newMatrixRun starts the router of a cell.
@@ -105,6 +107,7 @@
 		oracle:    newOracle(oracleSlack{answer: answerSlack, attempt: attemptSlack}),
 		fired:     make(chan struct{}),
 		released:  make(chan struct{}),
+		crossed:   make(chan struct{}),
 	}
 	m.oracle.heldUp = measureHoldUps(t)
 	for i := range 3 {
@@ -221,6 +224,11 @@
 // fire begins the situation and then has the caches answer what they hold back.
 func (m *matrixRun) fire() {
 	release := func() { close(m.released) }
+	if m.situation == situationTerminate {
+		time.AfterFunc(crossingTimeout, m.cross)
+	} else {
+		m.cross()
+	}
 	switch m.situation {
 	case situationCalm, situationEvict, situationLateCommand:
 		close(m.fired)
@@ -246,6 +254,13 @@
 	release()
 }
 
+// cross has the resting client write, unless the router's look at its connection has.
+func (m *matrixRun) cross() {
+	if crossing := m.system.crossing.Swap(nil); crossing != nil {
+		close(crossing.write)
+	}
+}
+
 // firstCacheDrains reports whether the router knows that the first cache drains, and tells the
 // oracle so before the router can begin another attempt.
 func (m *matrixRun) firstCacheDrains() bool {
