--- a/internal/router/fault_matrix_discovery_test.go
+++ b/internal/router/fault_matrix_discovery_test.go
@@ -22,7 +22,6 @@
 type matrixDiscovery struct {
 	addr string
 	kind faultKind // empty for none
-	done <-chan struct{}
 
 	mu      sync.Mutex
 	version int
--- a/internal/router/fault_matrix_system_test.go
+++ b/internal/router/fault_matrix_system_test.go
@@ -73,7 +73,7 @@
 // useMatrixSystem has a server that does not run yet make its system calls with the faults of a cell.
 func useMatrixSystem(srv *Server, o *oracle, target faultTarget, kind faultKind) *matrixSystem {
 	s := &matrixSystem{
-		faultySystem: newFaultySystem(),
+		faultySystem: useFaultySystem(srv),
 		oracle:       o,
 		target:       target,
 		kind:         kind,
@@ -186,25 +186,29 @@
 // isAtTarget reports whether a call is one of those that the cell disturbs. Looks at a connection go
 // with its reads. A short count of accept or connect is one of the first transfers thereafter.
 func (s *matrixSystem) isAtTarget(call systemCall, peer matrixPeer) bool {
-	isFirst := isTransfer(call) && s.kind == faultShortCount && peer.transfers < firstTransfers
 	switch s.target {
 	case targetAccept:
-		return call == callAccept || isFirst && peer.isClient
+		return call == callAccept || peer.isClient && s.isFirstTransfer(call, peer)
 	case targetConnect:
-		return call == callDial || isFirst && !peer.isClient
-	case targetClientWrite:
-		return peer.isClient && call == callWrite
-	case targetUpstreamWrite:
-		return !peer.isClient && call == callWrite
+		return call == callDial || !peer.isClient && s.isFirstTransfer(call, peer)
 	case targetClientRead:
 		return peer.isClient && isLook(call)
+	case targetClientWrite:
+		return peer.isClient && call == callWrite
 	case targetUpstreamRead:
 		return !peer.isClient && isLook(call)
+	case targetUpstreamWrite:
+		return !peer.isClient && call == callWrite
 	default:
 		return false
 	}
 }
 
+// isFirstTransfer reports whether a call is a transfer that is short because the connection is new.
+func (s *matrixSystem) isFirstTransfer(call systemCall, peer matrixPeer) bool {
+	return s.kind == faultShortCount && isTransfer(call) && peer.transfers < firstTransfers
+}
+
 func isTransfer(call systemCall) bool { return call == callRead || call == callWrite }
 
 func isLook(call systemCall) bool {
--- a/internal/router/oracle_client_test.go
+++ b/internal/router/oracle_client_test.go
@@ -138,7 +138,7 @@
 // readAnswers reports answers to the oracle until the connection ends.
 func (c *oracleClient) readAnswers() {
 	defer close(c.ended)
-	defer c.nc.Close()
+	defer func() { _ = c.nc.Close() }() // it may be closed already
 	received := &recordingReader{source: c.nc}
 	reader := bufio.NewReader(received)
 	for {
