--- a/internal/router/fault_matrix_system_test.go
+++ b/internal/router/fault_matrix_system_test.go
@@ -160,19 +160,22 @@
 		return n, err
 	}
 	if s.crossing.CompareAndSwap(crossing, nil) {
+		read := s.oracle.readFrom(crossing.addr)
 		close(crossing.write)
-		s.awaitBytes(fd)
+		s.awaitBytes(fd, crossing.addr, read)
 	}
 	return n, err
 }
 
-// awaitBytes waits until something has arrived on a connection.
-func (s *matrixSystem) awaitBytes(fd int) {
+// awaitBytes waits until something has arrived on a connection from a client, or has already been
+// read beyond the given number of bytes.
+func (s *matrixSystem) awaitBytes(fd int, addr string, read int64) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	expired := time.After(testTimeout)
 	for {
-		if n, err := s.Linux.Peek(fd, make([]byte, 1)); n > 0 || !errors.Is(err, syscall.EAGAIN) {
+		n, err := s.Linux.Peek(fd, make([]byte, 1))
+		if n > 0 || !errors.Is(err, syscall.EAGAIN) || s.oracle.readFrom(addr) > read {
 			return
 		}
 		select {
--- a/internal/router/oracle_test.go
+++ b/internal/router/oracle_test.go
@@ -226,6 +226,13 @@
 	c.reads = append(c.reads, oracleRead{c.read, o.now()})
 }
 
+// readFrom returns how many bytes the router has read from a client.
+func (o *oracle) readFrom(addr string) int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.byAddr[addr].read
+}
+
 // receivedAt returns when the router had read a request, or else when the client had written it. A
 // router cannot know of the time between the two.
 func (r *oracleRequest) receivedAt() time.Time {
