--- a/internal/router/fault_matrix_discovery_test.go
+++ b/internal/router/fault_matrix_discovery_test.go
@@ -90,6 +90,13 @@
 	return true
 }
 
+// faultCount returns how many calls had a fault.
+func (d *matrixDiscovery) faultCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.faults
+}
+
 // await waits for a list that is newer than the known one.
 func (d *matrixDiscovery) await(r *http.Request, done <-chan struct{}, known int) (list string, ok bool) {
 	for {
