Let the fault matrix pass a look at the listener

Cause: a drain's accept loop polls the listener's descriptor, which the matrix took for that of a connection. Change: calls on descriptors that are no connections are made as they are; no cell is left out.

--- a/internal/router/fault_matrix_system_test.go
+++ b/internal/router/fault_matrix_system_test.go
@@ -227,12 +227,16 @@
 func (s *matrixSystem) decideFault(call systemCall, fd int) *fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	known, isConn := s.peers[fd]
+	if !isConn && call != callAccept && call != callDial {
+		return nil // a look at the listener
+	}
 	var peer matrixPeer
-	if call != callAccept && call != callDial {
-		peer = *s.peers[fd]
+	if isConn {
+		peer = *known
 	}
 	if isTransfer(call) {
-		s.peers[fd].transfers++
+		known.transfers++
 	}
 	if !s.isAtTarget(call, peer) {
 		return nil
