--- a/cmd/cacherouter/signal_test.go
+++ b/cmd/cacherouter/signal_test.go
@@ -23,6 +23,13 @@
 	})
 }
 
+func closeFile(t *testing.T, file *os.File) {
+	t.Helper()
+	if err := file.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestSIGTERMWhileStarting checks that a SIGTERM during the start ends the program as a later one.
 func TestSIGTERMWhileStarting(t *testing.T) {
 	cmd := newCommand(t, "")
@@ -45,7 +52,7 @@
 	if _, err := fmt.Fprintf(config, configFormat, "127.0.0.1:0", "127.0.0.1:1"); err != nil {
 		t.Error(err)
 	}
-	config.Close()
+	closeFile(t, config)
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("after SIGTERM: %v", err)
 	}
@@ -77,13 +84,13 @@
 		t.Fatal(err)
 	}
 	killAtEnd(t, cmd)
-	logWriter.Close()
+	closeFile(t, logWriter)
 	line, err := bufio.NewReader(logReader).ReadString('\n')
 	_, addr, ok := strings.Cut(strings.TrimSpace(line), "serving on ")
 	if !ok {
 		t.Fatalf("the program logged %q, %v", line, err)
 	}
-	logReader.Close()
+	closeFile(t, logReader)
 	if err := os.WriteFile(configPath(cmd), []byte("{}"), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -24,9 +24,9 @@
 	// notices SIGTERM, and again between the time that a reply is due and its write.
 	lastReplyDelay = killDelay - 2*maxStall - replyTravelTime
 
-	// After the last replies are due, for clients that are slow to read theirs. All connections end
-	// within it.
-	lastWriteTime = writeTimeout + lingerTime
+	// After the last replies are due, for clients that are slow to read theirs: to write the last one,
+	// and for their machines to acknowledge it.
+	lastWriteTime = 2 * writeTimeout
 )
 
 // Server accepts clients' connections and serves them with an event loop.
