Read ahead while a client's reply queue is full, so that its end shows

Cause: a reader that waits in enqueue (client_conn.go) left everything unread. More than the receive window of commands behind it kept the client's end from arriving: HungUp, which enqueue and canStart ask, looks at what has arrived, so attempts of up to 513 requests began for a client that had closed long before. enqueue looked each 100 ms only, which is the whole time that an attempt may begin late.

Change: while the reply queue is full, up to 272 KiB of a connection are read ahead, charged to the memory budget (read_ahead.go), and handled in their order.

Ruled out: queued attempts, retries, hedges and commands read after the end are stopped by the look before the first byte once the end has arrived (TestNoAttemptStartsAfterDisconnect). A reader that waits in post is behind a busy loop, which looks itself.

Left: a client that sends over 272 KiB and a receive window behind 513 commands in flight and then closes; its end shows with the first reply to it, or once a queue slot is free.

--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -34,10 +34,12 @@
 	srv            *Server
 	nc             *socket.Conn
 	requests       map[int64]*request // without a final reply; owned by the event loop
+	reader         *commandReader     // owned by the reader's goroutine
 	replies        chan *replySlot    // in the order of the commands
 	draining       atomic.Bool        // the connection is to be closed between requests
 	evicting       atomic.Bool        // it is drained for want of descriptors, so a partial command is given less time
 	pendingReplies atomic.Int64       // commands whose reply is not written
+	aheadCharge    atomic.Int64       // bytes acquired for what is read ahead
 	hasCommand     atomic.Bool        // a command has been received
 	lastReplyAt    atomic.Int64       // when the last reply was written, or the connection accepted; policy.Time
 
@@ -55,6 +57,7 @@
 		replies:   make(chan *replySlot, maxPipelined),
 		readEnded: make(chan struct{}),
 	}
+	c.reader = newCommandReader(c)
 	c.lastReplyAt.Store(s.loop.clock())
 	return c
 }
@@ -82,6 +85,7 @@
 	defer c.srv.wg.Done()
 	defer close(c.readEnded)
 	state := c.readCommands()
+	c.reader.dropAhead()
 	close(c.replies)
 	switch state {
 	case connGone:
@@ -140,7 +144,7 @@
 }
 
 // enqueue queues a reply slot for the writer and reports whether the client is still connected.
-// While the queue is full nothing is read, so a disconnect is not noticed and has to be checked for.
+// While the queue is full no reader waits on the socket, so a disconnect has to be checked for.
 func (c *clientConn) enqueue(slot *replySlot) bool {
 	c.pendingReplies.Add(1)
 	for {
@@ -153,6 +157,7 @@
 		case c.replies <- slot:
 			return true
 		case <-time.After(hangupCheckInterval):
+			c.reader.readAhead()
 			if c.hungUp() {
 				return false
 			}
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -43,6 +43,7 @@
 	buf      []byte    // received, and not yet handled
 	deadline time.Time // for the first command, or the rest of a partial one; zero if none is due
 	evicting bool      // the deadline has been brought forward, as the connection is evicted
+	ahead    []byte    // received behind buf while the reply queue was full
 	late     int       // bytes read by readArrived since the last command
 }
 
@@ -55,7 +56,7 @@
 // readCommands reads and handles commands until the connection takes no more. It returns
 // connClosing, connMalformed or connGone.
 func (c *clientConn) readCommands() connState {
-	r := newCommandReader(c)
+	r := c.reader
 	for {
 		args, raw, err := r.next()
 		if err != nil {
@@ -118,6 +119,9 @@
 // fill adds what one read returns to the buffer. It may return without an error and without bytes.
 func (r *commandReader) fill() error {
 	r.grow()
+	if r.takeAhead() {
+		return nil
+	}
 	r.updateDeadline()
 	r.conn.nc.SetReadDeadline(r.deadline)
 	if len(r.buf) == 0 && r.conn.closesBetweenRequests() {
