Show that a partial command behind a request in flight ends in time

Ruled out: a command that stops in the middle behind requests in flight, also while draining, has no deadline.

--- a/internal/router/slow_client_test.go
+++ b/internal/router/slow_client_test.go
@@ -53,3 +53,40 @@
 		})
 	}
 }
+
+// TestPartialCommandBehindRequest checks that the time for a partial command also ends where requests
+// before it are in flight, and where the connection is to be closed after them. The error comes behind
+// their replies.
+func TestPartialCommandBehindRequest(t *testing.T) {
+	for name, draining := range map[string]bool{"serving": false, "draining": true} {
+		t.Run(name, func(t *testing.T) {
+			cache := newFakeCache(t)
+			srv, err := New(testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", cache.addr(), "in_service")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			srv.commandTimeout = 200 * time.Millisecond
+			client := dial(t, startServer(t, srv).addr)
+			wire := getCommand("r1")
+			client.send(wire + wire[:len(wire)-5])
+			inFlight := receive(t, cache.commands, "command")
+			if draining {
+				srv.closeIdleClients()
+			}
+			waitUntil(t, "the reply to a partial command", func() bool {
+				srv.mu.Lock()
+				defer srv.mu.Unlock()
+				for c := range srv.clients {
+					return c.pendingReplies.Load() == 2
+				}
+				return false
+			})
+			inFlight.reply(t, servedReply)
+			client.wantLine("value")
+			if got := client.readLine(); !strings.HasPrefix(got, "-ERR ") {
+				t.Errorf("reply %q", got)
+			}
+			client.wantClosed()
+		})
+	}
+}
