Wait for the end of a lingering close in one piece

Cause: awaitHangup looked at a lingering connection each 25 ms, although its end wakes the wait and no request is due.

--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -107,7 +107,7 @@
 // that was left unread.
 func (c *clientConn) awaitHangup() {
 	for {
-		c.nc.SetReadDeadline(time.Now().Add(hangupCheckInterval))
+		c.nc.SetReadDeadline(time.Now().Add(c.lingerWait()))
 		if c.lingerOver() {
 			return
 		}
@@ -136,7 +136,7 @@
 		default: // the deadline was that of a command, or the read was interrupted
 			c.nc.SetReadDeadline(time.Time{})
 			if c.lingering.Load() {
-				c.nc.SetReadDeadline(time.Now().Add(hangupCheckInterval))
+				c.nc.SetReadDeadline(time.Now().Add(c.lingerWait()))
 			}
 		}
 	}
--- a/internal/router/client_writer.go
+++ b/internal/router/client_writer.go
@@ -102,6 +102,12 @@
 	<-c.readEnded
 }
 
+// lingerWait is how long to wait before lingerOver is asked again.
+func (c *clientConn) lingerWait() time.Duration {
+	remaining := time.Duration(c.lingerEnd.Load()-c.srv.loop.clock()) * time.Microsecond
+	return max(remaining, hangupCheckInterval)
+}
+
 // lingerOver reports whether the client has had the time to read the last reply.
 func (c *clientConn) lingerOver() bool {
 	now := c.srv.loop.clock()
