Refuse replies with unusual lengths, and deeply nested ones before they take the router's time

Causes: - The codec reads lengths with strconv.Atoi: +5, 05 and -0 count, and any negative one is null. parseArray took such arrays for replies that serve a request, and passed the value on with the odd header. - checkIncomplete (read.go) calls the codec anew for each array within another, and the codec goes through all of them: the square of the depth for each read, at 17,000 levels in 68 KB. A faulty server that sends such a reply in small pieces holds a core for minutes.

Ruled out (tests that pass before): too many elements, null values, values over 64 KiB, wrong ends, lengths out of range, and replies cut off at any point by an end or a reset.

Change: the array and its elements must have the lengths in the form that RESP gives them, else the reply is a server error. Beyond four arrays within each other an incomplete reply is malformed.

--- a/internal/resp/limits.go
+++ b/internal/resp/limits.go
@@ -17,6 +17,10 @@
 // maxArrayElements bounds the array of a reply that has not arrived completely.
 const maxArrayElements = 16
 
+// maxNesting bounds the arrays within each other in a reply that has not arrived completely. Proper
+// replies have one.
+const maxNesting = 4
+
 // minReadSize is the size in bytes of the first buffer for a reply.
 const minReadSize = 1 << 10
 
--- a/internal/resp/read.go
+++ b/internal/resp/read.go
@@ -61,6 +61,7 @@
 // checkIncomplete returns ErrMalformedReply unless b, which holds no complete reply, may be the
 // beginning of one. It looks at the first element that is not complete.
 func checkIncomplete(b []byte) error {
+	nesting := 0
 	for elements := 1; elements > 0 && len(b) > 0; elements-- {
 		if size, _ := redcon.ReadNextRESP(b); size > 0 {
 			b = b[size:]
@@ -78,7 +79,8 @@
 		if kind == redcon.Bulk {
 			return checkIncompleteBulk(body, length)
 		}
-		if length > maxArrayElements {
+		nesting++
+		if length > maxArrayElements || nesting > maxNesting {
 			return ErrMalformedReply
 		}
 		elements = length + 1 // the array itself included
--- a/internal/resp/reply.go
+++ b/internal/resp/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 
 	"github.com/tidwall/redcon"
@@ -58,7 +59,7 @@
 		elements = append(elements, element)
 		return len(elements) <= servedElements
 	})
-	if !isServed(elements) {
+	if !hasHeader(raw, servedElements) || !isServed(elements) {
 		return
 	}
 	status := string(elements[cacheStatusElement].Data)
@@ -87,13 +88,31 @@
 		return false
 	}
 	for _, element := range elements {
-		if element.Type != redcon.Bulk || len(element.Data) > MaxValueSize {
+		if element.Type != redcon.Bulk || len(element.Data) > MaxValueSize || !hasProperLength(element) {
 			return false
 		}
 	}
 	return true
 }
 
+// nullBulk is the null bulk string.
+const nullBulk = "$-1\r\n"
+
+// hasProperLength reports whether the length of a bulk string has the form that RESP gives it. The
+// codec takes a sign and leading zeros, too, and any negative number for null.
+func hasProperLength(element redcon.RESP) bool {
+	if isNull(element) {
+		return string(element.Raw) == nullBulk
+	}
+	return hasHeader(element, len(element.Data))
+}
+
+// hasHeader reports whether an element begins with its type and the given length.
+func hasHeader(element redcon.RESP, length int) bool {
+	header := strconv.AppendInt([]byte{byte(element.Type)}, int64(length), 10)
+	return bytes.HasPrefix(element.Raw, append(header, lineEnd...))
+}
+
 // isNull reports whether an element is the null bulk string, "$-1\r\n". The codec reads it as an
 // empty one.
 func isNull(element redcon.RESP) bool {
