--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -44,6 +44,7 @@
 	deadline time.Time   // for the first command, or the rest of a partial one; zero if none is due
 	evicting bool        // the deadline has been brought forward, as the connection is evicted
 	arrival  arrivalTime // of the last bytes in buf
+	late     int         // bytes read by readArrived since the last command
 }
 
 // newCommandReader makes a reader that expects the first command in time: a silent peer must not
@@ -57,7 +58,7 @@
 }
 
 // readCommands reads and handles commands until the connection takes no more. It returns
-// connClosing or connGone.
+// connClosing, connMalformed or connGone.
 func (c *clientConn) readCommands() connState {
 	r := newCommandReader(c)
 	for {
@@ -81,7 +82,7 @@
 	var malformed *protocolError
 	switch {
 	case errors.As(err, &malformed):
-		return c.replyAndClose(malformed.reply())
+		return c.replyAndLeave(malformed.reply(), connMalformed)
 	case errors.Is(err, errIdleClose):
 		return connClosing
 	default:
@@ -123,11 +124,15 @@
 func (r *commandReader) fill() error {
 	r.grow()
 	r.updateDeadline()
+	r.conn.nc.SetReadDeadline(r.deadline)
 	partial := len(r.buf) > 0
-	if !r.conn.awaitRead(partial, r.deadline) {
-		return errIdleClose
+	switch {
+	case r.conn.srv.readingEnded.Load():
+		return r.readLast()
+	case !partial && r.conn.closesBetweenRequests():
+		return r.readArrived(errIdleClose)
 	}
-	err := r.read()
+	_, err := r.readWith(r.conn.nc.Read)
 	switch {
 	case err == nil:
 		return nil
@@ -136,23 +141,51 @@
 	case r.deadline.IsZero() || time.Now().Before(r.deadline):
 		return nil // closeWhenIdle has interrupted the read: the next one checks whether to close
 	case len(r.buf) > 0:
-		return &protocolError{errCommandTimeout}
+		return r.readArrived(&protocolError{errCommandTimeout})
 	default:
-		return errIdleClose
+		return r.readArrived(errIdleClose)
 	}
 }
 
-// read adds what one read returns to the buffer and notes when it has arrived.
-func (r *commandReader) read() error {
+// readWith adds what one call of read returns to the buffer and notes when it has arrived.
+func (r *commandReader) readWith(read func([]byte) (int, error)) (n int, err error) {
 	clock := r.conn.srv.loop.clock
 	waited := r.arrival.mayHaveWaited(clock()) && r.conn.nc.HasUnread()
-	n, err := r.conn.nc.Read(r.buf[len(r.buf):cap(r.buf)])
+	n, err = read(r.buf[len(r.buf):cap(r.buf)])
 	r.buf = r.buf[:len(r.buf)+n]
 	if n > 0 {
 		r.arrival.noteRead(clock(), waited, len(r.buf) == cap(r.buf))
 	} else if !waited {
 		r.arrival.noteEmptyRead(clock())
 	}
+	return n, err
+}
+
+// readLast takes what may still be read once the last replies of a drain are due: only the first
+// command of a connection, which is answered at once.
+func (r *commandReader) readLast() error {
+	switch {
+	case len(r.buf) > 0:
+		return &protocolError{errCommandTimeout}
+	case r.conn.hasCommand.Load():
+		return errIdleClose
+	default:
+		return r.readArrived(errIdleClose)
+	}
+}
+
+// readArrived takes the last look at the socket before the connection is given up for a reason, which
+// it returns if nothing has arrived. The deadline of a read may pass without a look, and a request
+// that arrived before must be served. After many bytes without a command it looks no more.
+func (r *commandReader) readArrived(reason error) error {
+	if r.late > resp.MaxCommandSize {
+		return reason
+	}
+	n, err := r.readWith(r.conn.nc.ReadArrived)
+	r.late += n
+	if n == 0 && err == nil {
+		return reason
+	}
 	return err
 }
 
@@ -184,12 +217,12 @@
 func (r *commandReader) clearDeadline() {
 	r.deadline = time.Time{}
 	r.evicting = false
+	r.late = 0
 }
 
-// awaitRead sets the deadline of the next read; zero stands for none. It reports false if the
-// connection is to be closed and is between requests. While requests are in flight it is read on,
-// as a command that follows them on an open connection has to be accepted.
-func (c *clientConn) awaitRead(partial bool, deadline time.Time) bool {
-	c.nc.SetReadDeadline(deadline)
-	return !c.draining.Load() || partial || c.pendingReplies.Load() > 0 || c.nc.HasUnread()
+// closesBetweenRequests reports whether the connection is to be closed and is between requests. While
+// requests are in flight it is read on, as a command that follows them on an open connection has to
+// be accepted.
+func (c *clientConn) closesBetweenRequests() bool {
+	return c.draining.Load() && c.pendingReplies.Load() == 0
 }
--- a/internal/router/upstream_write.go
+++ b/internal/router/upstream_write.go
@@ -79,10 +79,10 @@
 	return n, err
 }
 
-// isTransient reports whether a system call on a socket failed for want of memory in the kernel,
-// which says nothing about the connection.
+// isTransient reports whether a write failed for want of memory in the kernel or by a signal, which
+// says nothing about the connection.
 func isTransient(err error) bool {
-	return errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.ENOMEM)
+	return errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.ENOMEM) || errors.Is(err, unix.EINTR)
 }
 
 // failUnsent closes a connection that can't carry the attempt, of which not a byte has been written.
@@ -122,6 +122,10 @@
 // later if the socket takes nothing. Before each write it checks that the attempt may go on.
 func (c *upstreamConn) writeRemainder(a *attempt) {
 	for a.state == attemptWriting {
+		if c.pool.endIfClientGone(a.request) != nil {
+			c.scheduleWrite(a)
+			return
+		}
 		c.pool.loop.now = c.pool.loop.clock()
 		if !c.canContinue(a) {
 			return
