Ask again if the system can't tell whether anything has arrived on a connection

Cause: IsSilent counted a peek that failed (ENOMEM) as bytes that have arrived. On a new connection failUnsent then told the policy ConnectFailed: a healthy server was held unreachable.

Change: IsSilent fails if it can't be told for a moment, and tryWrite writes nothing then and is tried again. The two tests of IsSilent in conn_test.go want the same as before, by its two results.

Test: TestLookFailsForAMoment, before: no command came (ENOMEM); passes with the change under the race detector.

--- a/internal/router/upstream_socket.go
+++ b/internal/router/upstream_socket.go
@@ -22,8 +22,15 @@
 	}
 }
 
-// isSilent reports whether neither bytes nor the end of the connection have arrived since the last
-// reply.
-func (c *upstreamConn) isSilent() bool {
-	return !c.replyBegun.Load() && c.nc.IsSilent()
+// checkSilent returns errOutOfStep if bytes or the end of the connection have arrived since the last
+// reply. Another error means that this cannot be told for a moment.
+func (c *upstreamConn) checkSilent() error {
+	if c.replyBegun.Load() {
+		return errOutOfStep
+	}
+	silent, err := c.nc.IsSilent()
+	if !silent && err == nil {
+		return errOutOfStep
+	}
+	return err
 }
--- a/internal/router/upstream_write.go
+++ b/internal/router/upstream_write.go
@@ -61,10 +61,10 @@
 	defer c.mu.Unlock()
 	isNew := c.isNew()
 	begunAt := c.pool.loop.clock()
-	if !c.isSilent() {
-		return 0, errOutOfStep
+	err = c.checkSilent()
+	if err == nil {
+		n, err = c.nc.TryWrite(rest)
 	}
-	n, err = c.nc.TryWrite(rest)
 	if isTransient(err) {
 		err = nil
 	}
@@ -72,15 +72,15 @@
 		c.sequence.Add(1)
 	}
 	heldUp := c.pool.loop.clock()-begunAt > maxUninterrupted
-	if heldUp && !isNew && !c.isSilent() {
+	if heldUp && !isNew && c.checkSilent() != nil {
 		// A late reply to an earlier request may have arrived between the check and the write.
 		return n, errOutOfStep
 	}
 	return n, err
 }
 
-// isTransient reports whether a write failed for want of memory in the kernel or by a signal, which
-// says nothing about the connection.
+// isTransient reports whether a system call on a socket failed for want of memory in the kernel or by
+// a signal, which says nothing about the connection.
 func isTransient(err error) bool {
 	return errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.ENOMEM) || errors.Is(err, unix.EINTR)
 }
--- a/internal/router/upstream_write_test.go
+++ b/internal/router/upstream_write_test.go
@@ -203,3 +203,20 @@
 		})
 	}
 }
+
+// TestLookFailsForAMoment checks that a new connection is used once the system can tell again
+// whether anything has arrived on it. That it can't says nothing about the server.
+func TestLookFailsForAMoment(t *testing.T) {
+	for _, err := range []error{unix.ENOMEM, unix.ENOBUFS, unix.EINTR} {
+		t.Run(err.Error(), func(t *testing.T) {
+			cache := newFakeCache(t)
+			harness := newLoopHarness(t, cache.addr(), nil)
+			system := harness.useFaultySystem()
+			system.injectError(callPeek, err, 3)
+			harness.serveRequest(cache)
+			if dials := system.callCount(callDial); dials != 1 || system.pending(callPeek) > 0 {
+				t.Errorf("%d dials, %d faults did not happen", dials, system.pending(callPeek))
+			}
+		})
+	}
+}
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -191,10 +191,17 @@
 }
 
 // IsSilent reports whether neither bytes nor the end of the connection have arrived that are not
-// read yet. If that cannot be told, it is not silent.
-func (c *Conn) IsSilent() bool {
+// read yet. It fails if that cannot be told for a moment.
+func (c *Conn) IsSilent() (bool, error) {
 	_, err := c.peek()
-	return errors.Is(err, syscall.EAGAIN)
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return true, nil
+	case isTransient(err):
+		return false, err
+	default:
+		return false, nil
+	}
 }
 
 // HasUnread reports whether bytes have been received that are not read yet, or that cannot be told.
--- a/internal/socket/conn_test.go
+++ b/internal/socket/conn_test.go
@@ -143,7 +143,7 @@
 		conn, peer := newPair(t, system)
 		send(t, conn, peer)
 		system.peek = interrupts
-		if conn.IsSilent() {
+		if silent, err := conn.IsSilent(); silent || err != nil {
 			t.Error("silent, although a byte has arrived")
 		}
 	})
@@ -175,7 +175,7 @@
 			if !conn.HasUnread() {
 				t.Error("nothing unread")
 			}
-			if conn.IsSilent() {
+			if silent, _ := conn.IsSilent(); silent {
 				t.Error("silent")
 			}
 			if !conn.HasUnacknowledged() {
