Close a connection whose reply can't belong to its command

Cause: replyReceived (upstream_conn.go) took a reply of a kind that the command can't have (+PONG, a bare bulk string, an integer, another array) for a server error and kept the connection. The proper reply may still come; if that is after the next command is written, it is given to that command's client. And a value that replies to PING passed the health check.

Ruled out: connections of attempts that were cancelled or have timed out are closed before the outcome (TestCancelAfterWriteClosesConnection, TestMissingReplyIsTimedOut), so no reply is due on an idle one.

Change: after such a reply the connection is closed; the attempt ends as ServerError as before.

Tests, before: TestReplyOfWrongKindEndsConnection: the connection is used again (five of five); TestHealthCheckResults: result 0, want 1. Both pass with the change under the race detector.

--- a/internal/resp/reply.go
+++ b/internal/resp/reply.go
@@ -16,6 +16,7 @@
 	Value  []byte            // of a request that was served: a bulk string as on the wire
 	Miss   bool              // the value was not cached
 	Pong   bool              // the reply to PING
+	Error  bool              // an error reply, which any command may get
 	Load   policy.LoadReport // of the server
 }
 
@@ -48,6 +49,7 @@
 	case redcon.String:
 		reply.Pong = string(raw.Data) == pong
 	case redcon.Error:
+		reply.Error = true
 		reply.parseError(string(raw.Data))
 	}
 	return reply
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -95,3 +95,24 @@
 	}
 	return a.request.command.Encode(a.deadline - now)
 }
+
+// isReply reports whether a reply has a kind that replies to the attempt's command have. If not, the
+// proper one may still come.
+func (a *attempt) isReply(reply *resp.Reply) bool {
+	if a.request == nil {
+		return reply.Pong || reply.Error
+	}
+	return reply.Result == policy.Served || reply.Error
+}
+
+// resultOf returns the result that a reply gives the attempt.
+func (a *attempt) resultOf(reply *resp.Reply) policy.Result {
+	switch {
+	case !a.isReply(reply):
+		return policy.ServerError
+	case reply.Pong:
+		return policy.Served
+	default:
+		return reply.Result
+	}
+}
--- a/internal/router/outcome_test.go
+++ b/internal/router/outcome_test.go
@@ -312,3 +312,64 @@
 	receive(t, cache.commands, "command").reply(t, servedReply)
 	r.wantOutcome(policy.Served)
 }
+
+// TestHealthCheckResults checks that only the reply to PING passes a health check: a value is the
+// reply to some request.
+func TestHealthCheckResults(t *testing.T) {
+	for wire, want := range map[string]policy.Result{
+		resp.PongReply: policy.Served,
+		servedReply:    policy.ServerError,
+		"+OK\r\n":      policy.ServerError,
+		"-ERR no\r\n":  policy.ServerError,
+		resp.BusyReply: policy.Rejected,
+	} {
+		cache := newFakeCache(t)
+		r := newLoopHarness(t, cache.addr(), nil)
+		engine := &healthCheckEngine{results: make(chan policy.Result, 1)}
+		r.do(func() {
+			r.loop.engine = engine
+			r.loop.perform(policy.HealthCheck{Cache: "c1"})
+		})
+		receive(t, cache.commands, "PING").reply(t, wire)
+		if got := receive(t, engine.results, "result"); got != want {
+			t.Errorf("%q: result %d, want %d", wire, got, want)
+		}
+	}
+}
+
+// healthCheckEngine records the results of health checks.
+type healthCheckEngine struct{ results chan policy.Result }
+
+func (e *healthCheckEngine) Handle(_ policy.Time, ev policy.Event) []policy.Action {
+	if done, ok := ev.(*policy.HealthCheckDone); ok {
+		e.results <- done.Result
+	}
+	return nil
+}
+
+// TestReplyOfWrongKindEndsConnection checks that a connection is not used any more after a reply that
+// can't belong to its command: the proper one may still come, and would be taken for the next one's.
+func TestReplyOfWrongKindEndsConnection(t *testing.T) {
+	for _, wire := range []string{resp.PongReply, "$5\r\nvalue\r\n", ":1\r\n", "*0\r\n", "*1\r\n$5\r\nvalue\r\n"} {
+		cache := newFakeCache(t)
+		r := newLoopHarness(t, cache.addr(), nil)
+		r.do(func() { r.loop.settleTime = 0 })
+		r.sendAttempt(r.newRequest(nil), long)
+		first := receive(t, cache.commands, "command")
+		first.reply(t, wire)
+		r.wantOutcome(policy.ServerError)
+		next := r.newRequest(nil)
+		r.sendAttempt(next, long)
+		second := receive(t, cache.commands, "next command")
+		first.tryReply(otherServedReply)
+		if second.conn == first.conn {
+			t.Errorf("%q: the connection is used again", wire)
+			continue
+		}
+		second.reply(t, servedReply)
+		r.wantOutcome(policy.Served)
+		if got := string(receive(t, next.slot.reply, "reply")); got != "$5\r\nvalue\r\n" {
+			t.Errorf("%q: the next client got %q", wire, got)
+		}
+	}
+}
--- a/internal/router/upstream_conn.go
+++ b/internal/router/upstream_conn.go
@@ -81,11 +81,8 @@
 		c.connectionLost()
 		return
 	}
-	result := reply.Result
-	if a.request == nil && reply.Pong {
-		result = policy.Served
-	}
-	a.finish(result, reply)
+	inStep = inStep && a.isReply(reply)
+	a.finish(a.resultOf(reply), reply)
 	if !inStep {
 		c.close()
 		return
