--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -136,7 +136,7 @@
 	case !partial && r.conn.closesBetweenRequests():
 		return r.readArrived(errIdleClose)
 	}
-	err := r.read()
+	_, err := r.readWith(r.conn.nc.Read)
 	switch {
 	case err == nil:
 		return nil
@@ -151,6 +151,20 @@
 	}
 }
 
+// readWith adds what one call of read returns to the buffer and notes when it has arrived.
+func (r *commandReader) readWith(read func([]byte) (int, error)) (n int, err error) {
+	clock := r.conn.srv.loop.clock
+	waited := r.arrival.mayHaveWaited(clock()) && r.conn.nc.HasUnread()
+	n, err = read(r.buf[len(r.buf):cap(r.buf)])
+	r.buf = r.buf[:len(r.buf)+n]
+	if n > 0 {
+		r.arrival.noteRead(clock(), waited, len(r.buf) == cap(r.buf))
+	} else if !waited {
+		r.arrival.noteEmptyRead(clock())
+	}
+	return n, err
+}
+
 // readLast takes what may still be read once the last replies of a drain are due: only the first
 // command of a connection, which is answered at once.
 func (r *commandReader) readLast() error {
@@ -171,32 +185,14 @@
 	if r.late > resp.MaxCommandSize {
 		return reason
 	}
-	n, err := r.conn.nc.ReadArrived(r.buf[len(r.buf):cap(r.buf)])
-	r.buf = r.buf[:len(r.buf)+n]
+	n, err := r.readWith(r.conn.nc.ReadArrived)
 	r.late += n
-	if n > 0 {
-		r.arrival.noteRead(r.conn.srv.loop.clock(), false, len(r.buf) == cap(r.buf))
-	}
 	if n == 0 && err == nil {
 		return reason
 	}
 	return err
 }
 
-// read adds what one read returns to the buffer and notes when it has arrived.
-func (r *commandReader) read() error {
-	clock := r.conn.srv.loop.clock
-	waited := r.arrival.mayHaveWaited(clock()) && r.conn.nc.HasUnread()
-	n, err := r.conn.nc.Read(r.buf[len(r.buf):cap(r.buf)])
-	r.buf = r.buf[:len(r.buf)+n]
-	if n > 0 {
-		r.arrival.noteRead(clock(), waited, len(r.buf) == cap(r.buf))
-	} else if !waited {
-		r.arrival.noteEmptyRead(clock())
-	}
-	return err
-}
-
 // grow makes room for a read in a full buffer.
 func (r *commandReader) grow() {
 	if len(r.buf) == cap(r.buf) {
--- a/internal/router/upstream_write.go
+++ b/internal/router/upstream_write.go
@@ -60,10 +60,10 @@
 	defer c.mu.Unlock()
 	isNew := c.isNew()
 	begunAt := c.pool.loop.clock()
-	if !c.isSilent() {
-		return 0, errOutOfStep
+	err = c.checkSilent()
+	if err == nil {
+		n, err = c.nc.TryWrite(rest)
 	}
-	n, err = c.nc.TryWrite(rest)
 	if socket.IsTransient(err) {
 		err = nil
 	}
@@ -71,7 +71,7 @@
 		c.sequence.Add(1)
 	}
 	heldUp := c.pool.loop.clock()-begunAt > maxUninterrupted
-	if heldUp && !isNew && !c.isSilent() {
+	if heldUp && !isNew && c.checkSilent() != nil {
 		// A late reply to an earlier request may have arrived between the check and the write.
 		return n, errOutOfStep
 	}
