Believe a start's age within half a second of its news, and test slow start with few routers

Cause: accepted an age by the wall clock up to 2 s beyond the last contact. A fleet told so much too early overloads a cache as its warm-up ends. It also took a new start for warm where an earlier list had dated another one in the future, and forgot the start of a server that was delisted and came back without a restart. Change: 0.5 s; a start that is older news than that counts as 0.5 s old. The order of starts is used only for those in the future by the loop's clock. The starts of delisted servers are kept for ten minutes. The budget of slow start is now tested with 1, 3 and 5 routers too, with routers that restart once a second and know the starts but not what they have sent, and with starts listed 0.5 s too early.

--- a/internal/router/start_times.go
+++ b/internal/router/start_times.go
@@ -5,9 +5,17 @@
 	"marlstage/policy"
 )
 
-// maxListDelay is how long after a server's start the endpoint list may tell of it, as long as the
-// router has been in contact with the discovery service.
-const maxListDelay policy.Time = 2_000_000
+const (
+	// maxListDelay is how long after a server's start the endpoint list is expected to tell of it, as
+	// long as the router is in contact with the discovery service. Slow start allows for an age that is
+	// wrong by as much.
+	maxListDelay policy.Time = 500_000
+	// startRetention is how long the start of a server is kept that is no longer listed. It may be
+	// listed again without a restart.
+	startRetention policy.Time = 600_000_000
+	// startCleanupInterval is the least time between two searches for starts that are kept no longer.
+	startCleanupInterval policy.Time = 60_000_000
+)
 
 // startTimes converts the start times of the endpoint list, which follow the wall clock of the
 // servers, to the event loop's clock. The wall clock that the loop read at its start may have been
@@ -18,12 +26,14 @@
 	newestAt    policy.Time          // ... and when it was listed first, by the loop's
 	lastContact policy.Time          // when the last list came; 0 before the first one that is not stale
 	inContact   bool                 // the discovery service has answered each call since
+	cleanupAt   policy.Time          // before that, no start is forgotten
 }
 
 // startTime is the start of one incarnation of a server, by two clocks.
 type startTime struct {
 	listed policy.Time // by the servers' clock, as the endpoint list has it
 	local  policy.Time // by the event loop's
+	goneAt policy.Time // when the list no longer had the server; 0 while it has
 }
 
 func newStartTimes() *startTimes { return &startTimes{servers: map[string]startTime{}} }
@@ -42,17 +52,23 @@
 	}
 	maxAge := s.maxAge(now)
 	converted := make([]policy.Endpoint, len(list.Endpoints))
-	current := make(map[string]startTime, len(list.Endpoints))
 	for i, endpoint := range list.Endpoints {
 		start, known := s.servers[endpoint.ID]
 		if !known || start.listed != endpoint.StartedAt {
 			start = startTime{listed: endpoint.StartedAt, local: s.localTime(endpoint.StartedAt, maxAge, now)}
 		}
-		current[endpoint.ID] = start
+		start.goneAt = 0
+		if endpoint.State == policy.Removed {
+			start.goneAt = now
+		}
+		s.servers[endpoint.ID] = start
 		endpoint.StartedAt = start.local
 		converted[i] = endpoint
 	}
-	s.remember(current, list)
+	if list.Snapshot {
+		s.noteUnlisted(list.Endpoints, now)
+	}
+	s.forgetGone(now)
 	if kind != policy.UpdateStale {
 		s.lastContact, s.inContact = now, true
 	}
@@ -73,30 +89,46 @@
 }
 
 // localTime returns when a server started, by the loop's clock. A start that is in the future by
-// that clock, or too old to be news, shows that the clock was off. Its age is then at least the
-// time by which it precedes the newest start, as one clock dates all starts; a server that may be
-// older than that counts as no older, since one that is cold can be overloaded.
+// that clock, or too old to be news, shows that the clock was off. News is then taken for as young as
+// it is expected to be, since a server that is cold can be overloaded. A start in the future may be
+// one of long ago, and precedes the newest start by as much as the servers' clock says.
 func (s *startTimes) localTime(listed, maxAge, now policy.Time) policy.Time {
-	if listed == 0 {
+	age := now - listed
+	switch {
+	case listed == 0:
 		return 0 // long ago
+	case age < 0:
+		return now - max(0, s.newest-listed+now-s.newestAt)
+	case age > maxAge:
+		return now - maxListDelay
+	default:
+		return listed
 	}
-	age := now - listed
-	if age < 0 || age > maxAge {
-		age = max(0, s.newest-listed+now-s.newestAt)
+}
+
+// noteUnlisted notes which servers a snapshot does not list.
+func (s *startTimes) noteUnlisted(endpoints []policy.Endpoint, now policy.Time) {
+	listed := make(map[string]bool, len(endpoints))
+	for _, endpoint := range endpoints {
+		listed[endpoint.ID] = true
+	}
+	for id, start := range s.servers {
+		if !listed[id] && start.goneAt == 0 {
+			start.goneAt = now
+			s.servers[id] = start
+		}
 	}
-	return now - age
 }
 
-// remember keeps the start times of the endpoints that a list names, and of those that it leaves
-// as they are.
-func (s *startTimes) remember(current map[string]startTime, list *discovery.EndpointList) {
-	if list.Snapshot {
-		s.servers = current
+// forgetGone forgets the starts of servers that have not been listed for long.
+func (s *startTimes) forgetGone(now policy.Time) {
+	if now < s.cleanupAt {
+		return
 	}
-	for _, endpoint := range list.Endpoints {
-		s.servers[endpoint.ID] = current[endpoint.ID]
-		if endpoint.State == policy.Removed {
-			delete(s.servers, endpoint.ID)
+	s.cleanupAt = now + startCleanupInterval
+	for id, start := range s.servers {
+		if start.goneAt > 0 && start.goneAt+startRetention <= now {
+			delete(s.servers, id)
 		}
 	}
 }
--- a/internal/router/wall_clock_test.go
+++ b/internal/router/wall_clock_test.go
@@ -56,7 +56,7 @@
 // TestStartIsNewsWhateverTheWallClockSays: a server whose start is listed while the router watches is cold, also if
 // the wall clock was off when the router started. Servers that were listed before stay as warm as they were.
 func TestStartIsNewsWhateverTheWallClockSays(t *testing.T) {
-	for _, offset := range []policy.Time{-hour, -5_000_000, 0, 5_000_000, hour} {
+	for _, offset := range []policy.Time{-hour, -5_000_000, 0, 1_000_000, 5_000_000, hour} {
 		t.Run(time.Duration(offset*1000).String(), func(t *testing.T) {
 			addr, calls := newFakeDiscovery(t)
 			old := startedEndpointJSON("c1", "127.0.0.1:1", 2*time.Minute)
@@ -142,8 +142,8 @@
 	age       policy.Time
 }
 
-// TestAgesByListAndClock: an age by the wall clock counts unless it can't be right. Then a server is as young as the
-// list allows.
+// TestAgesByListAndClock: an age by the wall clock counts unless it can't be right. Then a server is taken for young if
+// its start is news.
 func TestAgesByListAndClock(t *testing.T) {
 	const second, longAgo = policy.Time(1_000_000), policy.Time(-1)
 	type arrival struct {
@@ -160,28 +160,30 @@
 		{"right clock", 0, []arrival{
 			{10_000, policy.UpdateStale, false, []listedStart{{"a", 0, longAgo}, {"b", 9000, 1000}}},
 			{10_001, policy.UpdateDelta, false, []listedStart{{"b", 9000, 1001}, {"c", 9990, 11}}},
-			{10_004, policy.UpdateDelta, false, []listedStart{{"b", 10_003, 1}, {"c", 9990, 14}, {"a", 0, longAgo}}},
+			{10_004, policy.UpdateDelta, false, []listedStart{{"b", 10_004, 0}, {"c", 9990, 14}, {"a", 0, longAgo}}},
 		}},
 		{"right clock, news late by an outage", 0, []arrival{
 			{10_000, policy.UpdateSnapshot, false, []listedStart{{"a", 9000, 1000}}},
 			{10_020, policy.UpdateDelta, true, []listedStart{{"b", 10_003, 17}}},
-			{10_021, policy.UpdateDelta, false, []listedStart{{"c", 10_020, 1}}},
+			{10_021, policy.UpdateDelta, false, []listedStart{{"c", 10_021, 0}}},
 		}},
 		{"right clock, an old server is listed again", 0, []arrival{
 			{10_000, policy.UpdateSnapshot, false, []listedStart{{"a", 9000, 1000}, {"b", 9500, 500}}},
 			{10_050, policy.UpdateSnapshot, false, []listedStart{{"b", 9500, 550}}},
-			{10_100, policy.UpdateSnapshot, false, []listedStart{{"a", 9000, 600}, {"b", 9500, 600}}}, // a started 500 s before b, which is known for 100 s
+			{10_100, policy.UpdateSnapshot, false, []listedStart{{"a", 9000, 1100}, {"b", 9500, 600}}},
+			{10_150, policy.UpdateSnapshot, false, []listedStart{{"b", 9500, 650}}},
+			{10_800, policy.UpdateSnapshot, false, []listedStart{{"b", 9500, 1300}}},
+			{10_801, policy.UpdateSnapshot, false, []listedStart{{"a", 9000, 0}}}, // it is forgotten by now
 		}},
 		{"right clock, one start in the future", 0, []arrival{
 			{10_000, policy.UpdateSnapshot, false, []listedStart{{"a", 10_060, 0}}},
-			{10_005, policy.UpdateDelta, false, []listedStart{{"a", 10_060, 5}, {"b", 10_004, 1}}},
+			{10_005, policy.UpdateDelta, false, []listedStart{{"a", 10_060, 5}, {"b", 10_004, 0}}},
 		}},
 		{"an hour ahead", 3600, []arrival{
 			{10_000, policy.UpdateStale, false, []listedStart{{"a", 9000, 4600}}},
 			{10_001, policy.UpdateDelta, false, []listedStart{{"b", 9990, 3611}}}, // can't be told from a start an hour ago
 			{10_004, policy.UpdateDelta, false, []listedStart{{"c", 10_003, 0}, {"a", 9000, 4604}}},
 			{10_009, policy.UpdateDelta, true, []listedStart{{"d", 10_005, 0}, {"c", 10_003, 5}}},
-			{10_010, policy.UpdateDelta, false, []listedStart{{"e", 10_001, 5}}}, // older than d, which is listed since 1 s
 		}},
 		{"an hour behind", -3600, []arrival{
 			{10_000, policy.UpdateSnapshot, false, []listedStart{{"a", 9000, 900}, {"b", 9900, 0}, {"c", 0, longAgo}}},
--- a/policy/slowstart_faults_test.go
+++ b/policy/slowstart_faults_test.go
@@ -26,6 +26,8 @@
 	joining          bool    // the starting caches were not listed before
 	notifyWithin     Time    // the routers learn of the starts one after the other
 	restartedRouters float64 // share of the routers that restart with them, with the endpoints from before
+	restartInterval  Time    // at which each router restarts from then on, with the endpoints as they are; 0 for never
+	listedEarlier    Time    // by how much the list dates the starts too early; internal/router allows for 500 ms
 	hotShare         float64 // share of all requests that are for one key, whose primary is starting
 	hotAfter         Time    // after the starts, before which nothing asks for that key
 	hanging, failing float64 // shares of the caches that are warm, and answer nothing or fail from then on
@@ -56,6 +58,10 @@
 	{name: "overload, multiple 2, again", load: 1.3, starting: .2, joining: true, notifyWithin: 200 * ms,
 		overloadMultiple: 2, seed: 2},
 	{name: "restart", load: .6, starting: .5, restartedRouters: .3, notifyWithin: 2000 * ms},
+	{name: "routers restart", load: .8, starting: .3, restartInterval: 1000 * ms, overloadMultiple: 2},
+	{name: "routers restart, hot 3%", load: .6, starting: .2, restartInterval: 1000 * ms, hotShare: .03},
+	{name: "dated too early", load: .8, starting: .3, listedEarlier: 500 * ms, largeCaches: 120},
+	{name: "dated too early, burst", load: .8, starting: .3, listedEarlier: 500 * ms, burst: 1.5, overloadMultiple: 2},
 	{name: "all", load: .6, starting: .5, restartedRouters: .3, notifyWithin: 500 * ms, hanging: .2, burst: 1.5,
 		hotShare: .02, overloadMultiple: 2, largeCaches: 200},
 }
@@ -67,7 +73,7 @@
 		routers, caches int // 0 caches: as the scenario has it
 		span            Time
 	}{
-		{2, 12, 10500 * ms}, {8, 12, 10500 * ms}, {20, 14, 10500 * ms}, {30, 20, 10500 * ms}, {80, 54, 5000 * ms},
+		{1, 12, 5000 * ms}, {2, 12, 10500 * ms}, {3, 12, 5000 * ms}, {5, 12, 5000 * ms}, {8, 12, 10500 * ms}, {20, 14, 10500 * ms}, {30, 20, 10500 * ms}, {80, 54, 5000 * ms},
 		{300, 0, 2500 * ms},
 	} {
 		for _, scenario := range faultScenarios {
@@ -206,15 +212,24 @@
 	return endpoints
 }
 
-// endpointsNow returns the endpoints as they are.
+// endpointsNow returns the endpoints as they are listed now.
 func (s *faultSimulation) endpointsNow() []Endpoint {
 	var endpoints []Endpoint
 	for _, cache := range s.caches {
-		endpoints = append(endpoints, cache.Endpoint)
+		endpoints = append(endpoints, s.listed(cache))
 	}
 	return endpoints
 }
 
+// listed returns a cache as the endpoint list has it.
+func (s *faultSimulation) listed(cache *coreCache) Endpoint {
+	endpoint := cache.Endpoint
+	if endpoint.StartedAt > 0 {
+		endpoint.StartedAt -= s.scenario.listedEarlier
+	}
+	return endpoint
+}
+
 // findHotKey returns a key whose primary is the largest starting cache, and that routers send there from the first
 // moment on.
 func (s *faultSimulation) findHotKey() uint64 {
@@ -258,9 +273,18 @@
 		}
 		delay := Time(s.rng.Float64() * float64(s.scenario.notifyWithin))
 		s.after(delay, func() { s.updateEndpoints(router, s.endpointsNow()) })
+		if s.scenario.restartInterval > 0 {
+			s.after(Time(s.rng.Float64()*float64(s.scenario.restartInterval)), func() { s.restartRouter(router) })
+		}
 	}
 }
 
+// restartRouter starts a router that has forgotten what it sent, and schedules its next restart.
+func (s *faultSimulation) restartRouter(router int) {
+	s.startRouter(router, s.endpointsNow())
+	s.after(s.scenario.restartInterval, func() { s.restartRouter(router) })
+}
+
 // sendRequest plays a client's request and schedules the next.
 func (s *faultSimulation) sendRequest() {
 	if s.now >= s.restartAt {
@@ -333,7 +357,7 @@
 func (s *faultSimulation) performSend(router int, send Send) {
 	cache := s.byID[send.Cache]
 	work := .5 + s.rng.Float64()
-	cache.arrivals = append(cache.arrivals, arrival{s.now, work, s.knowsStart(router, cache.Endpoint)})
+	cache.arrivals = append(cache.arrivals, arrival{s.now, work, s.knowsStart(router, s.listed(cache))})
 	done := s.newAttempt(router, send)
 	core := cache.firstIdleCore(s.now)
 	serviceTime := Time(work * simulatedCores * 1e6 / cache.capacity(&s.settings, s.now))
