Test that calls which hang do not delay the next one after SIGHUP

Ruled out with TestMovesWhileCallsHang: a discovery service that accepts and says nothing, or stops in the header or the body, delays no call after SIGHUP, at the same address and six times in a row; each old connection is closed.

--- /dev/null
+++ b/internal/router/hanging_discovery_test.go
@@ -0,0 +1,79 @@
+package router
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// hangingDiscovery replies to each call with the same bytes and leaves the connection open. It reports each call, and
+// each connection that the router ends.
+type hangingDiscovery struct {
+	addr  string
+	calls chan string
+	ended chan struct{}
+}
+
+func newHangingDiscovery(t *testing.T, wire string) *hangingDiscovery {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	d := &hangingDiscovery{ln.Addr().String(), make(chan string, 100), make(chan struct{}, 100)}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { nc.Close() })
+			go d.hang(nc, wire)
+		}
+	}()
+	return d
+}
+
+func (d *hangingDiscovery) hang(nc net.Conn, wire string) {
+	req, err := http.ReadRequest(bufio.NewReader(nc))
+	if err != nil {
+		return // the router closed the connection before it called
+	}
+	_, _ = io.WriteString(nc, wire) // fails only if the router has gone
+	d.calls <- req.URL.String()
+	_, _ = io.Copy(io.Discard, nc) // until the router ends the connection
+	d.ended <- struct{}{}
+}
+
+// TestMovesWhileCallsHang: an old call that hangs, wherever in its response, does not delay the call after SIGHUP, also
+// at the same address and many times in a row, and its connection is closed.
+func TestMovesWhileCallsHang(t *testing.T) {
+	const moves = 6
+	for _, wire := range []string{"", "HTTP/1.1 200 OK\r\nContent-Le", statusOK + "Content-Length: 100\r\n\r\n{\"index\":9,"} {
+		d := newHangingDiscovery(t, wire)
+		r := startRouter(t, testConfig(t, d.addr, nil, endpointJSON("c1", "127.0.0.1:1", "in_service")))
+		receive(t, d.calls, "call")
+		begun := time.Now()
+		for range moves {
+			r.srv.MoveDiscovery(d.addr)
+			receive(t, d.calls, "call after a move")
+			receive(t, d.ended, "end of the old call")
+		}
+		if elapsed := time.Since(begun); elapsed > 2*time.Second {
+			t.Errorf("%q: %d moves took %v", wire, moves, elapsed)
+		}
+		for range moves {
+			r.srv.MoveDiscovery(d.addr) // in a row: some calls are given up before they are made
+		}
+		receive(t, d.calls, "call after many moves")
+		(&loopHarness{t: t, loop: r.srv.loop}).do(func() {
+			if !r.srv.loop.watching {
+				t.Errorf("%q: no watch is open after many moves", wire)
+			}
+		})
+	}
+}
