--- a/internal/discovery/endpointlist.go
+++ b/internal/discovery/endpointlist.go
@@ -81,6 +81,9 @@
 	if err := json.Unmarshal(raw, &doc); err != nil {
 		return EndpointList{}, fmt.Errorf("endpoint list: %w", err)
 	}
+	if key := duplicateKey(raw, "index", "snapshot", "endpoints"); key != "" {
+		return EndpointList{}, fmt.Errorf("endpoint list: %w", &FieldError{Field: key, Reason: "given twice"})
+	}
 	list, err := doc.endpointList()
 	if err != nil {
 		return EndpointList{}, fmt.Errorf("endpoint list: %w", err)
