Read the configuration again if it can't be used at a SIGHUP

Cause: reloadOnHangup dropped the signal where the file could not be opened or parsed, be it for a moment (EMFILE, EIO) or because it was half written. The router then kept to the old discovery service for good, and missed changes. Change: the file is read again every 0.2 s for 3 s, as changes count as notified 4 s after SIGHUP. One line is logged. Ruled out: a signal during a read is not lost, as the channel holds one and the file is read after it.

--- a/cmd/cacherouter/main.go
+++ b/cmd/cacherouter/main.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"marlstage/internal/config"
 	"marlstage/internal/router"
@@ -21,6 +22,13 @@
 // configVariable is the environment variable that names the configuration file.
 const configVariable = "BALANCER_CONFIG"
 
+// A file that cannot be used at a SIGHUP is read again for 3 s: what the new
+// discovery service has counts as notified 4 s after the signal.
+const (
+	reloadAttempts = 15
+	reloadInterval = 200 * time.Millisecond
+)
+
 var errNoConfig = errors.New(configVariable + " is not set")
 
 func main() {
@@ -73,11 +81,25 @@
 // old address costs less than an outage.
 func reloadOnHangup(hangup <-chan os.Signal, path string, srv *router.Server) {
 	for range hangup {
+		if cfg := reloadConfig(path); cfg != nil {
+			srv.MoveDiscovery(cfg.Discovery)
+		}
+	}
+}
+
+// reloadConfig reads the configuration file again. A read may fail for a moment,
+// or meet a file that is not completely written, so it is tried for a while. It
+// logs the first failure, and returns nil if all attempts fail.
+func reloadConfig(path string) *config.Config {
+	for attempt := range reloadAttempts {
 		cfg, err := readConfig(path)
-		if err != nil {
+		if err == nil {
+			return cfg
+		}
+		if attempt == 0 {
 			log.Print("SIGHUP: ", err)
-			continue
 		}
-		srv.MoveDiscovery(cfg.Discovery)
+		time.Sleep(reloadInterval)
 	}
+	return nil
 }
--- a/cmd/cacherouter/main_test.go
+++ b/cmd/cacherouter/main_test.go
@@ -149,6 +149,36 @@
 	terminate(t, cmd, log)
 }
 
+// TestSIGHUPBeforeFileIsComplete: a file that can't be used yet, as it is missing or half written, is read again without
+// another signal.
+func TestSIGHUPBeforeFileIsComplete(t *testing.T) {
+	calls := make(chan struct{}, 100)
+	moved := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls <- struct{}{}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer moved.Close()
+	cmd := newCommand(t, fmt.Sprintf(configFormat, "127.0.0.1:0", "127.0.0.1:1"))
+	_, log := startServing(t, cmd)
+	complete := fmt.Appendf(nil, configFormat, "127.0.0.1:0", moved.Listener.Addr().String())
+	if err := os.WriteFile(configPath(cmd), complete[:len(complete)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	awaitReload(t, log) // it has read the first half
+	if err := os.WriteFile(configPath(cmd), complete, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-calls:
+	case <-time.After(testTimeout):
+		t.Error("no call at the new address")
+	}
+	terminate(t, cmd, log)
+}
+
 // TestSignalsDuringShutdown do not change its outcome.
 func TestSignalsDuringShutdown(t *testing.T) {
 	cmd := newCommand(t, fmt.Sprintf(configFormat, "127.0.0.1:0", "127.0.0.1:1"))
