Test the budget of slow start with caches that start colder

The settings of a site may tell a start share of 0.05 to 0.08 instead of 0.31, and so a smaller budget.

--- a/policy/slowstart_faults_test.go
+++ b/policy/slowstart_faults_test.go
@@ -27,6 +27,7 @@
 	notifyWithin     Time    // the routers learn of the starts one after the other
 	restartedRouters float64 // share of the routers that restart with them, with the endpoints from before
 	restartInterval  Time    // at which each router restarts from then on, with the endpoints as they are; 0 for never
+	startShare       float64 // of the capacity of a warm cache that one has at its start; as in slowStartSettings where 0
 	listedEarlier    Time    // by how much the list dates the starts too early; internal/router allows for 500 ms
 	hotShare         float64 // share of all requests that are for one key, whose primary is starting
 	hotAfter         Time    // after the starts, before which nothing asks for that key
@@ -60,6 +61,10 @@
 	{name: "restart", load: .6, starting: .5, restartedRouters: .3, notifyWithin: 2000 * ms},
 	{name: "routers restart", load: .8, starting: .3, restartInterval: 1000 * ms, overloadMultiple: 2},
 	{name: "routers restart, hot 3%", load: .6, starting: .2, restartInterval: 1000 * ms, hotShare: .03},
+	{name: "cold", load: .6, starting: .3, startShare: .05},
+	{name: "cold, narrow", load: .6, starting: .3, startShare: .05, overloadMultiple: 1.5},
+	{name: "cold, burst", load: .8, starting: .3, startShare: .08, burst: 1.5, overloadMultiple: 2},
+	{name: "cold, routers restart", load: .6, starting: .3, startShare: .05, restartInterval: 2000 * ms},
 	{name: "dated too early", load: .8, starting: .3, listedEarlier: 500 * ms, largeCaches: 120},
 	{name: "dated too early, burst", load: .8, starting: .3, listedEarlier: 500 * ms, burst: 1.5, overloadMultiple: 2},
 	{name: "all", load: .6, starting: .5, restartedRouters: .3, notifyWithin: 500 * ms, hanging: .2, burst: 1.5,
@@ -145,6 +150,9 @@
 	if f.overloadMultiple > 0 {
 		s.OverloadMultiple = f.overloadMultiple
 	}
+	if f.startShare > 0 {
+		s.WarmupStartShare = f.startShare
+	}
 	s.Classes = []Class{
 		{Name: "read", Effect: Idempotent, LatencyObjective: 600 * ms, Timeout: 2000 * ms, PriorityWeight: 5},
 	}
