--- a/internal/router/fault_matrix_clients_test.go
+++ b/internal/router/fault_matrix_clients_test.go
@@ -263,6 +263,9 @@
 			id += "-" + heldMark
 		}
 		r := &oracleRequest{id: id, class: batch.class, timeout: matrixTimeout}
+		if batch.class == classOnce && number == 0 && i == 0 {
+			r.id += "-" + lostMark
+		}
 		if batch.hung {
 			r.id += "-" + hungMark
 			r.timeout = hungTimeout
--- a/internal/router/fault_matrix_test.go
+++ b/internal/router/fault_matrix_test.go
@@ -35,6 +35,7 @@
 	answerWait      = 20 * time.Second                      // for answers, after which they count as lost
 	retryAfterLeave = 500 * time.Millisecond                // until caches fail the requests of clients that have left
 	minServedShare  = 0.75                                  // of the answers; the rest are rejections and errors
+	answerKinds     = 8                                     // of caches, most of them proper
 	maxResends      = 3                                     // of a request that the router does not read
 	holdUpInterval  = 10 * time.Millisecond                 // between looks at the clock
 	minHoldUp       = 50 * time.Millisecond                 // between two looks that counts
@@ -168,9 +169,11 @@
 const (
 	heldMark = "held" // caches hold the answer back until the situation has begun
 	hungMark = "hung" // caches never answer
+	lostMark = "lost" // the first cache runs it and closes the connection
 )
 
-// answer is how the caches answer an attempt: some first ones fail, so that requests are retried.
+// answer is how the caches answer an attempt: some first ones fail, so that requests are retried, and
+// some are answered twice.
 func (m *matrixRun) answer(id string, attempt int) cacheAnswer {
 	if strings.Contains(id, hungMark) {
 		return cacheAnswer{after: m.t.Context().Done()}
@@ -183,11 +186,16 @@
 	}
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(id)) // never fails
+	choice := hash.Sum32() % answerKinds
 	switch {
-	case attempt == 0 && hash.Sum32()%8 == 0:
+	case attempt > 0:
+		return cacheAnswer{wire: servedWire(id)}
+	case strings.Contains(id, lostMark), choice == 0:
+		return cacheAnswer{}
+	case choice == 1:
 		return cacheAnswer{wire: "-ERR failed\r\n"}
-	case attempt == 0 && hash.Sum32()%8 == 1:
-		return cacheAnswer{} // closes the connection
+	case choice == 2: // a second answer that belongs to no request
+		return cacheAnswer{wire: servedWire(id) + servedWire(id)}
 	default:
 		return cacheAnswer{wire: servedWire(id)}
 	}
--- a/internal/router/oracle_seeded_test.go
+++ b/internal/router/oracle_seeded_test.go
@@ -20,6 +20,7 @@
 	cache  string
 	buf    []byte
 	skew   *atomic.Int64 // nanoseconds by which the oracle's clock is ahead
+	left   chan struct{} // closed when the client has left and noted it
 }
 
 // next reads the next command of the client.
@@ -148,7 +149,7 @@
 	}},
 	{name: "forwarded after the client's end", leaves: true, want: "r0: an attempt began", serve: func(r *seededRouter) {
 		cmd := r.next()
-		r.awaitClientEnd()
+		<-r.left
 		r.moveClock(disconnectGrace)
 		r.forward(cmd, -disconnectGrace)
 	}},
@@ -242,7 +243,7 @@
 		{id: "r0", class: class, timeout: seededTimeout},
 		{id: "r1", class: class, timeout: seededTimeout},
 	}, nil)
-	router := &seededRouter{t: t, oracle: o, client: nc, cache: cache.addr(), skew: &skew}
+	router := &seededRouter{t: t, oracle: o, client: nc, cache: cache.addr(), skew: &skew, left: make(chan struct{})}
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
@@ -250,6 +251,7 @@
 	}()
 	if seeded.leaves {
 		client.close()
+		close(router.left)
 	}
 	if n := seeded.halfCloseAfter; n > 0 {
 		client.awaitAnswers(n, testTimeout)
