--- a/internal/router/fault_matrix_test.go
+++ b/internal/router/fault_matrix_test.go
@@ -233,7 +233,8 @@
 	m.t.Helper()
 	served, busy, failed := m.oracle.answerCounts()
 	total := served + busy + failed
-	m.t.Logf("%d served, %d rejected, %d failed, %d faults", served, busy, failed, m.faultCount())
+	m.t.Logf("%d served, %d rejected, %d failed, %d faults, %d new connections shut unread",
+		served, busy, failed, m.faultCount(), m.oracle.shutUnread())
 	if m.situation != situationLateCommand && float64(served) < minServedShare*float64(total) || served == 0 {
 		m.t.Errorf("only %d of %d answers come from a cache, although two of three calls succeed", served, total)
 	}
--- a/internal/router/oracle_test.go
+++ b/internal/router/oracle_test.go
@@ -424,6 +424,19 @@
 	return found
 }
 
+// shutUnread returns how many connections the router ended without having read anything of the
+// requests that were written to them. Clients send these again, so none is lost.
+func (o *oracle) shutUnread() (count int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, c := range o.conns {
+		if !c.routerEnd.IsZero() && c.read == 0 && len(c.requests) > 0 && !c.requests[0].writtenAt.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
 // answerCounts returns how many requests were served, rejected and failed.
 func (o *oracle) answerCounts() (served, busy, failed int) {
 	o.mu.Lock()
