--- /dev/null
+++ b/internal/router/drain_stall_test.go
@@ -0,0 +1,32 @@
+package router
+
+import (
+	"testing"
+	"time"
+)
+
+// TestDrainAcceptsBehindStall holds the router up in the Accept that is to take a queued connection
+// while it drains, for longer than the deadline of that Accept. The kernel has accepted the
+// connection, and so the request on it.
+func TestDrainAcceptsBehindStall(t *testing.T) {
+	cache := newFakeCache(t)
+	srv, err := New(testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", cache.addr(), "in_service")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv.lateAcceptTime = 0
+	system := useFaultySystem(srv)
+	stall := fault{begun: make(chan struct{}), resume: make(chan struct{})}
+	system.inject(callAccept, fault{}, stall) // the first Accept is interrupted by the drain
+	router := startServer(t, srv)
+	waitUntil(t, "the first Accept", func() bool { return system.callCount(callAccept) == 1 })
+	router.stop()
+	receive(t, stall.begun, "Accept while draining")
+	client := dial(t, router.addr)
+	client.send(getCommand("r1"))
+	begun := time.Now()
+	waitUntil(t, "the end of the deadline", func() bool { return time.Since(begun) > 2*finalAcceptTimeout })
+	close(stall.resume)
+	receive(t, cache.commands, "command").reply(t, servedReply)
+	client.wantLine("value")
+}
