Leave rejected attempts out of what a cache that is warming up may have a share of

Cause: slowStartAllows bounds what a warming cache gets by its part of what the warm ones were sent, rejected attempts included (policy/slowstart.go, sent += warm.recentAttempts). In overload the warm caches reject several times what they serve, and the bound rises with it: one router that had restarted with an old list sent 28 requests in 0.75 s to a cache that does 8 a second. Change: attempts that warm caches have rejected are not counted. Measured: TestRejectionsDoNotRaiseWarmingUpShare fails without it ("5 attempts are admitted, 45 with rejections at the warm cache"), and so does "1 routers/routers restart, old list" of TestFleetKeepsWarmingUpCachesWithinBudget ("37.1 in 1500000 us, more than 35.4").

--- a/policy/cache.go
+++ b/policy/cache.go
@@ -32,6 +32,7 @@
 	timeTokensAt     Time
 	attemptsSent     int // ever
 	recentAttempts   stats.FadingCount
+	recentRejections stats.FadingCount // of those attempts
 	lastSentAt       Time
 	lastReplyAt      Time
 	lastHitOnTime    bool           // it served the last likely hit in time
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -16,10 +16,10 @@
 	if excluded || len(req.attempts) > 0 || e.replicaCount(req.Key) > 1 {
 		return false // in a fault retries are most of the traffic, and they all look for capacity
 	}
-	sent, weight := 0.0, 0.0 // of the warm caches
+	sent, weight := 0.0, 0.0 // to the warm caches, and of them
 	for _, warm := range e.inService {
 		if e.now >= warm.warmAt {
-			sent += warm.recentAttempts.At(e.now, e.settings.OverloadTime)
+			sent += e.recentlyAccepted(warm)
 			weight += warm.Weight
 		}
 	}
@@ -31,6 +31,16 @@
 	return c.recentAttempts.At(e.now, e.settings.OverloadTime) < 1+fairPart
 }
 
+// recentlyAccepted counts the attempts of late that a cache has not rejected: in overload, what it rejects
+// comes back many times and is no measure of what caches can do. Sparse traffic tells too little of that.
+func (e *Engine) recentlyAccepted(c *cache) float64 {
+	attempts := c.recentAttempts.At(e.now, e.settings.OverloadTime)
+	if e.sparseTraffic() {
+		return attempts
+	}
+	return max(0, attempts-c.recentRejections.At(e.now, e.settings.OverloadTime))
+}
+
 // mayBeHotKey reports whether a key may be more than a warming cache can serve, as all of many routers send
 // it there. Together they send, for any share s of the key, at most half of what OverloadMultiple leaves
 // beside the cache's other keys, as it may have two such keys. The first request that a router sees after n
--- a/policy/slowstart_faults_test.go
+++ b/policy/slowstart_faults_test.go
@@ -65,6 +65,8 @@
 	{name: "cold, narrow", load: .6, starting: .3, startShare: .05, overloadMultiple: 1.5},
 	{name: "cold, burst", load: .8, starting: .3, startShare: .08, burst: 1.5, overloadMultiple: 2},
 	{name: "cold, routers restart", load: .6, starting: .3, startShare: .05, restartInterval: 2000 * ms},
+	{name: "routers restart, old list", load: .6, starting: .5, restartedRouters: 1, notifyWithin: 1000 * ms,
+		startShare: .1, overloadMultiple: 2, seed: 1005},
 	{name: "dated too early", load: .8, starting: .3, listedEarlier: 500 * ms, largeCaches: 120},
 	{name: "dated too early, burst", load: .8, starting: .3, listedEarlier: 500 * ms, burst: 1.5, overloadMultiple: 2},
 	{name: "all", load: .6, starting: .5, restartedRouters: .3, notifyWithin: 500 * ms, hanging: .2, burst: 1.5,
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -207,3 +207,37 @@
 	s.WarmupTime, s.WarmupStartShare, s.OverloadTime, s.DrainGrace = 9000*ms, .31, 1500*ms, 1500*ms
 	return s
 }
+
+// Attempts that warm caches reject are no work that a cache which is warming up may have a share of.
+func TestRejectionsDoNotRaiseWarmingUpShare(t *testing.T) {
+	count := func(rejected int) (admitted int) {
+		h := newTrafficHarness(t, 2, nil)
+		endpoints := testEndpoints(2)
+		endpoints[1].StartedAt = h.now
+		h.handle(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: endpoints})
+		warm, starting := h.engine.caches["c00"], h.engine.caches["c01"]
+		for id := range 20 + rejected {
+			req := &Request{ID: int64(id), Class: "read", Key: uint64(id), HasKey: true, Deadline: h.now + testTimeout}
+			sent := &request{Request: req, class: h.engine.classes["read"], arrivedAt: h.now}
+			h.engine.requests[req.ID] = sent
+			h.engine.sendAttempt(sent, warm)
+			result := Served
+			if id >= 20 {
+				result = Rejected
+			}
+			h.finish(req.ID, 0, result, true)
+		}
+		first := &request{Request: &Request{Key: 1, Deadline: h.now + 1e6}, class: &Class{}}
+		for unitInterval(mix(mix(first.Key)+1)) >= h.engine.slowStartShare(starting) || primaryOf(h.engine, first.Key) != "c01" {
+			first.Key++
+		}
+		for admitted < 1000 && h.engine.slowStartAllows(first, starting) {
+			starting.recentAttempts.Add(h.now, h.engine.settings.OverloadTime)
+			admitted++
+		}
+		return admitted
+	}
+	if calm, overload := count(0), count(200); calm == 0 || overload > calm {
+		t.Errorf("%d attempts are admitted, %d with rejections at the warm cache", calm, overload)
+	}
+}
