Count bytes behind a read-ahead from its last read

Change: the read-ahead keeps the times of its first and its last read. Measured: TestArrivalOfBytesReadAhead passes; with the last read's time left out it reports bytes behind them.

--- a/internal/router/arrival_test.go
+++ b/internal/router/arrival_test.go
@@ -86,3 +86,20 @@
 		})
 	}
 }
+
+// TestArrivalOfBytesReadAhead checks that commands which were read ahead count as having arrived with
+// the first of them, and that those behind them count from the last read.
+func TestArrivalOfBytesReadAhead(t *testing.T) {
+	const since, until = policy.Time(1_000_000), policy.Time(5_000_000)
+	reader := &commandReader{
+		conn:  &clientConn{srv: &Server{memory: newMemoryBudget(192)}},
+		buf:   make([]byte, 0, minReadBuffer),
+		ahead: readAhead{bytes: []byte(getCommand("r1")), since: since, until: until},
+	}
+	if !reader.takeAhead() || reader.arrival.at != since {
+		t.Errorf("commands read ahead count from %d, want %d", reader.arrival.at, since)
+	}
+	if reader.arrival.mayHaveWaited(until + maxReadGap) {
+		t.Error("bytes behind them count as having waited since the first read")
+	}
+}
--- a/internal/router/read_ahead.go
+++ b/internal/router/read_ahead.go
@@ -13,15 +13,17 @@
 // readAhead holds bytes that were read before the commands ahead of them could be handled.
 type readAhead struct {
 	bytes []byte
-	since policy.Time // when the first of them was read
+	since policy.Time // when the first of them was read, ...
+	until policy.Time // ... and when the last was
 }
 
 // readMore reads what has arrived while the reply queue is full. Left unread it would fill the
 // receive window, and a client's end behind it would stay hidden while attempts for it begin.
 func (r *commandReader) readMore() {
 	memory := r.conn.srv.memory
+	r.ahead.until = r.conn.srv.loop.clock()
 	if len(r.ahead.bytes) == 0 {
-		r.ahead.since = r.conn.srv.loop.clock()
+		r.ahead.since = r.ahead.until
 	}
 	for len(r.ahead.bytes) < maxReadAhead && r.conn.nc.HasUnread() && memory.tryAcquire(readAheadStep) {
 		step := make([]byte, readAheadStep)
@@ -43,7 +45,7 @@
 	}
 	n := copy(r.buf[len(r.buf):cap(r.buf)], r.ahead.bytes)
 	r.buf = r.buf[:len(r.buf)+n]
-	r.arrival.noteRead(r.ahead.since, false, false)
+	r.arrival = arrivalTime{at: r.ahead.since, readAt: r.ahead.until}
 	r.ahead.bytes = r.ahead.bytes[n:]
 	if len(r.ahead.bytes) == 0 {
 		r.dropAhead()
