--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -44,6 +44,7 @@
 	deadline time.Time   // for the first command, or the rest of a partial one; zero if none is due
 	evicting bool        // the deadline has been brought forward, as the connection is evicted
 	arrival  arrivalTime // of the last bytes in buf
+	ahead    readAhead   // received behind buf while the reply queue was full
 	late     int         // bytes read by readArrived since the last command
 }
 
@@ -60,7 +61,7 @@
 // readCommands reads and handles commands until the connection takes no more. It returns
 // connClosing, connMalformed or connGone.
 func (c *clientConn) readCommands() connState {
-	r := newCommandReader(c)
+	r := c.reader
 	for {
 		args, raw, err := r.next()
 		if err != nil {
@@ -123,6 +124,9 @@
 // fill adds what one read returns to the buffer. It may return without an error and without bytes.
 func (r *commandReader) fill() error {
 	r.grow()
+	if r.takeAhead() {
+		return nil
+	}
 	r.updateDeadline()
 	r.conn.nc.SetReadDeadline(r.deadline)
 	partial := len(r.buf) > 0
@@ -132,7 +136,7 @@
 	case !partial && r.conn.closesBetweenRequests():
 		return r.readArrived(errIdleClose)
 	}
-	err := r.read()
+	_, err := r.readWith(r.conn.nc.Read)
 	switch {
 	case err == nil:
 		return nil
@@ -147,6 +151,20 @@
 	}
 }
 
+// readWith adds what one call of read returns to the buffer and notes when it has arrived.
+func (r *commandReader) readWith(read func([]byte) (int, error)) (n int, err error) {
+	clock := r.conn.srv.loop.clock
+	waited := r.arrival.mayHaveWaited(clock()) && r.conn.nc.HasUnread()
+	n, err = read(r.buf[len(r.buf):cap(r.buf)])
+	r.buf = r.buf[:len(r.buf)+n]
+	if n > 0 {
+		r.arrival.noteRead(clock(), waited, len(r.buf) == cap(r.buf))
+	} else if !waited {
+		r.arrival.noteEmptyRead(clock())
+	}
+	return n, err
+}
+
 // readLast takes what may still be read once the last replies of a drain are due: only the first
 // command of a connection, which is answered at once.
 func (r *commandReader) readLast() error {
@@ -167,32 +185,14 @@
 	if r.late > resp.MaxCommandSize {
 		return reason
 	}
-	n, err := r.conn.nc.ReadArrived(r.buf[len(r.buf):cap(r.buf)])
-	r.buf = r.buf[:len(r.buf)+n]
+	n, err := r.readWith(r.conn.nc.ReadArrived)
 	r.late += n
-	if n > 0 {
-		r.arrival.noteRead(r.conn.srv.loop.clock(), false, len(r.buf) == cap(r.buf))
-	}
 	if n == 0 && err == nil {
 		return reason
 	}
 	return err
 }
 
-// read adds what one read returns to the buffer and notes when it has arrived.
-func (r *commandReader) read() error {
-	clock := r.conn.srv.loop.clock
-	waited := r.arrival.mayHaveWaited(clock()) && r.conn.nc.HasUnread()
-	n, err := r.conn.nc.Read(r.buf[len(r.buf):cap(r.buf)])
-	r.buf = r.buf[:len(r.buf)+n]
-	if n > 0 {
-		r.arrival.noteRead(clock(), waited, len(r.buf) == cap(r.buf))
-	} else if !waited {
-		r.arrival.noteEmptyRead(clock())
-	}
-	return err
-}
-
 // grow makes room for a read in a full buffer.
 func (r *commandReader) grow() {
 	if len(r.buf) == cap(r.buf) {
