Apply lists that the replaced discovery service wrote before the new one answers

Cause: at SIGHUP moveDiscovery cancelled the open watch (watch.go), and postFromWatch dropped all lists of the replaced client. A list that the old service had written, but that the router had not read, or had read and not applied, was lost, while a change counts as told once it is written. While the new service was silent, a draining cache still got requests after the drain grace.

Change: the open watch goes on until the new service has delivered its first list, for 4 s at most (movedRetryTime) or until the next move; so there are two watches at most. A list is applied unless a service that replaced its own has delivered one before. Its failures are ignored.

Tests, without the change (30 s each): TestListWrittenByOldDiscoveryAfterMove (both modes) and TestListReadBeforeMove "timed out waiting for c1 is out of service"; TestOldCallEndsOnceNewDiscoveryAnswers "the old call ended before the new service had answered". TestLateListOfOldDiscovery fails without the check of movesAtList ("the list of the old service was applied"), TestOldCallEndsInTime without the timer (call ends by its own timeout, 4 s later).

The comment of TestMovedDiscovery said that a late list of the old service is dropped; its checks are unchanged.

--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -115,7 +115,7 @@
 }
 
 // TestMovedDiscovery: the watch continues at the new address, from the known version where a watch has a cost and
-// with a snapshot elsewhere. A late response of the old service is dropped.
+// with a snapshot elsewhere. A late response of the old service does not hold against that of the new one.
 func TestMovedDiscovery(t *testing.T) {
 	for mode, want := range map[string]string{"subscribe": "/discovery/hosts?after=1&wait_ms=3000", "automatic": "/discovery/hosts"} {
 		cache := newFakeCache(t)
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -20,13 +20,26 @@
 	return discovery.NewClient(discoveryClientConfig(cfg))
 }
 
-// applyEndpoints applies an endpoint list to the pools and queues it for the policy. Both get its
-// start times by the loop's clock.
+// applyEndpoints applies an endpoint list, after which the next watch continues.
 func (l *eventLoop) applyEndpoints(list discovery.EndpointList, kind policy.UpdateKind) {
 	l.endpointsVersion = list.Version
 	l.watchBackoff.Reset()
 	l.retriesInARow = 0
 	l.movedAt = 0
+	l.updateEndpoints(list, kind)
+}
+
+// applyReplacedEndpoints applies a list from a discovery service that has been replaced by another,
+// which is silent so far. The calls to the other go on as if the list had not come: they ask for the
+// changes since the version known at the move.
+func (l *eventLoop) applyReplacedEndpoints(list discovery.EndpointList) {
+	l.updateEndpoints(list, list.Kind())
+	l.startTimes.contactLost()
+}
+
+// updateEndpoints updates the pools from an endpoint list and queues it for the policy. Both get its
+// start times by the loop's clock.
+func (l *eventLoop) updateEndpoints(list discovery.EndpointList, kind policy.UpdateKind) {
 	list.Endpoints = l.startTimes.convert(&list, kind, l.now)
 	l.updatePools(&list)
 	l.canServe.Store(l.hasInServicePool())
--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -59,6 +59,10 @@
 	movedAt          policy.Time        // move to another service, from which no list has come yet; 0 if none
 	nextFailureLine  policy.Time        // before that, failed watches are not logged
 	cancelWatch      context.CancelFunc // ends the open watch
+
+	moves               int                // to another discovery service
+	movesAtList         int                // moves before the service was called that the last list came from
+	replacedWatchCancel context.CancelFunc // ends the watch that a move has left running; nil if none has, or it has been ended
 }
 
 func newEventLoop(cfg *config.Config, descriptors *descriptorBudget) (*eventLoop, error) {
--- /dev/null
+++ b/internal/router/moved_discovery_test.go
@@ -0,0 +1,131 @@
+package router
+
+import (
+	"testing"
+	"time"
+)
+
+// loopOf returns a harness for the event loop of a running router.
+func loopOf(t *testing.T, r *runningRouter) *loopHarness { return &loopHarness{t: t, loop: r.srv.loop} }
+
+// waitUntilOutOfService waits until the router has applied a list in which the cache accepts no requests.
+func (h *loopHarness) waitUntilOutOfService(cache string) {
+	h.t.Helper()
+	waitUntil(h.t, cache+" is out of service", func() (out bool) {
+		h.do(func() { out = !h.loop.pools[cache].inService })
+		return out
+	})
+}
+
+// TestListWrittenByOldDiscoveryAfterMove: a drain that the old service tells after SIGHUP is applied while the new one
+// is silent. The call to the new service then still continues from the version that it asked for, also after a failure.
+func TestListWrittenByOldDiscoveryAfterMove(t *testing.T) {
+	for mode, want := range map[string]string{"subscribe": "/discovery/hosts?after=1&wait_ms=3000", "automatic": "/discovery/hosts"} {
+		t.Run(mode, func(t *testing.T) {
+			old, oldCalls := newFakeDiscovery(t)
+			moved, calls := newFakeDiscovery(t)
+			r := startRouter(t, testConfig(t, old, func(in map[string]any) { in["settings"].(map[string]any)["discovery"] = mode },
+				endpointJSON("c1", "127.0.0.1:1", "in_service")))
+			held := receive(t, oldCalls, "call")
+			r.srv.MoveDiscovery(moved)
+			silent := receive(t, calls, "call at the new address")
+			held.reply <- endpointListJSON(9, false, endpointJSON("c1", "127.0.0.1:1", "terminating"))
+			loopOf(t, r).waitUntilOutOfService("c1")
+			silent.reply <- "" // fails
+			if c := receive(t, calls, "call after a failure"); c.query != want {
+				t.Errorf("call %s, want %s", c.query, want)
+			}
+		})
+	}
+}
+
+// TestListReadBeforeMove: a list that is read but not applied yet is applied after SIGHUP, also after two in a row.
+func TestListReadBeforeMove(t *testing.T) {
+	for _, moves := range []int{1, 2} {
+		old, oldCalls := newFakeDiscovery(t)
+		moved, calls := newFakeDiscovery(t)
+		r := startRouter(t, testConfig(t, old, nil, endpointJSON("c1", "127.0.0.1:1", "in_service")))
+		h := loopOf(t, r)
+		held := receive(t, oldCalls, "call")
+		stalled, resume := make(chan struct{}), make(chan struct{})
+		h.loop.post(func() {
+			close(stalled)
+			<-resume
+			for range moves {
+				cfg := *h.loop.cfg
+				cfg.Discovery = moved
+				h.loop.moveDiscovery(&cfg)
+			}
+		})
+		receive(t, stalled, "stall of the event loop")
+		held.reply <- endpointListJSON(9, false, endpointJSON("c1", "127.0.0.1:1", "terminating"))
+		receive(t, oldCalls, "next call, which follows the list")
+		close(resume)
+		receive(t, calls, "call at the new address")
+		h.waitUntilOutOfService("c1")
+	}
+}
+
+// TestOldCallEndsOnceNewDiscoveryAnswers: the first list of the new service ends the old call.
+func TestOldCallEndsOnceNewDiscoveryAnswers(t *testing.T) {
+	old := newHangingDiscovery(t, "")
+	moved, calls := newFakeDiscovery(t)
+	r := startRouter(t, testConfig(t, old.addr, nil, endpointJSON("c1", "127.0.0.1:1", "in_service")))
+	receive(t, old.calls, "call")
+	r.srv.MoveDiscovery(moved)
+	first := receive(t, calls, "call at the new address")
+	select {
+	case <-old.ended:
+		t.Error("the old call ended before the new service had answered")
+	default:
+	}
+	first.reply <- endpointListJSON(2, false, endpointJSON("c1", "127.0.0.1:1", "in_service"))
+	receive(t, old.ended, "end of the old call")
+}
+
+// TestOldCallEndsInTime: where the new service stays silent, the old call ends when changes count as notified.
+func TestOldCallEndsInTime(t *testing.T) {
+	old, moved := newHangingDiscovery(t, ""), newHangingDiscovery(t, "")
+	l := newStoppedLoop(t, nil)
+	cfg := *l.cfg
+	cfg.Discovery = old.addr
+	l.moveDiscovery(&cfg)
+	receive(t, old.calls, "call")
+	cfg.Discovery = moved.addr
+	l.moveDiscovery(&cfg)
+	receive(t, moved.calls, "call at the new address")
+	begun := time.Now()
+	l.now += movedRetryTime
+	l.runDueTimers()
+	receive(t, old.ended, "end of the old call")
+	if elapsed := time.Since(begun); elapsed > 2*time.Second {
+		t.Errorf("the old call ran into its own timeout, %v later", elapsed)
+	}
+}
+
+// TestLateListOfOldDiscovery: a list of the old service is dropped once the new one has delivered a list.
+func TestLateListOfOldDiscovery(t *testing.T) {
+	old, oldCalls := newFakeDiscovery(t)
+	moved, calls := newFakeDiscovery(t)
+	r := startRouter(t, testConfig(t, old, nil, endpointJSON("c1", "127.0.0.1:1", "in_service")))
+	h := loopOf(t, r)
+	held := receive(t, oldCalls, "call")
+	r.srv.MoveDiscovery(moved)
+	first := receive(t, calls, "call at the new address")
+	stalled, resume := make(chan struct{}), make(chan struct{})
+	h.loop.post(func() {
+		close(stalled)
+		<-resume
+	})
+	receive(t, stalled, "stall of the event loop")
+	first.reply <- endpointListJSON(2, false)
+	receive(t, calls, "next call, which follows the list of the new service")
+	held.reply <- endpointListJSON(9, true)
+	receive(t, oldCalls, "next call, which follows the list of the old service")
+	close(resume)
+	h.do(func() {
+		if l := h.loop; l.endpointsVersion != 2 || !l.pools["c1"].inService {
+			t.Errorf("the list of the old service was applied: version %d", l.endpointsVersion)
+		}
+	})
+}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -13,8 +13,8 @@
 	// maxUnusableReplies bounds the watches that the loop retries in a row, after replies that can't
 	// be used, before it leaves the next one to the policy.
 	maxUnusableReplies = 2
-	// movedRetryTime is how long after a move the loop retries each failed watch by itself. Changes
-	// count as notified then.
+	// movedRetryTime is how long after a move the loop retries each failed watch by itself, and lets
+	// the watch at the replaced service run. Changes count as notified then.
 	movedRetryTime policy.Time = 4_000_000
 	// failureLineInterval is the least time between two log lines about failed watches.
 	failureLineInterval policy.Time = 10_000_000
@@ -28,28 +28,58 @@
 	l.watching = true
 	ctx, cancel := context.WithCancel(l.ctx)
 	l.cancelWatch = cancel
-	go func(client *discovery.Client, version int64) {
+	w := watch{l.discovery, l.moves}
+	go func(version int64) {
 		defer cancel()
-		l.runWatch(ctx, client, version)
-	}(l.discovery, l.endpointsVersion)
+		l.runWatch(ctx, w, version)
+	}(l.endpointsVersion)
+}
+
+// watch is a series of calls to one discovery service.
+type watch struct {
+	client *discovery.Client
+	moves  int // to another service before the watch began
 }
 
 // runWatch runs a watch until it fails. Unlike the other methods it runs in a
 // goroutine of its own.
-func (l *eventLoop) runWatch(ctx context.Context, client *discovery.Client, version int64) {
-	err := client.Watch(ctx, version, func(list discovery.EndpointList) {
-		l.postFromWatch(client, func() { l.applyEndpoints(list, list.Kind()) })
+func (l *eventLoop) runWatch(ctx context.Context, w watch, version int64) {
+	err := w.client.Watch(ctx, version, func(list discovery.EndpointList) {
+		l.post(func() { l.listReceived(w, list) })
 	})
-	l.postFromWatch(client, func() { l.watchFailed(err) })
+	l.post(func() { l.watchEnded(w, err) })
 }
 
-// postFromWatch has the loop run f, unless the client has been replaced by then.
-func (l *eventLoop) postFromWatch(client *discovery.Client, f func()) {
-	l.post(func() {
-		if client == l.discovery {
-			f()
-		}
-	})
+// listReceived applies a list, unless a service that replaced the one it comes from has delivered a
+// list before.
+func (l *eventLoop) listReceived(w watch, list discovery.EndpointList) {
+	if w.moves < l.movesAtList {
+		return
+	}
+	l.movesAtList = w.moves
+	if w.moves < l.moves {
+		l.applyReplacedEndpoints(list)
+		return
+	}
+	l.cancelReplacedWatch()
+	l.applyEndpoints(list, list.Kind())
+}
+
+// watchEnded handles the end of a watch. The failure of one at a replaced service is of no consequence.
+func (l *eventLoop) watchEnded(w watch, err error) {
+	if w.moves < l.moves {
+		w.client.CloseIdleConnections()
+		return
+	}
+	l.watchFailed(err)
+}
+
+// cancelReplacedWatch ends the watch at the replaced service, if it is still open.
+func (l *eventLoop) cancelReplacedWatch() {
+	if l.replacedWatchCancel != nil {
+		l.replacedWatchCancel()
+		l.replacedWatchCancel = nil
+	}
 }
 
 // watchFailed arranges the next watch: by a retry of the loop's own, or by telling the policy, which
@@ -104,12 +134,11 @@
 // versions of the other service may differ.
 func (l *eventLoop) moveDiscovery(cfg *config.Config) {
 	l.log("discovery moves to " + cfg.Discovery)
-	if l.watching {
-		l.cancelWatch()
-	}
+	l.retainReplacedWatch()
 	l.startTimes.contactLost()
 	l.discovery.CloseIdleConnections()
 	l.discovery = newDiscoveryClient(cfg)
+	l.moves++
 	l.watching = false
 	l.watchBackoff.Reset()
 	l.movedAt = l.now
@@ -119,3 +148,15 @@
 	}
 	l.startWatch()
 }
+
+// retainReplacedWatch leaves the open watch running for a while, as the service may have written a
+// list that the router has not read. It ends any watch that was left running before, so that there
+// are never more than two.
+func (l *eventLoop) retainReplacedWatch() {
+	if !l.watching {
+		return
+	}
+	l.cancelReplacedWatch()
+	l.replacedWatchCancel = l.cancelWatch
+	l.scheduleAfter(movedRetryTime, l.cancelWatch)
+}
