Take ENOSPC of epoll_ctl, EINTR and EADDRINUSE for faults of the router's own machine

Cause: a dial also registers its socket with epoll, and epoll_ctl(2) fails with ENOSPC at the limit of watches (max_user_watches). classifyDialError (internal/router/dial.go) knew ENOMEM of it, but not ENOSPC, and took that for an error of the peer: the attempt at the head of the queue ended as ConnectFailed at each dial, and healthy caches counted as unreachable together. The list of discovery (internal/discovery/failure.go, localFaults) lacked ENOSPC, and also EADDRINUSE and EINTR of connect(2), which the one for caches has: the next watch was left to the backoff that spares a service which is down.

Change: the errors are in the lists.

Without the change TestDialIsRepeatedAfterFaultOfOwnMachine/no_space_left_on_device fails ("no command came"), TestLastingDialFault/no_space_left_on_device ("outcome 4, want 7") and TestDialErrorsAreClassified (three errors "of kind 0, want 2"). With it they pass, -race -count=10.

--- a/internal/discovery/failure.go
+++ b/internal/discovery/failure.go
@@ -18,10 +18,11 @@
 	LocalFault                   // the call did not leave this machine
 )
 
-// localFaults are the errors of socket and connect for what this machine lacks, mostly for a moment.
+// localFaults are the errors of socket, connect and epoll_ctl that come from this machine, mostly for
+// a moment.
 var localFaults = []syscall.Errno{
-	syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EMFILE, syscall.ENETDOWN, syscall.ENETUNREACH,
-	syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+	syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EINTR, syscall.EMFILE,
+	syscall.ENETDOWN, syscall.ENETUNREACH, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC,
 }
 
 // ClassifyFailure tells what an error of Watch or Poll says of the service.
--- a/internal/discovery/failure_test.go
+++ b/internal/discovery/failure_test.go
@@ -23,6 +23,7 @@
 	for errno, want := range map[syscall.Errno]Failure{
 		syscall.EADDRNOTAVAIL: LocalFault, syscall.EMFILE: LocalFault, syscall.ENETUNREACH: LocalFault,
 		syscall.ENFILE: LocalFault, syscall.ENOBUFS: LocalFault, syscall.ENOMEM: LocalFault,
+		syscall.EADDRINUSE: LocalFault, syscall.EINTR: LocalFault, syscall.ENOSPC: LocalFault,
 		syscall.ECONNREFUSED: Unavailable, syscall.ETIMEDOUT: Unavailable, syscall.EHOSTUNREACH: Unavailable,
 		syscall.ECONNRESET: Unavailable,
 	} {
--- a/internal/router/dial.go
+++ b/internal/router/dial.go
@@ -118,8 +118,8 @@
 	return policy.ConnectFailed
 }
 
-// classifyDialError tells the faults of the router's own machine, as connect(2) and socket(2) list
-// them, from errors of the peer. Those may pass in a moment.
+// classifyDialError tells the faults of the router's own machine, as socket(2), connect(2) and
+// epoll_ctl(2) list them, from errors of the peer. Those may pass in a moment.
 func classifyDialError(err error) dialFault {
 	var errno unix.Errno
 	if !errors.As(err, &errno) {
@@ -127,7 +127,7 @@
 	}
 	switch errno {
 	case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL, unix.EADDRINUSE,
-		unix.EAGAIN, unix.EINTR, unix.ECONNABORTED:
+		unix.EAGAIN, unix.EINTR, unix.ECONNABORTED, unix.ENOSPC:
 		return machineFault
 	case unix.ENETUNREACH, unix.ENETDOWN:
 		return routeFault
--- a/internal/router/dial_fault_test.go
+++ b/internal/router/dial_fault_test.go
@@ -28,9 +28,9 @@
 	}
 }
 
-// machineFaults are errors of connect and socket that come from the router's own machine.
+// machineFaults are errors of connect, socket and epoll_ctl that come from the router's own machine.
 var machineFaults = []error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL, unix.EADDRINUSE,
-	unix.EAGAIN, unix.EINTR, unix.ECONNABORTED}
+	unix.EAGAIN, unix.EINTR, unix.ECONNABORTED, unix.ENOSPC}
 
 // routeFaults are errors of connect that tell of a route that is missing, perhaps for a moment.
 var routeFaults = []error{unix.ENETUNREACH, unix.ENETDOWN}
