Back off after ENOSPC of an accepted connection's registration

Cause: accept takes a connection from the queue and then registers it with epoll; if epoll_ctl(2) fails, package net closes the connection, which resets it with its requests unread. isResourceShortage (internal/router/accept.go) waits after ENOMEM, but did not know ENOSPC, the limit of watches: the next accept followed at once, and the whole queue was reset within milliseconds, while it could have waited in the kernel for the limit to pass.

Left: each call of accept in such a time still costs one connection, for ENOMEM alike, as package net closes it; its requests are unread and the clients send them once more.

Without the change TestAcceptBackoff fails: "no backoff after no space left on device". With it TestAcceptBackoff and the TestAcceptErrors tests pass, -race -count=10.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -65,10 +65,10 @@
 	return isResourceShortage(err) || f.inRow%maxAcceptRetries == 0
 }
 
-// isResourceShortage reports whether descriptors or memory were lacking, so that a call that is
-// repeated at once would fail again.
+// isResourceShortage reports whether descriptors, memory or the watches of epoll were lacking, so that
+// a call that is repeated at once would fail again.
 func isResourceShortage(err error) bool {
-	for _, errno := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+	for _, errno := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC} {
 		if errors.Is(err, errno) {
 			return true
 		}
--- a/internal/router/accept_error_test.go
+++ b/internal/router/accept_error_test.go
@@ -68,14 +68,14 @@
 	}
 }
 
-// acceptErrors are the errors that accept(2) documents: of the connection taken from the queue, and
-// of a machine that is short of resources.
+// acceptErrors are the errors that accept(2) documents, and epoll_ctl(2) for the registration that
+// follows: of the connection taken from the queue, and of a machine that is short of resources.
 var acceptErrors = struct{ connection, shortage []unix.Errno }{
 	connection: []unix.Errno{
 		unix.ECONNABORTED, unix.EINTR, unix.EAGAIN, unix.EPERM, unix.ENETDOWN, unix.EPROTO, unix.ENOPROTOOPT,
 		unix.EHOSTDOWN, unix.ENONET, unix.EHOSTUNREACH, unix.EOPNOTSUPP, unix.ENETUNREACH, unix.ETIMEDOUT,
 	},
-	shortage: []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM},
+	shortage: []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC},
 }
 
 // TestAcceptErrorsOfConnections checks that connections which fail before they are accepted do not
