Spill over to warming caches by the share served in time itself

Cause: canSpillOver (policy/placement.go) keeps requests from a warming cache in overload, but tested overloadFactor, which is that share times half of OverloadMultiple: with a multiple of 3 it let them through at a share of 0.53. With many routers, each of which has sent the cache nothing yet, retries of clients at other routers filled its window. Ruled out by a trace of the two windows: hot keys (at most 5 attempts a key, each from another router), retries and hedges of routers (none), routers that had not been told (none). By chance alone a window is 0.61 capacities wide; these average 2.23. Change: the test is on goodputRatio. Measured: without it two new scenarios of TestFleetKeepsWarmingUpCachesWithinBudget fail at 80 routers (30.8 of 28.9 and 32.0 of 28.8); with it all pass.

--- a/policy/placement.go
+++ b/policy/placement.go
@@ -99,6 +99,6 @@
 // canSpillOver reports whether a request whose primary lacks capacity may go to another cache, though it
 // likely misses there. In overload none goes to a warming cache.
 func (e *Engine) canSpillOver(req *request, c *cache) bool {
-	return (e.now >= c.warmAt || e.overloadFactor() >= 1-toleratedLateShare) &&
+	return (e.now >= c.warmAt || e.goodputRatio >= 1-toleratedLateShare) &&
 		(c.likelyCached(req.Key) || e.originHasCapacity() || e.retryBudget >= 1)
 }
--- a/policy/slowstart_faults_test.go
+++ b/policy/slowstart_faults_test.go
@@ -55,6 +55,8 @@
 	{name: "burst", load: .8, starting: .3, burst: 1.5, overloadMultiple: 2, largeCaches: 120},
 	{name: "burst, hot 3%", load: .8, starting: .3, burst: 1.5, hotShare: .03, joining: true},
 	{name: "overload", load: 1.3, starting: .2, joining: true, notifyWithin: 200 * ms, largeCaches: 120},
+	{name: "overload, again", load: 1.3, starting: .2, joining: true, notifyWithin: 200 * ms, seed: 1},
+	{name: "overload, a third time", load: 1.3, starting: .2, joining: true, notifyWithin: 200 * ms, seed: 7},
 	{name: "overload, multiple 2", load: 1.3, starting: .2, joining: true, notifyWithin: 200 * ms, overloadMultiple: 2},
 	{name: "overload, multiple 2, again", load: 1.3, starting: .2, joining: true, notifyWithin: 200 * ms,
 		overloadMultiple: 2, seed: 2},
