Count a request's deadline from its arrival while its connection was queued

Cause: a new connection's bytes counted as having arrived when it was accepted. Where accept fails for a moment (ENFILE), or no descriptor is left, connections wait in the listener's queue, and the timeout that caches were told was too long by that time: more than the 0.15 s that are allowed. Change: the accept loop notes since when connections may be queued, until it finds the queue empty. On a connection that it accepts meanwhile, unread bytes count from the arrival that TCP_INFO tells, and from no earlier than that. Where the system doesn't tell it, they count from the accept, as before. The ordinary path makes no call more.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -34,6 +34,7 @@
 		if err == nil {
 			failures.reset()
 			s.startClient(nc)
+			s.endAcceptStall()
 			continue
 		}
 		s.descriptors.releaseClient()
@@ -46,8 +47,11 @@
 			if closing && !socket.HasQueuedConnections(s.system, s.listener) {
 				return err
 			}
-		case failures.needBackoff(err):
-			time.Sleep(s.acceptBackoff)
+		default:
+			s.beginAcceptStall()
+			if failures.needBackoff(err) {
+				time.Sleep(s.acceptBackoff)
+			}
 		}
 	}
 }
@@ -82,6 +86,7 @@
 // others.
 func (s *Server) waitForDescriptor() bool {
 	for !s.descriptors.acquireClient() {
+		s.beginAcceptStall()
 		if c := s.longestIdle(); c != nil {
 			c.evicting.Store(true)
 			c.closeWhenIdle()
@@ -96,6 +101,20 @@
 	return true
 }
 
+// beginAcceptStall notes that connections may wait in the listener's queue from now on.
+func (s *Server) beginAcceptStall() {
+	if s.acceptStalledSince == 0 {
+		s.acceptStalledSince = s.loop.clock()
+	}
+}
+
+// endAcceptStall notes that connections are accepted as they come, once no more are queued.
+func (s *Server) endAcceptStall() {
+	if s.acceptStalledSince != 0 && !socket.HasQueuedConnections(s.system, s.listener) {
+		s.acceptStalledSince = 0
+	}
+}
+
 // longestIdle returns the connection whose last reply is the oldest of those that may be evicted,
 // or nil.
 func (s *Server) longestIdle() *clientConn {
--- a/internal/router/arrival_test.go
+++ b/internal/router/arrival_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"testing"
 
+	"golang.org/x/sys/unix"
+
 	"marlstage/policy"
 )
 
@@ -103,3 +106,46 @@
 		t.Error("bytes behind them count as having waited since the first read")
 	}
 }
+
+// TestDeadlineCountsWhileConnectionIsQueued checks that the deadline of a request counts from its
+// arrival if its connection waits at the listener while accept fails, and that it is no earlier. Where
+// the system can't tell the arrival, the request is served all the same.
+func TestDeadlineCountsWhileConnectionIsQueued(t *testing.T) {
+	for name, untold := range map[string]bool{"told": false, "not told": true} {
+		t.Run(name, func(t *testing.T) {
+			srv, err := New(testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", "127.0.0.1:1", "in_service")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			engine := &scriptedEngine{outcomes: make(chan *policy.AttemptDone, 1000)}
+			srv.loop.engine = engine
+			system := useFaultySystem(srv)
+			var released atomic.Bool
+			system.setDecide(func(call systemCall, _ int) *fault {
+				switch {
+				case call == callAccept && !released.Load():
+					return &fault{err: unix.ENFILE}
+				case call == callLastDataAge && untold:
+					return &fault{err: unix.ENOPROTOOPT}
+				default:
+					return nil
+				}
+			})
+			router := startServer(t, srv)
+			client := dial(t, router.addr)
+			const timeout, tolerance = policy.Time(20_000_000), policy.Time(50_000)
+			before := srv.loop.clock()
+			client.send(getCommand("r1"))
+			after := srv.loop.clock()
+			waitUntil(t, "the end of the slack", func() bool { return srv.loop.clock() > after+2*timeoutSlack })
+			released.Store(true)
+			req := (&loopHarness{t, srv.loop, engine.outcomes}).onlyRequest()
+			if !untold && req.deadline > after+timeout+timeoutSlack {
+				t.Errorf("a deadline is %d us too late", req.deadline-after-timeout)
+			}
+			if req.deadline < before+timeout-tolerance {
+				t.Errorf("a deadline is %d us too early", before+timeout-req.deadline)
+			}
+		})
+	}
+}
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -49,7 +49,9 @@
 	readEnded   chan struct{} // closed when the reader has ended
 }
 
-func newClientConn(s *Server, nc *socket.Conn) *clientConn {
+// newClientConn makes a connection that may have been queued at the listener since the given time; 0
+// if it was accepted at once.
+func newClientConn(s *Server, nc *socket.Conn, queuedSince policy.Time) *clientConn {
 	c := &clientConn{
 		srv:       s,
 		nc:        nc,
@@ -57,11 +59,25 @@
 		replies:   make(chan *replySlot, maxPipelined),
 		readEnded: make(chan struct{}),
 	}
-	c.reader = newCommandReader(c)
-	c.lastReplyAt.Store(s.loop.clock())
+	now := s.loop.clock()
+	c.reader = newCommandReader(c, c.firstBytesSince(queuedSince, now))
+	c.lastReplyAt.Store(now)
 	return c
 }
 
+// firstBytesSince returns since when bytes may lie unread on a new connection. Where the system can't
+// tell when they arrived, they count from now.
+func (c *clientConn) firstBytesSince(queuedSince, now policy.Time) policy.Time {
+	if queuedSince == 0 {
+		return now
+	}
+	age, err := c.nc.LastDataAge()
+	if err != nil {
+		return now
+	}
+	return max(queuedSince, now-age.Microseconds())
+}
+
 // closeWhenIdle has the connection closed as soon as it has no request in flight.
 func (c *clientConn) closeWhenIdle() {
 	if !c.draining.Swap(true) {
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"marlstage/internal/resp"
+	"marlstage/policy"
 )
 
 const (
@@ -49,12 +50,12 @@
 }
 
 // newCommandReader makes a reader that expects the first command in time: a silent peer must not
-// occupy a descriptor for ever.
-func newCommandReader(c *clientConn) *commandReader {
+// occupy a descriptor for ever. Bytes that are unread by now may have arrived since the given time.
+func newCommandReader(c *clientConn, unreadSince policy.Time) *commandReader {
 	return &commandReader{
 		conn:     c,
 		deadline: time.Now().Add(c.srv.commandTimeout),
-		arrival:  arrivalTime{readAt: c.srv.loop.clock()},
+		arrival:  arrivalTime{readAt: unreadSince},
 	}
 }
 
--- a/internal/router/faulty_system_test.go
+++ b/internal/router/faulty_system_test.go
@@ -24,6 +24,7 @@
 	callPeek           systemCall = "peek"
 	callPoll           systemCall = "poll"
 	callUnacknowledged systemCall = "unacknowledged bytes"
+	callLastDataAge    systemCall = "last data age"
 )
 
 // fault is what happens to one system call. Without an error the call is made.
@@ -174,6 +175,13 @@
 	return s.Linux.UnacknowledgedBytes(fd)
 }
 
+func (s *faultySystem) LastDataAge(fd int) (time.Duration, error) {
+	if f := s.next(callLastDataAge, fd); f.err != nil {
+		return 0, f.err
+	}
+	return s.Linux.LastDataAge(fd)
+}
+
 // useFaultySystem has a server that does not run yet make its system calls through a faulty system.
 func useFaultySystem(srv *Server) *faultySystem {
 	system := newFaultySystem()
--- a/internal/router/reply_queue_test.go
+++ b/internal/router/reply_queue_test.go
@@ -18,7 +18,7 @@
 	}
 	t.Cleanup(nc.Close)
 	receive(t, conns, "connection").Close()
-	c := newClientConn(router.srv, nc)
+	c := newClientConn(router.srv, nc, 0)
 	for range cap(c.replies) {
 		c.replies <- newReplySlot(router.srv.memory)
 	}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -44,6 +44,8 @@
 	closing chan struct{}            // closed when only connections already queued by the kernel are accepted
 	ended   chan struct{}            // closed when no more connections are accepted
 
+	acceptStalledSince policy.Time // from when on connections may have been queued; 0 if they are not; owned by the accept loop
+
 	readingEnded atomic.Bool // no command is read any more on a connection that has had one
 
 	drainTime         time.Duration // after SIGTERM, when the last replies are due
@@ -210,7 +212,7 @@
 
 // startClient serves a client's connection, whose descriptor has been acquired.
 func (s *Server) startClient(nc *socket.Conn) {
-	c := newClientConn(s, nc)
+	c := newClientConn(s, nc, s.acceptStalledSince)
 	s.mu.Lock()
 	s.clients[c] = struct{}{}
 	s.mu.Unlock()
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -235,6 +235,14 @@
 	return errors.Join(err, queryErr) != nil || n > 0
 }
 
+// LastDataAge returns how long ago the last bytes arrived, whether they have been read or not.
+func (c *Conn) LastDataAge() (age time.Duration, err error) {
+	controlErr := c.raw.Control(func(fd uintptr) {
+		age, err = c.system.LastDataAge(int(fd))
+	})
+	return age, errors.Join(controlErr, err)
+}
+
 // HungUp reports whether the peer has closed its side of the connection or reset it, even if bytes
 // that were sent before are not read yet. It fails if that cannot be told. A connection that was
 // closed on this side counts as hung up.
