Keep the watches of several replaced discovery services for a while

Cause: of several SIGHUPs in a row, each ended the watch that the one before had left running, so that a list which the first service wrote was lost while the new ones were silent (watch.go, retainReplacedWatch). Change: up to four watches at replaced services run on, each for 4 s at most, until a new service delivers a list.

--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -60,9 +60,9 @@
 	nextFailureLine  policy.Time        // before that, failed watches are not logged
 	cancelWatch      context.CancelFunc // ends the open watch
 
-	moves               int                // to another discovery service
-	movesAtList         int                // moves before the service was called that the last list came from
-	replacedWatchCancel context.CancelFunc // ends the watch that a move has left running; nil if none has, or it has been ended
+	moves                int                  // to another discovery service
+	movesAtList          int                  // moves before the service was called that the last list came from
+	replacedWatchCancels []context.CancelFunc // end the watches that moves have left running, the oldest first
 }
 
 func newEventLoop(cfg *config.Config, descriptors *descriptorBudget) (*eventLoop, error) {
--- a/internal/router/moved_discovery_test.go
+++ b/internal/router/moved_discovery_test.go
@@ -39,6 +39,21 @@
 	}
 }
 
+// TestListWrittenByFirstOfManyServices: a drain that the old service tells after several SIGHUPs in a row is applied
+// while the new ones are silent.
+func TestListWrittenByFirstOfManyServices(t *testing.T) {
+	old, oldCalls := newFakeDiscovery(t)
+	silent := newHangingDiscovery(t, "")
+	r := startRouter(t, testConfig(t, old, nil, endpointJSON("c1", "127.0.0.1:1", "in_service")))
+	held := receive(t, oldCalls, "call")
+	for range maxReplacedWatches {
+		r.srv.MoveDiscovery(silent.addr)
+		receive(t, silent.calls, "call at the new address")
+	}
+	go func() { held.reply <- endpointListJSON(9, false, endpointJSON("c1", "127.0.0.1:1", "terminating")) }()
+	loopOf(t, r).waitUntilOutOfService("c1")
+}
+
 // TestListReadBeforeMove: a list that is read but not applied yet is applied after SIGHUP, also after two in a row.
 func TestListReadBeforeMove(t *testing.T) {
 	for _, moves := range []int{1, 2} {
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -16,6 +16,8 @@
 	// movedRetryTime is how long after a move the loop retries each failed watch by itself, and lets
 	// the watch at the replaced service run. Changes count as notified then.
 	movedRetryTime policy.Time = 4_000_000
+	// maxReplacedWatches bounds the watches at replaced services, each of which takes a descriptor.
+	maxReplacedWatches = 4
 	// failureLineInterval is the least time between two log lines about failed watches.
 	failureLineInterval policy.Time = 10_000_000
 )
@@ -61,7 +63,7 @@
 		l.applyReplacedEndpoints(list)
 		return
 	}
-	l.cancelReplacedWatch()
+	l.cancelReplacedWatches(0)
 	l.applyEndpoints(list, list.Kind())
 }
 
@@ -74,11 +76,11 @@
 	l.watchFailed(err)
 }
 
-// cancelReplacedWatch ends the watch at the replaced service, if it is still open.
-func (l *eventLoop) cancelReplacedWatch() {
-	if l.replacedWatchCancel != nil {
-		l.replacedWatchCancel()
-		l.replacedWatchCancel = nil
+// cancelReplacedWatches ends the oldest watches at replaced services, but for the given number.
+func (l *eventLoop) cancelReplacedWatches(remaining int) {
+	for len(l.replacedWatchCancels) > remaining {
+		l.replacedWatchCancels[0]()
+		l.replacedWatchCancels = l.replacedWatchCancels[1:]
 	}
 }
 
@@ -150,13 +152,12 @@
 }
 
 // retainReplacedWatch leaves the open watch running for a while, as the service may have written a
-// list that the router has not read. It ends any watch that was left running before, so that there
-// are never more than two.
+// list that the router has not read. Of several moves in a row only the last watches are left.
 func (l *eventLoop) retainReplacedWatch() {
 	if !l.watching {
 		return
 	}
-	l.cancelReplacedWatch()
-	l.replacedWatchCancel = l.cancelWatch
+	l.replacedWatchCancels = append(l.replacedWatchCancels, l.cancelWatch)
+	l.cancelReplacedWatches(maxReplacedWatches)
 	l.scheduleAfter(movedRetryTime, l.cancelWatch)
 }
