Share the steps of two drain tests and the start of a faulty router

Cause: two tests of accept while draining repeated nine steps, and one of a crossing close started a router as startFaultyRouter does. Change: wantQueuedClientAnswered holds the steps; the third test calls startFaultyRouter. All assertions stay.

--- a/internal/router/accept_error_test.go
+++ b/internal/router/accept_error_test.go
@@ -38,6 +38,23 @@
 	return listener
 }
 
+// wantQueuedClientAnswered has a client queue at the listener while the first call of accept is held
+// up, ends the router, and checks that the client is answered before the router ends.
+func wantQueuedClientAnswered(t *testing.T, router *runningRouter, listener *deadlineListener, firstAccept fault) {
+	t.Helper()
+	receive(t, firstAccept.begun, "call of accept")
+	client := dial(t, router.addr)
+	client.send(encodeCommand("PING"))
+	router.stop()
+	receive(t, listener.set, "interruption of accept")
+	close(firstAccept.resume)
+	client.wantLine("+PONG")
+	client.wantClosed()
+	if err := receive(t, router.ended, "end of the router"); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestDrainAcceptsQueueAfterStall checks that the accept loop does not take a deadline that passed
 // before it looked at the listener for an empty queue: closing the listener would reset the queued
 // connections, and the requests that were sent on them.
@@ -55,17 +72,7 @@
 		return at
 	})
 	router := startServer(t, srv)
-	receive(t, firstAccept.begun, "call of accept")
-	client := dial(t, router.addr)
-	client.send(encodeCommand("PING"))
-	router.stop()
-	receive(t, listener.set, "interruption of accept")
-	close(firstAccept.resume)
-	client.wantLine("+PONG")
-	client.wantClosed()
-	if err := receive(t, router.ended, "end of the router"); err != nil {
-		t.Error(err)
-	}
+	wantQueuedClientAnswered(t, router, listener, firstAccept)
 }
 
 // acceptErrors are the errors that accept(2) documents, and epoll_ctl(2) for the registration that
@@ -137,17 +144,7 @@
 	system.injectError(callPoll, unix.EINTR, 2)
 	listener := useDeadlineListener(srv, func(at time.Time) time.Time { return at })
 	router := startServer(t, srv)
-	receive(t, firstAccept.begun, "call of accept")
-	client := dial(t, router.addr)
-	client.send(encodeCommand("PING"))
-	router.stop()
-	receive(t, listener.set, "interruption of accept")
-	close(firstAccept.resume)
-	client.wantLine("+PONG")
-	client.wantClosed()
-	if err := receive(t, router.ended, "end of the router"); err != nil {
-		t.Error(err)
-	}
+	wantQueuedClientAnswered(t, router, listener, firstAccept)
 	if left := system.pending(callAccept) + system.pending(callPoll); left > 0 {
 		t.Errorf("%d errors are left", left)
 	}
--- a/internal/router/close_crossing_test.go
+++ b/internal/router/close_crossing_test.go
@@ -127,19 +127,12 @@
 // TestRequestCrossesCloseOfNewConnection has a request arrive between the last look at a connection
 // that was never answered and its close.
 func TestRequestCrossesCloseOfNewConnection(t *testing.T) {
-	srv, err := New(testConfig(t, silentDiscovery(t), nil, endpointJSON("c1", "127.0.0.1:1", "in_service")))
-	if err != nil {
-		t.Fatal(err)
-	}
-	system := useFaultySystem(srv)
-	router := startServer(t, srv)
-	client := dial(t, router.addr)
-	waitUntil(t, "a waiting reader", func() bool { return system.callCount(callRead) == 1 })
+	router, system, client := startFaultyRouter(t)
 	lastLooks := map[systemCall]fault{callPeek: stallWithoutBytes(), callRead: stallWithoutBytes()}
 	for call, stall := range lastLooks {
 		system.inject(call, stall)
 	}
-	srv.closeIdleClients()
+	router.srv.closeIdleClients()
 	select {
 	case <-lastLooks[callPeek].begun:
 	case <-lastLooks[callRead].begun:
