Log faults, the ends of requests and connections, and statistics

Cause: the log could not decide between the hypotheses of the incident, as it told nothing of single requests, connections or hold-ups.

Change: log/slog with the queue of before behind it. Hold-ups, late replies, malformed and incomplete commands and unsolicited bytes have a line each, ten a second at most (golang.org/x/time/rate); requests, attempts and client connections have lines with id, outcome and reason at the level of debugging, which CACHEROUTER_LOG_LEVEL sets; counts of all of it come every minute and at the end.

--- a/cmd/cacherouter/main.go
+++ b/cmd/cacherouter/main.go
@@ -1,6 +1,7 @@
 // Command cacherouter routes clients' requests to a fleet of cache servers.
 //
-// The environment variable BALANCER_CONFIG names its configuration file.
+// The environment variable BALANCER_CONFIG names its configuration file, CACHEROUTER_LOG_LEVEL the
+// level from which on lines are logged.
 // SIGTERM and SIGINT start a graceful shutdown; SIGHUP reloads the address of
 // the discovery service from the file.
 package main
@@ -9,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -18,8 +20,11 @@
 	"marlstage/internal/router"
 )
 
-// configVariable is the environment variable that names the configuration file.
-const configVariable = "BALANCER_CONFIG"
+// Environment variables.
+const (
+	configVariable   = "BALANCER_CONFIG"       // names the configuration file
+	logLevelVariable = "CACHEROUTER_LOG_LEVEL" // debug, info, warn or error; info if it is not set
+)
 
 // A file that cannot be used at a SIGHUP is read again for 3 s: what the new
 // discovery service has counts as notified 4 s after the signal.
@@ -59,10 +64,27 @@
 	if err != nil {
 		return err
 	}
+	if err := setLogLevel(srv); err != nil {
+		return err
+	}
 	go reloadOnHangup(hangup, path, srv)
 	return srv.Run(ctx)
 }
 
+// setLogLevel has the server log from the level on that the environment names.
+func setLogLevel(srv *router.Server) error {
+	name := os.Getenv(logLevelVariable)
+	if name == "" {
+		return nil
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(name)); err != nil {
+		return fmt.Errorf("%s: %w", logLevelVariable, err)
+	}
+	srv.SetLogLevel(level)
+	return nil
+}
+
 // untilTerminated returns a context that ends with the first SIGTERM or
 // SIGINT. Further ones have no effect, up to the end of the program.
 func untilTerminated() context.Context {
@@ -110,7 +132,7 @@
 			return cfg
 		}
 		if attempt == 0 {
-			srv.Log("SIGHUP: " + err.Error())
+			srv.Logger().Warn("configuration is not reloaded", "error", err)
 		}
 		time.Sleep(reloadInterval)
 	}
--- a/cmd/cacherouter/main_test.go
+++ b/cmd/cacherouter/main_test.go
@@ -21,6 +21,13 @@
 // testTimeout bounds each wait for an event that must come. Only a failing test waits so long.
 const testTimeout = 30 * time.Second
 
+// What the program logs.
+const (
+	servingMessage      = "msg=serving addr=" // its address follows
+	reloadFailedMessage = "configuration is not reloaded"
+	movedMessage        = "discovery moves"
+)
+
 // configFormat takes the address for clients and that of the discovery service.
 const configFormat = `{"name":"n0","listen":%q,"discovery":%q,"seed":"1f",
  "limits":{"cores":1,"memory_mb":192,"sockets":1024},
@@ -64,7 +71,7 @@
 	})
 	log = bufio.NewReader(stderr)
 	line, err := log.ReadString('\n')
-	_, addr, ok := strings.Cut(strings.TrimSpace(line), "serving on ")
+	_, addr, ok := strings.Cut(strings.TrimSpace(line), servingMessage)
 	if !ok {
 		t.Fatalf("the program logged %q, %v", line, err)
 	}
@@ -114,7 +121,7 @@
 		if err != nil {
 			t.Fatalf("the program ended: %v", err)
 		}
-		if strings.Contains(line, "SIGHUP: ") || strings.Contains(line, "moves to") {
+		if strings.Contains(line, reloadFailedMessage) || strings.Contains(line, movedMessage) {
 			return
 		}
 	}
--- a/cmd/cacherouter/signal_test.go
+++ b/cmd/cacherouter/signal_test.go
@@ -86,7 +86,7 @@
 	killAtEnd(t, cmd)
 	closeFile(t, logWriter)
 	line, err := bufio.NewReader(logReader).ReadString('\n')
-	_, addr, ok := strings.Cut(strings.TrimSpace(line), "serving on ")
+	_, addr, ok := strings.Cut(strings.TrimSpace(line), servingMessage)
 	if !ok {
 		t.Fatalf("the program logged %q, %v", line, err)
 	}
--- a/cmd/scaletest/main_test.go
+++ b/cmd/scaletest/main_test.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintln(os.Stderr, "serving on", listener.Addr())
+	fmt.Fprintf(os.Stderr, "msg=serving addr=%s\n", listener.Addr())
 	nc, err := listener.Accept()
 	if err != nil {
 		return err
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -17,6 +17,11 @@
 	attemptDone
 )
 
+// String returns the state's name, as it is logged.
+func (s attemptState) String() string {
+	return [...]string{"queued", "writing", "written", "done"}[s]
+}
+
 // attempt is one attempt of a request, or a health check if it has no request. It has exactly one
 // outcome.
 type attempt struct {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -24,6 +24,7 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.pendingAttempts++
+	l.noteAttempt(a)
 	p.submit(a)
 }
 
@@ -48,9 +49,10 @@
 	}
 	r := a.request
 	r.pendingAttempts--
+	l.noteOutcome(a, result)
 	if result == policy.Served && reply != nil {
 		// The first attempt that is served gives the final reply without asking the policy.
-		l.finish(r, reply.Value)
+		l.finish(r, requestServed, reply.Value)
 	}
 	ev := &policy.AttemptDone{
 		ID:      r.id,
--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -72,12 +72,14 @@
 		err = c.srv.validate(raw, cmd)
 	}
 	if err != nil {
+		c.srv.loop.statistics.commandErrors.Add(1)
 		return c.reply(resp.AppendError(nil, err.Error()))
 	}
 	slot := newReplySlot(c.srv.memory)
 	// Many short commands take a multiple of their bytes in memory.
 	charge := int64(len(raw) + requestOverhead)
 	if !slot.memory.tryAcquire(charge) {
+		c.srv.loop.noteRejected(c, cmd, rejectMemory)
 		return c.reply([]byte(resp.BusyReply))
 	}
 	slot.charge = charge
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -100,7 +100,8 @@
 func (c *clientConn) readLoop() {
 	defer c.srv.wg.Done()
 	defer close(c.readEnded)
-	state := c.readCommands()
+	state, reason := c.readCommands()
+	c.noteClosed(reason, c.reader.unhandled())
 	c.reader.dropAhead()
 	close(c.replies)
 	switch state {
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -60,8 +60,8 @@
 }
 
 // readCommands reads and handles commands until the connection takes no more. It returns
-// connClosing, connMalformed or connGone.
-func (c *clientConn) readCommands() connState {
+// connClosing, connMalformed or connGone, and why.
+func (c *clientConn) readCommands() (connState, closeReason) {
 	r := c.reader
 	for {
 		args, raw, err := r.next()
@@ -69,7 +69,7 @@
 			return c.readFailed(err)
 		}
 		if state := c.handleCommand(args, raw, r.arrival.at); state != connOpen {
-			return state
+			return state, stateReason(state)
 		}
 		if len(args) > 0 {
 			c.hasCommand.Store(true)
@@ -80,15 +80,39 @@
 }
 
 // readFailed answers an error of commandReader.next.
-func (c *clientConn) readFailed(err error) connState {
+func (c *clientConn) readFailed(err error) (connState, closeReason) {
 	var malformed *protocolError
 	switch {
+	case errors.Is(err, errCommandTimeout):
+		return c.replyAndLeave((&protocolError{errCommandTimeout}).reply(), connMalformed), closedIncomplete
 	case errors.As(err, &malformed):
-		return c.replyAndLeave(malformed.reply(), connMalformed)
+		return c.replyAndLeave(malformed.reply(), connMalformed), closedMalformed
 	case errors.Is(err, errIdleClose):
-		return connClosing
+		return connClosing, c.idleCloseReason()
 	default:
-		return connGone
+		return connGone, closedByClient
+	}
+}
+
+// stateReason returns why a connection ends whose last command has left it in the given state.
+func stateReason(state connState) closeReason {
+	if state == connGone {
+		return closedByClient
+	}
+	return closedQuit
+}
+
+// idleCloseReason returns why the router closes the connection between commands.
+func (c *clientConn) idleCloseReason() closeReason {
+	switch {
+	case c.srv.readingEnded.Load():
+		return closedFinalReplies
+	case c.evicting.Load():
+		return closedEvicted
+	case c.draining.Load():
+		return closedDraining
+	default:
+		return closedSilent
 	}
 }
 
@@ -219,6 +243,9 @@
 	}
 }
 
+// unhandled returns how many bytes were read that no command has been taken from.
+func (r *commandReader) unhandled() int { return len(r.buf) + len(r.ahead.bytes) }
+
 func (r *commandReader) clearDeadline() {
 	r.deadline = time.Time{}
 	r.evicting = false
--- a/internal/router/doc.go
+++ b/internal/router/doc.go
@@ -8,10 +8,9 @@
 //   - the event loop (eventLoop.run), one;
 //   - the accept loop (Server.acceptLoop), one;
 //   - a reader (clientConn.readLoop) and a writer (clientConn.writeLoop) for each client connection;
-//   - one for each upstream connection, which dials and then reads replies (upstreamConn.run), and
-//     one more while it finishes a write that the socket did not take at once;
+//   - one for each upstream connection, which dials and then reads replies (upstreamConn.run);
 //   - one for the watch on the discovery service, while it is open;
-//   - the log writer (eventLoop.writeLog), one.
+//   - the log writer (eventLogger.run), one.
 //
 // # Ownership of state
 //
--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -20,15 +20,15 @@
 }
 
 // eventLoop owns the policy engine and all state of requests, attempts and upstream connections.
-// Its methods run in the loop's goroutine, except clock, post, log and writeLog, which any
-// goroutine may call. It never blocks on a socket.
+// Its methods run in the loop's goroutine, except clock and post, which any goroutine may call. It never blocks on a socket.
 type eventLoop struct {
 	cfg           *config.Config
 	system        socket.System
 	engine        policyEngine
 	ctx           context.Context // parent of the context of each watch
 	events        chan func()
-	logLines      chan string
+	logger        *eventLogger
+	statistics    *statistics
 	done          chan struct{} // closed when the loop has ended
 	started       time.Time     // a reading of the monotonic clock ...
 	startedUnix   policy.Time   // ... and of the wall clock, which may be off, at the same moment
@@ -76,7 +76,8 @@
 		system:           socket.Linux{},
 		engine:           engine,
 		events:           make(chan func(), eventQueueSize),
-		logLines:         make(chan string, logQueueSize),
+		logger:           newEventLogger(),
+		statistics:       &statistics{},
 		done:             make(chan struct{}),
 		started:          now,
 		startedUnix:      now.UnixMicro(),
@@ -120,7 +121,7 @@
 // run runs the loop until ctx ends, and then closes all upstream connections.
 func (l *eventLoop) run(ctx context.Context) {
 	defer close(l.done)
-	go l.writeLog()
+	go l.logger.run(l.done)
 	l.ctx = ctx
 	l.now = l.clock()
 	l.applyKnownEndpoints()
@@ -130,6 +131,7 @@
 		l.startWatch()
 	}
 	l.sweepIdle()
+	l.logStatistics()
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
@@ -139,16 +141,43 @@
 			l.closePools()
 			return
 		case f := <-l.events:
-			l.now = l.clock()
+			l.beginTurn()
 			f()
 		case <-alarm.C:
-			l.now = l.clock()
+			l.beginTurn()
 		}
 		l.deliverEvents()
 		l.runDueTimers()
 	}
 }
 
+// beginTurn reads the clock for the next event. A timer that is long due shows that the process was
+// held up.
+func (l *eventLoop) beginTurn() {
+	l.now = l.clock()
+	if len(l.timers) == 0 {
+		return
+	}
+	if late := l.now - l.timers[0].at; late > holdUpThreshold {
+		l.heldUp(late)
+	}
+}
+
+// heldUp notes that the process did nothing for a time in microseconds although it should have. Any
+// goroutine may call it.
+func (l *eventLoop) heldUp(duration policy.Time) {
+	l.statistics.noteHoldUp(duration)
+	l.logger.fault("process was held up", "for", time.Duration(duration)*time.Microsecond)
+}
+
+// logStatistics logs the statistics now and then. A router that starts has none yet.
+func (l *eventLoop) logStatistics() {
+	l.scheduleAfter(statisticsInterval, func() {
+		l.statistics.log(l.logger)
+		l.logStatistics()
+	})
+}
+
 // applyKnownEndpoints applies the endpoint list of the configuration, which may be stale.
 func (l *eventLoop) applyKnownEndpoints() {
 	known := l.cfg.Known
@@ -188,9 +217,9 @@
 	case policy.Cancel:
 		l.cancelAttempt(action)
 	case policy.Reject:
-		l.finishRequest(action.ID, resp.AppendBusy(nil, action.RetryAfter))
+		l.finishRequest(action.ID, requestRejected, resp.AppendBusy(nil, action.RetryAfter))
 	case policy.Fail:
-		l.finishRequest(action.ID, []byte(resp.FailedReply))
+		l.finishRequest(action.ID, requestFailed, []byte(resp.FailedReply))
 	case policy.SetTimer:
 		l.schedule(action.At, func() {
 			l.pendingEvents = append(l.pendingEvents, &policy.TimerFired{Token: action.Token})
@@ -204,7 +233,7 @@
 	case policy.Watch:
 		l.startWatch()
 	case policy.Log:
-		l.log(action.Text)
+		l.logger.Info(action.Text)
 	}
 }
 
--- /dev/null
+++ b/internal/router/log_queue_test.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestFaultLinesAreLimited checks that a fault of a thousand connections does not fill the log, and
+// that the lines left out are counted.
+func TestFaultLinesAreLimited(t *testing.T) {
+	logger := newEventLogger()
+	const faults = 10 * faultLineBurst
+	for range faults {
+		logger.fault("fault")
+	}
+	written := len(logger.queue.lines)
+	if written < faultLineBurst || written > 2*faultLineBurst || int64(written)+logger.suppressed.Load() != faults {
+		t.Errorf("%d lines written, %d suppressed", written, logger.suppressed.Load())
+	}
+}
+
+// TestStatisticsLine checks that the line of statistics names what was counted.
+func TestStatisticsLine(t *testing.T) {
+	logger := newEventLogger()
+	s := &statistics{}
+	s.requests.Add(3)
+	s.results[requestRejected].Add(2)
+	s.clientEnd[closedIncomplete].Add(1)
+	s.noteHoldUp(150_000)
+	s.noteHoldUp(100_000)
+	s.log(logger)
+	line := string(<-logger.queue.lines)
+	for _, want := range []string{
+		"requests=3", "results.rejected=2", "client_ends.incomplete=1", "hold_ups=2", "longest_hold_up=150ms",
+	} {
+		if !strings.Contains(line, want) {
+			t.Errorf("no %s in %q", want, line)
+		}
+	}
+}
+
+// TestLastLinesAreWritten checks that the lines queued when the router ends are written, and that a
+// log which takes none does not keep it from ending.
+func TestLastLinesAreWritten(t *testing.T) {
+	logger := newEventLogger()
+	done := make(chan struct{})
+	logger.Info("last line")
+	close(done)
+	go logger.run(done)
+	receive(t, logger.written, "end of the log writer")
+	if n := len(logger.queue.lines); n > 0 {
+		t.Errorf("%d lines are not written", n)
+	}
+	begun := time.Now()
+	newEventLogger().awaitWritten() // nobody writes
+	if waited := time.Since(begun); waited < logFlushTime {
+		t.Errorf("waited for %v only", waited)
+	}
+}
--- a/internal/router/read_ahead_test.go
+++ b/internal/router/read_ahead_test.go
@@ -45,7 +45,7 @@
 	client.waitForReadAhead(router)
 	harness.do(func() {
 		for id := range harness.loop.requests {
-			harness.loop.finishRequest(id, []byte(resp.FailedReply))
+			harness.loop.finishRequest(id, requestFailed, []byte(resp.FailedReply))
 		}
 	})
 	for range maxPipelined + 1 {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -20,9 +20,8 @@
 // acceptRequest takes a command of a client, which arrived at the given time, and reports it to the
 // engine as a request.
 func (l *eventLoop) acceptRequest(c *clientConn, slot *replySlot, cmd resp.Command, arrivedAt policy.Time) {
-	tooMany := l.cfg.Transport.MaxOpen > 0 && l.openRequests >= l.cfg.Transport.MaxOpen
-	tooLate := l.drainDeadline > 0 && l.now >= l.drainDeadline
-	if tooMany || tooLate {
+	if reason := l.rejectsUnseen(); reason != "" {
+		l.noteRejected(c, cmd, reason)
 		slot.fill([]byte(resp.BusyReply)) // the engine does not see it, and it is never forwarded
 		return
 	}
@@ -38,6 +37,7 @@
 	l.requests[r.id] = r
 	l.openRequests++
 	c.requests[r.id] = r
+	l.noteAccepted(r, arrivedAt)
 	l.pendingEvents = append(l.pendingEvents, &policy.Request{
 		ID:       r.id,
 		Class:    cmd.Class,
@@ -50,6 +50,18 @@
 	})
 }
 
+// rejectsUnseen returns why a request can't be accepted; it is empty if it can.
+func (l *eventLoop) rejectsUnseen() rejectReason {
+	switch {
+	case l.cfg.Transport.MaxOpen > 0 && l.openRequests >= l.cfg.Transport.MaxOpen:
+		return rejectTooMany
+	case l.drainDeadline > 0 && l.now >= l.drainDeadline:
+		return rejectDraining
+	default:
+		return ""
+	}
+}
+
 // boundTimeout limits the timeout that a client asked for. The longest timeout of the settings
 // bounds how long timers keep a request in memory. While the router drains, requests have to be
 // answered before the process is killed.
@@ -75,7 +87,7 @@
 func (l *eventLoop) failOpenRequests() {
 	for _, r := range l.requests {
 		if !r.done {
-			l.finish(r, []byte(resp.FailedReply))
+			l.finish(r, requestFailed, []byte(resp.FailedReply))
 			l.pendingEvents = append(l.pendingEvents, &policy.ClientGone{ID: r.id})
 		}
 	}
@@ -84,26 +96,27 @@
 // clientGone ends the requests of a client that has disconnected.
 func (l *eventLoop) clientGone(c *clientConn) {
 	for _, r := range c.requests {
-		l.finish(r, nil)
+		l.finish(r, requestAbandoned, nil)
 		l.pendingEvents = append(l.pendingEvents, &policy.ClientGone{ID: r.id})
 	}
 }
 
 // finishRequest gives a request its final reply, unless the request is unknown or done.
-func (l *eventLoop) finishRequest(id int64, reply []byte) {
+func (l *eventLoop) finishRequest(id int64, result requestResult, reply []byte) {
 	if r := l.requests[id]; r != nil {
-		l.finish(r, reply)
+		l.finish(r, result, reply)
 	}
 }
 
 // finish gives a request its final reply, once; nil stands for none. Attempts that are not
 // completely written are abandoned first, since nothing may be sent for a request after its reply.
-func (l *eventLoop) finish(r *request, reply []byte) {
+func (l *eventLoop) finish(r *request, result requestResult, reply []byte) {
 	if r.done {
 		return
 	}
 	r.done = true
 	l.openRequests--
+	l.noteDone(r, result)
 	delete(r.client.requests, r.id)
 	for _, a := range r.attempts {
 		if a.state == attemptQueued || a.state == attemptWriting {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -92,10 +93,12 @@
 	// The event loop outlives ctx: it is needed to drain.
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	defer func() {
+		s.loop.statistics.log(s.loop.logger)
 		stopLoop()
 		<-s.loop.done
+		s.loop.logger.awaitWritten()
 	}()
-	s.Log(fmt.Sprintf("serving on %s", s.listener.Addr()))
+	s.loop.logger.Info("serving", "addr", s.listener.Addr())
 	go s.loop.run(loopCtx)
 	acceptEnded := make(chan error, 1)
 	go func() { acceptEnded <- s.acceptLoop() }()
@@ -120,7 +123,7 @@
 // Connections are accepted for a while, and then those that the kernel has queued. acceptEnded
 // reports the end of the accept loop.
 func (s *Server) drain(acceptEnded <-chan error) {
-	s.Log("draining")
+	s.loop.logger.Info("draining", "connections", s.descriptors.clientConns.Load(), "last_replies_in", s.drainTime)
 	lastReplies := time.After(s.drainTime)
 	timeout := time.After(s.drainTime + lastWriteTime)
 	due := s.loop.clock() + s.drainTime.Microseconds()
@@ -198,8 +201,12 @@
 	s.loop.post(func() { s.loop.moveDiscovery(&moved) })
 }
 
-// Log queues a line for the log. A log that nobody reads does not block the caller.
-func (s *Server) Log(line string) { s.loop.log(line) }
+// Logger returns the router's log. A log that nobody reads does not block its callers.
+func (s *Server) Logger() *slog.Logger { return s.loop.logger.Logger }
+
+// SetLogLevel sets the level from which on lines are logged; it is that of information at first. At
+// that of debugging there are lines for each request, attempt and connection.
+func (s *Server) SetLogLevel(level slog.Level) { s.loop.logger.level.Set(level) }
 
 // closeIdleClients has each client connection closed as soon as it has no request in flight.
 func (s *Server) closeIdleClients() {
--- /dev/null
+++ b/internal/router/statistics.go
@@ -0,0 +1,109 @@
+package router
+
+import (
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"marlstage/policy"
+)
+
+const (
+	statisticsInterval = 60_000_000 // microseconds between two lines of statistics
+	holdUpThreshold    = 20_000     // microseconds without a turn of the event loop that count as a hold-up
+	lateReplyMargin    = 50_000     // microseconds beyond its deadline from which on a reply counts as late
+)
+
+// statistics counts what the router did. Any goroutine may add to it.
+type statistics struct {
+	requests  atomic.Int64
+	results   [requestResults]atomic.Int64
+	late      atomic.Int64 // final replies that came late
+	attempts  atomic.Int64
+	retries   atomic.Int64                       // attempts of a request that had one before, hedged requests included
+	outcomes  [policy.NotStored + 1]atomic.Int64 // by policy.Result
+	clientEnd [closeReasons]atomic.Int64         // connections of clients, by why they ended
+
+	unsolicited   atomic.Int64 // connections to caches that ended because of bytes nobody asked for
+	commandErrors atomic.Int64 // commands that can be parsed, but that no proper client sends
+	holdUps       atomic.Int64
+	longestHoldUp atomic.Int64 // microseconds
+}
+
+// requestResult is how a request ended.
+type requestResult uint8
+
+const (
+	requestServed requestResult = iota
+	requestRejected
+	requestFailed
+	requestAbandoned // the client has gone
+	requestResults   // the number of results
+)
+
+func (r requestResult) String() string {
+	return [requestResults]string{"served", "rejected", "failed", "abandoned"}[r]
+}
+
+// closeReason is why the connection of a client ended.
+type closeReason uint8
+
+const (
+	closedByClient     closeReason = iota
+	closedDraining                 // between requests, as the router drains
+	closedEvicted                  // between requests, for want of descriptors
+	closedSilent                   // no first command came
+	closedQuit                     // after QUIT
+	closedMalformed                // what the client sent is no command
+	closedIncomplete               // the rest of a command did not come in time
+	closedFinalReplies             // the last replies of a drain were due
+	closeReasons                   // the number of reasons
+)
+
+func (r closeReason) String() string {
+	return [closeReasons]string{
+		"client", "draining", "evicted", "silent", "quit", "malformed", "incomplete", "final replies",
+	}[r]
+}
+
+// noteHoldUp counts a time in microseconds in which the process did nothing although it should have.
+func (s *statistics) noteHoldUp(duration policy.Time) {
+	s.holdUps.Add(1)
+	for {
+		longest := s.longestHoldUp.Load()
+		if duration <= longest || s.longestHoldUp.CompareAndSwap(longest, duration) {
+			return
+		}
+	}
+}
+
+// log writes the counts since the start as one line.
+func (s *statistics) log(logger *eventLogger) {
+	longest := time.Duration(s.longestHoldUp.Load()) * time.Microsecond
+	logger.Info("statistics",
+		slog.Int64("requests", s.requests.Load()),
+		slog.Attr{Key: "results", Value: groupOf(s.results[:], func(i int) string { return requestResult(i).String() })},
+		slog.Int64("late", s.late.Load()),
+		slog.Int64("attempts", s.attempts.Load()),
+		slog.Int64("retries", s.retries.Load()),
+		slog.Attr{Key: "outcomes", Value: groupOf(s.outcomes[:], func(i int) string { return policy.Result(i).String() })},
+		slog.Attr{Key: "client_ends", Value: groupOf(s.clientEnd[:], func(i int) string { return closeReason(i).String() })},
+		slog.Int64("unsolicited", s.unsolicited.Load()),
+		slog.Int64("command_errors", s.commandErrors.Load()),
+		slog.Int64("hold_ups", s.holdUps.Load()),
+		slog.Duration("longest_hold_up", longest),
+		slog.Int64("dropped_lines", logger.queue.dropped.Load()),
+		slog.Int64("suppressed_lines", logger.suppressed.Load()),
+	)
+}
+
+// groupOf returns the counts that are not zero, by their names.
+func groupOf(counts []atomic.Int64, name func(int) string) slog.Value {
+	var group []slog.Attr
+	for i := range counts {
+		if n := counts[i].Load(); n > 0 {
+			group = append(group, slog.Int64(name(i), n))
+		}
+	}
+	return slog.GroupValue(group...)
+}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -128,14 +128,14 @@
 		return
 	}
 	l.nextFailureLine = l.now + failureLineInterval
-	l.log("discovery: " + err.Error())
+	l.logger.Warn("discovery watch failed", "error", err)
 }
 
 // moveDiscovery replaces the client of the discovery service by one with
 // another address. Where a watch has no cost it starts from a snapshot, as the
 // versions of the other service may differ.
 func (l *eventLoop) moveDiscovery(cfg *config.Config) {
-	l.log("discovery moves to " + cfg.Discovery)
+	l.logger.Info("discovery moves", "to", cfg.Discovery)
 	l.retainReplacedWatch()
 	l.startTimes.contactLost()
 	l.discovery.CloseIdleConnections()
--- a/internal/router/watch_retry_test.go
+++ b/internal/router/watch_retry_test.go
@@ -150,8 +150,8 @@
 				if lists {
 					l.applyEndpoints(discovery.EndpointList{Version: 1}, policy.UpdateDelta)
 				}
-				for len(l.logLines) > 0 {
-					<-l.logLines
+				for len(l.logger.queue.lines) > 0 {
+					<-l.logger.queue.lines
 					lines++
 				}
 			}
--- a/internal/scaletest/router_process.go
+++ b/internal/scaletest/router_process.go
@@ -20,7 +20,7 @@
 const (
 	routerPackage      = "marlstage/cmd/cacherouter"
 	routerConfigEnv    = "BALANCER_CONFIG"
-	servingLogMessage  = "serving on " // its address follows
+	servingLogMessage  = "msg=serving addr=" // its address follows
 	routerStartTimeout = 30 * time.Second
 	routerConfigMode   = 0o600
 	pongText           = "PONG"
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -282,6 +282,9 @@
 	_ = c.tcp.SetWriteDeadline(deadline) // fails only on a closed connection, which the write reports
 }
 
+// RemoteAddr returns the address of the peer.
+func (c *Conn) RemoteAddr() net.Addr { return c.tcp.RemoteAddr() }
+
 // CloseWrite ends the sending side of the connection.
 func (c *Conn) CloseWrite() error { return c.tcp.CloseWrite() }
 
--- a/policy/events.go
+++ b/policy/events.go
@@ -75,6 +75,14 @@
 	NotStored             // proves it never ran
 )
 
+// String returns the result's name, as it is logged.
+func (r Result) String() string {
+	return [...]string{
+		"served", "server_error", "rejected", "timed_out", "connect_failed", "connection_lost", "cancelled", "not_sent",
+		"not_stored",
+	}[r]
+}
+
 // NeverRan reports whether the result proves that the request was not carried out.
 func (r Result) NeverRan() bool {
 	return r == Rejected || r == ConnectFailed || r == NotSent || r == NotStored
