Add failing tests: lost requests of router processes under faults

TestSoak plays timelines drawn by seed on real router processes (signals, stops of 0.15 s, SIGTERM in series and SIGKILL, faulty caches, pipelines with cuts, idle crowds) and judges each request by what its client and the caches saw; what the router has read is told from the receive queues in /proc/net/tcp.

--- /dev/null
+++ b/internal/soaktest/client_test.go
@@ -0,0 +1,304 @@
+package soaktest
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"marlstage/internal/resp"
+)
+
+const (
+	maxPipeline     = 60
+	maxOutstanding  = 400                    // requests of a client that sends without waiting
+	maxRest         = 150 * time.Millisecond // between the requests of a client
+	maxCut          = 200 * time.Millisecond // in the middle of a command
+	valueSize       = 3000
+	keys            = 50
+	answerWait      = 2 * time.Second       // beyond the timeout, after which no answer is expected any more
+	redialInterval  = 5 * time.Millisecond  // after a connection could not be opened
+	lingerLook      = 30 * time.Millisecond // between looks at what a router has left unread
+	lingerLooks     = 3
+	leaveShare      = 0.05 // of the batches that a client leaves over
+	cutShare        = 0.3  // of the batches that are cut in the middle of a command
+	writeClassShare = 0.3  // of the requests that are writes
+)
+
+// client uses a router by one connection after the other until the router is gone.
+type client struct {
+	judge      *judge
+	rng        *rand.Rand
+	name       string
+	router     int
+	addr       string
+	maxTimeout time.Duration
+	gone       <-chan struct{} // closed when the router has ended
+	terminated <-chan struct{} // closed when the router has got SIGTERM and takes no more connections
+	sent       int
+}
+
+// run uses the router until it is gone.
+func (c *client) run() {
+	for !isClosed(c.gone) && !isClosed(c.terminated) {
+		nc, err := net.Dial("tcp", c.addr)
+		if err != nil {
+			time.Sleep(redialInterval)
+			continue
+		}
+		c.use(newSession(c, nc.(*net.TCPConn)))
+	}
+}
+
+// use sends batches on a connection until that ends.
+func (c *client) use(s *session) {
+	defer s.close()
+	for !s.hasEnded() {
+		size := 1
+		if c.rng.IntN(2) == 0 {
+			size = 2 + c.rng.IntN(maxPipeline-1)
+		}
+		batch := c.newBatch(size)
+		s.write(batch)
+		if c.rng.Float64() < leaveShare {
+			time.Sleep(randomDuration(c.rng, 0, maxRest/10))
+			c.judge.clientEnds(s.connection)
+			return
+		}
+		// After SIGTERM clients send on and on, without waiting for each batch.
+		unanswered := 0
+		if isClosed(c.terminated) {
+			unanswered = maxOutstanding
+		}
+		if !s.awaitAnswers(unanswered) {
+			return
+		}
+		if c.rng.IntN(3) == 0 {
+			time.Sleep(randomDuration(c.rng, 0, maxRest))
+		}
+	}
+}
+
+// newBatch makes requests to be written at once.
+func (c *client) newBatch(size int) (batch []*request) {
+	for range size {
+		c.sent++
+		r := &request{
+			id:      fmt.Sprintf("%s-%d", c.name, c.sent),
+			class:   classRead,
+			timeout: randomDuration(c.rng, c.maxTimeout/4, c.maxTimeout).Truncate(time.Millisecond),
+		}
+		if c.rng.Float64() < writeClassShare {
+			r.class = []string{classPut, classOnce}[c.rng.IntN(2)]
+		}
+		r.wire = encode(r, c.rng.IntN(keys))
+		batch = append(batch, r)
+	}
+	return batch
+}
+
+// encode returns a request as it is written.
+func encode(r *request, key int) []byte {
+	options := fmt.Sprintf("c=%s,d=%d", r.class, r.timeout.Milliseconds())
+	words := []string{resp.VerbGet, fmt.Sprint("key-", key), r.id, options}
+	switch r.class {
+	case classPut:
+		words[0], words[3] = resp.VerbSet, options+",k="+r.id
+		words = append(words, strings.Repeat("v", valueSize))
+	case classOnce:
+		words[0] = resp.VerbSet
+		words = append(words, "v")
+	}
+	return resp.AppendCommand(nil, words...)
+}
+
+// session is a client's connection to the router.
+type session struct {
+	client     *client
+	nc         *net.TCPConn
+	connection *connection
+	ended      chan struct{} // closed when nothing more is received
+	progress   chan struct{} // receives when an answer has come
+
+	writing  sync.Mutex // held during each write
+	over     bool       // nothing more is written; guarded by writing
+	mu       sync.Mutex
+	written  int // requests
+	answered int
+	lastDue  time.Time
+}
+
+func newSession(c *client, nc *net.TCPConn) *session {
+	s := &session{
+		client:     c,
+		nc:         nc,
+		connection: c.judge.connected(c.router),
+		ended:      make(chan struct{}),
+		progress:   make(chan struct{}, 1),
+	}
+	go s.readAnswers()
+	return s
+}
+
+func (s *session) hasEnded() bool { return isClosed(s.ended) }
+
+// close closes the connection. What the router has left unread was looked at before.
+func (s *session) close() {
+	s.client.judge.clientEnds(s.connection)
+	_ = s.nc.Close() // it may have ended
+	<-s.ended
+}
+
+// write writes a batch, some batches in two parts with a pause in the middle of a command.
+func (s *session) write(batch []*request) {
+	rng := s.client.rng
+	var wire []byte
+	for _, r := range batch {
+		wire = append(wire, r.wire...)
+	}
+	cut := len(wire)
+	if rng.Float64() < cutShare {
+		cut = rng.IntN(len(wire))
+	}
+	s.noteBatch(batch)
+	if !s.writePart(wire[:cut]) {
+		return
+	}
+	if cut < len(wire) {
+		select {
+		case <-time.After(randomDuration(rng, 0, maxCut)):
+		case <-s.ended:
+			return // not written whole
+		}
+		if !s.writePart(wire[cut:]) {
+			return
+		}
+	}
+	s.client.judge.wrote(batch)
+}
+
+// noteBatch tells the judge of a batch before it is written.
+func (s *session) noteBatch(batch []*request) {
+	for _, r := range batch {
+		s.client.judge.willWrite(s.connection, r)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written += len(batch)
+	s.lastDue = time.Now().Add(s.client.maxTimeout)
+}
+
+func (s *session) writePart(wire []byte) bool {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	if s.over {
+		return false
+	}
+	_, err := s.nc.Write(wire)
+	return err == nil
+}
+
+// awaitAnswers waits until at most the given number of requests have no answer. It reports false if
+// the connection ended before, or no answer can come any more.
+func (s *session) awaitAnswers(unanswered int) bool {
+	for {
+		s.mu.Lock()
+		enough := s.written-s.answered <= unanswered
+		patience := time.Until(s.lastDue) + answerWait
+		s.mu.Unlock()
+		if enough {
+			return true
+		}
+		select {
+		case <-s.progress:
+		case <-s.ended:
+			return false
+		case <-time.After(patience):
+			return false
+		}
+	}
+}
+
+// readAnswers reports answers to the judge until the connection ends.
+func (s *session) readAnswers() {
+	defer close(s.ended)
+	reader := bufio.NewReader(s.nc)
+	for {
+		wire, err := readAnswer(reader)
+		if err != nil {
+			s.readingEnded(err)
+			return
+		}
+		s.client.judge.answered(s.connection, wire)
+		s.mu.Lock()
+		s.answered++
+		s.mu.Unlock()
+		select {
+		case s.progress <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// readingEnded notes the end of a connection, and looks at what the router has left unread for as
+// long as its side of the connection is there.
+func (s *session) readingEnded(err error) {
+	s.client.judge.routerEnded(s.connection)
+	_ = s.nc.SetWriteDeadline(time.Now()) // ends a write that the router does not read any more
+	s.writing.Lock()
+	s.over = true
+	s.writing.Unlock()
+	if !errors.Is(err, io.EOF) {
+		return
+	}
+	for range lingerLooks {
+		unread, ok := unreadBy(s.nc.RemoteAddr(), s.nc.LocalAddr())
+		if !ok {
+			return
+		}
+		s.client.judge.unreadBytes(s.connection, unread)
+		time.Sleep(lingerLook)
+	}
+}
+
+var errNoAnswer = errors.New("neither a bulk string nor a line")
+
+// readAnswer reads one answer and returns it, a bulk string without its frame.
+func readAnswer(reader *bufio.Reader) (string, error) {
+	line, err := reader.ReadString('\n')
+	if err != nil {
+		return "", err
+	}
+	line = strings.TrimSuffix(line, "\r\n")
+	length, isBulk := strings.CutPrefix(line, "$")
+	if !isBulk {
+		if !strings.HasPrefix(line, "-") && !strings.HasPrefix(line, "+") {
+			return "", errNoAnswer
+		}
+		return line, nil
+	}
+	size, err := strconv.Atoi(length)
+	if err != nil || size < 0 {
+		return "", errNoAnswer
+	}
+	bulk := make([]byte, size+len("\r\n"))
+	if _, err := io.ReadFull(reader, bulk); err != nil {
+		return "", err
+	}
+	return string(bulk[:size]), nil
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/soaktest/judge_test.go
@@ -0,0 +1,269 @@
+package soaktest
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Limits of the rules, and what is added to them for the test's own machine.
+const (
+	lateReplyLimit  = 500 * time.Millisecond // of an answer after the client's timeout
+	disconnectLimit = 100 * time.Millisecond // after a client's end, in which an attempt may still begin
+	timeoutLimit    = 150 * time.Millisecond // by which the timeout told to a cache may exceed what is left
+	keyWindow       = 600 * time.Millisecond // in which a request may be repeated with its key
+	machineSlack    = 100 * time.Millisecond
+	killSlack       = 5 * time.Millisecond // before SIGKILL, in which an end of a connection counts as caused by it
+)
+
+// Classes of requests.
+const (
+	classRead = "read" // may be repeated
+	classPut  = "put"  // may be repeated with its idempotency key
+	classOnce = "once" // must not run twice
+)
+
+// judge notes what clients and caches see and finds the requests that broke a rule.
+type judge struct {
+	mu          sync.Mutex
+	requests    map[string]*request
+	connections []*connection
+	attempts    []attempt
+	heldUp      time.Duration // for which the test itself was held up
+}
+
+// request is a request of a client.
+type request struct {
+	id         string
+	class      string
+	timeout    time.Duration
+	wire       []byte
+	start, end int64     // its bytes among those of its connection
+	writtenAt  time.Time // zero unless the last byte was written
+	connection *connection
+	position   int // among the requests of the connection
+}
+
+// connection is a client's connection to a router, as the judge sees it.
+type connection struct {
+	router    int
+	requests  []*request
+	answers   []answer
+	written   int64
+	clientEnd time.Time // when the client ended it; zero if it did not
+	routerEnd time.Time // when its end came from the router; zero if it did not
+	read      int64     // bytes that the router has read of it, or unknownRead
+}
+
+const unknownRead = -1
+
+// answer is a complete answer.
+type answer struct {
+	wire string
+	at   time.Time
+}
+
+// attempt is a complete command that reached a cache.
+type attempt struct {
+	id       string
+	cache    string
+	timeout  time.Duration
+	arrived  time.Time
+	rejected bool
+}
+
+func newJudge() *judge { return &judge{requests: map[string]*request{}} }
+
+func (j *judge) connected(router int) *connection {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c := &connection{router: router, read: unknownRead}
+	j.connections = append(j.connections, c)
+	return c
+}
+
+// willWrite notes requests that are about to be written to a connection.
+func (j *judge) willWrite(c *connection, r *request) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r.connection, r.position = c, len(c.requests)
+	r.start = c.written
+	c.written += int64(len(r.wire))
+	r.end = c.written
+	c.requests = append(c.requests, r)
+	j.requests[r.id] = r
+}
+
+func (j *judge) wrote(requests []*request) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, r := range requests {
+		r.writtenAt = time.Now()
+	}
+}
+
+func (j *judge) answered(c *connection, wire string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c.answers = append(c.answers, answer{wire, time.Now()})
+}
+
+// clientEnds notes that the client is about to end its connection.
+func (j *judge) clientEnds(c *connection) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if c.clientEnd.IsZero() && c.routerEnd.IsZero() {
+		c.clientEnd = time.Now()
+	}
+}
+
+// routerEnded notes that the end of a connection came from the router.
+func (j *judge) routerEnded(c *connection) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if c.clientEnd.IsZero() && c.routerEnd.IsZero() {
+		c.routerEnd = time.Now()
+	}
+}
+
+// unreadBytes notes how many bytes of a connection the router has left unread. The fewest count.
+func (j *judge) unreadBytes(c *connection, unread int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c.read = max(c.read, c.written-unread)
+}
+
+func (j *judge) attemptArrived(a attempt) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.attempts = append(j.attempts, a)
+}
+
+func (j *judge) noteHoldUp(d time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.heldUp += d
+}
+
+// verdict is what a play came to.
+type verdict struct {
+	violations             []string
+	served, busy, failed   int
+	unknown                int // requests without an answer, of which it is not known whether they were read
+	requests, unread, left int // of the requests, those not read at the end, and those whose client left
+}
+
+func (v verdict) String() string {
+	return fmt.Sprintf("%d requests: %d served, %d busy, %d failed, %d unread, %d left, %d unknown; %d violations",
+		v.requests, v.served, v.busy, v.failed, v.unread, v.left, v.unknown, len(v.violations))
+}
+
+// verdict judges all requests. killed is when each router got SIGKILL.
+func (j *judge) verdict(killed []time.Time) (v verdict) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, c := range j.connections {
+		j.judgeConnection(&v, c, killed[c.router])
+	}
+	first := map[string]attempt{}
+	for _, a := range j.attempts {
+		j.judgeAttempt(&v, a, first)
+	}
+	slices.Sort(v.violations)
+	return v
+}
+
+func (v *verdict) report(r *request, format string, args ...any) {
+	c := r.connection
+	v.violations = append(v.violations, fmt.Sprintf("%s (router %d, request %d of %d, %d answers, bytes %d to %d, %d read): ",
+		r.id, c.router, r.position, len(c.requests), len(c.answers), r.start, r.end, c.read)+fmt.Sprintf(format, args...))
+}
+
+func (j *judge) judgeConnection(v *verdict, c *connection, killed time.Time) {
+	previous := time.Time{}
+	for i, r := range c.requests {
+		v.requests++
+		if i < len(c.answers) {
+			j.judgeAnswer(v, r, c.answers[i], previous)
+			previous = c.answers[i].at
+			continue
+		}
+		switch {
+		case r.writtenAt.IsZero(), !c.clientEnd.IsZero():
+			v.left++
+		case c.routerEnd.IsZero():
+			v.report(r, "lost: no answer and no end of the connection")
+		case !c.routerEnd.Before(killed.Add(-killSlack)):
+			v.report(r, "lost: SIGKILL found it unanswered, %v after it was written", killed.Sub(r.writtenAt))
+		case c.read == unknownRead:
+			v.unknown++
+		case c.read > r.start:
+			v.report(r, "lost: read and not answered")
+		default:
+			v.unread++
+		}
+	}
+	if len(c.answers) > len(c.requests) {
+		v.violations = append(v.violations, fmt.Sprintf("%d answers to %d requests", len(c.answers), len(c.requests)))
+	}
+}
+
+// judgeAnswer judges an answer. The time spent waiting for the answer before it does not count.
+func (j *judge) judgeAnswer(v *verdict, r *request, a answer, previous time.Time) {
+	switch {
+	case strings.HasPrefix(a.wire, "-BUSY"):
+		v.busy++
+	case a.wire == "-ERR failed":
+		v.failed++
+	case a.wire == servedBy(r.id):
+		v.served++
+	default:
+		v.report(r, "wrong answer %q", a.wire)
+	}
+	if r.writtenAt.IsZero() {
+		return
+	}
+	due := r.writtenAt.Add(r.timeout)
+	if previous.After(due) {
+		due = previous
+	}
+	if late := a.at.Sub(due); late > lateReplyLimit+machineSlack+j.heldUp {
+		v.report(r, "lost: answered %v late", late)
+	}
+}
+
+func (j *judge) judgeAttempt(v *verdict, a attempt, first map[string]attempt) {
+	r := j.requests[a.id]
+	if r == nil {
+		v.violations = append(v.violations, a.id+": an attempt of a request that no client wrote")
+		return
+	}
+	slack := machineSlack + j.heldUp
+	c := r.connection
+	if late := a.arrived.Sub(c.clientEnd); !c.clientEnd.IsZero() && late > disconnectLimit+slack {
+		v.report(r, "an attempt began %v after the client's end", late)
+	}
+	if r.position < len(c.answers) {
+		if late := a.arrived.Sub(c.answers[r.position].at); late > slack {
+			v.report(r, "an attempt began %v after the answer", late)
+		}
+	}
+	if !r.writtenAt.IsZero() {
+		left := r.timeout - a.arrived.Sub(r.writtenAt)
+		if excess := a.timeout - left; excess > timeoutLimit+slack {
+			v.report(r, "a cache was told %v, %v more than was left", a.timeout, excess)
+		}
+	}
+	earlier, repeated := first[a.id]
+	switch {
+	case a.rejected:
+	case !repeated:
+		first[a.id] = a
+	case r.class == classOnce:
+		v.report(r, "duplicate: sent again, although it may have run")
+	case r.class == classPut && a.arrived.Sub(earlier.arrived) > keyWindow+slack:
+		v.report(r, "duplicate: sent again %v after the first attempt", a.arrived.Sub(earlier.arrived))
+	}
+}
--- /dev/null
+++ b/internal/soaktest/process_test.go
@@ -0,0 +1,106 @@
+package soaktest
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	startTimeout   = 30 * time.Second
+	servingMessage = "msg=serving addr=" // its address follows
+)
+
+// settingsFormat takes the number of routers and the longest timeout in microseconds, three times.
+const settingsFormat = `{"instances":%d,"discovery":"automatic","weights":"none",
+ "categories":[
+  {"name":"read","effect":"read_like","dedupScope":"all","aim":%[2]d,"hardLimit":%[2]d,"keyTtl":2000000,"worth":1},
+  {"name":"put","effect":"idempotency_key","dedupScope":"all","aim":%[2]d,"hardLimit":%[2]d,"keyTtl":600000,"worth":1},
+  {"name":"once","effect":"non_idempotent","dedupScope":"all","aim":%[2]d,"hardLimit":%[2]d,"worth":1}],
+ "limits":{"cancel":true,"probes":true,"secondCopies":true,"retryAfter":true,"maxAttempts":3,"maxRetryAfter":500000,
+  "maxOpen":5000,"dialTimeout":250000,"keepalive":15000000},
+ "rules":{"askEvery":10000000,"cold":2000000,"drainGrace":1000000,"fall":1500000,"startCapacity":0.3,"tipMultiple":3}}`
+
+// buildRouter builds the program that runs in service.
+func buildRouter(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "cacherouter")
+	if out, err := exec.Command("go", "build", "-o", program, "marlstage/cmd/cacherouter").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return program
+}
+
+// routerProcess is a router that runs as a process of its own.
+type routerProcess struct {
+	addr string
+	cmd  *exec.Cmd
+
+	mu  sync.Mutex
+	log []string
+}
+
+// startRouter starts a router and waits until it serves.
+func startRouter(t *testing.T, program, name string, p *plan, discovery string, endpoints []string) *routerProcess {
+	t.Helper()
+	config := map[string]any{
+		"name":      name,
+		"listen":    "127.0.0.1:0",
+		"discovery": discovery,
+		"seed":      fmt.Sprintf("%x", p.seed),
+		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": p.descriptors},
+		"known":     json.RawMessage(endpointList(1, endpoints)),
+		"settings":  json.RawMessage(fmt.Sprintf(settingsFormat, p.routers, p.longestTimeout.Microseconds())),
+	}
+	raw, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r := &routerProcess{cmd: exec.Command(program)}
+	r.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path)
+	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	stderr, err := r.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = r.cmd.Process.Kill() // it has ended, unless the test failed
+		_ = r.cmd.Wait()
+	})
+	serving := make(chan string, 1)
+	go r.readLog(bufio.NewScanner(stderr), serving)
+	select {
+	case r.addr = <-serving:
+	case <-time.After(startTimeout):
+		t.Fatalf("%s does not serve", name)
+	}
+	return r
+}
+
+// readLog keeps the lines of the log and reports the address that the router serves on.
+func (r *routerProcess) readLog(lines *bufio.Scanner, serving chan<- string) {
+	for lines.Scan() {
+		line := lines.Text()
+		if _, addr, ok := strings.Cut(line, servingMessage); ok {
+			serving <- addr
+		}
+		r.mu.Lock()
+		r.log = append(r.log, line)
+		r.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/soaktest/unread_test.go
@@ -0,0 +1,28 @@
+package soaktest
+
+import (
+	"net"
+
+	"github.com/prometheus/procfs"
+)
+
+// unreadBy returns how many bytes have arrived on the router's side of a connection that the router
+// has not read. It reports false if that side is not there any more.
+func unreadBy(router, client net.Addr) (unread int64, ok bool) {
+	fs, err := procfs.NewDefaultFS()
+	if err != nil {
+		return 0, false
+	}
+	sockets, err := fs.NetTCP()
+	if err != nil {
+		return 0, false
+	}
+	local, remote := router.(*net.TCPAddr), client.(*net.TCPAddr)
+	for _, s := range sockets {
+		isLocal := s.LocalPort == uint64(local.Port) && s.LocalAddr.Equal(local.IP)
+		if isLocal && s.RemPort == uint64(remote.Port) && s.RemAddr.Equal(remote.IP) {
+			return int64(s.RxQueue), true
+		}
+	}
+	return 0, false
+}
