Look at the client last before an attempt's first byte

Cause: the look at the client came first; two readings of the clock and a look at the cache's connection followed before the write.

Change: tryWrite looks at the client directly before the write, for the first byte and for each further part. A connection to which nothing was written goes back among the idle ones. The look when an attempt is queued is gone, so that there is one look an attempt as before.

--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -1,11 +1,28 @@
 package router
 
 import (
+	"errors"
 	"time"
 
 	"marlstage/policy"
 )
 
+// errClientGone reports that the client has disconnected.
+var errClientGone = errors.New("the client has disconnected")
+
+// clientCheckError reports that it could not be told whether the client is still connected.
+type clientCheckError struct{ err error }
+
+func (e *clientCheckError) Error() string { return "looking at the client: " + e.err.Error() }
+
+func (e *clientCheckError) Unwrap() error { return e.err }
+
+// isClientCheck reports whether the look at the client is why nothing was written.
+func isClientCheck(err error) bool {
+	var failed *clientCheckError
+	return errors.Is(err, errClientGone) || errors.As(err, &failed)
+}
+
 // clientCheckInterval is the time between checks of a client's connection that fail.
 const clientCheckInterval = time.Millisecond
 
@@ -28,10 +45,6 @@
 	p.closeIdle(p.idleCutoff())
 	for len(p.queue) > 0 {
 		a := p.queue[0]
-		if p.endIfClientGone(a.request) != nil {
-			p.dispatchAfterClientCheck()
-			return
-		}
 		// The loop may have taken long to get here, and a deadline may have passed since.
 		p.loop.now = p.loop.clock()
 		if !p.canStart(a) {
@@ -44,7 +57,10 @@
 			p.dispatchWhenSettled()
 			return
 		}
-		c.writeAttempt(a)
+		if !c.writeAttempt(a) {
+			p.dispatchAfterClientCheck()
+			return
+		}
 	}
 }
 
@@ -62,18 +78,22 @@
 	return now < a.deadline && inStartWindow && !requestDone
 }
 
-// endIfClientGone ends a request whose client has disconnected. The event that the client is gone may
-// still be queued. The client's socket is asked each time, as it may have been closed before its
-// request was read. It fails if that cannot be told: the attempt then neither starts nor ends.
-func (p *pool) endIfClientGone(r *request) error {
+// checkClient returns errClientGone if the client of a request has disconnected. The event that it has
+// may still be queued, and the client's socket may have been closed before its request was read. Any
+// other error means that this cannot be told for a moment. A health check has no client.
+func (r *request) checkClient() error {
 	if r == nil || r.done {
 		return nil
 	}
 	hungUp, err := r.client.checkHangup()
-	if hungUp {
-		p.loop.clientGone(r.client)
+	switch {
+	case err != nil:
+		return &clientCheckError{err}
+	case hungUp:
+		return errClientGone
+	default:
+		return nil
 	}
-	return err
 }
 
 // dispatchAfterClientCheck sets a timer for the next check of the client at the head of the queue,
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -106,6 +106,16 @@
 	p.dispatch()
 }
 
+// returnUnused takes back a connection to which nothing was written.
+func (p *pool) returnUnused(c *upstreamConn) {
+	later := func(other *upstreamConn) bool { return other.idleSince > c.idleSince }
+	if i := slices.IndexFunc(p.idle, later); i >= 0 {
+		p.idle = slices.Insert(p.idle, i, c)
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
 // takeSettledConn removes the connection used last from the idle ones that have settled and returns
 // it, or nil if none has. A faulty server may send a second reply some milliseconds after the first
 // one; the settle time keeps it from being taken for the reply to the next request.
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"errors"
+
 	"marlstage/internal/resp"
 	"marlstage/policy"
 )
@@ -93,6 +95,16 @@
 	}
 }
 
+// endIfClientGone takes the outcome of a look at a request's client, and ends its requests if it has
+// gone. It reports false if that could not be told.
+func (l *eventLoop) endIfClientGone(r *request, err error) bool {
+	if !errors.Is(err, errClientGone) {
+		return false
+	}
+	l.clientGone(r.client)
+	return true
+}
+
 // clientGone ends the requests of a client that has disconnected.
 func (l *eventLoop) clientGone(c *clientConn) {
 	for _, r := range c.requests {
--- a/internal/router/upstream_write.go
+++ b/internal/router/upstream_write.go
@@ -35,15 +35,20 @@
 
 // writeAttempt writes the attempt at the head of the pool's queue. The socket nearly always takes
 // all of it at once. All of a command is written by the loop, so that nothing happens between the
-// check whether the attempt may go on and the last byte, at which the server begins it.
-func (c *upstreamConn) writeAttempt(a *attempt) {
+// check whether the attempt may go on and the last byte, at which the server begins it. It reports
+// false if it cannot be told for a moment whether the client is still there.
+func (c *upstreamConn) writeAttempt(a *attempt) bool {
 	isNew := c.isNew()
 	now := c.pool.loop.now
 	command := a.encode(now)
-	n, err := c.tryWrite(command)
-	if n == 0 && err != nil {
+	n, err := c.tryWrite(a, command)
+	switch {
+	case n == 0 && isClientCheck(err):
+		c.pool.returnUnused(c)
+		return c.pool.loop.endIfClientGone(a.request, err)
+	case n == 0 && err != nil:
 		c.failUnsent(a, isNew)
-		return
+		return true
 	}
 	c.pool.queue = c.pool.queue[1:]
 	c.attempt, a.conn = a, c
@@ -51,20 +56,26 @@
 	c.write = commandWrite{command: command, encodedAt: now, delay: minWriteDelay}
 	c.wrote(a, n, err)
 	c.writeRemainder(a)
+	return true
 }
 
 // tryWrite writes as much of the rest of a command as the socket takes at once, unless anything has
-// arrived before. The lock keeps bytes from being read unnoticed between the check and the write.
-func (c *upstreamConn) tryWrite(rest []byte) (n int, err error) {
+// arrived before or the client has gone. The lock keeps bytes from being read unnoticed between the
+// check and the write. The process may be held up at each step, most of all where it reads the clock,
+// and the client may leave meanwhile: the look at the client comes last before the write.
+func (c *upstreamConn) tryWrite(a *attempt, rest []byte) (n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isNew := c.isNew()
 	begunAt := c.pool.loop.clock()
 	err = c.checkSilent()
+	if err == nil {
+		err = a.request.checkClient()
+	}
 	if err == nil {
 		n, err = c.nc.TryWrite(rest)
 	}
-	if socket.IsTransient(err) {
+	if !isClientCheck(err) && socket.IsTransient(err) {
 		err = nil
 	}
 	if n == len(rest) {
@@ -115,15 +126,17 @@
 // later if the socket takes nothing. Before each write it checks that the attempt may go on.
 func (c *upstreamConn) writeRemainder(a *attempt) {
 	for a.state == attemptWriting {
-		if c.pool.endIfClientGone(a.request) != nil {
-			c.scheduleWrite(a)
-			return
-		}
 		c.pool.loop.now = c.pool.loop.clock()
 		if !c.canContinue(a) {
 			return
 		}
-		n, err := c.tryWrite(c.write.command[c.write.written:])
+		n, err := c.tryWrite(a, c.write.command[c.write.written:])
+		if isClientCheck(err) {
+			if !c.pool.loop.endIfClientGone(a.request, err) {
+				c.scheduleWrite(a)
+			}
+			return
+		}
 		c.wrote(a, n, err)
 		if n == 0 && err == nil {
 			c.scheduleWrite(a)
@@ -146,8 +159,6 @@
 	// A drain binds attempts from their first byte on.
 	allowed := c.pool.canComplete(a) && (begun || c.pool.inService)
 	switch {
-	case a.state != attemptWriting: // the check has found that the client is gone
-		return false
 	case !allowed:
 		a.abandon(policy.NotSent)
 		return false
