Count deadlines from the arrival where the process was held up before the read

Cause: a reader that waits takes the time of its read for the time of the arrival.

Change: after each read the system tells how long ago the last bytes arrived (TCP_INFO, as already used for connections that were queued); from 20 ms on that counts. It never precedes the read before.

--- a/internal/router/command_arrival.go
+++ b/internal/router/command_arrival.go
@@ -6,13 +6,18 @@
 // unread by then counts as having arrived in that time.
 const maxReadGap = 20_000
 
+// minDataAge is the age in microseconds from which on bytes count as older than their read. The system
+// tells it by a clock that ticks every 1 to 10 ms.
+const minDataAge = 20_000
+
 // arrivalTime tells since when the bytes that were read last may have been there. A client counts
 // the timeout of a request from when it has sent it, however long the request lies unread because
 // the replies to earlier ones have to be written first.
 type arrivalTime struct {
-	at     policy.Time // by which the last bytes had not arrived yet, or had just arrived
-	readAt policy.Time // end of the last read
-	filled bool        // that read filled its buffer, so there may have been more
+	at         policy.Time // by which the last bytes had not arrived yet, or had just arrived
+	readAt     policy.Time // end of the last read
+	previousAt policy.Time // end of the read before
+	filled     bool        // the last read filled its buffer, so there may have been more
 }
 
 // mayHaveWaited reports whether bytes that are unread now may have arrived long ago.
@@ -29,7 +34,16 @@
 	case !t.filled:
 		t.at = t.readAt // the read before this one took all that was there
 	}
-	t.readAt, t.filled = now, filled
+	t.previousAt, t.readAt, t.filled = t.readAt, now, filled
+}
+
+// noteDataAge takes how many microseconds before the last read the last bytes arrived, as the system
+// tells. A process that is held up reads late what arrived meanwhile, though its reader was waiting
+// for it. What arrived before the previous read was read with that.
+func (t *arrivalTime) noteDataAge(age policy.Time) {
+	if age >= minDataAge {
+		t.at = min(t.at, max(t.readAt-age, t.previousAt))
+	}
 }
 
 // noteEmptyRead takes a read that has ended without bytes, as it was interrupted.
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -183,7 +183,11 @@
 	n, err = read(r.buf[len(r.buf):cap(r.buf)])
 	r.buf = r.buf[:len(r.buf)+n]
 	if n > 0 {
+		age, ageErr := r.conn.nc.LastDataAge()
 		r.arrival.noteRead(clock(), waited, len(r.buf) == cap(r.buf))
+		if ageErr == nil {
+			r.arrival.noteDataAge(age.Microseconds())
+		}
 	} else if !waited {
 		r.arrival.noteEmptyRead(clock())
 	}
