Soak: count what was written, and leave out sockets that are closed

Two errors of the judge made unread requests look read: requests that were noted but not written any more were counted among the bytes sent, and sockets in TIME_WAIT, whose receive queue shows as empty, counted as read to the end.

--- a/internal/soaktest/client_test.go
+++ b/internal/soaktest/client_test.go
@@ -65,7 +65,10 @@
 			size = 2 + c.rng.IntN(maxPipeline-1)
 		}
 		batch := c.newBatch(size)
-		s.write(batch)
+		if !s.write(batch) {
+			<-s.ended
+			return
+		}
 		if c.rng.Float64() < leaveShare {
 			time.Sleep(randomDuration(c.rng, 0, maxRest/10))
 			c.judge.clientEnds(s.connection)
@@ -126,12 +129,13 @@
 	ended      chan struct{} // closed when nothing more is received
 	progress   chan struct{} // receives when an answer has come
 
-	writing  sync.Mutex // held during each write
-	over     bool       // nothing more is written; guarded by writing
-	mu       sync.Mutex
-	written  int // requests
-	answered int
-	lastDue  time.Time
+	writing   sync.Mutex // held during each write
+	over      bool       // nothing more is written; guarded by writing
+	sentBytes int64      // guarded by writing
+	mu        sync.Mutex
+	written   int // requests
+	answered  int
+	lastDue   time.Time
 }
 
 func newSession(c *client, nc *net.TCPConn) *session {
@@ -155,8 +159,9 @@
 	<-s.ended
 }
 
-// write writes a batch, some batches in two parts with a pause in the middle of a command.
-func (s *session) write(batch []*request) {
+// write writes a batch, some batches in two parts with a pause in the middle of a command. It reports
+// false if the connection has ended before the batch was written.
+func (s *session) write(batch []*request) bool {
 	rng := s.client.rng
 	var wire []byte
 	for _, r := range batch {
@@ -166,21 +171,32 @@
 	if rng.Float64() < cutShare {
 		cut = rng.IntN(len(wire))
 	}
+	if s.isOver() {
+		return false
+	}
 	s.noteBatch(batch)
 	if !s.writePart(wire[:cut]) {
-		return
+		return false
 	}
 	if cut < len(wire) {
 		select {
 		case <-time.After(randomDuration(rng, 0, maxCut)):
 		case <-s.ended:
-			return // not written whole
+			return false
 		}
 		if !s.writePart(wire[cut:]) {
-			return
+			return false
 		}
 	}
 	s.client.judge.wrote(batch)
+	return true
+}
+
+// isOver reports whether nothing more may be written.
+func (s *session) isOver() bool {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	return s.over
 }
 
 // noteBatch tells the judge of a batch before it is written.
@@ -200,7 +216,8 @@
 	if s.over {
 		return false
 	}
-	_, err := s.nc.Write(wire)
+	n, err := s.nc.Write(wire)
+	s.sentBytes += int64(n)
 	return err == nil
 }
 
@@ -253,6 +270,7 @@
 	_ = s.nc.SetWriteDeadline(time.Now()) // ends a write that the router does not read any more
 	s.writing.Lock()
 	s.over = true
+	sent := s.sentBytes
 	s.writing.Unlock()
 	if !errors.Is(err, io.EOF) {
 		return
@@ -262,7 +280,7 @@
 		if !ok {
 			return
 		}
-		s.client.judge.unreadBytes(s.connection, unread)
+		s.client.judge.routerRead(s.connection, sent-unread)
 		time.Sleep(lingerLook)
 	}
 }
--- a/internal/soaktest/judge_test.go
+++ b/internal/soaktest/judge_test.go
@@ -51,7 +51,7 @@
 	router    int
 	requests  []*request
 	answers   []answer
-	written   int64
+	noted     int64     // bytes of the requests, written or about to be
 	clientEnd time.Time // when the client ended it; zero if it did not
 	routerEnd time.Time // when its end came from the router; zero if it did not
 	read      int64     // bytes that the router has read of it, or unknownRead
@@ -89,9 +89,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	r.connection, r.position = c, len(c.requests)
-	r.start = c.written
-	c.written += int64(len(r.wire))
-	r.end = c.written
+	r.start = c.noted
+	c.noted += int64(len(r.wire))
+	r.end = c.noted
 	c.requests = append(c.requests, r)
 	j.requests[r.id] = r
 }
@@ -128,11 +128,11 @@
 	}
 }
 
-// unreadBytes notes how many bytes of a connection the router has left unread. The fewest count.
-func (j *judge) unreadBytes(c *connection, unread int64) {
+// routerRead notes how many bytes of a connection the router has read by now.
+func (j *judge) routerRead(c *connection, read int64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	c.read = max(c.read, c.written-unread)
+	c.read = max(c.read, read)
 }
 
 func (j *judge) attemptArrived(a attempt) {
--- a/internal/soaktest/unread_test.go
+++ b/internal/soaktest/unread_test.go
@@ -6,6 +6,9 @@
 	"github.com/prometheus/procfs"
 )
 
+// timeWait is the state of a socket that is closed on both sides. What was left unread is not known of it.
+const timeWait = 6
+
 // unreadBy returns how many bytes have arrived on the router's side of a connection that the router
 // has not read. It reports false if that side is not there any more.
 func unreadBy(router, client net.Addr) (unread int64, ok bool) {
@@ -19,6 +22,9 @@
 	}
 	local, remote := router.(*net.TCPAddr), client.(*net.TCPAddr)
 	for _, s := range sockets {
+		if s.St == timeWait {
+			continue
+		}
 		isLocal := s.LocalPort == uint64(local.Port) && s.LocalAddr.Equal(local.IP)
 		if isLocal && s.RemPort == uint64(remote.Port) && s.RemAddr.Equal(remote.IP) {
 			return int64(s.RxQueue), true
