End the reading of a client's connection at the end of a command

Cause: when the last replies of a drain are due, a connection of which a part of a command had been read got a protocol error, and what followed was read and dropped: requests of proper clients, each of which was taken by then. The same befell clients whose command was not complete in time, 0.1 s where the connection is evicted, and commands that were read together with a QUIT before them.

Change: a reader that is to end reads on to the end of the command of which it has a part, asking the socket for no more than that command lacks (resp.MissingSize), for 0.1 s at most; everything behind it stays unread, so that the client sends it once more. A command that is still not complete is answered -BUSY where the router gave it less time than usual, and the rest is left unread; only what is no command at all is read and dropped. Commands read behind QUIT are answered.

--- a/internal/resp/frame.go
+++ b/internal/resp/frame.go
@@ -1,7 +1,9 @@
 package resp
 
 import (
+	"bytes"
 	"errors"
+	"strconv"
 
 	"github.com/tidwall/redcon"
 )
@@ -44,3 +46,41 @@
 	}
 	return b
 }
+
+// minBulkSize is the size in bytes of the shortest bulk string.
+const minBulkSize = len("$0\r\n\r\n")
+
+// MissingSize returns how many bytes the rest of the incomplete command in b has at least, which is one
+// or more. A reader that asks for no more than that never reads beyond the command.
+func MissingSize(b []byte) int {
+	elements, size, ok := header(b, redcon.Array)
+	if !ok {
+		return 1
+	}
+	for rest := b[size:]; elements > 0; elements-- {
+		length, size, ok := header(rest, redcon.Bulk)
+		if !ok {
+			// Of an element that has begun, at least the end of a line is missing.
+			return max(1, minBulkSize-len(rest)) + (elements-1)*minBulkSize
+		}
+		if end := size + length + len(lineEnd); end > len(rest) {
+			return end - len(rest) + (elements-1)*minBulkSize
+		}
+		rest = rest[size+length+len(lineEnd):]
+	}
+	return 1
+}
+
+// header returns the length in the first line of b, and the size of that line. It reports false if the
+// line is not complete or is no header of the given kind.
+func header(b []byte, kind redcon.Type) (length, size int, ok bool) {
+	line, _, complete := bytes.Cut(b, lineEnd)
+	if !complete || len(line) == 0 || line[0] != byte(kind) {
+		return 0, 0, false
+	}
+	length, err := strconv.Atoi(string(line[1:]))
+	if err != nil || length < 0 {
+		return 0, 0, false
+	}
+	return length, len(line) + len(lineEnd), true
+}
--- /dev/null
+++ b/internal/resp/frame_test.go
@@ -0,0 +1,48 @@
+package resp
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestMissingSizeEndsAtCommand checks, from each place in which a command may be cut, that reading no
+// more than what is missing ends exactly at the command's end.
+func TestMissingSizeEndsAtCommand(t *testing.T) {
+	for name, command := range map[string]string{
+		"get":          string(AppendCommand(nil, VerbGet, "key", "id", "c=read,d=1000")),
+		"set":          string(AppendCommand(nil, VerbSet, "key", "id", "c=put,d=1000", strings.Repeat("v", 12_000))),
+		"empty value":  string(AppendCommand(nil, VerbSet, "key", "id", "c=put,d=1000", "")),
+		"ping":         string(AppendCommand(nil, VerbPing)),
+		"inline":       "PING\r\n",
+		"many element": "*12\r\n" + strings.Repeat("$1\r\na\r\n", 12),
+	} {
+		for cut := 1; cut < len(command); cut++ {
+			received := cut
+			for reads := 0; received < len(command); reads++ {
+				if args, size, err := NextCommand([]byte(command[:received])); size > 0 || err != nil {
+					t.Fatalf("%s, %d bytes: %q of %d bytes, %v", name, received, args, size, err)
+				}
+				missing := MissingSize([]byte(command[:received]))
+				if missing < 1 || received+missing > len(command) {
+					t.Fatalf("%s: %d bytes are missing behind %d of %d", name, missing, received, len(command))
+				}
+				if reads > 100 {
+					t.Fatalf("%s: more than %d reads", name, reads)
+				}
+				received += missing
+			}
+			if args, size, err := NextCommand([]byte(command)); size != len(command) || err != nil {
+				t.Fatalf("%s: %q of %d bytes, %v", name, args, size, err)
+			}
+		}
+	}
+}
+
+// TestMissingSizeOfRubbish checks that bytes which are no command are read on one by one.
+func TestMissingSizeOfRubbish(t *testing.T) {
+	for _, b := range []string{"*", "*x\r\n", "*2\r\nfoo", "*1\r\n$-1\r\n", "*99999999999999999999\r\n", "\r", "$"} {
+		if got := MissingSize([]byte(b)); got < 1 || got > 2*minBulkSize {
+			t.Errorf("%q: %d", b, got)
+		}
+	}
+}
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -15,15 +15,17 @@
 	maxIdleBuffer  = 8 << 10                 // bytes of the buffer that a connection keeps between commands
 	commandTimeout = 2200 * time.Millisecond // for a connection's first command, and for the rest of any partial one
 	evictGrace     = 100 * time.Millisecond  // for the rest of a partial command on a connection that is evicted
+	finalGrace     = 100 * time.Millisecond  // for the rest of the command at which the reading of a connection ends
 )
 
+// errCommandTimeout says that the rest of a command did not come in time. What may still come of it has
+// not been read.
+var errCommandTimeout = errors.New("the command did not come whole in time")
+
 // errIdleClose says that the connection is to be closed, and that no command is lost with it.
 var errIdleClose = errors.New("connection closed between commands")
 
-var (
-	errCommandTooBig  = errors.New("too big a command")
-	errCommandTimeout = errors.New("the command did not come whole in time")
-)
+var errCommandTooBig = errors.New("too big a command")
 
 // protocolError says that what a client sent is not a command, or not a complete one. The
 // connection ends with it, since the next command cannot be found.
@@ -47,6 +49,10 @@
 	arrival  arrivalTime // of the last bytes in buf
 	ahead    readAhead   // received behind buf while the reply queue was full
 	late     int         // bytes read by readArrived since the last command
+
+	ending   bool      // the connection ends with the command that is being read, if there is one
+	endBy    time.Time // when it has to be complete
+	quitting bool      // that is so because of a QUIT
 }
 
 // newCommandReader makes a reader that expects the first command in time: a silent peer must not
@@ -69,7 +75,7 @@
 			return c.readFailed(err)
 		}
 		if state := c.handleCommand(args, raw, r.arrival.at); state != connOpen {
-			return state, stateReason(state)
+			return state, closedByClient
 		}
 		if len(args) > 0 {
 			c.hasCommand.Store(true)
@@ -84,7 +90,7 @@
 	var malformed *protocolError
 	switch {
 	case errors.Is(err, errCommandTimeout):
-		return c.replyAndLeave((&protocolError{errCommandTimeout}).reply(), connMalformed), closedIncomplete
+		return c.replyAndLeave(c.incompleteReply(), connClosing), closedIncomplete
 	case errors.As(err, &malformed):
 		return c.replyAndLeave(malformed.reply(), connMalformed), closedMalformed
 	case errors.Is(err, errIdleClose):
@@ -94,17 +100,20 @@
 	}
 }
 
-// stateReason returns why a connection ends whose last command has left it in the given state.
-func stateReason(state connState) closeReason {
-	if state == connGone {
-		return closedByClient
+// incompleteReply returns the reply to a command that did not come whole in time. Where the router gave
+// it less time than usual, the client did nothing wrong and may send the command again.
+func (c *clientConn) incompleteReply() []byte {
+	if c.reader.ending || c.reader.evicting {
+		return []byte(resp.BusyReply)
 	}
-	return closedQuit
+	return (&protocolError{errCommandTimeout}).reply()
 }
 
 // idleCloseReason returns why the router closes the connection between commands.
 func (c *clientConn) idleCloseReason() closeReason {
 	switch {
+	case c.reader.quitting:
+		return closedQuit
 	case c.srv.readingEnded.Load():
 		return closedFinalReplies
 	case c.evicting.Load():
@@ -154,14 +163,13 @@
 	}
 	r.updateDeadline()
 	r.conn.nc.SetReadDeadline(r.deadline)
-	partial := len(r.buf) > 0
 	switch {
-	case r.conn.srv.readingEnded.Load():
+	case r.isEnding():
 		return r.readLast()
-	case !partial && r.conn.closesBetweenRequests():
+	case len(r.buf) == 0 && r.conn.closesBetweenRequests():
 		return r.readArrived(errIdleClose)
 	}
-	_, err := r.readWith(r.conn.nc.Read)
+	_, err := r.readWith(r.conn.nc.Read, cap(r.buf))
 	switch {
 	case err == nil:
 		return nil
@@ -170,21 +178,22 @@
 	case r.deadline.IsZero() || time.Now().Before(r.deadline):
 		return nil // closeWhenIdle has interrupted the read: the next one checks whether to close
 	case len(r.buf) > 0:
-		return r.readArrived(&protocolError{errCommandTimeout})
+		return r.readArrived(errCommandTimeout)
 	default:
 		return r.readArrived(errIdleClose)
 	}
 }
 
-// readWith adds what one call of read returns to the buffer and notes when it has arrived.
-func (r *commandReader) readWith(read func([]byte) (int, error)) (n int, err error) {
+// readWith adds what one call of read returns to the buffer, to the given number of bytes there, and
+// notes when it has arrived.
+func (r *commandReader) readWith(read func([]byte) (int, error), most int) (n int, err error) {
 	clock := r.conn.srv.loop.clock
 	waited := r.arrival.mayHaveWaited(clock()) && r.conn.nc.HasUnread()
-	n, err = read(r.buf[len(r.buf):cap(r.buf)])
+	n, err = read(r.buf[len(r.buf):most])
 	r.buf = r.buf[:len(r.buf)+n]
 	if n > 0 {
 		age, ageErr := r.conn.nc.LastDataAge()
-		r.arrival.noteRead(clock(), waited, len(r.buf) == cap(r.buf))
+		r.arrival.noteRead(clock(), waited, len(r.buf) == most)
 		if ageErr == nil {
 			r.arrival.noteDataAge(age.Microseconds())
 		}
@@ -194,12 +203,28 @@
 	return n, err
 }
 
-// readLast takes what may still be read once the last replies of a drain are due: only the first
-// command of a connection, which is answered at once.
+// isEnding reports whether no further command may be begun.
+func (r *commandReader) isEnding() bool {
+	if !r.ending && r.conn.srv.readingEnded.Load() {
+		r.end()
+	}
+	return r.ending
+}
+
+// end has the connection end with the command that is being read, if there is one. Its rest may have
+// arrived already.
+func (r *commandReader) end() {
+	r.ending = true
+	r.endBy = time.Now().Add(finalGrace)
+}
+
+// readLast takes what may still be read of a connection that is to end: the first command, if it has
+// had none, and the rest of a command of which a part has been read. Nothing is read beyond that
+// command, as each that is read has to be answered, while a client sends an unread one once more.
 func (r *commandReader) readLast() error {
 	switch {
 	case len(r.buf) > 0:
-		return &protocolError{errCommandTimeout}
+		return r.readRest()
 	case r.conn.hasCommand.Load():
 		return errIdleClose
 	default:
@@ -207,6 +232,23 @@
 	}
 }
 
+// readRest reads at most the rest of the partial command in the buffer.
+func (r *commandReader) readRest() error {
+	most := min(cap(r.buf), len(r.buf)+resp.MissingSize(r.buf))
+	n, err := r.readWith(r.conn.nc.ReadArrived, most)
+	if n > 0 || err != nil {
+		return err
+	}
+	if !time.Now().Before(r.endBy) {
+		return errCommandTimeout
+	}
+	r.conn.nc.SetReadDeadline(r.endBy)
+	if _, err := r.readWith(r.conn.nc.Read, most); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	return nil // the next look is the last one
+}
+
 // readArrived takes the last look at the socket before the connection is given up for a reason, which
 // it returns if nothing has arrived. The deadline of a read may pass without a look, and a request
 // that arrived before must be served. After many bytes without a command it looks no more.
@@ -214,7 +256,7 @@
 	if r.late > resp.MaxCommandSize {
 		return reason
 	}
-	n, err := r.readWith(r.conn.nc.ReadArrived)
+	n, err := r.readWith(r.conn.nc.ReadArrived, cap(r.buf))
 	r.late += n
 	if n == 0 && err == nil {
 		return reason
--- /dev/null
+++ b/internal/router/last_command_test.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// The reading of a connection ends at the end of a command: each one that is read, in part or in full,
+// is answered, and what follows it stays unread, so that its client may send it once more.
+
+// lastCommandTest is a router that fails each request at once, with one client.
+type lastCommandTest struct {
+	t      *testing.T
+	router *runningRouter
+	system *faultySystem
+	client *testClient
+}
+
+func newLastCommandTest(t *testing.T, edit func(*Server)) *lastCommandTest {
+	t.Helper()
+	srv := newReadyServer(t)
+	srv.loop.engine = &failingEngine{}
+	if edit != nil {
+		edit(srv)
+	}
+	system := useFaultySystem(srv)
+	router := startServer(t, srv)
+	client := dial(t, router.addr)
+	client.send(encodeCommand("PING"))
+	client.wantLine("+PONG")
+	system.bytesRead.Store(0)
+	return &lastCommandTest{t, router, system, client}
+}
+
+// waitForBytes waits until the router has read so many bytes.
+func (l *lastCommandTest) waitForBytes(n int) {
+	l.t.Helper()
+	waitUntil(l.t, "bytes read", func() bool { return l.system.bytesRead.Load() == int64(n) })
+}
+
+// wantEnd checks that the router ends the connection and has read so many bytes, whatever else the
+// client sends.
+func (l *lastCommandTest) wantEnd(bytesRead int) {
+	l.t.Helper()
+	l.client.wantClosed()
+	l.client.close()
+	l.router.waitForNoClients(l.t)
+	if got := l.system.bytesRead.Load(); got != int64(bytesRead) {
+		l.t.Errorf("%d bytes were read, want %d", got, bytesRead)
+	}
+}
+
+// TestDrainReadsCommandToItsEnd checks that a command of which a part was read before the last replies
+// of a drain were due is read to its end and answered, and that nothing behind it is read.
+func TestDrainReadsCommandToItsEnd(t *testing.T) {
+	for name, command := range map[string]string{
+		"get": getCommand("r1"),
+		"set": encodeCommand("C.SET", "k", "r1", "c=put,d=20000,k=1", strings.Repeat("v", 30_000)),
+	} {
+		for _, part := range []int{1, 10, len(command) / 2, len(command) - 1} {
+			t.Run(name, func(t *testing.T) {
+				l := newLastCommandTest(t, nil)
+				l.client.send(command[:part])
+				l.waitForBytes(part)
+				l.router.srv.endReading()
+				l.client.send(command[part:] + strings.Repeat(command, 3))
+				l.client.wantLine("-ERR failed") // the loop has not been told of a drain, and asks the engine
+				l.wantEnd(len(command))
+			})
+		}
+	}
+}
+
+// TestDrainEndsWithinPipeline checks that a pipeline whose end is not read yet is answered up to the
+// command in which the reading ends.
+func TestDrainEndsWithinPipeline(t *testing.T) {
+	l := newLastCommandTest(t, nil)
+	command := getCommand("r1")
+	const commands = 5
+	heldUp := fault{begun: make(chan struct{}), resume: make(chan struct{}), maxBytes: commands*len(command) - 7}
+	l.system.inject(callRead, heldUp)
+	l.client.send(strings.Repeat(command, 2*commands)) // the waiting read takes a part of it, ...
+	receive(t, heldUp.begun, "read")
+	l.router.srv.endReading() // ... and returns when no more is to be read
+	close(heldUp.resume)
+	for range commands {
+		l.client.wantLine("-ERR failed")
+	}
+	l.wantEnd(commands * len(command))
+}
+
+// TestIncompleteCommandIsNotReadOn checks that what comes behind a reply to an incomplete command stays
+// unread: the rest of the command, and commands of a client that was slow only.
+func TestIncompleteCommandIsNotReadOn(t *testing.T) {
+	const short = 50 * time.Millisecond
+	for name, c := range map[string]struct {
+		edit func(*Server)
+		end  func(*Server)
+		want string
+	}{
+		"time for a command": {
+			edit: func(srv *Server) { srv.commandTimeout = short },
+			end:  func(*Server) {},
+			want: "-ERR Protocol error: " + errCommandTimeout.Error(),
+		},
+		"eviction": {
+			end: func(srv *Server) {
+				srv.mu.Lock()
+				defer srv.mu.Unlock()
+				for c := range srv.clients {
+					c.evicting.Store(true)
+					c.closeWhenIdle()
+				}
+			},
+			want: "-BUSY",
+		},
+		"drain": {end: (*Server).endReading, want: "-BUSY"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLastCommandTest(t, c.edit)
+			command := getCommand("r1")
+			part := len(command) / 2
+			l.client.send(command[:part])
+			l.waitForBytes(part)
+			c.end(l.router.srv)
+			l.client.wantLine(c.want)
+			l.client.send(command[part:] + strings.Repeat(command, 3))
+			l.wantEnd(part)
+		})
+	}
+}
+
+// TestCommandsBehindQuitAreAnswered checks that commands which are read together with a QUIT before
+// them are answered.
+func TestCommandsBehindQuitAreAnswered(t *testing.T) {
+	l := newLastCommandTest(t, nil)
+	command := getCommand("r1")
+	quit := encodeCommand("QUIT")
+	l.client.send(quit + command + command[:5])
+	l.client.wantLine("+OK")
+	l.client.wantLine("-ERR failed")
+	l.client.send(command[5:] + command)
+	l.client.wantLine("-ERR failed")
+	l.wantEnd(len(quit) + 2*len(command))
+}
