Let the connections to a cache rest longer once it has sent a late second reply

Cause: replies carry no id. A second reply that comes later than the settle time of 10 ms, when the connection carries the next request, is taken for the reply to that, the reply to that for the one to the request after it, and so on: each made seven to ten wrong answers, across clients. The router saw most second replies, on connections at rest, and forgot them with the connection.

Change: a pool remembers for a minute, up to the next start of the cache, how long after a reply the latest second one came; its connections rest four times as long, 0.2 s at most, and others are dialed meanwhile.

What is left are the first links; they can't be told (docs/KNOWN_ISSUES.md).

--- a/internal/router/dial.go
+++ b/internal/router/dial.go
@@ -29,8 +29,8 @@
 	routeFault             // no route leads to the server, perhaps for a moment
 )
 
-// dialMissing dials as many connections as are needed and allowed, counting the idle ones that have
-// not settled. A dial for each request of a burst would fill the server's connection table and cost
+// dialMissing dials as many connections as are needed and allowed, counting the idle ones that settle
+// soon. A dial for each request of a burst would fill the server's connection table and cost
 // it time.
 func (p *pool) dialMissing() {
 	for p.needsConn() && p.loop.acquireDescriptor() {
@@ -45,8 +45,13 @@
 	if p.loop.now < p.dialPausedUntil {
 		return false
 	}
-	wanted := min(len(p.queue), maxDials)
-	return p.dialing+len(p.idle) < wanted && len(p.conns) < p.maxConns
+	available := p.dialing
+	for _, c := range p.idle {
+		if p.settlesSoon(c) {
+			available++
+		}
+	}
+	return available < min(len(p.queue), maxDials) && len(p.conns) < p.maxConns
 }
 
 // dialDone takes the outcome of a dial: a connection, or an error.
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -116,7 +116,7 @@
 		return
 	}
 	p.settleTimerSet = true
-	p.loop.schedule(p.idle[0].idleSince+p.loop.settleTime, func() {
+	p.loop.schedule(p.idle[0].idleSince+p.settleTime(), func() {
 		p.settleTimerSet = false
 		p.dispatch()
 	})
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -36,7 +36,8 @@
 	dialFault           dialFault   // of the last dials, if the router's own machine was at fault
 	dialPause           policy.Time // length of the last pause of dials
 	dialPausedUntil     policy.Time
-	queue               []*attempt // first in, first out
+	queue               []*attempt  // first in, first out
+	lateReplies         lateReplies // of the server's present incarnation
 }
 
 func newPool(l *eventLoop, name string) *pool {
@@ -79,6 +80,7 @@
 // restart closes the idle connections to the server's earlier incarnation.
 func (p *pool) restart(startedAt policy.Time) {
 	p.startedAt = startedAt
+	p.lateReplies = lateReplies{}
 	for _, c := range slices.Clone(p.idle) {
 		if !c.matchesEndpoint() {
 			p.closeConn(c)
@@ -122,7 +124,7 @@
 func (p *pool) takeSettledConn() *upstreamConn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
-		if c.isNew() || c.idleSince+p.loop.settleTime <= p.loop.now {
+		if c.isNew() || c.idleSince+p.settleTime() <= p.loop.now {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return c
 		}
--- a/internal/router/upstream_conn.go
+++ b/internal/router/upstream_conn.go
@@ -75,12 +75,10 @@
 		return
 	}
 	a := c.attempt
-	if a == nil {
-		c.noteUnsolicited()
-	}
 	if a == nil || a.state != attemptWritten || sequence != c.sequence.Load() {
 		// It replies to no request, or arrived before the request was completely written. Later replies
 		// can't be assigned to requests either.
+		c.noteUnsolicited(a == nil || a.state == attemptWritten)
 		c.connectionLost()
 		return
 	}
@@ -93,13 +91,6 @@
 	c.pool.release(c)
 }
 
-// noteUnsolicited counts and logs bytes of the server that no request has asked for.
-func (c *upstreamConn) noteUnsolicited() {
-	loop := c.pool.loop
-	loop.statistics.unsolicited.Add(1)
-	loop.logger.fault("unsolicited bytes from a cache", "cache", c.pool.name, "idle", microseconds(loop.now-c.idleSince))
-}
-
 // connectionLost handles the end of the connection.
 func (c *upstreamConn) connectionLost() {
 	c.pool.closeConn(c)
--- a/internal/router/upstream_write.go
+++ b/internal/router/upstream_write.go
@@ -47,6 +47,9 @@
 		c.pool.returnUnused(c)
 		return c.pool.loop.endIfClientGone(a.request, err)
 	case n == 0 && err != nil:
+		if c.nc.HasBytes() {
+			c.noteUnsolicited(!isNew)
+		}
 		c.failUnsent(a, isNew)
 		return true
 	}
--- a/internal/soaktest/cache_test.go
+++ b/internal/soaktest/cache_test.go
@@ -43,6 +43,8 @@
 	listener net.Listener
 	judge    *judge
 	share    float64 // of the requests that meet a fault
+	// handle replies to a request instead, if it is not nil, and reports whether the connection goes on.
+	handle func(nc *net.TCPConn, id string) bool
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -96,6 +98,12 @@
 		}
 		id := string(cmd.Args[resp.IDArgument])
 		fault, faulty, service := c.draw()
+		if c.handle != nil {
+			if !c.handle(nc, id) {
+				return
+			}
+			continue
+		}
 		c.judge.attemptArrived(attempt{
 			id:       id,
 			cache:    c.name,
@@ -112,8 +120,7 @@
 
 // reply replies to a request and reports whether the connection goes on.
 func (c *cache) reply(nc *net.TCPConn, id string, fault cacheFault, faulty bool) bool {
-	value := servedBy(id)
-	wire := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(value), value)
+	wire := servedWire(id)
 	if !faulty {
 		_, err := io.WriteString(nc, wire)
 		return err == nil
@@ -151,6 +158,12 @@
 	return err == nil
 }
 
+// servedWire is the reply of a cache that serves a request.
+func servedWire(id string) string {
+	value := servedBy(id)
+	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(value), value)
+}
+
 // servedBy is the value of the reply to a request.
 func servedBy(id string) string { return "value-of-" + id }
 
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -210,6 +210,12 @@
 	return n > 0 || err != nil && !errors.Is(err, syscall.EAGAIN)
 }
 
+// HasBytes reports whether bytes are known to have been received that are not read yet.
+func (c *Conn) HasBytes() bool {
+	n, err := c.peek()
+	return err == nil && n > 0
+}
+
 // peek looks for a byte that has arrived, without reading it.
 func (c *Conn) peek() (n int, err error) {
 	controlErr := c.raw.Control(func(fd uintptr) {
