End keyed repeats 0.15 s before caches forget the key

Cause: the window in which a request may be repeated with its key had no margin for a process that is held up between its last look at the clock and the write (docs/KNOWN_ISSUES.md); its effect could happen twice.

Change: repeats have to start 0.15 s before the window ends.

--- a/policy/retries.go
+++ b/policy/retries.go
@@ -7,6 +7,10 @@
 const (
 	retryRatio         = .05 // retries and hedges per request, in the long run
 	maxFleetRetryBurst = 20  // ... and in one burst, over all routers
+
+	// dedupMargin is how long before caches forget a request's key its repeats end: the process may be held up
+	// between its last look at the clock and the write.
+	dedupMargin Time = 150_000
 )
 
 // canSend is the one check of whether a request may be sent to the cache, be it again or for the first time.
@@ -25,7 +29,7 @@
 			continue
 		}
 		if req.class.Effect == NonIdempotent || !inDedupScope(req.class.DedupScope, a.cache, c) ||
-			e.now >= a.sentAt+req.class.KeyTTL {
+			e.now >= req.repeatsEnd(a) {
 			return false // it may have run, and its effect must not happen twice
 		}
 	}
@@ -35,7 +39,7 @@
 // repeatDeadline is the latest start of attempt n, as caches then forget the request's key; 0 is no limit.
 func (r *request) repeatDeadline(n int) (deadline Time) {
 	for _, a := range r.attempts[:n] {
-		expires := a.sentAt + r.class.KeyTTL
+		expires := r.repeatsEnd(a)
 		if r.class.Effect == IdempotentWithKey && !a.neverRan && (deadline == 0 || expires < deadline) {
 			deadline = expires
 		}
@@ -43,6 +47,9 @@
 	return deadline
 }
 
+// repeatsEnd is when repeats of an attempt that may have run have to have started.
+func (r *request) repeatsEnd(a attempt) Time { return a.sentAt + r.class.KeyTTL - dedupMargin }
+
 func inDedupScope(s DedupScope, a, b *cache) bool {
 	return s == ScopeAll || s == ScopeZone && a.Zone == b.Zone || s == ScopeGroup && a.Group == b.Group
 }
--- a/policy/retries_test.go
+++ b/policy/retries_test.go
@@ -173,7 +173,7 @@
 			retry := retries[len(retries)-1]
 			want := Time(0)
 			if keyed && ran {
-				want = sent + 500*ms
+				want = sent + 500*ms - dedupMargin
 			}
 			if retry.StartBefore != want {
 				t.Errorf("%s after result %d: next attempt %+v, want it by %d", class, result, retry, want)
