--- a/internal/soaktest/unread_test.go
+++ b/internal/soaktest/unread_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/prometheus/procfs"
+	"golang.org/x/sys/unix"
 )
 
 // timeWait is the state of a socket that is closed on both sides. What was left unread is not known of it.
@@ -32,3 +34,19 @@
 	}
 	return 0, false
 }
+
+// awaitHangup waits for the end of a connection to arrive from the peer. It reports false if none does
+// in time.
+func awaitHangup(nc *net.TCPConn, timeout time.Duration) bool {
+	raw, err := nc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	hungUp := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, pollErr := unix.Poll(fds, int(timeout.Milliseconds()))
+		hungUp = pollErr == nil && n > 0
+	})
+	return hungUp || err != nil // the client has closed it
+}
