Soak: ask for one socket by netlink instead of reading the list of all

Behind some thousand sockets in TIME_WAIT a look at /proc/net/tcp took up to 70 ms, held up the test and missed sockets.

--- a/internal/soaktest/unread_test.go
+++ b/internal/soaktest/unread_test.go
@@ -4,35 +4,19 @@
 	"net"
 	"time"
 
-	"github.com/prometheus/procfs"
+	"github.com/vishvananda/netlink"
 	"golang.org/x/sys/unix"
 )
 
-// timeWait is the state of a socket that is closed on both sides. What was left unread is not known of it.
-const timeWait = 6
-
 // unreadBy returns how many bytes have arrived on the router's side of a connection that the router
-// has not read. It reports false if that side is not there any more.
+// has not read. It reports false if that side is not there any more, or if it is closed on both sides,
+// as what was left unread is not known of it then.
 func unreadBy(router, client net.Addr) (unread int64, ok bool) {
-	fs, err := procfs.NewDefaultFS()
-	if err != nil {
-		return 0, false
-	}
-	sockets, err := fs.NetTCP()
-	if err != nil {
+	s, err := netlink.SocketGet(router, client)
+	if err != nil || s.State == netlink.TCP_TIME_WAIT {
 		return 0, false
 	}
-	local, remote := router.(*net.TCPAddr), client.(*net.TCPAddr)
-	for _, s := range sockets {
-		if s.St == timeWait {
-			continue
-		}
-		isLocal := s.LocalPort == uint64(local.Port) && s.LocalAddr.Equal(local.IP)
-		if isLocal && s.RemPort == uint64(remote.Port) && s.RemAddr.Equal(remote.IP) {
-			return int64(s.RxQueue), true
-		}
-	}
-	return 0, false
+	return int64(s.RQueue), true
 }
 
 // awaitHangup waits for the end of a connection to arrive from the peer. It reports false if none does
