Bound the reads for the rest of a command at which a connection ends

Cause: the end of an inline command, or of a length without an end, is sought byte by byte when the last replies of a drain are due: 34,819 reads for 34 KB of rubbish, at the one moment at which the router must not be slow.

Change: an inline command, which no proper client sends, ends the connection at once; the rest of any other is read with 1,024 reads at most. TestRubbishEndsAtOnce failed without it and passes.

--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -6,6 +6,8 @@
 	"os"
 	"time"
 
+	"github.com/tidwall/redcon"
+
 	"marlstage/internal/resp"
 	"marlstage/policy"
 )
@@ -16,6 +18,7 @@
 	commandTimeout = 2200 * time.Millisecond // for a connection's first command, and for the rest of any partial one
 	evictGrace     = 100 * time.Millisecond  // for the rest of a partial command on a connection that is evicted
 	finalGrace     = 100 * time.Millisecond  // for the rest of the command at which the reading of a connection ends
+	maxFinalReads  = 1 << 10                 // of that rest; a proper command of a quick client needs a few dozen
 )
 
 // errCommandTimeout says that the rest of a command did not come in time. What may still come of it has
@@ -52,6 +55,7 @@
 
 	ending   bool      // the connection ends with the command that is being read, if there is one
 	endBy    time.Time // when it has to be complete
+	endReads int       // reads of its rest
 	quitting bool      // that is so because of a QUIT
 }
 
@@ -232,8 +236,12 @@
 	}
 }
 
-// readRest reads at most the rest of the partial command in the buffer.
+// readRest reads at most the rest of the partial command in the buffer. An inline command, which no
+// proper client sends, has an end that is not known in advance: it would be read byte by byte.
 func (r *commandReader) readRest() error {
+	if r.endReads++; r.buf[0] != redcon.Array || r.endReads > maxFinalReads {
+		return errCommandTimeout
+	}
 	most := min(cap(r.buf), len(r.buf)+resp.MissingSize(r.buf))
 	n, err := r.readWith(r.conn.nc.ReadArrived, most)
 	if n > 0 || err != nil {
--- a/internal/router/last_command_test.go
+++ b/internal/router/last_command_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"marlstage/internal/resp"
 )
 
 // The reading of a connection ends at the end of a command: each one that is read, in part or in full,
@@ -144,3 +146,29 @@
 	l.client.wantLine("-ERR failed")
 	l.wantEnd(len(quit) + 2*len(command))
 }
+
+// TestRubbishEndsAtOnce checks that the end of bytes that have none is not sought byte by byte when the
+// last replies of a drain are due.
+func TestRubbishEndsAtOnce(t *testing.T) {
+	for name, rubbish := range map[string]string{
+		"inline":         strings.Repeat("x", resp.MaxCommandSize/2),
+		"endless length": "*" + strings.Repeat("1", resp.MaxCommandSize/2),
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLastCommandTest(t, nil)
+			heldUp := fault{begun: make(chan struct{}), resume: make(chan struct{}), maxBytes: 1}
+			l.system.inject(callRead, heldUp)
+			l.client.send(rubbish)
+			receive(t, heldUp.begun, "read")
+			l.router.srv.endReading()
+			close(heldUp.resume)
+			if reply := l.client.readLine(); reply != "-BUSY" && !strings.HasPrefix(reply, "-ERR Protocol error") {
+				t.Errorf("reply %q", reply)
+			}
+			l.client.wantClosed()
+			if reads := l.system.callCount(callRead); reads > 2*maxFinalReads {
+				t.Errorf("%d reads", reads)
+			}
+		})
+	}
+}
