--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -40,7 +40,7 @@
 	case resp.VerbPing:
 		return c.reply(c.pingReply(args))
 	case resp.VerbQuit:
-		c.reader.quitting = true
+		c.reader.last.afterQuit = true
 		c.reader.end() // commands behind it that have been read are answered, too
 		return c.reply([]byte(resp.OKReply))
 	case resp.VerbGet, resp.VerbSet:
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -6,8 +6,6 @@
 	"os"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"marlstage/internal/resp"
 	"marlstage/policy"
 )
@@ -17,8 +15,6 @@
 	maxIdleBuffer  = 8 << 10                 // bytes of the buffer that a connection keeps between commands
 	commandTimeout = 2200 * time.Millisecond // for a connection's first command, and for the rest of any partial one
 	evictGrace     = 100 * time.Millisecond  // for the rest of a partial command on a connection that is evicted
-	finalGrace     = 100 * time.Millisecond  // for the rest of the command at which the reading of a connection ends
-	maxFinalReads  = 1 << 10                 // of that rest; a proper command of a quick client needs a few dozen
 )
 
 // errCommandTimeout says that the rest of a command did not come in time. What may still come of it has
@@ -52,11 +48,7 @@
 	arrival  arrivalTime // of the last bytes in buf
 	ahead    readAhead   // received behind buf while the reply queue was full
 	late     int         // bytes read by readArrived since the last command
-
-	ending   bool      // the connection ends with the command that is being read, if there is one
-	endBy    time.Time // when it has to be complete
-	endReads int       // reads of its rest
-	quitting bool      // that is so because of a QUIT
+	last     lastCommand // how the reading ends, once it does
 }
 
 // newCommandReader makes a reader that expects the first command in time: a silent peer must not
@@ -107,7 +99,7 @@
 // incompleteReply returns the reply to a command that did not come whole in time. Where the router gave
 // it less time than usual, the client did nothing wrong and may send the command again.
 func (c *clientConn) incompleteReply() []byte {
-	if c.reader.ending || c.reader.evicting {
+	if c.reader.last.isNext || c.reader.evicting {
 		return []byte(resp.BusyReply)
 	}
 	return (&protocolError{errCommandTimeout}).reply()
@@ -116,7 +108,7 @@
 // idleCloseReason returns why the router closes the connection between commands.
 func (c *clientConn) idleCloseReason() closeReason {
 	switch {
-	case c.reader.quitting:
+	case c.reader.last.afterQuit:
 		return closedQuit
 	case c.srv.readingEnded.Load():
 		return closedFinalReplies
@@ -207,56 +199,6 @@
 	return n, err
 }
 
-// isEnding reports whether no further command may be begun.
-func (r *commandReader) isEnding() bool {
-	if !r.ending && r.conn.srv.readingEnded.Load() {
-		r.end()
-	}
-	return r.ending
-}
-
-// end has the connection end with the command that is being read, if there is one. Its rest may have
-// arrived already.
-func (r *commandReader) end() {
-	r.ending = true
-	r.endBy = time.Now().Add(finalGrace)
-}
-
-// readLast takes what may still be read of a connection that is to end: the first command, if it has
-// had none, and the rest of a command of which a part has been read. Nothing is read beyond that
-// command, as each that is read has to be answered, while a client sends an unread one once more.
-func (r *commandReader) readLast() error {
-	switch {
-	case len(r.buf) > 0:
-		return r.readRest()
-	case r.conn.hasCommand.Load():
-		return errIdleClose
-	default:
-		return r.readArrived(errIdleClose)
-	}
-}
-
-// readRest reads at most the rest of the partial command in the buffer. An inline command, which no
-// proper client sends, has an end that is not known in advance: it would be read byte by byte.
-func (r *commandReader) readRest() error {
-	if r.endReads++; r.buf[0] != redcon.Array || r.endReads > maxFinalReads {
-		return errCommandTimeout
-	}
-	most := min(cap(r.buf), len(r.buf)+resp.MissingSize(r.buf))
-	n, err := r.readWith(r.conn.nc.ReadArrived, most)
-	if n > 0 || err != nil {
-		return err
-	}
-	if !time.Now().Before(r.endBy) {
-		return errCommandTimeout
-	}
-	r.conn.nc.SetReadDeadline(r.endBy)
-	if _, err := r.readWith(r.conn.nc.Read, most); !errors.Is(err, os.ErrDeadlineExceeded) {
-		return err
-	}
-	return nil // the next look is the last one
-}
-
 // readArrived takes the last look at the socket before the connection is given up for a reason, which
 // it returns if nothing has arrived. The deadline of a read may pass without a look, and a request
 // that arrived before must be served. After many bytes without a command it looks no more.
--- a/internal/router/last_command_test.go
+++ b/internal/router/last_command_test.go
@@ -166,7 +166,7 @@
 				t.Errorf("reply %q", reply)
 			}
 			l.client.wantClosed()
-			if reads := l.system.callCount(callRead); reads > 2*maxFinalReads {
+			if reads := l.system.callCount(callRead); reads > 2*maxLastReads {
 				t.Errorf("%d reads", reads)
 			}
 		})
