--- a/internal/soaktest/soak_test.go
+++ b/internal/soaktest/soak_test.go
@@ -25,9 +25,6 @@
 
 // TestSoak plays timelines drawn by seed and judges every request.
 func TestSoak(t *testing.T) {
-	if testing.Short() {
-		t.Skip("takes a minute")
-	}
 	program := buildRouter(t)
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
