Bound the lengths from which the rest of a command is reckoned

A client's own count of elements, or length of one, went into a product and a sum that overflow: for * MissingSize returned a negative size, and for a length of 2^63-1 it panicked. Where a connection ends within such a command, at a drain or behind QUIT, the router could have crashed.

Change: a length beyond the largest command counts as no header, so one byte is asked for; the number of reads is bounded already.

Result: four cases of TestMissingSizeOfRubbish failed or panicked without it and pass.

--- a/internal/resp/frame.go
+++ b/internal/resp/frame.go
@@ -72,14 +72,14 @@
 }
 
 // header returns the length in the first line of b, and the size of that line. It reports false if the
-// line is not complete or is no header of the given kind.
+// line is not complete, is no header of the given kind, or has a length that no command can have.
 func header(b []byte, kind redcon.Type) (length, size int, ok bool) {
 	line, _, complete := bytes.Cut(b, lineEnd)
 	if !complete || len(line) == 0 || line[0] != byte(kind) {
 		return 0, 0, false
 	}
 	length, err := strconv.Atoi(string(line[1:]))
-	if err != nil || length < 0 {
+	if err != nil || length < 0 || length > MaxCommandSize {
 		return 0, 0, false
 	}
 	return length, len(line) + len(lineEnd), true
--- a/internal/resp/frame_test.go
+++ b/internal/resp/frame_test.go
@@ -40,7 +40,11 @@
 
 // TestMissingSizeOfRubbish checks that bytes which are no command are read on one by one.
 func TestMissingSizeOfRubbish(t *testing.T) {
-	for _, b := range []string{"*", "*x\r\n", "*2\r\nfoo", "*1\r\n$-1\r\n", "*99999999999999999999\r\n", "\r", "$"} {
+	for _, b := range []string{
+		"*", "*x\r\n", "*2\r\nfoo", "*1\r\n$-1\r\n", "*99999999999999999999\r\n", "\r", "$",
+		"*4611686018427387904\r\n", "*9223372036854775807\r\n$1", "*1\r\n$4611686018427387904\r\nx",
+		"*1\r\n$9223372036854775807\r\nx",
+	} {
 		if got := MissingSize([]byte(b)); got < 1 || got > 2*minBulkSize {
 			t.Errorf("%q: %d", b, got)
 		}
