Log stalls by heartbeats, rejections by reason, and clients that leave when their reply is due

Cause: the logs of the incident show stalls only where a timer was due in the event loop, tell nothing of a client that gives up when its reply should have come, and count rejections that the policy does not see without a reason.

Change: a heartbeat every 20 ms notes each time of 30 ms or more in which the process did not run; it replaces the look at the first timer. The line of statistics has stalls, rejects by reason and abandoned_when_due; a request whose client leaves within 0.15 s of its deadline or later is logged with its attempts.

Result: no decision changes. TestStatisticsLine covers the new counts.

--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -29,6 +29,7 @@
 	events        chan func()
 	logger        *eventLogger
 	statistics    *statistics
+	stalls        *stallMonitor
 	done          chan struct{} // closed when the loop has ended
 	started       time.Time     // a reading of the monotonic clock ...
 	startedUnix   policy.Time   // ... and of the wall clock, which may be off, at the same moment
@@ -91,6 +92,7 @@
 		endpointsVersion: cfg.Known.Version,
 		startTimes:       newStartTimes(),
 	}
+	l.stalls = newStallMonitor(l.clock, l.noteStall)
 	// A client's PING may be answered before the loop has applied the known endpoints.
 	l.canServe.Store(cfg.Known.HasInService())
 	return l, nil
@@ -122,6 +124,7 @@
 func (l *eventLoop) run(ctx context.Context) {
 	defer close(l.done)
 	go l.logger.run(l.done)
+	go l.stalls.run(l.done)
 	l.ctx = ctx
 	l.now = l.clock()
 	l.applyKnownEndpoints()
@@ -141,33 +144,21 @@
 			l.closePools()
 			return
 		case f := <-l.events:
-			l.beginTurn()
+			l.now = l.clock()
 			f()
 		case <-alarm.C:
-			l.beginTurn()
+			l.now = l.clock()
 		}
 		l.deliverEvents()
 		l.runDueTimers()
 	}
 }
 
-// beginTurn reads the clock for the next event. A timer that is long due shows that the process was
-// held up.
-func (l *eventLoop) beginTurn() {
-	l.now = l.clock()
-	if len(l.timers) == 0 {
-		return
-	}
-	if late := l.now - l.timers[0].at; late > holdUpThreshold {
-		l.heldUp(late)
-	}
-}
-
-// heldUp notes that the process did nothing for a time in microseconds although it should have. Any
-// goroutine may call it.
-func (l *eventLoop) heldUp(duration policy.Time) {
-	l.statistics.noteHoldUp(duration)
-	l.logger.fault("process was held up", "for", time.Duration(duration)*time.Microsecond)
+// noteStall counts and logs that the process did not run for a time in microseconds. Any goroutine may
+// call it.
+func (l *eventLoop) noteStall(duration policy.Time) {
+	l.statistics.noteStall(duration)
+	l.logger.fault("process was stalled", "for", microseconds(duration))
 }
 
 // logStatistics logs the statistics now and then. A router that starts has none yet.
--- a/internal/router/log_queue_test.go
+++ b/internal/router/log_queue_test.go
@@ -26,13 +26,16 @@
 	s := &statistics{}
 	s.requests.Add(3)
 	s.results[requestRejected].Add(2)
+	s.rejects[rejectMemory].Add(1)
+	s.abandonedWhenDue.Add(4)
 	s.clientEnd[closedIncomplete].Add(1)
-	s.noteHoldUp(150_000)
-	s.noteHoldUp(100_000)
+	s.noteStall(150_000)
+	s.noteStall(100_000)
 	s.log(logger)
 	line := string(<-logger.queue.lines)
 	for _, want := range []string{
-		"requests=3", "results.rejected=2", "client_ends.incomplete=1", "hold_ups=2", "longest_hold_up=150ms",
+		"requests=3", "results.rejected=2", "client_ends.incomplete=1", "rejects.no_memory=1", "abandoned_when_due=4",
+		"stalls=2", "longest_stall=150ms",
 	} {
 		if !strings.Contains(line, want) {
 			t.Errorf("no %s in %q", want, line)
--- a/internal/router/request_log.go
+++ b/internal/router/request_log.go
@@ -9,15 +9,6 @@
 	"marlstage/policy"
 )
 
-// rejectReason is why a command is rejected without asking the policy.
-type rejectReason string
-
-const (
-	rejectTooMany  rejectReason = "too many open requests"
-	rejectDraining rejectReason = "the last replies of the drain are due"
-	rejectMemory   rejectReason = "no memory left for requests"
-)
-
 // externalID is the request's id on the wire.
 func (r *request) externalID() string { return string(r.command.Args[resp.IDArgument]) }
 
@@ -25,10 +16,11 @@
 func (l *eventLoop) noteRejected(c *clientConn, cmd resp.Command, reason rejectReason) {
 	l.statistics.requests.Add(1)
 	l.statistics.results[requestRejected].Add(1)
+	l.statistics.rejects[reason].Add(1)
 	if !l.logger.debugs() {
 		return
 	}
-	l.logger.Debug("request rejected", "id", string(cmd.Args[resp.IDArgument]), "client", c, "reason", string(reason))
+	l.logger.Debug("request rejected", "id", string(cmd.Args[resp.IDArgument]), "client", c, "reason", reason)
 }
 
 // noteAccepted counts and logs a request that the policy decides about.
@@ -50,6 +42,12 @@
 		l.statistics.late.Add(1)
 		l.logger.fault("late reply", "id", r.externalID(), "client", r.client, "result", result, "late", microseconds(late))
 	}
+	if result == requestAbandoned && late > -maxStall.Microseconds() {
+		// A client that leaves just then has perhaps waited for a reply that should have come.
+		l.statistics.abandonedWhenDue.Add(1)
+		l.logger.fault("client left when its reply was due", "id", r.externalID(), "client", r.client,
+			"time_left", microseconds(-late), "attempts", r.describeAttempts())
+	}
 	if !l.logger.debugs() {
 		return
 	}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -22,7 +22,7 @@
 // acceptRequest takes a command of a client, which arrived at the given time, and reports it to the
 // engine as a request.
 func (l *eventLoop) acceptRequest(c *clientConn, slot *replySlot, cmd resp.Command, arrivedAt policy.Time) {
-	if reason := l.rejectsUnseen(); reason != "" {
+	if reason, rejected := l.rejectsUnseen(); rejected {
 		l.noteRejected(c, cmd, reason)
 		slot.fill([]byte(resp.BusyReply)) // the engine does not see it, and it is never forwarded
 		return
@@ -52,15 +52,15 @@
 	})
 }
 
-// rejectsUnseen returns why a request can't be accepted; it is empty if it can.
-func (l *eventLoop) rejectsUnseen() rejectReason {
+// rejectsUnseen reports whether a request can't be accepted, and why.
+func (l *eventLoop) rejectsUnseen() (reason rejectReason, rejected bool) {
 	switch {
 	case l.cfg.Transport.MaxOpen > 0 && l.openRequests >= l.cfg.Transport.MaxOpen:
-		return rejectTooMany
+		return rejectTooMany, true
 	case l.drainDeadline > 0 && l.now >= l.drainDeadline:
-		return rejectDraining
+		return rejectDraining, true
 	default:
-		return ""
+		return 0, false
 	}
 }
 
--- a/internal/router/statistics.go
+++ b/internal/router/statistics.go
@@ -10,7 +10,6 @@
 
 const (
 	statisticsInterval = 60_000_000 // microseconds between two lines of statistics
-	holdUpThreshold    = 20_000     // microseconds without a turn of the event loop that count as a hold-up
 	lateReplyMargin    = 50_000     // microseconds beyond its deadline from which on a reply counts as late
 )
 
@@ -18,16 +17,19 @@
 type statistics struct {
 	requests  atomic.Int64
 	results   [requestResults]atomic.Int64
-	late      atomic.Int64 // final replies that came late
+	rejects   [rejectReasons]atomic.Int64 // without asking the policy
+	late      atomic.Int64                // final replies that came late
 	attempts  atomic.Int64
 	retries   atomic.Int64                       // attempts of a request that had one before, hedged requests included
 	outcomes  [policy.NotStored + 1]atomic.Int64 // by policy.Result
 	clientEnd [closeReasons]atomic.Int64         // connections of clients, by why they ended
 
-	unsolicited   atomic.Int64 // connections to caches that ended because of bytes nobody asked for
+	unsolicited      atomic.Int64 // connections to caches that ended because of bytes nobody asked for
+	abandonedWhenDue atomic.Int64 // requests whose client left about when their reply was due
+
 	commandErrors atomic.Int64 // commands that can be parsed, but that no proper client sends
-	holdUps       atomic.Int64
-	longestHoldUp atomic.Int64 // microseconds
+	stalls        atomic.Int64
+	longestStall  atomic.Int64 // microseconds
 }
 
 // requestResult is how a request ended.
@@ -45,6 +47,20 @@
 	return [requestResults]string{"served", "rejected", "failed", "abandoned"}[r]
 }
 
+// rejectReason is why a command is rejected without asking the policy.
+type rejectReason uint8
+
+const (
+	rejectTooMany  rejectReason = iota // as many requests are open as the settings allow
+	rejectDraining                     // the last replies of the drain are due
+	rejectMemory                       // no memory is left for requests
+	rejectReasons                      // the number of reasons
+)
+
+func (r rejectReason) String() string {
+	return [rejectReasons]string{"too_many_open", "draining", "no_memory"}[r]
+}
+
 // closeReason is why the connection of a client ended.
 type closeReason uint8
 
@@ -66,12 +82,12 @@
 	}[r]
 }
 
-// noteHoldUp counts a time in microseconds in which the process did nothing although it should have.
-func (s *statistics) noteHoldUp(duration policy.Time) {
-	s.holdUps.Add(1)
+// noteStall counts a time in microseconds in which the process did not run.
+func (s *statistics) noteStall(duration policy.Time) {
+	s.stalls.Add(1)
 	for {
-		longest := s.longestHoldUp.Load()
-		if duration <= longest || s.longestHoldUp.CompareAndSwap(longest, duration) {
+		longest := s.longestStall.Load()
+		if duration <= longest || s.longestStall.CompareAndSwap(longest, duration) {
 			return
 		}
 	}
@@ -79,19 +95,21 @@
 
 // log writes the counts since the start as one line.
 func (s *statistics) log(logger *eventLogger) {
-	longest := time.Duration(s.longestHoldUp.Load()) * time.Microsecond
+	longest := time.Duration(s.longestStall.Load()) * time.Microsecond
 	logger.Info("statistics",
 		slog.Int64("requests", s.requests.Load()),
 		slog.Attr{Key: "results", Value: groupOf(s.results[:], func(i int) string { return requestResult(i).String() })},
+		slog.Attr{Key: "rejects", Value: groupOf(s.rejects[:], func(i int) string { return rejectReason(i).String() })},
 		slog.Int64("late", s.late.Load()),
+		slog.Int64("abandoned_when_due", s.abandonedWhenDue.Load()),
 		slog.Int64("attempts", s.attempts.Load()),
 		slog.Int64("retries", s.retries.Load()),
 		slog.Attr{Key: "outcomes", Value: groupOf(s.outcomes[:], func(i int) string { return policy.Result(i).String() })},
 		slog.Attr{Key: "client_ends", Value: groupOf(s.clientEnd[:], func(i int) string { return closeReason(i).String() })},
 		slog.Int64("unsolicited", s.unsolicited.Load()),
 		slog.Int64("command_errors", s.commandErrors.Load()),
-		slog.Int64("hold_ups", s.holdUps.Load()),
-		slog.Duration("longest_hold_up", longest),
+		slog.Int64("stalls", s.stalls.Load()),
+		slog.Duration("longest_stall", longest),
 		slog.Int64("dropped_lines", logger.queue.dropped.Load()),
 		slog.Int64("suppressed_lines", logger.suppressed.Load()),
 	)
