--- a/internal/soaktest/cache_test.go
+++ b/internal/soaktest/cache_test.go
@@ -44,7 +44,7 @@
 	name     string
 	listener net.Listener
 	judge    *judge
-	share    float64 // of the requests that meet a fault
+	plan     *plan
 	// handle replies to a request instead, if it is not nil, and reports whether the connection goes on.
 	handle func(nc *net.TCPConn, id string) bool
 
@@ -59,7 +59,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	c := &cache{name: name, listener: listener, judge: j, share: p.faultShare, rng: newRand(p.seed, part)}
+	c := &cache{name: name, listener: listener, judge: j, plan: p, rng: newRand(p.seed, part)}
 	go func() {
 		for {
 			nc, err := listener.Accept()
@@ -80,7 +80,8 @@
 func (c *cache) draw() (fault cacheFault, faulty bool, service time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return cacheFault(c.rng.IntN(int(cacheFaults))), c.rng.Float64() < c.share, randomDuration(c.rng, 0, maxServiceTime)
+	service = randomDuration(c.rng, c.plan.minServiceTime, c.plan.maxServiceTime)
+	return cacheFault(c.rng.IntN(int(cacheFaults))), c.rng.Float64() < c.plan.faultShare, service
 }
 
 // serve replies to the commands of a connection until it ends.
--- a/internal/soaktest/plan_test.go
+++ b/internal/soaktest/plan_test.go
@@ -27,6 +27,9 @@
 	idleClients    int // of each router, that connect and send nothing more
 	descriptors    int
 	discoveryDown  bool // until shortly before the first SIGTERM
+	untoldArrivals bool // the system does not tell when bytes arrived
+	minServiceTime time.Duration
+	maxServiceTime time.Duration // of a request that a cache serves at once
 	faultShare     float64
 	signals        []plannedSignal
 	length         time.Duration
@@ -47,6 +50,7 @@
 		routers:        2 + rng.IntN(5),
 		caches:         3 + rng.IntN(3),
 		descriptors:    manyDescriptors,
+		maxServiceTime: maxServiceTime,
 		discoveryDown:  rng.IntN(3) == 0,
 		faultShare:     0.3 * rng.Float64(),
 	}
--- a/internal/soaktest/process_test.go
+++ b/internal/soaktest/process_test.go
@@ -68,8 +68,8 @@
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	r := &routerProcess{cmd: exec.Command(program)}
-	r.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path)
+	r := &routerProcess{cmd: routerCommand(t, program, p)}
+	r.cmd.Env = append(r.cmd.Env, "BALANCER_CONFIG="+path)
 	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	stderr, err := r.cmd.StderrPipe()
 	if err != nil {
@@ -92,6 +92,17 @@
 	return r
 }
 
+// routerCommand returns the command that runs the router on the system that the plan asks for.
+func routerCommand(t *testing.T, program string, p *plan) *exec.Cmd {
+	t.Helper()
+	if p.untoldArrivals {
+		return withoutTCPInfo(t, program)
+	}
+	cmd := exec.Command(program)
+	cmd.Env = os.Environ()
+	return cmd
+}
+
 // readLog keeps the lines of the log and reports the address that the router serves on.
 func (r *routerProcess) readLog(lines *bufio.Scanner, serving chan<- string) {
 	for lines.Scan() {
