Count deadlines from the earliest possible arrival after a stall of the process

Cause: an arrival that the router could not know was taken for the latest possible one, the read.

Change: the stall monitor bounds the arrival of what a reader gets within 20 ms after a stall by the stall's begin, or the connection's read before. Connections that are accepted late count from when the listener's queue was last seen empty.

TestStallMonitor and TestArrivalDuringStall are new.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -48,7 +48,7 @@
 				return err
 			}
 		default:
-			s.beginAcceptStall()
+			s.noteAcceptStall()
 			if failures.needBackoff(err) {
 				time.Sleep(s.acceptBackoff)
 			}
@@ -86,7 +86,7 @@
 // others.
 func (s *Server) waitForDescriptor() bool {
 	for !s.descriptors.acquireClient() {
-		s.beginAcceptStall()
+		s.noteAcceptStall()
 		if c := s.longestIdle(); c != nil {
 			c.evicting.Store(true)
 			c.closeWhenIdle()
@@ -101,10 +101,12 @@
 	return true
 }
 
-// beginAcceptStall notes that connections may wait in the listener's queue from now on.
-func (s *Server) beginAcceptStall() {
-	if s.acceptStalledSince == 0 {
-		s.acceptStalledSince = s.loop.clock()
+// noteAcceptStall notes that connections which are not in the listener's queue yet may wait there from
+// now on.
+func (s *Server) noteAcceptStall() {
+	now := s.loop.clock()
+	if s.acceptStalledSince == 0 || !socket.HasQueuedConnections(s.system, s.listener) {
+		s.acceptStalledSince = now
 	}
 }
 
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -66,16 +66,16 @@
 }
 
 // firstBytesSince returns since when bytes may lie unread on a new connection. Where the system can't
-// tell when they arrived, they count from now.
+// tell when they arrived, they count from the earliest time at which they may have.
 func (c *clientConn) firstBytesSince(queuedSince, now policy.Time) policy.Time {
-	if queuedSince == 0 {
-		return now
+	since := c.srv.loop.stalls.arrivedSince(now)
+	if queuedSince != 0 {
+		since = min(since, queuedSince)
 	}
-	age, err := c.nc.LastDataAge()
-	if err != nil {
-		return now
+	if age, err := c.nc.LastDataAge(); err == nil {
+		since = max(since, now-age.Microseconds())
 	}
-	return max(queuedSince, now-age.Microseconds())
+	return since
 }
 
 // closeWhenIdle has the connection closed as soon as it has no request in flight.
--- a/internal/router/command_arrival.go
+++ b/internal/router/command_arrival.go
@@ -38,7 +38,7 @@
 }
 
 // noteDataAge takes how many microseconds before the last read the last bytes arrived, as the system
-// tells. A process that is held up reads late what arrived meanwhile, though its reader was waiting
+// tells. A process that is stalled reads late what arrived meanwhile, though its reader was waiting
 // for it. What arrived before the previous read was read with that.
 func (t *arrivalTime) noteDataAge(age policy.Time) {
 	if age >= minDataAge {
@@ -46,7 +46,11 @@
 	}
 }
 
-// noteEmptyRead takes a read that has ended without bytes, as it was interrupted.
+// noteStall takes the earliest time at which the bytes of the last read may have arrived, as the process
+// was stalled before. What arrived before the previous read was read with that.
+func (t *arrivalTime) noteStall(since policy.Time) { t.at = min(t.at, max(since, t.previousAt)) }
+
+// noteEmptyRead takes a read or a look that has found no bytes.
 func (t *arrivalTime) noteEmptyRead(now policy.Time) {
 	t.readAt, t.filled = now, false
 }
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -183,22 +183,38 @@
 // readWith adds what one call of read returns to the buffer, to the given number of bytes there, and
 // notes when it has arrived.
 func (r *commandReader) readWith(read func([]byte) (int, error), most int) (n int, err error) {
-	clock := r.conn.srv.loop.clock
-	waited := r.arrival.mayHaveWaited(clock()) && r.conn.nc.HasUnread()
+	loop := r.conn.srv.loop
+	waited := r.lookForUnread()
 	n, err = read(r.buf[len(r.buf):most])
 	r.buf = r.buf[:len(r.buf)+n]
 	if n > 0 {
 		age, ageErr := r.conn.nc.LastDataAge()
-		r.arrival.noteRead(clock(), waited, len(r.buf) == most)
+		now := loop.clock()
+		r.arrival.noteRead(now, waited, len(r.buf) == most)
+		// A system that tells the age of the last bytes does not tell that of those before them.
+		r.arrival.noteStall(loop.stalls.arrivedSince(now))
 		if ageErr == nil {
 			r.arrival.noteDataAge(age.Microseconds())
 		}
 	} else if !waited {
-		r.arrival.noteEmptyRead(clock())
+		r.arrival.noteEmptyRead(loop.clock())
 	}
 	return n, err
 }
 
+// lookForUnread reports whether bytes are unread that may have arrived long ago.
+func (r *commandReader) lookForUnread() bool {
+	now := r.conn.srv.loop.clock()
+	if !r.arrival.mayHaveWaited(now) {
+		return false
+	}
+	if r.conn.nc.HasUnread() {
+		return true
+	}
+	r.arrival.noteEmptyRead(now)
+	return false
+}
+
 // readArrived takes the last look at the socket before the connection is given up for a reason, which
 // it returns if nothing has arrived. The deadline of a read may pass without a look, and a request
 // that arrived before must be served. After many bytes without a command it looks no more.
--- a/internal/router/read_ahead.go
+++ b/internal/router/read_ahead.go
@@ -13,18 +13,19 @@
 // readAhead holds bytes that were read before the commands ahead of them could be handled.
 type readAhead struct {
 	bytes []byte
-	since policy.Time // when the first of them was read, ...
-	until policy.Time // ... and when the last was
+	since policy.Time // by which the first of them had not arrived yet, ...
+	until policy.Time // ... and when the last was read
 }
 
 // readMore reads what has arrived while the reply queue is full. Left unread it would fill the
 // receive window, and a client's end behind it would stay hidden while attempts for it begin.
 func (r *commandReader) readMore() {
 	memory := r.conn.srv.memory
-	r.ahead.until = r.conn.srv.loop.clock()
 	if len(r.ahead.bytes) == 0 {
-		r.ahead.since = r.ahead.until
+		// What had arrived by the last look was read with that.
+		r.ahead.since = max(r.arrival.readAt, r.ahead.until)
 	}
+	r.ahead.until = r.conn.srv.loop.clock()
 	for len(r.ahead.bytes) < maxReadAhead && r.conn.nc.HasUnread() && memory.tryAcquire(readAheadStep) {
 		step := make([]byte, readAheadStep)
 		n, err := r.conn.nc.ReadArrived(step)
--- a/internal/router/stall_monitor.go
+++ b/internal/router/stall_monitor.go
@@ -11,18 +11,24 @@
 	// heartbeatInterval is the time between two heartbeats.
 	heartbeatInterval = 20 * time.Millisecond
 	// minStall is the time in microseconds without a heartbeat from which on the process counts as having
-	// been stalled.
+	// been stalled. Clients allow for as much beside the travel time of a reply.
 	minStall policy.Time = 30_000
+	// backlogTime is how long after a stall, in microseconds, bytes may be read for the first time that
+	// arrived during it.
+	backlogTime policy.Time = 20_000
 )
 
-// stallMonitor notes the times in which the process did not run, by heartbeats that are missing. Any
-// goroutine may use it.
+// stallMonitor notes the times in which the process did not run, by heartbeats that are missing. A client
+// counts the timeout of a request from when it has sent it, and nothing else tells on each system how
+// long the request has waited for a process that was stalled. Any goroutine may use it.
 type stallMonitor struct {
 	clock    func() policy.Time
 	reported func(duration policy.Time) // is told of each stall
 
 	mu       sync.Mutex
 	lastBeat policy.Time // latest time at which the process was seen running
+	begin    policy.Time // of the last stall, or of the first in a series, ...
+	end      policy.Time // ... and the end of the last one
 }
 
 func newStallMonitor(clock func() policy.Time, reported func(duration policy.Time)) *stallMonitor {
@@ -60,5 +66,24 @@
 	if now-previous < minStall {
 		return 0
 	}
+	if previous >= m.end+backlogTime {
+		m.begin = previous
+	} else {
+		// What arrived during the stall before may still be unread, but for no longer than another one.
+		m.begin = max(m.begin, previous-maxStall.Microseconds())
+	}
+	m.end = now
 	return now - previous
 }
+
+// arrivedSince returns the earliest time at which bytes may have arrived that a waiting reader gets at the
+// given time. That it gets them now says when they arrived only if the process has been running.
+func (m *stallMonitor) arrivedSince(now policy.Time) policy.Time {
+	m.beat(now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now < m.end+backlogTime {
+		return min(now, m.begin)
+	}
+	return now
+}
--- /dev/null
+++ b/internal/router/stall_monitor_test.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"testing"
+
+	"marlstage/policy"
+)
+
+// TestStallMonitor checks since when bytes may have arrived that are read after heartbeats, and stalls.
+func TestStallMonitor(t *testing.T) {
+	const (
+		start    policy.Time = 1_000_000
+		interval             = policy.Time(20_000)
+		longest              = policy.Time(150_000)
+	)
+	for name, c := range map[string]struct {
+		beats  []policy.Time // after the start
+		readAt policy.Time   // after the start, too
+		want   policy.Time
+		stalls int
+	}{
+		"running":               {[]policy.Time{interval, 2 * interval}, 2*interval + 5, 2*interval + 5, 0},
+		"a heartbeat is late":   {[]policy.Time{interval}, interval + minStall - 1, interval + minStall - 1, 0},
+		"read ends a stall":     {[]policy.Time{interval}, interval + longest, interval, 1},
+		"read behind a stall":   {[]policy.Time{interval, interval + longest}, interval + longest + backlogTime - 1, interval, 1},
+		"read long behind it":   {[]policy.Time{longest, longest + interval}, longest + backlogTime, longest + backlogTime, 1},
+		"two stalls in a row":   {[]policy.Time{interval, interval + 50_000, interval + 60_000}, interval + 120_000, interval, 2},
+		"two long ones":         {[]policy.Time{800_000, 810_000}, 810_000 + longest, 810_000 - longest, 2},
+		"two stalls apart":      {[]policy.Time{longest, longest + backlogTime}, 2*longest + backlogTime, longest + backlogTime, 2},
+		"an older clock's read": {[]policy.Time{longest}, longest - 1, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stalls := 0
+			m := newStallMonitor(func() policy.Time { return start }, func(policy.Time) { stalls++ })
+			for _, beat := range c.beats {
+				m.beat(start + beat)
+			}
+			if got := m.arrivedSince(start+c.readAt) - start; got != c.want {
+				t.Errorf("arrived since %d, want %d", got, c.want)
+			}
+			if stalls != c.stalls {
+				t.Errorf("%d stalls, want %d", stalls, c.stalls)
+			}
+		})
+	}
+}
+
+// TestArrivalDuringStall checks that bytes which may have arrived during a stall count as the oldest that
+// they can be, but not as older than the read before.
+func TestArrivalDuringStall(t *testing.T) {
+	const previous, begin, now = policy.Time(1_000_000), policy.Time(1_100_000), policy.Time(1_250_000)
+	for name, c := range map[string]struct {
+		previous, since, want policy.Time
+	}{
+		"stalled while it waited": {previous, begin, begin},
+		"read during the stall":   {begin + 10, begin, begin + 10},
+		"running":                 {previous, now, now},
+	} {
+		t.Run(name, func(t *testing.T) {
+			arrival := arrivalTime{readAt: c.previous}
+			arrival.noteRead(now, false, false)
+			arrival.noteStall(c.since)
+			if arrival.at != c.want {
+				t.Errorf("arrived at %d, want %d", arrival.at, c.want)
+			}
+		})
+	}
+}
