Read on behind full reply queues, and start nothing for a client whose end may be hidden

Behind 512 commands in flight and 272 KiB read ahead the reader stopped; the receive window filled, the client's end waited in its own machine, and the look at the socket counted as connected. Attempts began up to 0.52 s after their client had closed.

Change: the reader never stops while requests are in flight. Commands beyond what may be in flight and read ahead are rejected, in order, those in a row in one slot; rubbish is discarded without a bound while replies are due.

TestReplyBeforeRubbish sends its rubbish in two parts, as the first is discarded now.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -88,8 +88,10 @@
 
 func (a *attempt) dequeue() {
 	p := a.pool
-	if i := slices.Index(p.queue, a); i >= 0 {
-		p.queue = append(p.queue[:i], p.queue[i+1:]...)
+	for _, queue := range []*[]*attempt{&p.queue, &p.postponed} {
+		if i := slices.Index(*queue, a); i >= 0 {
+			*queue = slices.Delete(*queue, i, i+1)
+		}
 	}
 }
 
--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -85,9 +85,13 @@
 		return c.reply([]byte(resp.BusyReply))
 	}
 	slot.charge = charge
-	if !c.enqueue(slot) {
+	if result := c.enqueue(slot); result != enqueued {
 		slot.memory.release(slot.charge)
-		return connGone
+		if result == enqueueGone {
+			return connGone
+		}
+		c.srv.loop.noteRejected(c, cmd, rejectPipelined)
+		return connOpen
 	}
 	c.srv.loop.post(func() { c.srv.loop.acceptRequest(c, slot, cmd, arrivedAt) })
 	return connOpen
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	maxPipelined        = 512                     // commands of one connection that may await their replies
-	maxDiscarded        = 4 * resp.MaxCommandSize // bytes read and discarded after the last command
+	maxPipelined        = 512                     // commands of one connection that may await their replies; more are rejected
+	maxDiscarded        = 4 * resp.MaxCommandSize // bytes read and discarded after the last command, once all replies are written
 	discardBufferSize   = 4 << 10                 // bytes discarded with one read, at most
 	hangupCheckInterval = 25 * time.Millisecond   // between checks for a disconnect while nothing is read
 )
@@ -35,13 +35,15 @@
 	nc             *socket.Conn
 	requests       map[int64]*request // without a final reply; owned by the event loop
 	reader         *commandReader     // owned by the reader's goroutine
-	replies        chan *replySlot    // in the order of the commands
-	draining       atomic.Bool        // the connection is to be closed between requests
-	evicting       atomic.Bool        // it is drained for want of descriptors, so a partial command is given less time
-	pendingReplies atomic.Int64       // commands whose reply is not written
-	aheadCharge    atomic.Int64       // bytes acquired for what is read ahead
-	hasCommand     atomic.Bool        // a command has been received
-	lastReplyAt    atomic.Int64       // when the last reply was written, or the connection accepted; policy.Time
+	replies        *replyQueue
+	draining       atomic.Bool  // the connection is to be closed between requests
+	evicting       atomic.Bool  // it is drained for want of descriptors, so a partial command is given less time
+	pendingReplies atomic.Int64 // commands whose reply is not written
+	awaitsRoom     atomic.Bool  // the reader waits for a reply to be written, or for bytes to read ahead
+	readingStopped atomic.Bool  // what arrives stays unread
+	aheadCharge    atomic.Int64 // bytes acquired for what is read ahead
+	hasCommand     atomic.Bool  // a command has been received
+	lastReplyAt    atomic.Int64 // when the last reply was written, or the connection accepted; policy.Time
 
 	lingering   atomic.Bool   // all replies are written, and the client is given time to read them, ...
 	lingerEnd   atomic.Int64  // ... until then, ...
@@ -56,7 +58,7 @@
 		srv:       s,
 		nc:        nc,
 		requests:  map[int64]*request{},
-		replies:   make(chan *replySlot, maxPipelined),
+		replies:   newReplyQueue(),
 		readEnded: make(chan struct{}),
 	}
 	now := s.loop.clock()
@@ -103,7 +105,7 @@
 	state, reason := c.readCommands()
 	c.noteClosed(reason, c.reader.unhandled())
 	c.reader.dropAhead()
-	close(c.replies)
+	c.replies.close()
 	switch state {
 	case connGone:
 		c.reportGone()
@@ -123,6 +125,7 @@
 // nothing: a request that is read would have to be answered, while the client sends one once more
 // that was left unread.
 func (c *clientConn) awaitHangup() {
+	c.readingStopped.Store(true)
 	for {
 		c.nc.SetReadDeadline(time.Now().Add(c.lingerWait()))
 		if c.lingerOver() {
@@ -137,10 +140,11 @@
 
 // discard reads and drops what the client sends behind a malformed command, for as long as replies
 // are due and the client may read them. A client that sends all before it reads, and a short error
-// reply, would otherwise not meet.
+// reply, would otherwise not meet. While requests are in flight there is no other bound: the client's end
+// would stay hidden behind what is left unread.
 func (c *clientConn) discard() {
 	buf := make([]byte, discardBufferSize)
-	for total := 0; total < maxDiscarded; {
+	for total := 0; total < maxDiscarded || c.pendingReplies.Load() > 0; {
 		n, err := c.nc.Read(buf)
 		total += n
 		switch {
@@ -160,37 +164,58 @@
 	c.awaitHangup()
 }
 
-// enqueue queues a reply slot for the writer and reports whether the client is still connected.
-// While the queue is full no reader waits on the socket, so a disconnect has to be checked for.
-func (c *clientConn) enqueue(slot *replySlot) bool {
+// enqueueResult is what came of a command's reply slot.
+type enqueueResult uint8
+
+const (
+	enqueued        enqueueResult = iota
+	enqueueRejected               // the command is rejected
+	enqueueGone                   // the client has disconnected
+)
+
+// enqueue queues the reply slot of a command. While the queue is full, what the client sends is read
+// ahead; when no more of it can be, the command is rejected.
+func (c *clientConn) enqueue(slot *replySlot) enqueueResult {
 	c.pendingReplies.Add(1)
+	if c.replies.tryAdd(slot) {
+		return enqueued
+	}
+	c.awaitsRoom.Store(true)
+	defer c.awaitsRoom.Store(false)
 	for {
-		select {
-		case c.replies <- slot:
-			return true
-		default:
-		}
-		select {
-		case c.replies <- slot:
-			return true
-		case <-time.After(hangupCheckInterval):
-			c.reader.readMore()
-			if c.hungUp() {
-				return false
-			}
+		// The writer interrupts the wait for bytes from here on.
+		c.nc.SetReadDeadline(time.Now().Add(hangupCheckInterval))
+		switch {
+		case c.replies.tryAdd(slot):
+			return enqueued
+		case !c.reader.readMore():
+			c.replies.addRejected()
+			return enqueueRejected
+		case c.hungUp():
+			return enqueueGone
 		}
+		_ = c.nc.AwaitReadable() // its error, if it is not the deadline, shows with the next look
 	}
 }
 
 // reply queues a reply of the router's own and leaves the connection open.
-func (c *clientConn) reply(reply []byte) connState { return c.replyAndLeave(reply, connOpen) }
-
-// replyAndLeave queues a reply of the router's own and returns the next state of the connection.
-func (c *clientConn) replyAndLeave(reply []byte, next connState) connState {
+func (c *clientConn) reply(reply []byte) connState {
 	slot := newReplySlot(c.srv.memory)
-	if !c.enqueue(slot) {
+	switch c.enqueue(slot) {
+	case enqueueGone:
 		return connGone
+	case enqueued:
+		slot.fill(reply) // only now, as the writer releases the reply's memory
 	}
-	slot.fill(reply) // only now, as the writer releases the reply's memory
+	return connOpen
+}
+
+// replyAndLeave queues the last reply, one of the router's own, and returns the next state of the
+// connection.
+func (c *clientConn) replyAndLeave(reply []byte, next connState) connState {
+	slot := newReplySlot(c.srv.memory)
+	c.pendingReplies.Add(1)
+	c.replies.addLast(slot)
+	slot.fill(reply)
 	return next
 }
--- a/internal/router/client_writer.go
+++ b/internal/router/client_writer.go
@@ -1,14 +1,18 @@
 package router
 
 import (
+	"bytes"
 	"errors"
 	"os"
 	"time"
+
+	"marlstage/internal/resp"
 )
 
 const (
 	writeTimeout       = 5 * time.Second        // for a reply to a client that does not read
 	writeRetryInterval = 100 * time.Millisecond // between attempts to write to a socket that took nothing
+	maxRejectionBatch  = 512                    // rejections that are written at once
 	lingerTime         = time.Second            // for a client to read the last reply before its connection is closed
 )
 
@@ -16,13 +20,20 @@
 func (c *clientConn) writeLoop() {
 	defer c.srv.wg.Done()
 	connected, answered := true, false
-	for slot := range c.replies {
-		reply := c.awaitReply(slot)
-		if connected {
-			connected = c.writeReply(reply)
-			answered = true
+	for slot := c.replies.next(); slot != nil; slot = c.replies.next() {
+		if c.awaitsRoom.Load() {
+			c.interruptRead()
 		}
-		c.replyDone(slot, reply)
+		answered = answered || connected
+		if slot.rejected > 0 {
+			connected = connected && c.writeRejections(slot.rejected)
+			c.repliesDone(slot.rejected)
+			continue
+		}
+		reply := c.awaitReply(slot)
+		connected = connected && c.writeReply(reply)
+		slot.memory.release(slot.charge + int64(len(reply)))
+		c.repliesDone(1)
 	}
 	// Connections that were never answered are closed at once: while they linger, they occupy
 	// descriptors that queued connections need. A request that has just arrived is unread.
@@ -59,6 +70,18 @@
 	return false
 }
 
+// writeRejections rejects so many commands and reports whether the client is still connected.
+func (c *clientConn) writeRejections(commands int) bool {
+	for commands > 0 {
+		batch := min(commands, maxRejectionBatch)
+		if !c.writeReply(bytes.Repeat([]byte(resp.BusyReply), batch)) {
+			return false
+		}
+		commands -= batch
+	}
+	return true
+}
+
 // writeAll writes all bytes within the timeout. It does not rely on the event that a socket has room
 // again, as there is none where a write was refused for want of memory.
 func (c *clientConn) writeAll(b []byte) error {
@@ -73,12 +96,11 @@
 	}
 }
 
-// replyDone releases what was reserved for a reply. If the connection is to be closed and no other
+// repliesDone notes that so many replies are written. If the connection is to be closed and no other
 // reply is due, it interrupts the reader.
-func (c *clientConn) replyDone(slot *replySlot, reply []byte) {
-	slot.memory.release(slot.charge + int64(len(reply)))
+func (c *clientConn) repliesDone(replies int) {
 	c.lastReplyAt.Store(c.srv.loop.clock())
-	if c.pendingReplies.Add(-1) == 0 && c.draining.Load() {
+	if c.pendingReplies.Add(-int64(replies)) == 0 && c.draining.Load() {
 		c.interruptRead()
 	}
 }
--- a/internal/router/close_crossing_test.go
+++ b/internal/router/close_crossing_test.go
@@ -171,6 +171,8 @@
 	value := strings.Repeat("v", resp.MaxValueSize)
 	receive(t, cache.commands, "command").reply(t, "*3\r\n$65536\r\n"+value+"\r\n$3\r\nhit\r\n$-1\r\n")
 	client.wantUnreadBytes()
+	client.send(rubbishBeyondDiscard()[:4*discardBufferSize]) // while a reply is due, what comes before is discarded
+	client.waitForDelivery()
 	client.wantLine(value)
 	if got := client.readLine(); !strings.HasPrefix(got, "-ERR ") {
 		t.Errorf("reply %q", got)
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -24,7 +24,7 @@
 }
 
 // clientCheckInterval is the time between checks of a client's connection that fail.
-const clientCheckInterval = time.Millisecond
+const clientCheckInterval = 2 * time.Millisecond
 
 // submit sends an attempt on an idle connection, or queues it for one.
 func (p *pool) submit(a *attempt) {
@@ -58,8 +58,7 @@
 			return
 		}
 		if !c.writeAttempt(a) {
-			p.dispatchAfterClientCheck()
-			return
+			p.postpone(a)
 		}
 	}
 }
@@ -96,17 +95,23 @@
 	}
 }
 
-// dispatchAfterClientCheck sets a timer for the next check of the client at the head of the queue,
-// one at most.
-func (p *pool) dispatchAfterClientCheck() {
-	if p.clientCheckTimerSet {
-		return
+// postpone takes the attempt at the head of the queue out of it until the next check of its client. Those
+// behind it must not wait for that.
+func (p *pool) postpone(a *attempt) {
+	p.queue = p.queue[1:]
+	p.postponed = append(p.postponed, a)
+	p.loop.statistics.postponedAttempts.Add(1)
+	if len(p.postponed) > 1 {
+		return // the timer is set
 	}
-	p.clientCheckTimerSet = true
-	p.loop.scheduleAfter(clientCheckInterval.Microseconds(), func() {
-		p.clientCheckTimerSet = false
-		p.dispatch()
-	})
+	p.loop.scheduleAfter(clientCheckInterval.Microseconds(), p.resumePostponed)
+}
+
+// resumePostponed queues the postponed attempts again.
+func (p *pool) resumePostponed() {
+	p.queue = append(p.queue, p.postponed...)
+	p.postponed = nil
+	p.dispatch()
 }
 
 // dispatchWhenSettled sets a timer for when the first idle connection settles. There is one timer at
--- a/internal/router/faulty_system_test.go
+++ b/internal/router/faulty_system_test.go
@@ -24,6 +24,7 @@
 	callPeek           systemCall = "peek"
 	callPoll           systemCall = "poll"
 	callUnacknowledged systemCall = "unacknowledged bytes"
+	callUnreadBytes    systemCall = "unread bytes"
 	callLastDataAge    systemCall = "last data age"
 )
 
@@ -175,6 +176,13 @@
 	return s.Linux.UnacknowledgedBytes(fd)
 }
 
+func (s *faultySystem) UnreadBytes(fd int) (int, error) {
+	if f := s.next(callUnreadBytes, fd); f.err != nil {
+		return 0, f.err
+	}
+	return s.Linux.UnreadBytes(fd)
+}
+
 func (s *faultySystem) LastDataAge(fd int) (time.Duration, error) {
 	if f := s.next(callLastDataAge, fd); f.err != nil {
 		return 0, f.err
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -22,22 +22,22 @@
 // pool holds the connections to one cache server and the attempts that are queued for one. All of
 // it belongs to the event loop.
 type pool struct {
-	loop                *eventLoop
-	name                string
-	addr                string
-	startedAt           policy.Time // start of the server's incarnation, by the endpoint list
-	inService           bool        // by the endpoint list, new requests may be sent to the server
-	conns               map[*upstreamConn]struct{}
-	idle                []*upstreamConn // in the order of their last use
-	dialing             int             // connections that are being established
-	settleTimerSet      bool            // a timer is set for when an idle connection has settled
-	clientCheckTimerSet bool            // a timer is set for another check of the client at the head of the queue
-	maxConns            int
-	dialFault           dialFault   // of the last dials, if the router's own machine was at fault
-	dialPause           policy.Time // length of the last pause of dials
-	dialPausedUntil     policy.Time
-	queue               []*attempt  // first in, first out
-	lateReplies         lateReplies // of the server's present incarnation
+	loop            *eventLoop
+	name            string
+	addr            string
+	startedAt       policy.Time // start of the server's incarnation, by the endpoint list
+	inService       bool        // by the endpoint list, new requests may be sent to the server
+	conns           map[*upstreamConn]struct{}
+	idle            []*upstreamConn // in the order of their last use
+	dialing         int             // connections that are being established
+	settleTimerSet  bool            // a timer is set for when an idle connection has settled
+	maxConns        int
+	dialFault       dialFault   // of the last dials, if the router's own machine was at fault
+	dialPause       policy.Time // length of the last pause of dials
+	dialPausedUntil policy.Time
+	queue           []*attempt  // first in, first out
+	postponed       []*attempt  // of clients of which it can't be told for a moment whether they are connected
+	lateReplies     lateReplies // of the server's present incarnation
 }
 
 func newPool(l *eventLoop, name string) *pool {
@@ -91,8 +91,8 @@
 // drain ends the queued attempts, as none may be sent once the router knows that the server is
 // draining, and closes the idle connections.
 func (p *pool) drain() {
-	for len(p.queue) > 0 {
-		p.queue[0].finish(policy.NotSent, nil)
+	for _, a := range slices.Concat(p.queue, p.postponed) {
+		a.finish(policy.NotSent, nil)
 	}
 	p.closeIdle(p.loop.now)
 }
--- a/internal/router/read_ahead.go
+++ b/internal/router/read_ahead.go
@@ -18,24 +18,29 @@
 }
 
 // readMore reads what has arrived while the reply queue is full. Left unread it would fill the
-// receive window, and a client's end behind it would stay hidden while attempts for it begin.
-func (r *commandReader) readMore() {
+// receive window, and a client's end behind it would stay hidden while attempts for it begin. It reports
+// false if something is left unread, as no more may be read ahead.
+func (r *commandReader) readMore() bool {
 	memory := r.conn.srv.memory
 	if len(r.ahead.bytes) == 0 {
 		// What had arrived by the last look was read with that.
 		r.ahead.since = max(r.arrival.readAt, r.ahead.until)
 	}
 	r.ahead.until = r.conn.srv.loop.clock()
-	for len(r.ahead.bytes) < maxReadAhead && r.conn.nc.HasUnread() && memory.tryAcquire(readAheadStep) {
+	for r.conn.nc.HasUnread() {
+		if len(r.ahead.bytes) >= maxReadAhead || !memory.tryAcquire(readAheadStep) {
+			return false
+		}
 		step := make([]byte, readAheadStep)
 		n, err := r.conn.nc.ReadArrived(step)
 		memory.release(int64(readAheadStep - n))
 		r.conn.aheadCharge.Add(int64(n))
 		r.ahead.bytes = append(r.ahead.bytes, step[:n]...)
 		if n == 0 || err != nil {
-			return // hungUp shows the end of the connection, and the next read its error
+			return true // hungUp shows the end of the connection, and the next read its error
 		}
 	}
+	return true
 }
 
 // takeAhead moves bytes that were read ahead to the free part of the buffer and reports whether there
--- a/internal/router/reply_slot.go
+++ b/internal/router/reply_slot.go
@@ -2,11 +2,13 @@
 
 import "marlstage/internal/resp"
 
-// replySlot reserves the place of a reply among those of its connection.
+// replySlot reserves the place of a reply among those of its connection, or of the rejections of commands
+// in a row.
 type replySlot struct {
-	memory *memoryBudget
-	charge int64       // bytes acquired for the request
-	reply  chan []byte // has capacity one, so that filling the slot does not block
+	memory   *memoryBudget
+	charge   int64       // bytes acquired for the request
+	reply    chan []byte // has capacity one, so that filling the slot does not block
+	rejected int         // commands that are rejected; 0 for the slot of a single command
 }
 
 func newReplySlot(memory *memoryBudget) *replySlot {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -95,13 +95,17 @@
 	}
 }
 
-// endIfClientGone takes the outcome of a look at a request's client, and ends its requests if it has
-// gone. It reports false if that could not be told.
-func (l *eventLoop) endIfClientGone(r *request, err error) bool {
-	if !errors.Is(err, errClientGone) {
+// resolveClientCheck ends the client's requests if a look at the client of an attempt has found it gone, and
+// the attempt if the client's end can't be seen any more. It reports false if the look is to be repeated.
+func (l *eventLoop) resolveClientCheck(a *attempt, err error) bool {
+	switch {
+	case errors.Is(err, errClientGone):
+		l.clientGone(a.request.client)
+	case errors.Is(err, errEndUnknown):
+		a.abandon(policy.NotSent)
+	default:
 		return false
 	}
-	l.clientGone(r.client)
 	return true
 }
 
--- a/internal/router/statistics.go
+++ b/internal/router/statistics.go
@@ -24,8 +24,9 @@
 	outcomes  [policy.NotStored + 1]atomic.Int64 // by policy.Result
 	clientEnd [closeReasons]atomic.Int64         // connections of clients, by why they ended
 
-	unsolicited      atomic.Int64 // connections to caches that ended because of bytes nobody asked for
-	abandonedWhenDue atomic.Int64 // requests whose client left about when their reply was due
+	unsolicited       atomic.Int64 // connections to caches that ended because of bytes nobody asked for
+	abandonedWhenDue  atomic.Int64 // requests whose client left about when their reply was due
+	postponedAttempts atomic.Int64 // times that an attempt waited as it could not be told whether its client had left
 
 	commandErrors atomic.Int64 // commands that can be parsed, but that no proper client sends
 	stalls        atomic.Int64
@@ -51,14 +52,15 @@
 type rejectReason uint8
 
 const (
-	rejectTooMany  rejectReason = iota // as many requests are open as the settings allow
-	rejectDraining                     // the last replies of the drain are due
-	rejectMemory                       // no memory is left for requests
-	rejectReasons                      // the number of reasons
+	rejectTooMany   rejectReason = iota // as many requests are open as the settings allow
+	rejectDraining                      // the last replies of the drain are due
+	rejectMemory                        // no memory is left for requests
+	rejectPipelined                     // too many commands of the connection await their replies
+	rejectReasons                       // the number of reasons
 )
 
 func (r rejectReason) String() string {
-	return [rejectReasons]string{"too_many_open", "draining", "no_memory"}[r]
+	return [rejectReasons]string{"too_many_open", "draining", "no_memory", "pipelined"}[r]
 }
 
 // closeReason is why the connection of a client ended.
@@ -102,6 +104,7 @@
 		slog.Attr{Key: "rejects", Value: groupOf(s.rejects[:], func(i int) string { return rejectReason(i).String() })},
 		slog.Int64("late", s.late.Load()),
 		slog.Int64("abandoned_when_due", s.abandonedWhenDue.Load()),
+		slog.Int64("postponed_attempts", s.postponedAttempts.Load()),
 		slog.Int64("attempts", s.attempts.Load()),
 		slog.Int64("retries", s.retries.Load()),
 		slog.Attr{Key: "outcomes", Value: groupOf(s.outcomes[:], func(i int) string { return policy.Result(i).String() })},
--- a/internal/router/upstream_write.go
+++ b/internal/router/upstream_write.go
@@ -45,7 +45,7 @@
 	switch {
 	case n == 0 && isClientCheck(err):
 		c.pool.returnUnused(c)
-		return c.pool.loop.endIfClientGone(a.request, err)
+		return c.pool.loop.resolveClientCheck(a, err)
 	case n == 0 && err != nil:
 		if c.nc.HasBytes() {
 			c.noteUnsolicited(!isNew)
@@ -135,7 +135,7 @@
 		}
 		n, err := c.tryWrite(a, c.write.command[c.write.written:])
 		if isClientCheck(err) {
-			if !c.pool.loop.endIfClientGone(a.request, err) {
+			if !c.pool.loop.resolveClientCheck(a, err) {
 				c.scheduleWrite(a)
 			}
 			return
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -249,32 +249,69 @@
 	return age, errors.Join(controlErr, err)
 }
 
-// HungUp reports whether the peer has closed its side of the connection or reset it, even if bytes
-// that were sent before are not read yet. It fails if that cannot be told. A connection that was
-// closed on this side counts as hung up.
-func (c *Conn) HungUp() (hungUp bool, err error) {
-	controlErr := c.raw.Control(func(fd uintptr) { hungUp, err = c.hungUpNow(int(fd)) })
+// Peer is what a socket shows of its peer.
+type Peer struct {
+	HungUp  bool // it has closed its side of the connection or reset it
+	HasSent bool // bytes of it are unread; its end may be hidden behind them
+}
+
+// LookAtPeer returns what the socket shows of the peer. A connection that was closed on this side counts as
+// hung up.
+func (c *Conn) LookAtPeer() (peer Peer, err error) {
+	controlErr := c.raw.Control(func(fd uintptr) { peer, err = c.peerNow(int(fd)) })
 	if controlErr != nil {
-		return true, nil
+		return Peer{HungUp: true}, nil
 	}
-	return hungUp, err
+	return peer, err
+}
+
+// HungUp reports whether the peer has closed its side of the connection or reset it, even if bytes
+// that were sent before are not read yet. It fails if that cannot be told.
+func (c *Conn) HungUp() (hungUp bool, err error) {
+	peer, err := c.LookAtPeer()
+	return peer.HungUp, err
 }
 
-func (c *Conn) hungUpNow(fd int) (bool, error) {
-	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+func (c *Conn) peerNow(fd int) (Peer, error) {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
 	err := retryInterrupted(func() error {
 		_, err := c.system.Poll(fds)
 		return err
 	})
-	return err == nil && fds[0].Revents&hangupEvents != 0, err
+	if err != nil {
+		return Peer{}, err
+	}
+	events := fds[0].Revents
+	return Peer{HungUp: events&hangupEvents != 0, HasSent: events&unix.POLLIN != 0}, nil
+}
+
+// UnreadBytes returns how many bytes of the peer have arrived and are not read.
+func (c *Conn) UnreadBytes() (n int, err error) {
+	controlErr := c.raw.Control(func(fd uintptr) {
+		err = retryInterrupted(func() error {
+			n, err = c.system.UnreadBytes(int(fd))
+			return err
+		})
+	})
+	return n, errors.Join(controlErr, err)
 }
 
 // AwaitHangup waits until the peer has hung up or the read deadline has passed. What arrives meanwhile
 // stays unread.
 func (c *Conn) AwaitHangup() error {
+	return c.await(func(peer Peer) bool { return peer.HungUp })
+}
+
+// AwaitReadable waits until something has arrived, the peer has hung up or the read deadline has passed.
+func (c *Conn) AwaitReadable() error {
+	return c.await(func(peer Peer) bool { return peer.HungUp || peer.HasSent })
+}
+
+// await waits until the condition holds or the read deadline has passed.
+func (c *Conn) await(condition func(Peer) bool) error {
 	return c.raw.Read(func(fd uintptr) (done bool) {
-		hungUp, err := c.hungUpNow(int(fd))
-		return err == nil && hungUp
+		peer, err := c.peerNow(int(fd))
+		return err == nil && condition(peer)
 	})
 }
 
--- a/internal/socket/system.go
+++ b/internal/socket/system.go
@@ -27,6 +27,8 @@
 	Poll(fds []unix.PollFd) (int, error)
 	// UnacknowledgedBytes returns how many written bytes the peer's machine has yet to acknowledge.
 	UnacknowledgedBytes(fd int) (int, error)
+	// UnreadBytes returns how many bytes have arrived and are not read.
+	UnreadBytes(fd int) (int, error)
 	// LastDataAge returns how long ago the last bytes arrived.
 	LastDataAge(fd int) (time.Duration, error)
 }
@@ -62,6 +64,9 @@
 // UnacknowledgedBytes implements System.
 func (Linux) UnacknowledgedBytes(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCOUTQ) }
 
+// UnreadBytes implements System.
+func (Linux) UnreadBytes(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCINQ) }
+
 // LastDataAge implements System.
 func (Linux) LastDataAge(fd int) (time.Duration, error) {
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
