Read nothing beyond the last command where bytes arrive as the reading ends

A read that is interrupted by its deadline is woken some microseconds before it runs; bytes that arrive in between have package net take it for ready, and it read up to its buffer of 1 KiB. Traced by the sizes of all reads. The commands read so were answered, so nothing was lost, but the end of the reading was not where it was meant.

Change: the read asks, each time before it reads, whether the reading has ended. The test waits until the router has read what was sent and waits for more, where it could end the reading before.

--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -165,7 +165,7 @@
 	case len(r.buf) == 0 && r.conn.closesBetweenRequests():
 		return r.readArrived(errIdleClose)
 	}
-	_, err := r.readWith(r.conn.nc.Read, cap(r.buf))
+	_, err := r.readWith(r.readWhileNotEnding, cap(r.buf))
 	switch {
 	case err == nil:
 		return nil
@@ -180,6 +180,11 @@
 	}
 }
 
+// readWhileNotEnding waits for bytes of any command until the reading of connections ends.
+func (r *commandReader) readWhileNotEnding(b []byte) (int, error) {
+	return r.conn.nc.ReadWhile(b, func() bool { return !r.conn.srv.readingEnded.Load() })
+}
+
 // readWith adds what one call of read returns to the buffer, to the given number of bytes there, and
 // notes when it has arrived.
 func (r *commandReader) readWith(read func([]byte) (int, error), most int) (n int, err error) {
--- a/internal/router/faulty_system_test.go
+++ b/internal/router/faulty_system_test.go
@@ -45,7 +45,8 @@
 	calls  map[systemCall]int
 	decide func(call systemCall, fd int) *fault
 
-	bytesRead atomic.Int64 // by all reads; peeks do not count
+	bytesRead           atomic.Int64 // by all reads; peeks do not count
+	readBeforeEmptyRead atomic.Int64 // bytes read when a read found nothing last
 }
 
 func newFaultySystem() *faultySystem {
@@ -143,7 +144,10 @@
 		return -1, f.err
 	}
 	n, err := s.Linux.Read(fd, f.limit(b))
-	s.bytesRead.Add(int64(max(n, 0)))
+	total := s.bytesRead.Add(int64(max(n, 0)))
+	if errors.Is(err, unix.EAGAIN) {
+		s.readBeforeEmptyRead.Store(total)
+	}
 	return n, err
 }
 
--- a/internal/router/last_command_test.go
+++ b/internal/router/last_command_test.go
@@ -35,10 +35,11 @@
 	return &lastCommandTest{t, router, system, client}
 }
 
-// waitForBytes waits until the router has read so many bytes.
+// waitForBytes waits until the router has read so many bytes and waits for more. A read that is just about
+// to be made takes what comes, up to the size of its buffer.
 func (l *lastCommandTest) waitForBytes(n int) {
 	l.t.Helper()
-	waitUntil(l.t, "bytes read", func() bool { return l.system.bytesRead.Load() == int64(n) })
+	waitUntil(l.t, "a read behind the bytes", func() bool { return l.system.readBeforeEmptyRead.Load() == int64(n) })
 }
 
 // wantEnd checks that the router ends the connection and has read so many bytes, whatever else the
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -69,6 +70,18 @@
 	return c.readWith(func(fd int) (int, error) { return c.readNow(fd, b) })
 }
 
+// ReadWhile is like Read, but reads nothing once it is no longer allowed, also where bytes have arrived in
+// the moment in which a deadline interrupted it: the system then wakes it for either. It returns
+// os.ErrDeadlineExceeded.
+func (c *Conn) ReadWhile(b []byte, allowed func() bool) (int, error) {
+	return c.readWith(func(fd int) (int, error) {
+		if !allowed() {
+			return 0, os.ErrDeadlineExceeded
+		}
+		return c.readNow(fd, b)
+	})
+}
+
 // ReadLocked reads like Read. It holds the lock while it reads from the socket, and calls received
 // before it releases the lock if bytes have arrived.
 func (c *Conn) ReadLocked(b []byte, lock sync.Locker, received func()) (int, error) {
