Soak: caches and lists that change, faulty discovery, idle connections, floods, no TCP_INFO

Change: caches drain, vanish, restart, move and hang in the middle of a play, with lists that come late, in changes and complete, by watches that fall silent, are reset, have no length or are slow; SIGHUP moves a router to another discovery service; caches end, reset, speak on or forget idle connections, and send replies without an end; deadlines of 1 to 60 ms; clients flood and leave; half of the plays have no TCP_INFO; up to eight stops a router. The judge knows drains, and answers that come after their clients gave up without a stop, of which one in 500 of a router is allowed. 24 fixed seeds in place of ten.

Not drawn: restarted routers under the same load, long calms, errors of other system calls, slow start.

--- a/internal/soaktest/cache_test.go
+++ b/internal/soaktest/cache_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,8 @@
 )
 
 const (
+	maxIdleFaultDelay  = 60 * time.Millisecond // from a reply to what a cache does with the idle connection
+	endlessPieces      = 400                   // of a reply that does not end while any client waits for it
 	maxServiceTime     = 15 * time.Millisecond // of a request that is served at once
 	maxHang            = 4 * time.Second       // of a request that hangs
 	secondReplyTime    = 6 * time.Millisecond  // between a reply and another one to the same request
@@ -36,30 +39,49 @@
 	faultBusy
 	faultPieces
 	faultSecondReply
-	cacheFaults // the number of faults
+	faultEndless    // a reply goes on and on
+	faultCloseIdle  // the connection ends some time after the reply, ...
+	faultResetIdle  // ... by a reset
+	faultSpeakIdle  // a line that nobody asked for comes some time after the reply
+	faultForgetIdle // the next request on the connection meets silence
+	cacheFaults     // the number of faults
 )
 
 // cache is a cache server. It replies to each request with a value that names the request.
 type cache struct {
-	name     string
-	listener net.Listener
-	judge    *judge
-	plan     *plan
+	name  string
+	judge *judge
+	plan  *plan
 	// handle replies to a request instead, if it is not nil, and reports whether the connection goes on.
 	handle func(nc *net.TCPConn, id string) bool
+	hung   atomic.Bool // it replies to nothing more
 
-	mu  sync.Mutex
-	rng *rand.Rand
+	mu       sync.Mutex
+	rng      *rand.Rand
+	listener net.Listener
+	conns    map[*net.TCPConn]struct{}
+	since    time.Time // when it was restarted; zero for long ago
 }
 
 func startCache(t *testing.T, name string, j *judge, p *plan, part uint64) *cache {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	c := &cache{name: name, judge: j, plan: p, rng: newRand(p.seed, part), conns: map[*net.TCPConn]struct{}{}}
+	if err := c.listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { listener.Close() })
-	c := &cache{name: name, listener: listener, judge: j, plan: p, rng: newRand(p.seed, part)}
+	t.Cleanup(c.vanish)
+	return c
+}
+
+// listen accepts connections at an address.
+func (c *cache) listen(addr string) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.listener = listener
+	c.mu.Unlock()
 	go func() {
 		for {
 			nc, err := listener.Accept()
@@ -69,12 +91,47 @@
 			go c.serve(nc.(*net.TCPConn))
 		}
 	}()
-	return c
+	return nil
+}
+
+// endpoint returns the cache's entry in the endpoint list, in service.
+func (c *cache) endpoint() endpoint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return endpoint{name: c.name, address: c.listener.Addr().String(), state: stateInService, since: c.since}
+}
+
+// vanish ends the cache's listener and resets its connections, as the end of its process does.
+func (c *cache) vanish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.listener.Close() // it may have vanished before
+	for nc := range c.conns {
+		_ = nc.SetLinger(0) // fails only on a closed connection
+		_ = nc.Close()
+	}
+}
+
+// restart ends the cache and starts it at an address, after some time.
+func (c *cache) restart(addr string, downTime time.Duration) error {
+	c.vanish()
+	time.Sleep(downTime)
+	c.mu.Lock()
+	c.since = time.Now()
+	c.mu.Unlock()
+	return c.listen(addr)
 }
 
-func (c *cache) endpoint() string {
-	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","group":1,"status":"in_service","weight":1,"since_ms":0}`,
-		c.name, c.listener.Addr())
+// track notes a connection until it has ended.
+func (c *cache) track(nc *net.TCPConn, open bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if open {
+		c.conns[nc] = struct{}{}
+		return
+	}
+	delete(c.conns, nc)
+	_ = nc.Close() // it may have been reset
 }
 
 func (c *cache) draw() (fault cacheFault, faulty bool, service time.Duration) {
@@ -86,7 +143,8 @@
 
 // serve replies to the commands of a connection until it ends.
 func (c *cache) serve(nc *net.TCPConn) {
-	defer func() { _ = nc.Close() }() // it may have been reset
+	c.track(nc, true)
+	defer c.track(nc, false)
 	reader := redcon.NewReader(nc)
 	for {
 		cmd, err := reader.ReadCommand()
@@ -94,6 +152,9 @@
 			return
 		}
 		if len(cmd.Args) <= resp.OptionsArgument {
+			if c.hung.Load() {
+				continue
+			}
 			if _, err := io.WriteString(nc, "+PONG\r\n"); err != nil {
 				return
 			}
@@ -114,6 +175,9 @@
 			arrived:  time.Now(),
 			rejected: faulty && fault == faultBusy,
 		})
+		if c.hung.Load() {
+			continue
+		}
 		time.Sleep(service)
 		if !c.reply(nc, id, fault, faulty) {
 			return
@@ -147,6 +211,10 @@
 			wire = wire[cut:]
 			time.Sleep(pieceInterval)
 		}
+	case faultEndless:
+		return replyEndlessly(nc)
+	case faultCloseIdle, faultResetIdle, faultSpeakIdle, faultForgetIdle:
+		return c.replyThenFail(nc, wire, fault)
 	case faultSecondReply:
 		begun := time.Now()
 		if _, err := io.WriteString(nc, wire); err != nil {
@@ -161,6 +229,44 @@
 	return err == nil
 }
 
+// replyEndlessly begins a reply that goes on until the router gives it up.
+func replyEndlessly(nc *net.TCPConn) bool {
+	if _, err := io.WriteString(nc, "*3\r\n$60000\r\n"); err != nil {
+		return false
+	}
+	for range endlessPieces {
+		if _, err := io.WriteString(nc, "v"); err != nil {
+			return false
+		}
+		time.Sleep(pieceInterval)
+	}
+	return false
+}
+
+// replyThenFail replies, and does something with the idle connection some time later.
+func (c *cache) replyThenFail(nc *net.TCPConn, wire string, fault cacheFault) bool {
+	if _, err := io.WriteString(nc, wire); err != nil {
+		return false
+	}
+	c.mu.Lock()
+	delay := randomDuration(c.rng, 0, maxIdleFaultDelay)
+	c.mu.Unlock()
+	switch fault {
+	case faultForgetIdle:
+		_, _ = io.Copy(io.Discard, nc) // until the router gives the connection up
+		return false
+	case faultSpeakIdle:
+		time.Sleep(delay)
+		_, _ = io.WriteString(nc, "-ERR closing\r\n") // it may have ended
+	case faultResetIdle:
+		time.Sleep(delay)
+		_ = nc.SetLinger(0) // fails only on a connection that is closed
+	default:
+		time.Sleep(delay)
+	}
+	return false
+}
+
 // servedWire is the reply of a cache that serves a request.
 func servedWire(id string) string {
 	value := servedBy(id)
--- a/internal/soaktest/client_test.go
+++ b/internal/soaktest/client_test.go
@@ -30,7 +30,9 @@
 	slowShare       = 0.2              // of the clients
 	leaveShare      = 0.05             // of the batches that a client leaves over
 	cutShare        = 0.3              // of the batches that are cut in the middle of a command
-	writeClassShare = 0.3              // of the requests that are writes
+	shortShare      = 0.05             // of the requests with a short timeout
+	maxShortTimeout = 60 * time.Millisecond
+	writeClassShare = 0.3 // of the requests that are writes
 )
 
 // client uses a router by one connection after the other until the router is gone.
@@ -44,6 +46,7 @@
 	gone       <-chan struct{} // closed when the router has ended
 	terminated <-chan struct{} // closed when the router has got SIGTERM and takes no more connections
 	slow       bool            // it reads slowly
+	floodShare float64         // of the batches that it replaces by a flood behind which it leaves
 	sent       int
 }
 
@@ -63,6 +66,9 @@
 func (c *client) use(s *session) {
 	defer s.close()
 	for !s.hasEnded() {
+		if c.rng.Float64() < c.floodShare {
+			c.floodAndLeave()
+		}
 		size := 1
 		if c.rng.IntN(2) == 0 {
 			size = 2 + c.rng.IntN(maxPipeline-1)
@@ -111,6 +117,9 @@
 			class:   classRead,
 			timeout: randomDuration(c.rng, c.maxTimeout/4, c.maxTimeout).Truncate(time.Millisecond),
 		}
+		if c.rng.Float64() < shortShare {
+			r.timeout = randomDuration(c.rng, time.Millisecond, maxShortTimeout).Truncate(time.Millisecond)
+		}
 		if c.rng.Float64() < writeClassShare {
 			r.class = []string{classPut, classOnce}[c.rng.IntN(2)]
 		}
--- a/internal/soaktest/discovery_test.go
+++ b/internal/soaktest/discovery_test.go
@@ -3,50 +3,157 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 )
 
-const watchTime = 500 * time.Millisecond // after which a watch without news is answered
+const (
+	watchTime       = 500 * time.Millisecond // after which a watch without news is answered
+	slowReplyPauses = 5                      // in a reply that comes slowly
+	slowReplyPause  = 40 * time.Millisecond
+)
+
+// discoveryFault is what a discovery service does with a reply instead of sending it at once.
+type discoveryFault int
 
-// discovery is a discovery service whose list does not change. While it is down it says nothing.
+const (
+	discoverySilent   discoveryFault = iota // it never comes
+	discoveryReset                          // it is broken off by a reset
+	discoveryNoLength                       // it has no length, and the connection ends behind it
+	discoverySlow
+	discoveryFaults // the number of faults
+)
+
+// discovery is the discovery service of one router. While it is down it says nothing.
 type discovery struct {
-	server    *httptest.Server
-	down      atomic.Bool
-	endpoints []string
+	server *httptest.Server
+	fleet  *fleet
+	told   func(endpoint) // is told of each entry just before it is written
+	down   atomic.Bool
+	share  float64 // of the replies that meet a fault
+
+	mu  sync.Mutex
+	rng *rand.Rand
 }
 
-func startDiscovery(t *testing.T, endpoints []string) *discovery {
+// startDiscovery starts a service that tells of the fleet without faults.
+func startDiscovery(t *testing.T, f *fleet) *discovery {
 	t.Helper()
-	d := &discovery{endpoints: endpoints}
+	return startFaultyDiscovery(t, f, newRand(0, 0), 0, func(endpoint) {})
+}
+
+func startFaultyDiscovery(t *testing.T, f *fleet, rng *rand.Rand, share float64, told func(endpoint)) *discovery {
+	t.Helper()
+	d := &discovery{fleet: f, told: told, share: share, rng: rng}
 	d.server = httptest.NewServer(http.HandlerFunc(d.handle))
-	t.Cleanup(func() {
-		d.server.CloseClientConnections()
-		d.server.Close()
-	})
+	t.Cleanup(d.close)
 	return d
 }
 
+func (d *discovery) close() {
+	d.server.CloseClientConnections()
+	d.server.Close()
+}
+
 func (d *discovery) addr() string { return d.server.Listener.Addr().String() }
 
+func (d *discovery) draw() (fault discoveryFault, faulty bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return discoveryFault(d.rng.IntN(int(discoveryFaults))), d.rng.Float64() < d.share
+}
+
 func (d *discovery) handle(w http.ResponseWriter, r *http.Request) {
+	if !d.awaitUp(r) {
+		return
+	}
+	after, err := strconv.Atoi(r.URL.Query().Get("after"))
+	if err != nil {
+		list, version := d.fleet.list()
+		d.reply(w, r, list, version, true)
+		return
+	}
+	if version, changed := d.fleet.version(); version <= after {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		case <-time.After(watchTime):
+		}
+		if !d.awaitUp(r) {
+			return
+		}
+	}
+	changes, version := d.fleet.since(after)
+	d.reply(w, r, changes, version, false)
+}
+
+// awaitUp waits until the service is not down, and reports false if the caller has gone.
+func (d *discovery) awaitUp(r *http.Request) bool {
 	for d.down.Load() {
 		if !sleepUnlessGone(r, watchTime/10) {
-			return
+			return false
 		}
 	}
-	if r.URL.Query().Has("after") {
-		if !sleepUnlessGone(r, watchTime) {
-			return
+	return true
+}
+
+// reply sends entries, or what a fault makes of that.
+func (d *discovery) reply(w http.ResponseWriter, r *http.Request, entries []endpoint, version int, complete bool) {
+	body := listBody(entries, version, complete)
+	fault, faulty := d.draw()
+	switch {
+	case !faulty:
+		d.noteTold(entries)
+		_, _ = io.WriteString(w, body) // the caller may have gone
+	case fault == discoverySilent:
+		<-r.Context().Done()
+	case fault == discoverySlow:
+		d.noteTold(entries)
+		for i := range slowReplyPauses {
+			part := len(body) / slowReplyPauses
+			_, _ = io.WriteString(w, body[i*part:(i+1)*part]) // the caller may have gone
+			w.(http.Flusher).Flush()
+			if !sleepUnlessGone(r, slowReplyPause) {
+				return
+			}
 		}
-		_, _ = io.WriteString(w, `{"index":1,"snapshot":false,"endpoints":[]}`) // the caller may have gone
+		_, _ = io.WriteString(w, body[slowReplyPauses*(len(body)/slowReplyPauses):])
+	default:
+		d.replyWithoutLength(w, entries, body, fault == discoveryReset)
+	}
+}
+
+// replyWithoutLength sends a reply that ends with its connection, or half of it and a reset.
+func (d *discovery) replyWithoutLength(w http.ResponseWriter, entries []endpoint, body string, reset bool) {
+	nc, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
 		return
 	}
-	_, _ = io.WriteString(w, endpointList(1, d.endpoints)) // the caller may have gone
+	defer func() { _ = nc.Close() }() // the caller may have gone
+	if reset {
+		body = body[:len(body)/2]
+	} else {
+		d.noteTold(entries)
+	}
+	_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n"+body)
+	if reset {
+		_ = nc.(*net.TCPConn).SetLinger(0) // fails only on a closed connection
+	}
+}
+
+func (d *discovery) noteTold(entries []endpoint) {
+	for _, e := range entries {
+		d.told(e)
+	}
 }
 
 func sleepUnlessGone(r *http.Request, duration time.Duration) bool {
@@ -58,7 +165,11 @@
 	}
 }
 
-// endpointList is a complete list in discovery's form.
-func endpointList(index int, endpoints []string) string {
-	return fmt.Sprintf(`{"index":%d,"snapshot":true,"endpoints":[%s]}`, index, strings.Join(endpoints, ","))
+// listBody is a list in discovery's form.
+func listBody(entries []endpoint, version int, complete bool) string {
+	var list []string
+	for _, e := range entries {
+		list = append(list, e.String())
+	}
+	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, version, complete, strings.Join(list, ","))
 }
--- a/internal/soaktest/flood_test.go
+++ b/internal/soaktest/flood_test.go
@@ -31,11 +31,11 @@
 		seed: 1, longestTimeout: 2 * time.Second, routers: 1, descriptors: manyDescriptors,
 		minServiceTime: 120 * time.Millisecond, maxServiceTime: 240 * time.Millisecond,
 	}
-	var endpoints []string
+	fleet := newFleet()
 	for i := range caches {
-		endpoints = append(endpoints, startCache(t, fmt.Sprint("c", i), j, &p, uint64(100+i)).endpoint())
+		fleet.publish(startCache(t, fmt.Sprint("c", i), j, &p, uint64(100+i)).endpoint())
 	}
-	router := startRouter(t, buildRouter(t), "n0", &p, startDiscovery(t, endpoints).addr(), endpoints)
+	router := startRouter(t, buildRouter(t), "n0", &p, startDiscovery(t, fleet).addr(), fleet)
 	var running sync.WaitGroup
 	over := time.Now().Add(playTime)
 	for i := range clients {
--- a/internal/soaktest/judge_faults_test.go
+++ b/internal/soaktest/judge_faults_test.go
@@ -69,6 +69,31 @@
 			served(j, second, begun)
 			j.attemptArrived(attempt{id: second.id, timeout: timeout + timeoutLimit + 2*machineSlack, arrived: begun})
 		}, "r1 .*more than was left"},
+		"answered after their clients gave up": {classRead, func(j *judge, first, second *request) {
+			served(j, first, begun)
+			late := begun.Add(timeout + promptLimit + 2*promptSlack)
+			first.connection.answers = []answer{{servedBy(first.id), late}, {servedBy(second.id), late}}
+			second.writtenAt = late // the time spent waiting for the answer before does not count
+			third := *first
+			third.connection = &connection{requests: []*request{&third}, answers: first.connection.answers[:1]}
+			j.connections = append(j.connections, third.connection)
+		}, "r0 .*more like it"},
+		"answered late behind a stop": {classRead, func(j *judge, first, second *request) {
+			served(j, first, begun)
+			late := begun.Add(timeout + promptLimit + 2*promptSlack)
+			first.connection.answers = []answer{{servedBy(first.id), late}, {servedBy(second.id), late}}
+			third := *first
+			third.connection = &connection{requests: []*request{&third}, answers: first.connection.answers[:1]}
+			j.connections = append(j.connections, third.connection)
+			j.stopped(0, begun, timeout+promptLimit)
+		}, ""},
+		"sent to a draining cache": {classRead, func(j *judge, first, second *request) {
+			served(j, first, begun.Add(2*drainGrace))
+			served(j, second, begun.Add(2*drainGrace))
+			first.timeout, second.timeout = 3*drainGrace, 3*drainGrace
+			j.toldOf(0, endpoint{name: "c1", state: stateTerminating})
+			j.attemptArrived(attempt{id: first.id, cache: "c1", arrived: time.Now().Add(drainGrace + 2*machineSlack)})
+		}, "r0 .*drain"},
 		"run twice": {classOnce, func(j *judge, first, second *request) {
 			served(j, first, begun)
 			served(j, second, begun)
--- a/internal/soaktest/judge_test.go
+++ b/internal/soaktest/judge_test.go
@@ -15,7 +15,11 @@
 	timeoutLimit    = 150 * time.Millisecond // by which the timeout told to a cache may exceed what is left
 	keyWindow       = 600 * time.Millisecond // in which a request may be repeated with its key
 	machineSlack    = 100 * time.Millisecond
-	killSlack       = 5 * time.Millisecond // before SIGKILL, in which an end of a connection counts as caused by it
+	promptLimit     = 60 * time.Millisecond // after its timeout, for which a client waits
+	promptSlack     = 40 * time.Millisecond // added for the test's own machine
+	maxUnprompt     = 500                   // requests of a router, one of which may be answered later without a stall
+	drainGrace      = time.Second           // after a router was notified that a cache drains
+	killSlack       = 5 * time.Millisecond  // before SIGKILL, in which an end of a connection counts as caused by it
 )
 
 // Classes of requests.
@@ -32,6 +36,20 @@
 	connections []*connection
 	attempts    []attempt
 	heldUp      time.Duration // for which the test itself was held up
+	drains      map[drain]time.Time
+	stops       []stop
+}
+
+// drain is what a router was notified of: that a cache drains or has ended.
+type drain struct {
+	router int
+	cache  string
+}
+
+// stop is a time in which a router was stopped.
+type stop struct {
+	router   int
+	from, to time.Time
 }
 
 // request is a request of a client.
@@ -76,7 +94,33 @@
 	rejected bool
 }
 
-func newJudge() *judge { return &judge{requests: map[string]*request{}} }
+func newJudge() *judge {
+	return &judge{requests: map[string]*request{}, drains: map[drain]time.Time{}}
+}
+
+// toldOf notes that an entry of the endpoint list is about to be written to a router.
+func (j *judge) toldOf(router int, e endpoint) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	d := drain{router, e.name}
+	if _, known := j.drains[d]; !known && e.state != stateInService {
+		j.drains[d] = time.Now()
+	}
+}
+
+// stopped notes that a router is about to be stopped.
+func (j *judge) stopped(router int, from time.Time, length time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.stops = append(j.stops, stop{router, from, from.Add(length)})
+}
+
+// wasStopped reports whether a router was stopped at some time of an interval.
+func (j *judge) wasStopped(router int, from, to time.Time) bool {
+	return slices.ContainsFunc(j.stops, func(s stop) bool {
+		return s.router == router && s.from.Before(to) && from.Before(s.to.Add(promptSlack))
+	})
+}
 
 // connected notes a client's connection to a router. Of a client that reads slowly it is not judged how
 // late its answers are.
@@ -179,6 +223,7 @@
 	for _, c := range j.connections {
 		j.judgeConnection(&v, c, killed[c.router])
 	}
+	j.judgeUnprompt(&v)
 	first := map[string]attempt{}
 	for _, a := range j.attempts {
 		j.judgeAttempt(&v, a, first)
@@ -222,6 +267,33 @@
 	}
 }
 
+// judgeUnprompt reports a router that has answered more than one in so many requests after their clients
+// would have given up, though it was not stopped just then.
+func (j *judge) judgeUnprompt(v *verdict) {
+	requests, unprompt := map[int]int{}, map[int][]*request{}
+	for _, c := range j.connections {
+		previous := time.Time{}
+		for i, r := range c.requests[:min(len(c.requests), len(c.answers))] {
+			requests[c.router]++
+			due := r.writtenAt.Add(r.timeout)
+			latest := due.Add(promptLimit + promptSlack + j.heldUp)
+			at := c.answers[i].at
+			if !c.slow && !r.writtenAt.IsZero() && at.After(latest) && previous.Before(due) && !j.wasStopped(c.router, due, latest) {
+				unprompt[c.router] = append(unprompt[c.router], r)
+			}
+			previous = at
+		}
+	}
+	for router, late := range unprompt {
+		if len(late) <= 1+requests[router]/maxUnprompt {
+			continue
+		}
+		r := late[0]
+		v.report(r, "lost: answered %v after it was written with a timeout of %v, and %d more like it",
+			r.connection.answers[r.position].at.Sub(r.writtenAt), r.timeout, len(late)-1)
+	}
+}
+
 // judgeAnswer judges an answer. The time spent waiting for the answer before it does not count.
 func (j *judge) judgeAnswer(v *verdict, r *request, a answer, previous time.Time) {
 	switch {
@@ -268,6 +340,10 @@
 			v.report(r, "a cache was told %v, %v more than was left", a.timeout, excess)
 		}
 	}
+	told, draining := j.drains[drain{c.router, a.cache}]
+	if late := a.arrived.Sub(told); draining && late > drainGrace+slack {
+		v.report(r, "drain: an attempt began %v after the router was notified that %s drains", late, a.cache)
+	}
 	earlier, repeated := first[a.id]
 	switch {
 	case a.rejected:
--- a/internal/soaktest/late_replies_test.go
+++ b/internal/soaktest/late_replies_test.go
@@ -30,7 +30,7 @@
 	j := newJudge()
 	p := plan{seed: 1, longestTimeout: timeout, routers: 1, descriptors: manyDescriptors}
 	var replies, seconds atomic.Int64
-	var endpoints []string
+	fleet := newFleet()
 	for i := range caches {
 		c := startCache(t, fmt.Sprint("c", i), j, &p, uint64(i))
 		c.handle = func(nc *net.TCPConn, id string) bool {
@@ -45,9 +45,9 @@
 			}
 			return true
 		}
-		endpoints = append(endpoints, c.endpoint())
+		fleet.publish(c.endpoint())
 	}
-	router := startRouter(t, buildRouter(t), "n0", &p, startDiscovery(t, endpoints).addr(), endpoints)
+	router := startRouter(t, buildRouter(t), "n0", &p, startDiscovery(t, fleet).addr(), fleet)
 	var running sync.WaitGroup
 	over := time.Now().Add(playTime)
 	for i := range clients {
--- a/internal/soaktest/plan_test.go
+++ b/internal/soaktest/plan_test.go
@@ -15,6 +15,8 @@
 	maxClients      = 24                     // of all routers, that send requests
 	fewDescriptors  = 128
 	manyDescriptors = 1024
+	maxFloodShare   = 0.03
+	maxListDelay    = 500 * time.Millisecond // from what happens to a cache to the list that tells of it
 )
 
 // plan is what is drawn for a seed.
@@ -26,12 +28,15 @@
 	clients        int // of each router
 	idleClients    int // of each router, that connect and send nothing more
 	descriptors    int
-	discoveryDown  bool // until shortly before the first SIGTERM
-	untoldArrivals bool // the system does not tell when bytes arrived
+	discoveryDown  bool    // until shortly before the first SIGTERM
+	discoveryShare float64 // of the replies of discovery services that meet a fault
+	floodShare     float64 // of the batches that clients replace by a flood behind which they leave
+	untoldArrivals bool    // the system does not tell when bytes arrived
 	minServiceTime time.Duration
 	maxServiceTime time.Duration // of a request that a cache serves at once
 	faultShare     float64
 	signals        []plannedSignal
+	events         []cacheEvent
 	length         time.Duration
 }
 
@@ -42,6 +47,30 @@
 	signal syscall.Signal
 }
 
+// cacheEventKind is what happens to a cache in a play.
+type cacheEventKind int
+
+const (
+	eventDrain      cacheEventKind = iota // it drains and serves on
+	eventVanish                           // its process ends, and the list tells of that later
+	eventRestart                          // its process ends and starts again
+	eventMove                             // the same at another address
+	eventHang                             // it replies to nothing more
+	cacheEventKinds                       // the number of kinds
+)
+
+func (k cacheEventKind) String() string {
+	return [cacheEventKinds]string{"drain", "vanish", "restart", "move", "hang"}[k]
+}
+
+// cacheEvent happens to a cache at a time since the start of the clients.
+type cacheEvent struct {
+	cache     int
+	kind      cacheEventKind
+	at        time.Duration
+	listDelay time.Duration // until the list tells of it
+}
+
 func drawPlan(seed uint64) plan {
 	rng := newRand(seed, 0)
 	p := plan{
@@ -59,6 +88,24 @@
 		p.descriptors = fewDescriptors
 		p.idleClients = 20 + rng.IntN(60)
 	}
+	if rng.IntN(2) == 0 {
+		p.discoveryShare = 0.4 * rng.Float64()
+	}
+	if rng.IntN(3) == 0 {
+		p.floodShare = maxFloodShare * rng.Float64()
+	}
+	p.untoldArrivals = rng.IntN(2) == 0
+	for cache := 1; cache < p.caches; cache++ { // the first one stays
+		kind := cacheEventKind(rng.IntN(int(cacheEventKinds) + 2))
+		if kind >= cacheEventKinds {
+			kind = eventHang // of which requests wait until their deadlines
+		}
+		if rng.IntN(3) > 0 {
+			p.events = append(p.events, cacheEvent{
+				cache, kind, randomDuration(rng, 0, 2*time.Second), randomDuration(rng, 0, maxListDelay),
+			})
+		}
+	}
 	calm := randomDuration(rng, 400*time.Millisecond, time.Second)
 	stagger := randomDuration(rng, 0, 300*time.Millisecond)
 	for router := range p.routers {
@@ -80,7 +127,7 @@
 		add(at, syscall.SIGSTOP)
 		add(at+stopTime, syscall.SIGCONT)
 	}
-	for range rng.IntN(5) {
+	for range rng.IntN(9) {
 		stop(randomDuration(rng, 0, killed-killDelay))
 	}
 	if rng.IntN(2) == 0 { // about when the last replies are due
@@ -92,8 +139,10 @@
 }
 
 func (p *plan) String() string {
-	return fmt.Sprintf("seed %d: timeout %v, %d routers, %d caches, %d+%d clients each, %d descriptors, down %t, faults %.2f",
-		p.seed, p.longestTimeout, p.routers, p.caches, p.clients, p.idleClients, p.descriptors, p.discoveryDown, p.faultShare)
+	return fmt.Sprintf("seed %d: timeout %v, %d routers, %d caches %v, %d+%d clients each, floods %.2f, %d descriptors, "+
+		"without TCP_INFO %t, discovery down %t, faults %.2f, faults of caches %.2f",
+		p.seed, p.longestTimeout, p.routers, p.caches, p.events, p.clients, p.idleClients, p.floodShare, p.descriptors,
+		p.untoldArrivals, p.discoveryDown, p.discoveryShare, p.faultShare)
 }
 
 // newRand returns the random numbers of one part of a seed's play.
--- a/internal/soaktest/process_test.go
+++ b/internal/soaktest/process_test.go
@@ -41,35 +41,35 @@
 
 // routerProcess is a router that runs as a process of its own.
 type routerProcess struct {
-	addr string
-	cmd  *exec.Cmd
+	addr   string
+	cmd    *exec.Cmd
+	path   string         // of its configuration ...
+	config map[string]any // ... and what that holds
 
 	mu  sync.Mutex
 	log []string
 }
 
 // startRouter starts a router and waits until it serves.
-func startRouter(t *testing.T, program, name string, p *plan, discovery string, endpoints []string) *routerProcess {
+func startRouter(t *testing.T, program, name string, p *plan, discovery string, known *fleet) *routerProcess {
 	t.Helper()
+	endpoints, version := known.list()
 	config := map[string]any{
 		"name":      name,
 		"listen":    "127.0.0.1:0",
 		"discovery": discovery,
 		"seed":      fmt.Sprintf("%x", p.seed),
 		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": p.descriptors},
-		"known":     json.RawMessage(endpointList(1, endpoints)),
+		"known":     json.RawMessage(listBody(endpoints, version, true)),
 		"settings":  json.RawMessage(fmt.Sprintf(settingsFormat, p.routers, p.longestTimeout.Microseconds())),
 	}
-	raw, err := json.Marshal(config)
-	if err != nil {
-		t.Fatal(err)
+	r := &routerProcess{
+		cmd:    routerCommand(t, program, p),
+		path:   filepath.Join(t.TempDir(), "config.json"),
+		config: config,
 	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, raw, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	r := &routerProcess{cmd: routerCommand(t, program, p)}
-	r.cmd.Env = append(r.cmd.Env, "BALANCER_CONFIG="+path)
+	r.configure(t, discovery)
+	r.cmd.Env = append(r.cmd.Env, "BALANCER_CONFIG="+r.path)
 	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	stderr, err := r.cmd.StderrPipe()
 	if err != nil {
@@ -92,6 +92,19 @@
 	return r
 }
 
+// configure writes the router's configuration with the address of its discovery service.
+func (r *routerProcess) configure(t *testing.T, discovery string) {
+	t.Helper()
+	r.config["discovery"] = discovery
+	raw, err := json.Marshal(r.config)
+	if err == nil {
+		err = os.WriteFile(r.path, raw, 0o600)
+	}
+	if err != nil {
+		t.Error(err)
+	}
+}
+
 // routerCommand returns the command that runs the router on the system that the plan asks for.
 func routerCommand(t *testing.T, program string, p *plan) *exec.Cmd {
 	t.Helper()
--- a/internal/soaktest/soak_test.go
+++ b/internal/soaktest/soak_test.go
@@ -15,12 +15,14 @@
 
 var (
 	firstSeed = flag.Uint64("soak.first", 1, "first seed of TestSoak")
-	seedCount = flag.Int("soak.seeds", 10, "number of seeds of TestSoak")
+	seedCount = flag.Int("soak.seeds", 24, "number of seeds of TestSoak")
 )
 
 const (
 	replayedLines = 40 // of a router's log that are printed with a failure
 	maxReported   = 20 // violations of a seed that are printed
+
+	oldDiscoveryTime = 1500 * time.Millisecond // after a move, in which the old service keeps its connections
 )
 
 // TestSoak plays timelines drawn by seed and judges every request.
@@ -38,7 +40,9 @@
 	plan       plan
 	judge      *judge
 	routers    []*routerProcess
-	discovery  *discovery
+	fleet      *fleet
+	caches     []*cache
+	discovery  [][]*discovery  // by router, those that it has moved to; the last one is in use
 	gone       []chan struct{} // by router, closed when it has ended
 	terminated []chan struct{} // by router, closed some time after SIGTERM
 	killed     []time.Time     // by router
@@ -48,20 +52,67 @@
 func newPlay(t *testing.T, program string, p plan) *play {
 	t.Helper()
 	s := &play{t: t, plan: p, judge: newJudge(), killed: make([]time.Time, p.routers)}
-	var endpoints []string
+	s.fleet = newFleet()
 	for i := range p.caches {
-		endpoints = append(endpoints, startCache(t, fmt.Sprint("c", i), s.judge, &p, uint64(100+i)).endpoint())
+		s.caches = append(s.caches, startCache(t, fmt.Sprint("c", i), s.judge, &s.plan, uint64(100+i)))
+		s.fleet.publish(s.caches[i].endpoint())
 	}
-	s.discovery = startDiscovery(t, endpoints)
-	s.discovery.down.Store(p.discoveryDown)
 	for i := range p.routers {
-		s.routers = append(s.routers, startRouter(t, program, fmt.Sprint("n", i), &p, s.discovery.addr(), endpoints))
+		s.discovery = append(s.discovery, nil)
+		addr := s.addDiscovery(i)
+		s.routers = append(s.routers, startRouter(t, program, fmt.Sprint("n", i), &s.plan, addr, s.fleet))
 		s.gone = append(s.gone, make(chan struct{}))
 		s.terminated = append(s.terminated, make(chan struct{}))
 	}
 	return s
 }
 
+// addDiscovery starts a discovery service for a router to use from now on, and returns its address.
+func (s *play) addDiscovery(router int) string {
+	number := len(s.discovery[router])
+	rng := newRand(s.plan.seed, uint64(1_000_000+1000*router+number))
+	d := startFaultyDiscovery(s.t, s.fleet, rng, s.plan.discoveryShare, func(e endpoint) { s.judge.toldOf(router, e) })
+	d.down.Store(s.plan.discoveryDown)
+	s.discovery[router] = append(s.discovery[router], d)
+	return d.addr()
+}
+
+// moveDiscovery configures another discovery service for a router. The old one ends its connections after
+// a while.
+func (s *play) moveDiscovery(router int) {
+	old := s.discovery[router][len(s.discovery[router])-1]
+	s.routers[router].configure(s.t, s.addDiscovery(router))
+	time.AfterFunc(oldDiscoveryTime, old.server.CloseClientConnections)
+}
+
+// happen has an event happen to a cache and the list tell of it.
+func (s *play) happen(e cacheEvent) {
+	c := s.caches[e.cache]
+	listed := c.endpoint()
+	switch e.kind {
+	case eventDrain:
+		listed.state = stateTerminating
+	case eventVanish:
+		c.vanish()
+		listed.state = stateTerminated
+	case eventRestart, eventMove:
+		addr := listed.address
+		if e.kind == eventMove {
+			addr = "127.0.0.1:0"
+		}
+		if err := c.restart(addr, e.listDelay); err != nil {
+			s.t.Log("a cache can't start again: ", err) // its port has been taken meanwhile
+			return
+		}
+		listed = c.endpoint()
+	case eventHang:
+		c.hung.Store(true)
+		return
+	}
+	time.Sleep(e.listDelay)
+	s.fleet.publish(listed)
+}
+
 // run plays the plan and reports what broke a rule.
 func (s *play) run() {
 	s.t.Log(&s.plan)
@@ -75,9 +126,20 @@
 			clients.Go(c.run)
 		}
 	}
+	var events sync.WaitGroup
+	for _, event := range s.plan.events {
+		events.Go(func() {
+			select {
+			case <-time.After(event.at):
+				s.happen(event)
+			case <-done:
+			}
+		})
+	}
 	s.sendSignals()
 	clients.Wait()
 	close(done)
+	events.Wait()
 	for _, nc := range s.idle {
 		_ = nc.Close() // it may have ended
 	}
@@ -104,6 +166,7 @@
 		router:     router,
 		addr:       s.routers[router].addr,
 		maxTimeout: s.plan.longestTimeout,
+		floodShare: s.plan.floodShare,
 		gone:       s.gone[router],
 		terminated: s.terminated[router],
 	}
@@ -135,8 +198,12 @@
 func (s *play) send(signal plannedSignal) {
 	router := s.routers[signal.router]
 	switch signal.signal {
+	case syscall.SIGHUP:
+		s.moveDiscovery(signal.router)
+	case syscall.SIGSTOP:
+		s.judge.stopped(signal.router, time.Now(), stopTime)
 	case syscall.SIGTERM:
-		s.discovery.down.Store(false)
+		s.endOutage()
 		terminated := s.terminated[signal.router]
 		time.AfterFunc(connectAfter, func() { close(terminated) })
 	case syscall.SIGKILL:
@@ -146,6 +213,16 @@
 	_ = router.cmd.Process.Signal(signal.signal) // it may have ended by itself
 }
 
+// endOutage has all discovery services answer.
+func (s *play) endOutage() {
+	s.plan.discoveryDown = false
+	for _, services := range s.discovery {
+		for _, d := range services {
+			d.down.Store(false)
+		}
+	}
+}
+
 // logRouters prints the ends of the routers' logs.
 func (s *play) logRouters() {
 	for i, r := range s.routers {
--- a/internal/soaktest/stopped_test.go
+++ b/internal/soaktest/stopped_test.go
@@ -69,8 +69,8 @@
 		seed: 1, longestTimeout: stoppedTimeout, routers: 1, descriptors: manyDescriptors,
 		maxServiceTime: maxServiceTime, untoldArrivals: untoldArrivals,
 	}
-	endpoints := []string{startCache(t, "c0", j, &p, 0).endpoint()}
-	router := startRouter(t, program, "n0", &p, startDiscovery(t, endpoints).addr(), endpoints)
+	fleet := newFleet(startCache(t, "c0", j, &p, 0).endpoint())
+	router := startRouter(t, program, "n0", &p, startDiscovery(t, fleet).addr(), fleet)
 	s := &stoppedTest{t: t, judge: j, router: router}
 	s.client = &client{judge: j, rng: newRand(1, 1), name: "client", addr: router.addr, maxTimeout: stoppedTimeout}
 	s.connect()
@@ -85,7 +85,7 @@
 		s.t.Fatal(err)
 	}
 	s.session = newSession(s.client, nc.(*net.TCPConn))
-	s.t.Cleanup(s.session.close)
+	s.t.Cleanup(s.close)
 }
 
 // request sends a request while the router is stopped for the given time, and awaits its answer.
