--- a/internal/faulttest/faulttest.go
+++ b/internal/faulttest/faulttest.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	holdUpInterval = 5 * time.Millisecond  // between looks at the clock
-	minHoldUp      = 30 * time.Millisecond // between two looks that counts
+	stallInterval = 5 * time.Millisecond  // between looks at the clock
+	minStall      = 30 * time.Millisecond // between two looks that counts
 )
 
 // ErrNoAnswer reports bytes that are neither a bulk string nor a line.
@@ -58,10 +58,10 @@
 	return -1
 }
 
-// WatchHoldUps calls note with each time in which the machine has kept the process from running, until
+// WatchStalls calls note with each time in which the machine has kept the process from running, until
 // done is closed.
-func WatchHoldUps(done <-chan struct{}, note func(time.Duration)) {
-	ticker := time.NewTicker(holdUpInterval)
+func WatchStalls(done <-chan struct{}, note func(time.Duration)) {
+	ticker := time.NewTicker(stallInterval)
 	defer ticker.Stop()
 	for last := time.Now(); ; {
 		select {
@@ -70,7 +70,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		if gap := now.Sub(last); gap > minHoldUp {
+		if gap := now.Sub(last); gap > minStall {
 			note(gap)
 		}
 		last = now
--- a/internal/router/accept_error_test.go
+++ b/internal/router/accept_error_test.go
@@ -67,7 +67,7 @@
 	deadlines := 0
 	listener := useDeadlineListener(srv, func(at time.Time) time.Time {
 		if deadlines++; deadlines <= 3 {
-			return time.Unix(1, 0) // as though the router were held up until the deadline has passed
+			return time.Unix(1, 0) // as though the router were stalled until the deadline has passed
 		}
 		return at
 	})
--- a/internal/router/drain_test.go
+++ b/internal/router/drain_test.go
@@ -168,7 +168,7 @@
 }
 
 // TestDrainTimeLeavesRoomForStalls checks that the last replies have reached their clients before
-// SIGKILL where the router is held up before it notices SIGTERM, and again before it writes, and that
+// SIGKILL where the router is stalled before it notices SIGTERM, and again before it writes, and that
 // the router serves for as long as new connections come.
 func TestDrainTimeLeavesRoomForStalls(t *testing.T) {
 	const (
--- a/internal/router/fault_matrix_system_test.go
+++ b/internal/router/fault_matrix_system_test.go
@@ -37,7 +37,7 @@
 )
 
 const (
-	stallTime         = 150 * time.Millisecond // for which the operators may hold up a router
+	stallTime         = 150 * time.Millisecond // for which the operators may stall a router
 	connectionFaults  = 2                      // connections that one cell resets
 	stallsPerCall     = 2                      // stalls of each kind of call in one cell
 	faultInterval     = 3                      // every so manieth call of a kind has a fault
--- a/internal/router/fault_matrix_test.go
+++ b/internal/router/fault_matrix_test.go
@@ -111,7 +111,7 @@
 		released:  make(chan struct{}),
 		crossed:   make(chan struct{}),
 	}
-	m.oracle.heldUp = measureHoldUps(t)
+	m.oracle.stalled = measureStalls(t)
 	for i := range 3 {
 		m.caches = append(m.caches, newOracleCache(t, m.oracle, fmt.Sprint("c", i+1), m.answer))
 	}
@@ -358,12 +358,12 @@
 	}
 }
 
-// measureHoldUps returns a function that tells for how long, in all, the machine has kept the process
+// measureStalls returns a function that tells for how long, in all, the machine has kept the process
 // from running since.
-func measureHoldUps(t *testing.T) (heldUp func() time.Duration) {
+func measureStalls(t *testing.T) (stalled func() time.Duration) {
 	var total atomic.Int64
 	done := make(chan struct{})
 	t.Cleanup(func() { close(done) })
-	go faulttest.WatchHoldUps(done, func(gap time.Duration) { total.Add(int64(gap)) })
+	go faulttest.WatchStalls(done, func(gap time.Duration) { total.Add(int64(gap)) })
 	return func() time.Duration { return time.Duration(total.Load()) }
 }
--- a/internal/router/last_command_test.go
+++ b/internal/router/last_command_test.go
@@ -81,12 +81,12 @@
 	l := newLastCommandTest(t, nil)
 	command := getCommand("r1")
 	const commands = 5
-	heldUp := fault{begun: make(chan struct{}), resume: make(chan struct{}), maxBytes: commands*len(command) - 7}
-	l.system.inject(callRead, heldUp)
+	stalled := fault{begun: make(chan struct{}), resume: make(chan struct{}), maxBytes: commands*len(command) - 7}
+	l.system.inject(callRead, stalled)
 	l.client.send(strings.Repeat(command, 2*commands)) // the waiting read takes a part of it, ...
-	receive(t, heldUp.begun, "read")
+	receive(t, stalled.begun, "read")
 	l.router.srv.endReading() // ... and returns when no more is to be read
-	close(heldUp.resume)
+	close(stalled.resume)
 	for range commands {
 		l.client.wantLine("-ERR failed")
 	}
@@ -157,12 +157,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newLastCommandTest(t, nil)
-			heldUp := fault{begun: make(chan struct{}), resume: make(chan struct{}), maxBytes: 1}
-			l.system.inject(callRead, heldUp)
+			stalled := fault{begun: make(chan struct{}), resume: make(chan struct{}), maxBytes: 1}
+			l.system.inject(callRead, stalled)
 			l.client.send(rubbish)
-			receive(t, heldUp.begun, "read")
+			receive(t, stalled.begun, "read")
 			l.router.srv.endReading()
-			close(heldUp.resume)
+			close(stalled.resume)
 			if reply := l.client.readLine(); reply != "-BUSY" && !strings.HasPrefix(reply, "-ERR Protocol error") {
 				t.Errorf("reply %q", reply)
 			}
--- a/internal/router/oracle_test.go
+++ b/internal/router/oracle_test.go
@@ -20,7 +20,7 @@
 
 // oracleSlack is added to the limits for a machine under load.
 type oracleSlack struct {
-	answer  time.Duration // for answers, which come late if anything is held up
+	answer  time.Duration // for answers, which come late if anything is stalled
 	attempt time.Duration // for attempts, whose begin the router's own system calls tell
 }
 
@@ -31,8 +31,8 @@
 type oracle struct {
 	slack oracleSlack
 	now   func() time.Time // time.Now, unless a test moves the clock by itself
-	// heldUp returns for how long the machine has held up the whole process, which adds to the slack.
-	heldUp func() time.Duration
+	// stalled returns for how long the machine has stalled the whole process, which adds to the slack.
+	stalled func() time.Duration
 	// allowsLateCommands says that clients send so late that the router may take a command for one that
 	// does not come whole.
 	allowsLateCommands bool
@@ -112,7 +112,7 @@
 	return &oracle{
 		slack:     slack,
 		now:       time.Now,
-		heldUp:    func() time.Duration { return 0 },
+		stalled:   func() time.Duration { return 0 },
 		requests:  map[string]*oracleRequest{},
 		byAddr:    map[string]*oracleConn{},
 		upstreams: map[string]*upstreamStream{},
@@ -343,7 +343,7 @@
 
 // judgeAnswer says what is wrong with an answer to a request, if anything is.
 func (o *oracle) judgeAnswer(r *oracleRequest, a oracleAnswer) string {
-	due := r.timeout + lateReplyAllowance + o.slack.answer + o.heldUp()
+	due := r.timeout + lateReplyAllowance + o.slack.answer + o.stalled()
 	switch {
 	case !r.writtenAt.IsZero() && a.at.Sub(r.writtenAt) > due:
 		return fmt.Sprintf("late answer, after %v", a.at.Sub(r.writtenAt))
@@ -360,7 +360,7 @@
 }
 
 // attemptSlack is the slack of the limits on attempts.
-func (o *oracle) attemptSlack() time.Duration { return o.slack.attempt + o.heldUp() }
+func (o *oracle) attemptSlack() time.Duration { return o.slack.attempt + o.stalled() }
 
 // begin returns when an attempt began: with the router's first write, where that is known.
 func (o *oracle) begin(a oracleAttempt) time.Time {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -18,10 +18,10 @@
 	lateAcceptTime  = 500 * time.Millisecond // after SIGTERM, in which clients may still open connections
 	maxDrainTimeout = 3 * time.Second        // of the longest request timeout, as much as counts before SIGKILL
 	killDelay       = 700 * time.Millisecond // beyond the longest timeout; SIGKILL may follow then
-	maxStall        = 150 * time.Millisecond // for which the process may be held up between two steps
+	maxStall        = 150 * time.Millisecond // for which the process may be stalled between two steps
 	replyTravelTime = 50 * time.Millisecond  // for a reply to reach the client's machine
 
-	// Beyond the longest timeout, when the last replies are due. The process may be held up before it
+	// Beyond the longest timeout, when the last replies are due. The process may be stalled before it
 	// notices SIGTERM, and again between the time that a reply is due and its write.
 	lastReplyDelay = killDelay - 2*maxStall - replyTravelTime
 
--- a/internal/router/upstream_write.go
+++ b/internal/router/upstream_write.go
@@ -16,7 +16,7 @@
 	minWriteDelay = 1_000
 	maxWriteDelay = 16_000
 	// maxUninterrupted is the time in microseconds between two successive system calls beyond which
-	// the process counts as having been held up between them.
+	// the process counts as having been stalled between them.
 	maxUninterrupted = 5_000
 )
 
@@ -64,7 +64,7 @@
 
 // tryWrite writes as much of the rest of a command as the socket takes at once, unless anything has
 // arrived before or the client has gone. The lock keeps bytes from being read unnoticed between the
-// check and the write. The process may be held up at each step, most of all where it reads the clock,
+// check and the write. The process may be stalled at each step, most of all where it reads the clock,
 // and the client may leave meanwhile: the look at the client comes last before the write.
 func (c *upstreamConn) tryWrite(a *attempt, rest []byte) (n int, err error) {
 	c.mu.Lock()
@@ -84,8 +84,8 @@
 	if n == len(rest) {
 		c.sequence.Add(1)
 	}
-	heldUp := c.pool.loop.clock()-begunAt > maxUninterrupted
-	if heldUp && !isNew && c.checkSilent() != nil {
+	stalled := c.pool.loop.clock()-begunAt > maxUninterrupted
+	if stalled && !isNew && c.checkSilent() != nil {
 		// A late reply to an earlier request may have arrived between the check and the write.
 		return n, errOutOfStep
 	}
--- a/internal/router/upstream_write_test.go
+++ b/internal/router/upstream_write_test.go
@@ -166,7 +166,7 @@
 }
 
 // TestLateReplyDuringStall checks that a second reply to a request is not taken for the reply to the
-// next one, if it arrives while the process is held up between its look at the connection and the
+// next one, if it arrives while the process is stalled between its look at the connection and the
 // write.
 func TestLateReplyDuringStall(t *testing.T) {
 	cache := newFakeCache(t)
--- a/internal/soaktest/judge_test.go
+++ b/internal/soaktest/judge_test.go
@@ -35,7 +35,7 @@
 	requests    map[string]*request
 	connections []*connection
 	attempts    []attempt
-	heldUp      time.Duration // for which the test itself was held up
+	stalled     time.Duration // for which the test itself was stalled
 	drains      map[drain]time.Time
 	stops       []stop
 }
@@ -197,10 +197,10 @@
 	j.attempts = append(j.attempts, a)
 }
 
-func (j *judge) noteHoldUp(d time.Duration) {
+func (j *judge) noteStall(d time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.heldUp += d
+	j.stalled += d
 }
 
 // verdict is what a play came to.
@@ -276,7 +276,7 @@
 		for i, r := range c.requests[:min(len(c.requests), len(c.answers))] {
 			requests[c.router]++
 			due := r.writtenAt.Add(r.timeout)
-			latest := due.Add(promptLimit + promptSlack + j.heldUp)
+			latest := due.Add(promptLimit + promptSlack + j.stalled)
 			at := c.answers[i].at
 			if !c.slow && !r.writtenAt.IsZero() && at.After(latest) && previous.Before(due) && !j.wasStopped(c.router, due, latest) {
 				unprompt[c.router] = append(unprompt[c.router], r)
@@ -313,7 +313,7 @@
 	if previous.After(due) {
 		due = previous
 	}
-	if late := a.at.Sub(due); late > lateReplyLimit+machineSlack+j.heldUp {
+	if late := a.at.Sub(due); late > lateReplyLimit+machineSlack+j.stalled {
 		v.report(r, "lost: answered %v late", late)
 	}
 }
@@ -324,7 +324,7 @@
 		v.violations = append(v.violations, a.id+": an attempt of a request that no client wrote")
 		return
 	}
-	slack := machineSlack + j.heldUp
+	slack := machineSlack + j.stalled
 	c := r.connection
 	if late := a.arrived.Sub(c.clientEnd); !c.clientEnd.IsZero() && late > disconnectLimit+slack {
 		v.report(r, "an attempt began %v after the client's end", late)
--- a/internal/soaktest/soak_test.go
+++ b/internal/soaktest/soak_test.go
@@ -117,7 +117,7 @@
 func (s *play) run() {
 	s.t.Log(&s.plan)
 	done := make(chan struct{})
-	go faulttest.WatchHoldUps(done, s.judge.noteHoldUp)
+	go faulttest.WatchStalls(done, s.judge.noteStall)
 	var clients sync.WaitGroup
 	for router := range s.routers {
 		s.connectIdleClients(router)
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -8,7 +8,7 @@
 	retryRatio         = .05 // retries and hedges per request, in the long run
 	maxFleetRetryBurst = 20  // ... and in one burst, over all routers
 
-	// dedupMargin is how long before caches forget a request's key its repeats end: the process may be held up
+	// dedupMargin is how long before caches forget a request's key its repeats end: the process may be stalled
 	// between its last look at the clock and the write.
 	dedupMargin Time = 150_000
 )
