Read on behind a full queue only while requests of the client are open

Cause: found by reading the change once more. The router rejected whatever came behind a full queue and a full read-ahead; a peer that sends 60 MB of lines without a request was read and parsed in full, where it had waited before, and a client that sends on while the last replies of a drain are due could have kept the reading going. Its end matters only while the policy may begin an attempt for it.

Change: without open requests, or once the reading ends, the rest waits as before.

--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -39,6 +39,7 @@
 	draining       atomic.Bool  // the connection is to be closed between requests
 	evicting       atomic.Bool  // it is drained for want of descriptors, so a partial command is given less time
 	pendingReplies atomic.Int64 // commands whose reply is not written
+	openRequests   atomic.Int64 // requests without a final reply that the policy decides about
 	awaitsRoom     atomic.Bool  // the reader waits for a reply to be written, or for bytes to read ahead
 	readingStopped atomic.Bool  // what arrives stays unread
 	aheadCharge    atomic.Int64 // bytes acquired for what is read ahead
@@ -174,7 +175,8 @@
 )
 
 // enqueue queues the reply slot of a command. While the queue is full, what the client sends is read
-// ahead; when no more of it can be, the command is rejected.
+// ahead. When no more of it can be, the command is rejected if requests of the client are open, as its end
+// must not stay hidden; else the rest of what it sends waits.
 func (c *clientConn) enqueue(slot *replySlot) enqueueResult {
 	c.pendingReplies.Add(1)
 	if c.replies.tryAdd(slot) {
@@ -188,13 +190,21 @@
 		switch {
 		case c.replies.tryAdd(slot):
 			return enqueued
-		case !c.reader.readMore():
-			c.replies.addRejected()
-			return enqueueRejected
 		case c.hungUp():
 			return enqueueGone
 		}
-		_ = c.nc.AwaitReadable() // its error, if it is not the deadline, shows with the next look
+		await := c.nc.AwaitReadable
+		switch {
+		case c.reader.isEnding():
+			await = c.nc.AwaitHangup // nothing more is read
+		case c.reader.readMore():
+		case c.openRequests.Load() > 0:
+			c.replies.addRejected()
+			return enqueueRejected
+		default:
+			await = c.nc.AwaitHangup
+		}
+		_ = await() // its error, if it is not the deadline, shows with the next look
 	}
 }
 
--- a/internal/router/read_ahead_test.go
+++ b/internal/router/read_ahead_test.go
@@ -97,6 +97,20 @@
 	router.waitForFreeMemory(t)
 }
 
+// TestFloodWithoutRequestsWaits checks that what a client sends without reading waits, and costs the router
+// nothing, where no request of it is open: its end need not be seen.
+func TestFloodWithoutRequestsWaits(t *testing.T) {
+	router, _ := startScriptedRouter(t, endpointJSON("c1", "127.0.0.1:1", "in_service"))
+	client := dial(t, router.addr)
+	const pings = 8 * maxReadAhead / 16
+	go client.sendPings(pings)
+	client.waitForReadAhead(router)
+	for i := range pings {
+		client.wantLine(strconv.Itoa(i))
+	}
+	router.waitForFreeMemory(t)
+}
+
 // TestClientDisconnectsBehindFlood has a client send more than the router reads ahead, and disconnect, while
 // its first commands are in flight.
 func TestClientDisconnectsBehindFlood(t *testing.T) {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -39,6 +39,7 @@
 	l.requests[r.id] = r
 	l.openRequests++
 	c.requests[r.id] = r
+	c.openRequests.Add(1)
 	l.noteAccepted(r, arrivedAt)
 	l.pendingEvents = append(l.pendingEvents, &policy.Request{
 		ID:       r.id,
@@ -134,6 +135,7 @@
 	l.openRequests--
 	l.noteDone(r, result)
 	delete(r.client.requests, r.id)
+	r.client.openRequests.Add(-1)
 	for _, a := range r.attempts {
 		if a.state == attemptQueued || a.state == attemptWriting {
 			a.abandon(policy.Cancelled)
