Soak: large values, and requests that are written slowly in many parts

Cause: the soak wrote no request of more than 3 KB, and cut a batch once at most.

Change: one in fifty values has 60 KB; one in twenty batches is written in 21 parts within 0.2 s.

--- a/internal/soaktest/client_test.go
+++ b/internal/soaktest/client_test.go
@@ -20,6 +20,10 @@
 	maxRest         = 150 * time.Millisecond // between the requests of a client
 	maxCut          = 200 * time.Millisecond // in the middle of a command
 	valueSize       = 3000
+	largeSize       = 60_000 // of a few values
+	largeShare      = 0.02   // of the requests with a value
+	slowWriteShare  = 0.05   // of the batches that are written in many parts
+	slowWriteCuts   = 20     // in such a batch
 	keys            = 50
 	answerWait      = 2 * time.Second       // beyond the timeout, after which no answer is expected any more
 	redialInterval  = 5 * time.Millisecond  // after a connection could not be opened
@@ -123,6 +127,7 @@
 		if c.rng.Float64() < writeClassShare {
 			r.class = []string{classPut, classOnce}[c.rng.IntN(2)]
 		}
+		r.large = c.rng.Float64() < largeShare
 		r.wire = encode(r, c.rng.IntN(keys))
 		batch = append(batch, r)
 	}
@@ -136,7 +141,11 @@
 	switch r.class {
 	case classPut:
 		words[0], words[3] = resp.VerbSet, options+",k="+r.id
-		words = append(words, strings.Repeat("v", valueSize))
+		size := valueSize
+		if r.large {
+			size = largeSize
+		}
+		words = append(words, strings.Repeat("v", size))
 	case classOnce:
 		words[0] = resp.VerbSet
 		words = append(words, "v")
@@ -185,39 +194,49 @@
 	<-s.ended
 }
 
-// write writes a batch, some batches in two parts with a pause in the middle of a command. It reports
-// false if the connection has ended before the batch was written.
+// write writes a batch, some batches in parts with pauses in the middle of a command. It reports false if
+// the connection has ended before the batch was written.
 func (s *session) write(batch []*request) bool {
 	rng := s.client.rng
 	var wire []byte
 	for _, r := range batch {
 		wire = append(wire, r.wire...)
 	}
-	cut := len(wire)
-	if rng.Float64() < cutShare {
-		cut = rng.IntN(len(wire))
+	cuts := 0
+	switch draw := rng.Float64(); {
+	case draw < slowWriteShare:
+		cuts = slowWriteCuts
+	case draw < cutShare:
+		cuts = 1
 	}
 	if s.isOver() {
 		return false
 	}
 	s.noteBatch(batch)
-	if !s.writePart(wire[:cut]) {
-		return false
-	}
-	if cut < len(wire) {
-		select {
-		case <-time.After(randomDuration(rng, 0, maxCut)):
-		case <-s.ended:
-			return false
-		}
-		if !s.writePart(wire[cut:]) {
+	for range cuts {
+		cut := rng.IntN(len(wire))
+		if !s.writePart(wire[:cut]) || !s.pause(randomDuration(rng, 0, maxCut/time.Duration(cuts))) {
 			return false
 		}
+		wire = wire[cut:]
+	}
+	if !s.writePart(wire) {
+		return false
 	}
 	s.client.judge.wrote(batch)
 	return true
 }
 
+// pause waits for some time and reports whether the connection is still open.
+func (s *session) pause(length time.Duration) bool {
+	select {
+	case <-time.After(length):
+		return true
+	case <-s.ended:
+		return false
+	}
+}
+
 // isOver reports whether nothing more may be written.
 func (s *session) isOver() bool {
 	s.writing.Lock()
--- a/internal/soaktest/judge_test.go
+++ b/internal/soaktest/judge_test.go
@@ -57,6 +57,7 @@
 	id         string
 	class      string
 	timeout    time.Duration
+	large      bool // it has a large value, if it has one
 	wire       []byte
 	start, end int64     // its bytes among those of its connection
 	writtenAt  time.Time // zero unless the last byte was written
