Make heartbeats by the turns of the event loop, 30 ms apart at most

Change: each turn of the event loop is a heartbeat; its alarm is set to 30 ms at most. A stall counts from 40 ms on: one that is not noticed delays an answer by less, and clients allow for 60 ms.

TestStallMonitor follows the intervals.

--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -92,7 +92,7 @@
 		endpointsVersion: cfg.Known.Version,
 		startTimes:       newStartTimes(),
 	}
-	l.stalls = newStallMonitor(l.clock, l.noteStall)
+	l.stalls = newStallMonitor(l.clock(), l.noteStall)
 	// A client's PING may be answered before the loop has applied the known endpoints.
 	l.canServe.Store(cfg.Known.HasInService())
 	return l, nil
@@ -124,7 +124,6 @@
 func (l *eventLoop) run(ctx context.Context) {
 	defer close(l.done)
 	go l.logger.run(l.done)
-	go l.stalls.run(l.done)
 	l.ctx = ctx
 	l.now = l.clock()
 	l.applyKnownEndpoints()
@@ -144,16 +143,23 @@
 			l.closePools()
 			return
 		case f := <-l.events:
-			l.now = l.clock()
+			l.beginTurn()
 			f()
 		case <-alarm.C:
-			l.now = l.clock()
+			l.beginTurn()
 		}
 		l.deliverEvents()
 		l.runDueTimers()
 	}
 }
 
+// beginTurn reads the clock for the next event. Each turn is a heartbeat: where nothing happens the alarm
+// makes one, so that they cost a busy router nothing.
+func (l *eventLoop) beginTurn() {
+	l.now = l.clock()
+	l.stalls.beat(l.now)
+}
+
 // noteStall counts and logs that the process did not run for a time in microseconds. Any goroutine may
 // call it.
 func (l *eventLoop) noteStall(duration policy.Time) {
--- a/internal/router/stall_monitor.go
+++ b/internal/router/stall_monitor.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// heartbeatInterval is the time between two heartbeats.
-	heartbeatInterval = 20 * time.Millisecond
+	// heartbeatInterval is the time between two heartbeats of an event loop that has nothing to do.
+	heartbeatInterval = 30 * time.Millisecond
 	// minStall is the time in microseconds without a heartbeat from which on the process counts as having
 	// been stalled. Clients allow for as much beside the travel time of a reply.
-	minStall policy.Time = 30_000
+	minStall policy.Time = 40_000
 	// backlogTime is how long after a stall, in microseconds, bytes may be read for the first time that
 	// arrived during it.
 	backlogTime policy.Time = 20_000
@@ -22,7 +22,6 @@
 // counts the timeout of a request from when it has sent it, and nothing else tells on each system how
 // long the request has waited for a process that was stalled. Any goroutine may use it.
 type stallMonitor struct {
-	clock    func() policy.Time
 	reported func(duration policy.Time) // is told of each stall
 
 	mu       sync.Mutex
@@ -31,22 +30,8 @@
 	end      policy.Time // ... and the end of the last one
 }
 
-func newStallMonitor(clock func() policy.Time, reported func(duration policy.Time)) *stallMonitor {
-	return &stallMonitor{clock: clock, reported: reported, lastBeat: clock()}
-}
-
-// run makes heartbeats until done is closed.
-func (m *stallMonitor) run(done <-chan struct{}) {
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			m.beat(m.clock())
-		case <-done:
-			return
-		}
-	}
+func newStallMonitor(now policy.Time, reported func(duration policy.Time)) *stallMonitor {
+	return &stallMonitor{reported: reported, lastBeat: now}
 }
 
 // beat notes that the process runs at the given time.
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -46,11 +46,13 @@
 // scheduleAfter has f run by the loop after the given delay.
 func (l *eventLoop) scheduleAfter(delay policy.Time, f func()) { l.schedule(l.now+delay, f) }
 
-// resetAlarm sets the alarm to the next timer due, if there is one.
+// resetAlarm sets the alarm to the next timer due, or to the next heartbeat if that comes first.
 func (l *eventLoop) resetAlarm(alarm *time.Timer) {
+	wait := heartbeatInterval
 	if len(l.timers) > 0 {
-		alarm.Reset(time.Duration(l.timers[0].at-l.clock()) * time.Microsecond)
+		wait = min(wait, microseconds(l.timers[0].at-l.clock()))
 	}
+	alarm.Reset(wait)
 }
 
 // runDueTimers runs the timers that are due and delivers the events of each before the next runs.
