Soak: bytes that have not reached the router's machine are not read

Cause: the judge counted what was written, less what lies unread at the router, as read. Traced: the router's debugging log shows n4-1-156 as the last command that it read, and the client has 156 answers.

Change: the client's unacknowledged bytes are taken off too, looked at first. TestJudgeReportsFaults holds as before.

--- a/internal/soaktest/client_test.go
+++ b/internal/soaktest/client_test.go
@@ -335,9 +335,11 @@
 	sent := s.sentBytes
 	s.writing.Unlock()
 	for range lingerLooks {
+		// This look comes first: what is on its way between the two must not count as read.
+		undelivered, told := undeliveredBy(s.nc)
 		unread, ok := unreadBy(s.nc.RemoteAddr(), s.nc.LocalAddr())
-		if ok { // a look may miss a socket while the list of sockets changes
-			s.client.judge.routerRead(s.connection, sent-unread)
+		if told && ok { // a look may miss a socket while the list of sockets changes
+			s.client.judge.routerRead(s.connection, sent-undelivered-unread)
 		}
 		time.Sleep(lingerLook)
 	}
--- a/internal/soaktest/unread_test.go
+++ b/internal/soaktest/unread_test.go
@@ -19,6 +19,22 @@
 	return int64(s.RQueue), true
 }
 
+// undeliveredBy returns how many of the bytes that were written to a connection have not arrived at the
+// peer's machine, as its receive window is full. It reports false if that can't be told.
+func undeliveredBy(nc *net.TCPConn) (undelivered int64, ok bool) {
+	raw, err := nc.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var queryErr error
+	err = raw.Control(func(fd uintptr) {
+		var n int
+		n, queryErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		undelivered = int64(n)
+	})
+	return undelivered, err == nil && queryErr == nil
+}
+
 // awaitHangup waits for the end of a connection to arrive from the peer. It reports false if none does
 // in time.
 func awaitHangup(nc *net.TCPConn, timeout time.Duration) bool {
