Log how far the event loop is behind, and its long turns

Cause: a router that is behind left no line; only stalls of the whole process did. Change: each event carries the time at which it was posted; the loop logs when it falls behind (50 ms) and catches up, with the events queued and the requests open, and turns of 20 ms and more; the statistics have delayed_events, longest_delay and longest_turn.

--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -26,14 +26,17 @@
 	system        socket.System
 	engine        policyEngine
 	ctx           context.Context // parent of the context of each watch
-	events        chan func()
+	events        chan postedEvent
 	logger        *eventLogger
 	statistics    *statistics
 	stalls        *stallMonitor
+	delay         *loopDelay
 	done          chan struct{} // closed when the loop has ended
 	started       time.Time     // a reading of the monotonic clock ...
 	startedUnix   policy.Time   // ... and of the wall clock, which may be off, at the same moment
 	now           policy.Time   // time of the event being handled
+	turnBegan     policy.Time   // when the present turn began
+	turnEvents    int           // events that the engine has handled in it
 	timers        timerHeap
 	pendingEvents []policy.Event // events that the engine has not handled yet
 	lastID        int64          // last number given to a request or a timer
@@ -76,7 +79,7 @@
 		cfg:              cfg,
 		system:           socket.Linux{},
 		engine:           engine,
-		events:           make(chan func(), eventQueueSize),
+		events:           make(chan postedEvent, eventQueueSize),
 		logger:           newEventLogger(),
 		statistics:       &statistics{},
 		done:             make(chan struct{}),
@@ -93,6 +96,7 @@
 		startTimes:       newStartTimes(),
 	}
 	l.stalls = newStallMonitor(l.clock(), l.noteStall)
+	l.delay = &loopDelay{loop: l}
 	// A client's PING may be answered before the loop has applied the known endpoints.
 	l.canServe.Store(cfg.Known.HasInService())
 	return l, nil
@@ -114,8 +118,9 @@
 
 // post has f run by the loop. After the loop has ended it does nothing.
 func (l *eventLoop) post(f func()) {
+	event := postedEvent{run: f, postedAt: l.clock()}
 	select {
-	case l.events <- f:
+	case l.events <- event:
 	case <-l.done:
 	}
 }
@@ -125,7 +130,7 @@
 	defer close(l.done)
 	go l.logger.run(l.done)
 	l.ctx = ctx
-	l.now = l.clock()
+	l.beginTurn()
 	l.applyKnownEndpoints()
 	if !l.cfg.Settings.WatchRequired {
 		// The engine asks for a watch only where the settings require one. Otherwise it expects
@@ -137,14 +142,15 @@
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
-		l.resetAlarm(alarm)
+		l.resetAlarm(alarm, l.endTurn())
 		select {
 		case <-ctx.Done():
 			l.closePools()
 			return
-		case f := <-l.events:
+		case event := <-l.events:
 			l.beginTurn()
-			f()
+			l.delay.noteEvent(event.postedAt)
+			event.run()
 		case <-alarm.C:
 			l.beginTurn()
 		}
@@ -157,9 +163,17 @@
 // makes one, so that they cost a busy router nothing.
 func (l *eventLoop) beginTurn() {
 	l.now = l.clock()
+	l.turnBegan, l.turnEvents = l.now, 0
 	l.stalls.beat(l.now)
 }
 
+// endTurn returns the time at which the turn ends.
+func (l *eventLoop) endTurn() policy.Time {
+	end := l.clock()
+	l.delay.noteTurn(end)
+	return end
+}
+
 // noteStall counts and logs that the process did not run for a time in microseconds. Any goroutine may
 // call it.
 func (l *eventLoop) noteStall(duration policy.Time) {
@@ -200,6 +214,7 @@
 	for len(l.pendingEvents) > 0 {
 		ev := l.pendingEvents[0]
 		l.pendingEvents = l.pendingEvents[1:]
+		l.turnEvents++
 		for _, action := range l.engine.Handle(l.now, ev) {
 			l.perform(action)
 		}
--- a/internal/router/statistics.go
+++ b/internal/router/statistics.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"sync/atomic"
-	"time"
 
 	"marlstage/policy"
 )
@@ -31,6 +30,10 @@
 	commandErrors atomic.Int64 // commands that can be parsed, but that no proper client sends
 	stalls        atomic.Int64
 	longestStall  atomic.Int64 // microseconds
+
+	delayedEvents atomic.Int64 // events that the event loop handled late
+	longestDelay  atomic.Int64 // microseconds by which one was
+	longestTurn   atomic.Int64 // microseconds of one turn of the event loop
 }
 
 // requestResult is how a request ended.
@@ -87,9 +90,14 @@
 // noteStall counts a time in microseconds in which the process did not run.
 func (s *statistics) noteStall(duration policy.Time) {
 	s.stalls.Add(1)
+	storeMax(&s.longestStall, duration)
+}
+
+// storeMax raises a maximum to a value.
+func storeMax(maximum *atomic.Int64, value policy.Time) {
 	for {
-		longest := s.longestStall.Load()
-		if duration <= longest || s.longestStall.CompareAndSwap(longest, duration) {
+		largest := maximum.Load()
+		if value <= largest || maximum.CompareAndSwap(largest, value) {
 			return
 		}
 	}
@@ -97,7 +105,6 @@
 
 // log writes the counts since the start as one line.
 func (s *statistics) log(logger *eventLogger) {
-	longest := time.Duration(s.longestStall.Load()) * time.Microsecond
 	logger.Info("statistics",
 		slog.Int64("requests", s.requests.Load()),
 		slog.Attr{Key: "results", Value: groupOf(s.results[:], func(i int) string { return requestResult(i).String() })},
@@ -112,7 +119,10 @@
 		slog.Int64("unsolicited", s.unsolicited.Load()),
 		slog.Int64("command_errors", s.commandErrors.Load()),
 		slog.Int64("stalls", s.stalls.Load()),
-		slog.Duration("longest_stall", longest),
+		slog.Duration("longest_stall", microseconds(s.longestStall.Load())),
+		slog.Int64("delayed_events", s.delayedEvents.Load()),
+		slog.Duration("longest_delay", microseconds(s.longestDelay.Load())),
+		slog.Duration("longest_turn", microseconds(s.longestTurn.Load())),
 		slog.Int64("dropped_lines", logger.queue.dropped.Load()),
 		slog.Int64("suppressed_lines", logger.suppressed.Load()),
 	)
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -46,11 +46,11 @@
 // scheduleAfter has f run by the loop after the given delay.
 func (l *eventLoop) scheduleAfter(delay policy.Time, f func()) { l.schedule(l.now+delay, f) }
 
-// resetAlarm sets the alarm to the next timer due, or to the next heartbeat if that comes first.
-func (l *eventLoop) resetAlarm(alarm *time.Timer) {
+// resetAlarm sets the alarm, at the given time, to the next timer due, or to the next heartbeat if that comes first.
+func (l *eventLoop) resetAlarm(alarm *time.Timer, now policy.Time) {
 	wait := heartbeatInterval
 	if len(l.timers) > 0 {
-		wait = min(wait, microseconds(l.timers[0].at-l.clock()))
+		wait = min(wait, microseconds(l.timers[0].at-now))
 	}
 	alarm.Reset(wait)
 }
