--- a/internal/soaktest/flood_test.go
+++ b/internal/soaktest/flood_test.go
@@ -28,7 +28,7 @@
 	)
 	j := newJudge()
 	p := plan{
-		seed: 1, longestTimeout: 2 * time.Second, routers: 1, descriptors: manyDescriptors,
+		seed: 1, longestTimeout: 2 * time.Second, routers: 1, descriptors: manyDescriptors, warmupTime: usualWarmupTime,
 		minServiceTime: 120 * time.Millisecond, maxServiceTime: 240 * time.Millisecond,
 	}
 	fleet := newFleet()
--- a/internal/soaktest/judge_test.go
+++ b/internal/soaktest/judge_test.go
@@ -99,6 +99,13 @@
 	return &judge{requests: map[string]*request{}, drains: map[drain]time.Time{}}
 }
 
+// reset forgets all requests. What is still on its way must not belong to one of them.
+func (j *judge) reset() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.requests, j.connections, j.attempts = map[string]*request{}, nil, nil
+}
+
 // toldOf notes that an entry of the endpoint list is about to be written to a router.
 func (j *judge) toldOf(router int, e endpoint) {
 	j.mu.Lock()
--- a/internal/soaktest/late_replies_test.go
+++ b/internal/soaktest/late_replies_test.go
@@ -28,7 +28,7 @@
 		wrongAllowed = 2 // for each second reply, on average; there were seven to ten
 	)
 	j := newJudge()
-	p := plan{seed: 1, longestTimeout: timeout, routers: 1, descriptors: manyDescriptors}
+	p := plan{seed: 1, longestTimeout: timeout, routers: 1, descriptors: manyDescriptors, warmupTime: usualWarmupTime}
 	var replies, seconds atomic.Int64
 	fleet := newFleet()
 	for i := range caches {
--- a/internal/soaktest/plan_test.go
+++ b/internal/soaktest/plan_test.go
@@ -11,6 +11,7 @@
 	maxKillTimeout  = 3 * time.Second        // of the longest timeout, as much as counts before SIGKILL
 	killDelay       = 700 * time.Millisecond // beyond it, when SIGKILL follows SIGTERM
 	stopTime        = 150 * time.Millisecond // for which a process is stopped and continued
+	usualWarmupTime = 2 * time.Second        // of a cache that has started
 	connectAfter    = 300 * time.Millisecond // after SIGTERM, for which clients open connections
 	maxClients      = 24                     // of all routers, that send requests
 	fewDescriptors  = 128
@@ -34,6 +35,7 @@
 	untoldArrivals bool    // the system does not tell when bytes arrived
 	minServiceTime time.Duration
 	maxServiceTime time.Duration // of a request that a cache serves at once
+	warmupTime     time.Duration // of a cache that has started
 	faultShare     float64
 	signals        []plannedSignal
 	events         []cacheEvent
@@ -80,6 +82,7 @@
 		caches:         3 + rng.IntN(3),
 		descriptors:    manyDescriptors,
 		maxServiceTime: maxServiceTime,
+		warmupTime:     usualWarmupTime,
 		discoveryDown:  rng.IntN(3) == 0,
 		faultShare:     0.3 * rng.Float64(),
 	}
--- a/internal/soaktest/process_test.go
+++ b/internal/soaktest/process_test.go
@@ -19,7 +19,8 @@
 	servingMessage = "msg=serving addr=" // its address follows
 )
 
-// settingsFormat takes the number of routers and the longest timeout in microseconds, three times.
+// settingsFormat takes the number of routers, the longest timeout and the warm-up time of a cache, both in
+// microseconds.
 const settingsFormat = `{"instances":%d,"discovery":"automatic","weights":"none",
  "categories":[
   {"name":"read","effect":"read_like","dedupScope":"all","aim":%[2]d,"hardLimit":%[2]d,"keyTtl":2000000,"worth":1},
@@ -27,7 +28,7 @@
   {"name":"once","effect":"non_idempotent","dedupScope":"all","aim":%[2]d,"hardLimit":%[2]d,"worth":1}],
  "limits":{"cancel":true,"probes":true,"secondCopies":true,"retryAfter":true,"maxAttempts":3,"maxRetryAfter":500000,
   "maxOpen":5000,"dialTimeout":250000,"keepalive":15000000},
- "rules":{"askEvery":10000000,"cold":2000000,"drainGrace":1000000,"fall":1500000,"startCapacity":0.3,"tipMultiple":3}}`
+ "rules":{"askEvery":10000000,"cold":%[3]d,"drainGrace":1000000,"fall":1500000,"startCapacity":0.3,"tipMultiple":3}}`
 
 // buildRouter builds the program that runs in service.
 func buildRouter(t *testing.T) string {
@@ -61,7 +62,8 @@
 		"seed":      fmt.Sprintf("%x", p.seed),
 		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": p.descriptors},
 		"known":     json.RawMessage(listBody(endpoints, version, true)),
-		"settings":  json.RawMessage(fmt.Sprintf(settingsFormat, p.routers, p.longestTimeout.Microseconds())),
+		"settings": json.RawMessage(fmt.Sprintf(settingsFormat, p.routers, p.longestTimeout.Microseconds(),
+			p.warmupTime.Microseconds())),
 	}
 	r := &routerProcess{
 		cmd:    routerCommand(t, program, p),
--- /dev/null
+++ b/internal/soaktest/starved_test.go
@@ -0,0 +1,203 @@
+package soaktest
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	starvedTimeout    = 500 * time.Millisecond
+	starvedWarmupTime = 9 * time.Second
+	starvedService    = 20 * time.Millisecond // of each request at a cache
+	starvedClients    = 8                     // connections that requests are spread over
+	starvedListeners  = 8                     // of the caches, each of which has many names
+	readyTime         = 500 * time.Millisecond
+	servedAtSize      = 0.85 // least part of what is served before few caches that is served before many
+)
+
+// cacheCondition is the state that the caches of a starved router are in.
+type cacheCondition int
+
+const (
+	allWarm cacheCondition = iota
+	allJustStarted
+	halfRefuse // half of the listed caches refuse connections
+)
+
+// TestStarvedRouterBeforeManyCaches checks that a router that gets a tenth of a core answers every request
+// in time, also before thousands of caches.
+//
+// Seen: one request in four of a fleet lost, only with thousands of caches, from when most of them had
+// started lately. Cause: the work for a decision grew with the square of the caches, and a request whose
+// time was over cost most of all.
+func TestStarvedRouterBeforeManyCaches(t *testing.T) {
+	const (
+		share = 0.1
+		rate  = 25 // requests a second
+		few   = 200
+		many  = 3200
+	)
+	program := buildRouter(t)
+	for name, condition := range map[string]cacheCondition{"all just started": allJustStarted, "half refuse": halfRefuse} {
+		t.Run(name, func(t *testing.T) {
+			served := map[int]int{}
+			for _, caches := range []int{few, many} {
+				s := newStarvedTest(t, program, caches, condition)
+				go throttle(s.router.cmd.Process.Pid, share, s.done)
+				v := s.play(rate, 6*time.Second)
+				s.wantNoViolation(v)
+				served[caches] = v.served
+			}
+			if float64(served[many]) < servedAtSize*float64(served[few]) {
+				t.Errorf("%d served before %d caches, %d before %d", served[many], many, served[few], few)
+			}
+		})
+	}
+}
+
+// TestRouterBeyondItsProcessor checks that a router that gets several times the requests that its share of
+// a core carries answers all of them in time, serves nearly as many as before, and serves all again soon after.
+//
+// Seen: hundreds of requests a second lost at routers that had fallen behind, none of which recovered.
+// Cause: requests whose time was over got the same work as others, in the order of their arrival.
+func TestRouterBeyondItsProcessor(t *testing.T) {
+	const (
+		share         = 0.05
+		caches        = 200
+		carriedRate   = 250 // requests a second
+		overloadRate  = 1000
+		lowRate       = 30
+		playTime      = 4 * time.Second
+		recoveryTime  = 2 * time.Second
+		goodputShare  = 0.8 // of what is served at the rate that is carried
+		recoveryShare = 0.9 // of the requests that are served once the overload is over
+	)
+	s := newStarvedTest(t, buildRouter(t), caches, allWarm)
+	go throttle(s.router.cmd.Process.Pid, share, s.done)
+	carried := s.play(carriedRate, playTime)
+	s.wantNoViolation(carried)
+	overload := s.play(overloadRate, playTime)
+	s.wantNoViolation(overload)
+	if float64(overload.served) < goodputShare*float64(carried.served) {
+		t.Errorf("%d served in overload, %d before", overload.served, carried.served)
+	}
+	s.play(lowRate, recoveryTime)
+	after := s.play(lowRate, playTime)
+	s.wantNoViolation(after)
+	if float64(after.served) < recoveryShare*float64(after.requests) {
+		t.Errorf("%v after the overload", after)
+	}
+}
+
+// starvedTest is a router process before caches that share a few listeners.
+type starvedTest struct {
+	t      *testing.T
+	judge  *judge
+	router *routerProcess
+	plays  int
+	done   chan struct{} // closed at the end of the test
+}
+
+func newStarvedTest(t *testing.T, program string, caches int, condition cacheCondition) *starvedTest {
+	t.Helper()
+	s := &starvedTest{t: t, judge: newJudge(), done: make(chan struct{})}
+	p := plan{
+		seed: 1, longestTimeout: starvedTimeout, descriptors: manyDescriptors, warmupTime: starvedWarmupTime,
+		routers:        caches * 3 / 2, // as many as share the caches where each has the same part of them
+		minServiceTime: starvedService, maxServiceTime: starvedService,
+	}
+	var addresses []string
+	for i := range starvedListeners {
+		addresses = append(addresses, startCache(t, fmt.Sprint("listener", i), s.judge, &p, uint64(100+i)).endpoint().address)
+	}
+	refusing := refusingAddress(t)
+	fleet := newFleet()
+	for i := range caches {
+		e := endpoint{name: fmt.Sprintf("c%04d", i), state: stateInService, address: addresses[i%len(addresses)]}
+		switch {
+		case condition == allJustStarted:
+			e.since = time.Now()
+		case condition == halfRefuse && i%2 == 0:
+			e.address = refusing
+		}
+		fleet.publish(e)
+	}
+	s.router = startRouter(t, program, "n0", &p, startDiscovery(t, fleet).addr(), fleet)
+	time.Sleep(readyTime)
+	t.Cleanup(func() { close(s.done) })
+	return s
+}
+
+// refusingAddress returns an address at which nothing listens.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// play sends so many requests a second, whatever becomes of them, and returns how they were judged.
+func (s *starvedTest) play(rate int, length time.Duration) verdict {
+	s.t.Helper()
+	s.plays++
+	s.judge.reset()
+	// The router is stopped again and again: the half second that answers may be late is what binds.
+	s.judge.stopped(0, time.Now(), time.Hour)
+	done := make(chan struct{})
+	var clients sync.WaitGroup
+	for i := range starvedClients {
+		c := &client{
+			judge: s.judge, rng: newRand(uint64(s.plays), uint64(i)), name: fmt.Sprintf("play%d-%d", s.plays, i),
+			addr: s.router.addr, maxTimeout: starvedTimeout,
+		}
+		clients.Go(func() { s.send(c, float64(rate)/starvedClients, length) })
+	}
+	clients.Wait()
+	close(done)
+	v := s.judge.verdict([]time.Time{time.Now().Add(time.Hour)})
+	s.t.Logf("%d requests a second: %v", rate, v)
+	return v
+}
+
+// send sends reads of single keys at random times on a connection of its own.
+func (s *starvedTest) send(c *client, rate float64, length time.Duration) {
+	nc, err := net.Dial("tcp", c.addr)
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	session := newSession(c, nc.(*net.TCPConn))
+	defer session.close()
+	for at, begun := 0.0, time.Now(); ; {
+		at += c.rng.ExpFloat64() / rate
+		if at > length.Seconds() {
+			break
+		}
+		time.Sleep(time.Until(begun.Add(time.Duration(at * float64(time.Second)))))
+		c.sent++
+		r := &request{id: fmt.Sprintf("%s-%d", c.name, c.sent), class: classRead, timeout: starvedTimeout}
+		r.wire = encode(r, int(c.rng.Uint32()))
+		session.noteBatch([]*request{r})
+		if !session.writePart(r.wire) {
+			return
+		}
+		c.judge.wrote([]*request{r})
+	}
+	session.awaitAnswers(0)
+}
+
+func (s *starvedTest) wantNoViolation(v verdict) {
+	s.t.Helper()
+	if v.left > 0 {
+		s.t.Errorf("broken rule: %d requests were not answered within %v of their time", v.left, answerWait)
+	}
+	for _, violation := range v.violations[:min(len(v.violations), maxReported)] {
+		s.t.Error("broken rule: " + violation)
+	}
+}
--- a/internal/soaktest/stopped_test.go
+++ b/internal/soaktest/stopped_test.go
@@ -66,7 +66,7 @@
 	t.Helper()
 	j := newJudge()
 	p := plan{
-		seed: 1, longestTimeout: stoppedTimeout, routers: 1, descriptors: manyDescriptors,
+		seed: 1, longestTimeout: stoppedTimeout, routers: 1, descriptors: manyDescriptors, warmupTime: usualWarmupTime,
 		maxServiceTime: maxServiceTime, untoldArrivals: untoldArrivals,
 	}
 	fleet := newFleet(startCache(t, "c0", j, &p, 0).endpoint())
