Search the ranking in bounded work instead of walking through all caches

What callers saw: with thousands of caches, requests without an answer and attempts after their end. Cause: each pick scored every cache with a logarithm; where caches were not considered (circuit open, warming up, or the request's time or attempts used up) it walked the ranking to its end, which is quadratic, and for each warming cache it summed over all caches again. A request whose time was over cost most.

Change: what does not depend on the cache is checked first (canAttempt). Caches in service are kept in groups of zone, weight and warming up, with their hashes side by side; a cutoff passes over a cache with one hash and one comparison. The first 16 ranks are kept with a request until the fleet changes; what lies beyond is found by one search, which leaves out whole groups that the slow start or an open zone excludes. The load of the warm caches and the sums of weights are kept as they change, and an update of one line sorts nothing.

TestDispatchOfLongQueueIsBounded counted allocations, of which a pick makes none any more; it counts the requests tried.

--- a/internal/stats/window.go
+++ b/internal/stats/window.go
@@ -51,4 +51,10 @@
 func (s *KeySet) Empty() bool { return len(s[current])+len(s[previous]) == 0 }
 
 // Rotate opens a new window.
-func (s *KeySet) Rotate() { s[current], s[previous] = map[uint64]bool{}, s[current] }
+func (s *KeySet) Rotate() {
+	if len(s[previous]) == 0 {
+		s[current], s[previous] = s[previous], s[current]
+		return
+	}
+	s[current], s[previous] = map[uint64]bool{}, s[current]
+}
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -39,7 +39,7 @@
 	c.inFlight++
 	c.attemptsSent++
 	e.attemptsSent++
-	c.recentAttempts.Add(e.now, e.settings.OverloadTime)
+	e.changeRecent(c, func() { c.recentAttempts.Add(e.now, e.settings.OverloadTime) })
 	c.lastSentAt = e.now
 	if c.connectFailures >= connectFailureThreshold {
 		e.delayTrial(c)
@@ -124,7 +124,7 @@
 	e.updateGoodput(a, o.request, o.Result)
 	spent := o.latency
 	if o.Result == Rejected {
-		c.recentRejections.Add(e.now, e.settings.OverloadTime)
+		e.changeRecent(c, func() { c.recentRejections.Add(e.now, e.settings.OverloadTime) })
 		spent = max(spent, e.latencyThreshold) // a rejection comes at once, and so would the next attempt
 	}
 	c.timeTokens, c.timeTokensAt = e.availableTime(c)-float64(spent), e.now
--- a/policy/cache.go
+++ b/policy/cache.go
@@ -13,6 +13,7 @@
 	Endpoint
 	circuitBreaker
 	zone       *circuitBreaker // shared by the caches of its zone
+	group      *cacheGroup     // nil unless it is in service
 	hash       uint64
 	warmupFrom Time // assumed start of its process
 	warmAt     Time // it is warming up until then
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -31,25 +31,52 @@
 	if ev.Kind != UpdateStale {
 		e.failedPolls, e.polledAt = 0, e.now // the caller polls again at once
 	}
-	listed := map[string]bool{}
+	if ev.Kind != UpdateDelta {
+		e.removeUnlisted(ev.Endpoints)
+	}
+	added := false
 	for _, endpoint := range ev.Endpoints {
+		c := e.updateEndpoint(endpoint)
+		added = added || c.State == InService && c.concurrencyLimit == 0
+	}
+	if len(ev.Endpoints) > 0 || ev.Kind != UpdateDelta {
+		e.fleetChanged(added)
+	}
+	if !e.started {
+		e.started = true
+		e.start()
+	}
+}
+
+// removeUnlisted removes the caches that a complete list does not have.
+func (e *Engine) removeUnlisted(endpoints []Endpoint) {
+	listed := make(map[string]bool, len(endpoints))
+	for _, endpoint := range endpoints {
 		listed[endpoint.ID] = true
-		e.updateEndpoint(endpoint)
 	}
-	e.inService = e.inService[:0]
 	for id, c := range e.caches {
-		if ev.Kind != UpdateDelta && !listed[id] {
+		if !listed[id] {
 			c.State = Removed
 		}
-		if c.State == InService {
-			e.inService = append(e.inService, c)
+	}
+	for _, c := range slices.Clone(e.inService) {
+		if c.State != InService {
+			e.leaveService(c)
 		}
 	}
-	slices.SortFunc(e.inService, func(a, b *cache) int { return cmp.Compare(a.ID, b.ID) })
-	e.initializeLimits()
-	if !e.started {
-		e.started = true
-		e.start()
+}
+
+// fleetChanged brings up to date what depends on all caches. added says that some have no limits yet.
+func (e *Engine) fleetChanged(added bool) {
+	e.rankingVersion++
+	e.sums.known = false
+	mean := 0.0
+	for _, c := range e.inService {
+		mean += c.Weight / float64(len(e.inService))
+	}
+	e.meanWeight = cmp.Or(mean, e.meanWeight)
+	if added {
+		e.initializeLimits()
 	}
 }
 
@@ -75,7 +102,7 @@
 	return float64(span) / divisor * math.Exp2(float64(min(failures, maxBackoffDoublings)))
 }
 
-func (e *Engine) updateEndpoint(endpoint Endpoint) {
+func (e *Engine) updateEndpoint(endpoint Endpoint) *cache {
 	c := e.caches[endpoint.ID]
 	restarted := c == nil || endpoint.StartedAt != c.StartedAt
 	if c == nil {
@@ -98,17 +125,15 @@
 	e.zones[endpoint.Zone] = c.zone
 	// A start that is listed in the future, or again after a later one, must not change the slow start's length.
 	startedAt := min(endpoint.StartedAt, e.now)
-	if restarted && endpoint.StartedAt > 0 && startedAt > c.warmupFrom {
+	coldAgain := restarted && endpoint.StartedAt > 0 && startedAt > c.warmupFrom
+	if coldAgain {
 		c.warmupFrom, c.warmAt = startedAt, startedAt+e.settings.WarmupTime
 	}
+	e.regroup(c, coldAgain)
+	return c
 }
 
 func (e *Engine) initializeLimits() {
-	mean := 0.0
-	for _, c := range e.inService {
-		mean += c.Weight / float64(len(e.inService))
-	}
-	e.meanWeight = cmp.Or(mean, e.meanWeight)
 	for _, c := range e.inService {
 		if c.concurrencyLimit == 0 {
 			c.concurrencyLimit = e.initialLimit(c)
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -27,10 +27,13 @@
 	caches      map[string]*cache // every cache ever listed
 	zones       map[string]*circuitBreaker
 	inService   []*cache // in the order of their identifiers
-	meanWeight  float64  // of the caches in service
-	started     bool     // an endpoint list has arrived
-	failedPolls int      // consecutive failed polls of the endpoint list
-	polledAt    Time     // start of the last poll, or the last update
+	groups      cacheGroups
+	sums        weightSums        // as last made; see weightSums
+	warmLoad    stats.FadingCount // recently accepted attempts at warm caches
+	meanWeight  float64           // of the caches in service
+	started     bool              // an endpoint list has arrived
+	failedPolls int               // consecutive failed polls of the endpoint list
+	polledAt    Time              // start of the last poll, or the last update
 
 	nextPollFailureLine Time // before that, failed polls are not logged
 
@@ -38,13 +41,15 @@
 	healthCheckBudget float64 // health checks earned by requests and not sent yet
 	skippedIntervals  int     // health check intervals since the last round
 
-	requests      map[int64]*request
-	queue         []*request                  // waiting for capacity, in the order of arrival
-	ranking       partialsort.Ranking[*cache] // for the key of the last call of rank
-	keyCounts     stats.KeyCounts             // requests by key
-	requestCounts stats.WindowCount
-	attemptsSent  int     // ever
-	retryBudget   float64 // tokens for retries and hedges
+	requests       map[int64]*request
+	queue          []*request                 // waiting for capacity, in the order of arrival
+	rankingVersion int                        // changes with what rankings depend on
+	ranking        partialsort.Lowest[*cache] // of the last search
+	unreached      partialsort.Lowest[*cache] // of the last search, with open circuits
+	keyCounts      stats.KeyCounts            // requests by key
+	requestCounts  stats.WindowCount
+	attemptsSent   int     // ever
+	retryBudget    float64 // tokens for retries and hedges
 
 	missesInFlight    int     // attempts in flight that the origin likely has to serve
 	originLimit       float64 // concurrency limit of those
@@ -84,6 +89,7 @@
 // Handle takes one event and returns what is to be done, in order.
 func (e *Engine) Handle(now Time, ev Event) []Action {
 	e.now, e.actions = now, nil
+	e.settleWarmedUp()
 	switch ev := ev.(type) {
 	case *EndpointsUpdate:
 		e.updateEndpoints(ev)
--- a/policy/health.go
+++ b/policy/health.go
@@ -168,6 +168,10 @@
 // circuitOpen reports whether a cache or its zone counts as unreachable. With an old endpoint list, requests
 // would else use up their attempts on caches that are gone.
 func (e *Engine) circuitOpen(c *cache) bool {
-	return c.connectFailures >= connectFailureThreshold && e.now < c.halfOpenAt ||
-		c.zone.connectFailures >= zoneFailureThreshold && e.now < c.zone.halfOpenAt
+	return e.breakerOpen(&c.circuitBreaker, connectFailureThreshold) ||
+		e.breakerOpen(c.zone, zoneFailureThreshold)
+}
+
+func (e *Engine) breakerOpen(b *circuitBreaker, threshold int) bool {
+	return b.connectFailures >= threshold && e.now < b.halfOpenAt
 }
--- a/policy/limits_test.go
+++ b/policy/limits_test.go
@@ -106,10 +106,18 @@
 	if len(h.engine.queue) < 1000 {
 		t.Fatalf("only %d requests are queued", len(h.engine.queue))
 	}
-	h.engine.ranking.Reset(nil)
-	allocations := testing.AllocsPerRun(5, h.engine.dispatchQueued)
-	if allocations > 8*maxDispatchTries {
-		t.Fatalf("one reply tries too many: %v allocations", allocations)
+	for _, req := range h.engine.queue {
+		req.spilledOver = true // a pick unsets it
+	}
+	h.engine.dispatchQueued()
+	tried := 0
+	for _, req := range h.engine.queue {
+		if !req.spilledOver {
+			tried++
+		}
+	}
+	if tried == 0 || tried > maxDispatchTries {
+		t.Fatalf("one reply tries %d of %d", tried, len(h.engine.queue))
 	}
 }
 
--- a/policy/placement_test.go
+++ b/policy/placement_test.go
@@ -156,8 +156,7 @@
 
 // primaryOf returns the ID of the first choice for a key.
 func primaryOf(engine *Engine, key uint64) string {
-	engine.rank(key)
-	return engine.ranking.At(0).ID
+	return engine.rankCaches(key, 1)[0].ID
 }
 
 // One router of many sees few requests, so a key that it sees twice may look hot by chance. If all routers then
--- /dev/null
+++ b/policy/ranking_test.go
@@ -0,0 +1,222 @@
+package policy
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// TestPickMatchesFullRanking compares picks with those of a walk through the ranking of all caches, in fleets
+// of random states. Groups, cutoffs and kept rankings must not change a decision.
+func TestPickMatchesFullRanking(t *testing.T) {
+	picked, fallbacks, overloads, beyondPrefix := 0, 0, 0, 0
+	for seed := range uint64(400) {
+		e, rng := newRandomFleet(t, seed)
+		for range 20 {
+			e.now += Time(rng.IntN(200 * ms))
+			e.settleWarmedUp()
+			req := randomRequest(e, rng)
+			source := e.rng
+			want, wantOverloaded, walked := pickByFullRanking(e, req)
+			wantSpilled, wantLimited := req.spilledOver, req.originLimited
+			e.rng, req.originLimited = source, false
+			got, overloaded := e.pickCache(req)
+			if got != want || overloaded != wantOverloaded || req.spilledOver != wantSpilled || req.originLimited != wantLimited {
+				t.Fatalf("seed %d: picked %v, overloaded %t, want %v and %t", seed, nameOf(got), overloaded, nameOf(want),
+					wantOverloaded)
+			}
+			e.rng = source
+			if again, _ := e.pickCache(req); again != got {
+				t.Fatalf("seed %d: picked %v at first and %v then", seed, nameOf(got), nameOf(again))
+			}
+			picked += boolToInt(got != nil)
+			fallbacks += boolToInt(got != nil && (e.circuitOpen(got) || !got.usable()))
+			overloads += boolToInt(overloaded)
+			beyondPrefix += boolToInt(walked > rankedPrefix)
+		}
+	}
+	t.Logf("%d picked, %d of them fallbacks, %d overloaded, %d beyond the prefix", picked, fallbacks, overloads, beyondPrefix)
+	if min(picked, fallbacks, overloads, beyondPrefix) < 100 {
+		t.Error("a case is hardly met")
+	}
+}
+
+func nameOf(c *cache) string {
+	if c == nil {
+		return "none"
+	}
+	return c.ID
+}
+
+// pickByFullRanking picks by a walk through the ranking of all caches in service, and returns how many of
+// them it walked through.
+func pickByFullRanking(e *Engine, req *request) (picked *cache, overloaded bool, walked int) {
+	req.spilledOver = false
+	ranking := slices.Clone(e.inService)
+	score := func(c *cache) float64 { return c.score(hashToUnit(req.Key ^ c.hash)) }
+	slices.SortStableFunc(ranking, func(a, b *cache) int { return cmp.Compare(score(a), score(b)) })
+	if replica := e.drawReplica(req.Key); replica > 0 {
+		ranking[0], ranking[replica] = ranking[replica], ranking[0]
+	}
+	p := &pick{engine: e, request: req}
+	for i, c := range ranking {
+		if p.considered >= maxCandidates {
+			break
+		}
+		walked = i + 1
+		if p.offer(c) {
+			return c, false, walked
+		}
+	}
+	if p.overloaded {
+		return nil, true, walked
+	}
+	return p.fallback, false, walked
+}
+
+// newRandomFleet returns an engine before caches in random states.
+func newRandomFleet(t *testing.T, seed uint64) (*Engine, *rand.Rand) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 1))
+	settings := testSettings()
+	settings.Routers = []int{1, 2, 20, 300, 2800}[rng.IntN(5)]
+	settings.HealthChecksAllowed = false
+	h := newSeededHarness(t, settings, seed)
+	caches, zones := 1+rng.IntN(200), 1+rng.IntN(4)
+	weighted := rng.IntN(2) == 0
+	var endpoints []Endpoint
+	started := []float64{0, 0.1, 0.5, 1}[rng.IntN(4)]
+	for i := range caches {
+		endpoint := Endpoint{ID: fmt.Sprintf("c%03d", i), Zone: fmt.Sprint("z", rng.IntN(zones)), Group: rng.IntN(4), Weight: 1}
+		if weighted {
+			endpoint.Weight = math.Exp2(6*rng.Float64() - 3)
+		}
+		if rng.Float64() < started {
+			endpoint.StartedAt = h.now - Time(rng.IntN(int(settings.WarmupTime)))
+		}
+		endpoints = append(endpoints, endpoint)
+	}
+	h.handle(&EndpointsUpdate{Kind: UpdateSnapshot, Endpoints: endpoints})
+	e := h.engine
+	randomizeCaches(e, rng)
+	for zone := range e.zones {
+		if rng.IntN(3) == 0 {
+			e.zones[zone].connectFailures, e.zones[zone].halfOpenAt = 5, h.now+Time(rng.IntN(5000*ms))
+		}
+	}
+	e.goodputRatio, e.retryBudget, e.originLimit = rng.Float64(), 2*rng.Float64(), float64(rng.IntN(4))
+	e.requestCounts[0] = 1000
+	return e, rng
+}
+
+// randomizeCaches gives the caches loads, limits, health and circuits.
+func randomizeCaches(e *Engine, rng *rand.Rand) {
+	badShare := []float64{0, 0.1, 0.5, 1}
+	refusing, unhealthy, full, used := badShare[rng.IntN(4)], badShare[rng.IntN(4)], badShare[rng.IntN(4)], badShare[rng.IntN(4)]
+	for _, c := range e.inService {
+		if rng.Float64() < refusing {
+			c.connectFailures, c.halfOpenAt = connectFailureThreshold, e.now+Time(rng.IntN(5000*ms))
+		}
+		c.healthy = rng.Float64() >= unhealthy
+		c.concurrencyLimit = 1 + 2*rng.Float64()
+		if rng.Float64() < full {
+			c.inFlight = 4
+		}
+		if rng.Float64() < used {
+			e.changeRecent(c, func() { c.recentAttempts.Add(e.now, e.settings.OverloadTime) })
+		}
+		c.acceptedKeyShare = rng.Float64()
+	}
+}
+
+// randomRequest returns a request, with attempts before in some cases.
+func randomRequest(e *Engine, rng *rand.Rand) *request {
+	class := &e.settings.Classes[rng.IntN(len(e.settings.Classes))]
+	key := rng.Uint64()
+	if rng.IntN(4) == 0 {
+		e.keyCounts[0][key] = rng.IntN(200)
+	}
+	req := &request{
+		Request: &Request{ID: 1, Key: key, HasKey: true, Deadline: e.now + testTimeout, Write: rng.IntN(2) == 0},
+		class:   class, arrivedAt: e.now,
+	}
+	for range rng.IntN(3) {
+		req.attempts = append(req.attempts, attempt{
+			cache: e.inService[rng.IntN(len(e.inService))], sentAt: e.now, neverRan: rng.IntN(2) == 0,
+			pending: rng.IntN(4) == 0, connectionReset: rng.IntN(2) == 0,
+		})
+	}
+	return req
+}
+
+// TestGroupsFollowUpdates holds after random updates that the groups have each cache in service once, in the
+// right group and order, and that the sums kept over the warm caches are those made anew.
+func TestGroupsFollowUpdates(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		h := newTrafficHarness(t, 20, func(s *Settings) { s.LiveWeights = seed%2 == 0 })
+		for id := range int64(200) {
+			h.advance(Time(rng.IntN(300 * ms)))
+			if s := h.request(id, "read", rng.Uint64()); s != nil && rng.IntN(2) == 0 {
+				h.finish(id, 0, []Result{Served, Rejected, ConnectFailed}[rng.IntN(3)], true)
+			}
+			endpoint := testEndpoints(40)[rng.IntN(40)]
+			endpoint.State, endpoint.Weight = EndpointState(rng.IntN(3)), math.Exp2(float64(rng.IntN(5)))*rng.Float64()
+			if rng.IntN(2) == 0 {
+				endpoint.StartedAt = h.now - Time(rng.IntN(9000*ms))
+			}
+			kind := UpdateDelta
+			if rng.IntN(20) == 0 {
+				kind = UpdateSnapshot
+			}
+			h.handle(&EndpointsUpdate{Kind: kind, Endpoints: append(testEndpoints(rng.IntN(20)), endpoint)})
+			checkGroups(t, h.engine)
+		}
+	}
+}
+
+// checkGroup checks one group and returns what its caches have accepted lately, if they are warm.
+func checkGroup(t *testing.T, e *Engine, group *cacheGroup) (warmLoad float64) {
+	t.Helper()
+	for i, c := range group.caches {
+		rightGroup := c.State == InService && c.group == group && e.groupKeyOf(c) == group.groupKey
+		if !rightGroup || group.hashes[i] != c.hash || c.Weight > group.maxWeight {
+			t.Fatalf("%s is in a wrong group", c.ID)
+		}
+		if group.warmingUp && i > 0 && group.caches[i-1].warmupFrom > c.warmupFrom {
+			t.Fatalf("%s is out of order", c.ID)
+		}
+		if !group.warmingUp {
+			warmLoad += e.recentlyAccepted(c)
+		}
+	}
+	return warmLoad
+}
+
+func checkGroups(t *testing.T, e *Engine) {
+	t.Helper()
+	members, load := 0, 0.0
+	for _, group := range e.groups.groups {
+		members += len(group.caches)
+		load += checkGroup(t, e, group)
+	}
+	inService := 0
+	for _, c := range e.caches {
+		inService += boolToInt(c.State == InService)
+	}
+	ordered := slices.IsSortedFunc(e.inService, func(a, b *cache) int { return cmp.Compare(a.ID, b.ID) })
+	if members != inService || len(e.inService) != inService || !ordered {
+		t.Fatalf("%d in groups, %d listed, in order %t, want %d", members, len(e.inService), ordered, inService)
+	}
+	if kept := e.warmLoad.At(e.now, e.settings.OverloadTime); math.Abs(kept-load) > 1e-6 {
+		t.Fatalf("load of the warm caches %v, made anew %v", kept, load)
+	}
+	kept := *e.weightSums()
+	e.sums.known = false
+	if anew := *e.weightSums(); anew != kept {
+		t.Fatalf("sums %v, made anew %v", kept, anew)
+	}
+}
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -22,6 +22,9 @@
 	originLimited bool // ... of the origin
 	streaming     bool // the answer has started
 	spilledOver   bool // its primary lacked capacity when a cache was picked
+
+	ranked        []*cache // of the first ranks for its key, as of rankedVersion
+	rankedVersion int
 }
 
 func (e *Engine) handleRequest(ev *Request) {
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -15,27 +15,41 @@
 
 // canSend is the one check of whether a request may be sent to the cache, be it again or for the first time.
 func (e *Engine) canSend(req *request, c *cache) bool {
-	if req.done || req.streaming || e.now >= req.Deadline || len(req.attempts) >= e.settings.MaxAttempts {
-		return false
-	}
 	if c.State != InService {
 		return false // a drain is kept from the moment it is known
 	}
+	return e.canAttempt(req) && req.inScopeOfAttempts(c)
+}
+
+// canAttempt is the part of canSend that does not depend on the cache.
+func (e *Engine) canAttempt(req *request) bool {
+	if req.done || req.streaming || e.now >= req.Deadline || len(req.attempts) >= e.settings.MaxAttempts {
+		return false
+	}
 	for _, a := range req.attempts {
 		if a.pending && !e.settings.HedgingAllowed {
 			return false
 		}
-		if a.neverRan || req.class.Effect == Idempotent {
-			continue
+		if req.mayHaveRun(a) && (req.class.Effect == NonIdempotent || e.now >= req.repeatsEnd(a)) {
+			return false // its effect must not happen twice
 		}
-		if req.class.Effect == NonIdempotent || !inDedupScope(req.class.DedupScope, a.cache, c) ||
-			e.now >= req.repeatsEnd(a) {
-			return false // it may have run, and its effect must not happen twice
+	}
+	return true
+}
+
+// inScopeOfAttempts reports whether the cache drops repeats of the attempts that may have run.
+func (r *request) inScopeOfAttempts(c *cache) bool {
+	for _, a := range r.attempts {
+		if r.mayHaveRun(a) && !inDedupScope(r.class.DedupScope, a.cache, c) {
+			return false
 		}
 	}
 	return true
 }
 
+// mayHaveRun reports whether an attempt may have had an effect that must not happen twice.
+func (r *request) mayHaveRun(a attempt) bool { return !a.neverRan && r.class.Effect != Idempotent }
+
 // repeatDeadline is the latest start of attempt n, as caches then forget the request's key; 0 is no limit.
 func (r *request) repeatDeadline(n int) (deadline Time) {
 	for _, a := range r.attempts[:n] {
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -12,25 +12,29 @@
 	if e.now >= c.warmAt {
 		return true
 	}
-	excluded := hashToUnit(mix(req.Key)+1) >= e.slowStartShare(c)
-	if excluded || len(req.attempts) > 0 || e.replicaCount(req.Key) > 1 {
-		return false // in a fault retries are most of the traffic, and they all look for capacity
-	}
-	sent, weight := 0.0, 0.0 // to the warm caches, and of them
-	for _, warm := range e.inService {
-		if e.now >= warm.warmAt {
-			sent += e.recentlyAccepted(warm)
-			weight += warm.Weight
-		}
+	share := e.slowStartShare(c)
+	if slowStartUnit(req.Key) >= share || e.keptOffWarming(req) {
+		return false
 	}
-	if e.sparseTraffic() && weight > 0 && e.mayBeHotKey(req.Key, c) {
+	weight := e.weightSums().warm
+	if e.sparseTraffic() && weight > 0 && e.mayBeHotKey(req.Key, c.Weight, share) {
 		return false
 	}
 	// The keys of its share can still add up to more than its part of what warm caches get.
+	sent := e.warmLoad.At(e.now, e.settings.OverloadTime)
 	fairPart := e.warmupFraction(c) * c.Weight * sent / max(weight, c.Weight)
 	return c.recentAttempts.At(e.now, e.settings.OverloadTime) < 1+fairPart
 }
 
+// slowStartUnit is the hash of a key, from 0 to 1, by which it is in the share of a warming cache or not.
+func slowStartUnit(key uint64) float64 { return hashToUnit(mix(key) + 1) }
+
+// keptOffWarming reports whether a request may go to no warming cache: in a fault retries are most of the
+// traffic, and they all look for capacity.
+func (e *Engine) keptOffWarming(req *request) bool {
+	return len(req.attempts) > 0 || e.replicaCount(req.Key) > 1
+}
+
 // recentlyAccepted counts the attempts of late that a cache has not rejected: in overload, what it rejects
 // comes back many times and is no measure of what caches can do. Sparse traffic tells too little of that.
 func (e *Engine) recentlyAccepted(c *cache) float64 {
@@ -41,14 +45,15 @@
 	return max(0, attempts-c.recentRejections.At(e.now, e.settings.OverloadTime))
 }
 
-// mayBeHotKey reports whether a key may be more than a warming cache can serve, as all of many routers send
-// it there. Together they send, for any share s of the key, at most half of what OverloadMultiple leaves
-// beside the cache's other keys, as it may have two such keys. The first request that a router sees after n
-// others makes up s*exp(-s*n) of all, at most 1/(e*n); later ones tell the share.
-func (e *Engine) mayBeHotKey(key uint64, c *cache) bool {
+// mayBeHotKey reports whether a key may be more than a warming cache of that weight and share of its keys
+// can serve, as all of many routers send it there. Together they send, for any share s of the key, at most
+// half of what OverloadMultiple leaves beside the cache's other keys, as it may have two such keys. The first
+// request that a router sees after n others makes up s*exp(-s*n) of all, at most 1/(e*n); later ones tell
+// the share.
+func (e *Engine) mayBeHotKey(key uint64, weight, share float64) bool {
 	fleetWeight := e.meanWeight * float64(len(e.inService))
-	fairPart := float64(e.requestCounts.Total()) * c.Weight / fleetWeight
-	limit := fairPart * e.slowStartShare(c) * max(1, (e.settings.OverloadMultiple-1)/2)
+	fairPart := float64(e.requestCounts.Total()) * weight / fleetWeight
+	limit := fairPart * share * max(1, (e.settings.OverloadMultiple-1)/2)
 	count := e.keyCounts.Total(key)
 	if count == 1 {
 		limit *= math.E
@@ -86,12 +91,6 @@
 // fleetWarmingUp reports whether more of the fleet is warming up than is tolerated of late attempts. All
 // misses are then late for a while, which is no reason to reject hits.
 func (e *Engine) fleetWarmingUp() bool {
-	warming, total := 0.0, 0.0
-	for _, c := range e.inService {
-		total += c.Weight
-		if e.now < c.warmAt {
-			warming += c.Weight
-		}
-	}
-	return warming > toleratedLateShare*total
+	weights := e.weightSums()
+	return weights.warmingUp > toleratedLateShare*weights.total
 }
