Take no more requests than the router can handle in time, and what has begun first

What callers saw: routers that had fallen behind answered hardly anybody, at a load of several times what their processor carries. Cause: requests whose time was over, or would be, got the same work as others, in the order of their arrival, and replies of caches waited behind them; attempts then ran out of time, and new connections made it worse.

Change: the event loop handles requests only while nothing else is to be done. It reports every 0.1 s with what least delay it has handled requests; the policy (overload.go) limits the requests a second while that is over 20 ms, raises the limit by a tenth for each report that is not, and drops it when nothing is rejected any more. Readers reject what is beyond the limit before parsing it, with the advice when to retry. A request that this delay would have answered behind its deadline is rejected at once.

--- /dev/null
+++ b/internal/router/admission_test.go
@@ -0,0 +1,148 @@
+package router
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"marlstage/internal/resp"
+	"marlstage/policy"
+)
+
+// TestRequestsWaitForOtherEvents checks that what has begun comes before requests that have not: the replies
+// of caches would else wait behind a crowd of requests, and come late.
+func TestRequestsWaitForOtherEvents(t *testing.T) {
+	harness := newLoopHarness(t, "127.0.0.1:1", nil)
+	blocked, resume := make(chan struct{}), make(chan struct{})
+	go harness.loop.post(func() {
+		close(blocked)
+		<-resume
+	})
+	receive(t, blocked, "start of a long turn")
+	const count = 50
+	var order []string
+	var ran sync.WaitGroup
+	ran.Add(2 * count)
+	note := func(what string) func() {
+		return func() {
+			order = append(order, what)
+			ran.Done()
+		}
+	}
+	for range count {
+		harness.loop.postRequest(note("request"))
+	}
+	for range count {
+		harness.loop.post(note("event"))
+	}
+	close(resume)
+	ran.Wait()
+	for i, what := range order {
+		if (i < count) != (what == "event") {
+			t.Fatalf("%s in place %d of %d", what, i, 2*count)
+		}
+	}
+}
+
+// TestRequestsBeyondLimitAreRejected checks that requests beyond the limit of an overloaded router get their
+// rejection, in the order of the commands, and that other commands are not limited.
+func TestRequestsBeyondLimitAreRejected(t *testing.T) {
+	router, harness := startScriptedRouter(t)
+	client := dial(t, router.addr)
+	harness.do(func() { harness.loop.perform(policy.LimitRequests{PerSecond: 0.001, RetryAfter: 250_000}) })
+	client.send(getCommand("first"))
+	harness.waitForOpenRequests(1)
+	const requests = 100
+	for i := range requests {
+		client.send(getCommand(fmt.Sprint("r", i)) + "PING\r\n")
+	}
+	waitUntil(t, "rejections", func() bool { return harness.loop.statistics.rejects[rejectOverloaded].Load() == requests })
+	harness.do(func() {
+		for id := range harness.loop.requests {
+			harness.loop.perform(policy.Fail{ID: id})
+		}
+	})
+	client.wantLine(strings.TrimSpace(resp.FailedReply))
+	for range requests {
+		client.wantLine(strings.TrimSpace(string(resp.AppendBusy(nil, 250_000))))
+		client.wantLine(strings.TrimSpace(notReadyReply))
+	}
+	harness.do(func() { harness.loop.perform(policy.LimitRequests{}) })
+	client.send(getCommand("last"))
+	harness.waitForOpenRequests(1)
+}
+
+// TestRequestOfGoneClientIsDropped checks that a request whose client's end overtakes it, as other events
+// come before requests, is not taken any more.
+func TestRequestOfGoneClientIsDropped(t *testing.T) {
+	harness := newLoopHarness(t, "127.0.0.1:1", nil)
+	harness.do(func() {
+		c := &clientConn{requests: map[int64]*request{}}
+		slot := newReplySlot(newMemoryBudget(192))
+		harness.loop.clientGone(c)
+		harness.loop.acceptRequest(c, slot, resp.Command{}, harness.loop.now)
+		if len(harness.loop.requests) > 0 || len(slot.reply) != 1 || len(c.requests) > 0 {
+			t.Error("the request of a client that has gone is taken")
+		}
+	})
+}
+
+// reportRecorder is an engine that notes the reports of delays.
+type reportRecorder struct {
+	scriptedEngine
+	reports chan *policy.DelayReport
+}
+
+func (r *reportRecorder) Handle(now policy.Time, ev policy.Event) []policy.Action {
+	if report, ok := ev.(*policy.DelayReport); ok {
+		r.reports <- report
+	}
+	return r.scriptedEngine.Handle(now, ev)
+}
+
+// TestDelayReports checks what the engine is told of how late requests are handled.
+func TestDelayReports(t *testing.T) {
+	harness := newLoopHarness(t, "127.0.0.1:1", nil)
+	recorder := &reportRecorder{reports: make(chan *policy.DelayReport, 100)}
+	harness.do(func() {
+		recorder.outcomes = harness.outcomes
+		harness.loop.engine = recorder
+	})
+	const late = 30_000
+	harness.do(func() {
+		for i := range policy.Time(3) {
+			harness.loop.delayReports.noteRequest(harness.loop.now - late - i)
+		}
+	})
+	report := receive(t, recorder.reports, "report")
+	if report.LeastDelay != late || report.Taken != 3 || report.Span < delayReportInterval {
+		t.Errorf("report %+v, want 3 requests, one of them handled %d late", report, late)
+	}
+	harness.do(func() { harness.loop.perform(policy.LimitRequests{PerSecond: 1000}) })
+	harness.do(func() { harness.loop.delayReports.noteRequest(harness.loop.now) })
+	receive(t, recorder.reports, "report")
+	if report = receive(t, recorder.reports, "report while there is a limit"); report.Taken != 0 || report.LeastDelay != 0 {
+		t.Errorf("report %+v, want none taken", report)
+	}
+}
+
+// TestNoReportBehindStall checks that a report which a stall delays is put off, as it would take the requests
+// of that moment for the rule.
+func TestNoReportBehindStall(t *testing.T) {
+	harness := newLoopHarness(t, "127.0.0.1:1", nil)
+	harness.do(func() {
+		loop := harness.loop
+		loop.delayReports.noteRequest(loop.now - 1)
+		loop.pendingEvents = nil
+		loop.delayReports.report(loop.now - maxReportLateness - 1)
+		if len(loop.pendingEvents) > 0 {
+			t.Error("a report is made behind a stall")
+		}
+		loop.delayReports.report(loop.now - maxReportLateness)
+		if len(loop.pendingEvents) != 1 {
+			t.Error("no report is made")
+		}
+		loop.pendingEvents = nil
+	})
+}
--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -64,6 +64,10 @@
 
 // handleRequest hands a command that caches serve to the event loop.
 func (c *clientConn) handleRequest(raw []byte, arrivedAt policy.Time) connState {
+	if reply := c.srv.loop.limiter.reject(); reply != nil {
+		c.srv.loop.noteRejectedUnparsed(c, rejectOverloaded)
+		return c.reply(reply)
+	}
 	// The request outlives the read buffer, so its arguments are parsed from a copy.
 	args, _, err := resp.NextCommand(bytes.Clone(raw))
 	if err != nil {
@@ -93,7 +97,7 @@
 		c.srv.loop.noteRejected(c, cmd, rejectPipelined)
 		return connOpen
 	}
-	c.srv.loop.post(func() { c.srv.loop.acceptRequest(c, slot, cmd, arrivedAt) })
+	c.srv.loop.postRequest(func() { c.srv.loop.acceptRequest(c, slot, cmd, arrivedAt) })
 	return connOpen
 }
 
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -34,6 +34,7 @@
 	srv            *Server
 	nc             *socket.Conn
 	requests       map[int64]*request // without a final reply; owned by the event loop
+	gone           bool               // the client has disconnected; owned by the event loop
 	reader         *commandReader     // owned by the reader's goroutine
 	replies        *replyQueue
 	draining       atomic.Bool  // the connection is to be closed between requests
--- a/internal/router/disconnect_test.go
+++ b/internal/router/disconnect_test.go
@@ -239,7 +239,7 @@
 
 // waitForQueuedEvents waits until so many functions are posted to the loop.
 func (d *disconnectTest) waitForQueuedEvents(n int) {
-	waitUntil(d.t, "events in the queue", func() bool { return len(d.harness.loop.events) >= n })
+	waitUntil(d.t, "events in the queue", func() bool { return len(d.harness.loop.events)+len(d.harness.loop.newRequests) >= n })
 }
 
 // wantNothingSent has one more request served. If another one had been forwarded before, the cache
--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -12,7 +12,10 @@
 	"marlstage/policy"
 )
 
-const eventQueueSize = 1024 // functions posted to the loop before their senders wait
+const (
+	eventQueueSize   = 1024 // functions posted to the loop before their senders wait
+	requestQueueSize = 128  // ... that take requests
+)
 
 // policyEngine makes the decisions: *policy.Engine, or a scripted one in tests.
 type policyEngine interface {
@@ -27,6 +30,9 @@
 	engine        policyEngine
 	ctx           context.Context // parent of the context of each watch
 	events        chan postedEvent
+	newRequests   chan postedEvent // handled only while there are no events: what has begun comes first
+	limiter       *requestLimiter
+	delayReports  *delayReporter
 	logger        *eventLogger
 	statistics    *statistics
 	stalls        *stallMonitor
@@ -80,6 +86,8 @@
 		system:           socket.Linux{},
 		engine:           engine,
 		events:           make(chan postedEvent, eventQueueSize),
+		newRequests:      make(chan postedEvent, requestQueueSize),
+		limiter:          newRequestLimiter(),
 		logger:           newEventLogger(),
 		statistics:       &statistics{},
 		done:             make(chan struct{}),
@@ -97,6 +105,7 @@
 	}
 	l.stalls = newStallMonitor(l.clock(), l.noteStall)
 	l.delay = &loopDelay{loop: l}
+	l.delayReports = &delayReporter{loop: l}
 	// A client's PING may be answered before the loop has applied the known endpoints.
 	l.canServe.Store(cfg.Known.HasInService())
 	return l, nil
@@ -117,10 +126,16 @@
 }
 
 // post has f run by the loop. After the loop has ended it does nothing.
-func (l *eventLoop) post(f func()) {
+func (l *eventLoop) post(f func()) { l.postTo(l.events, f) }
+
+// postRequest has f, which takes a request, run by the loop when nothing else is to be done. After the loop
+// has ended it does nothing.
+func (l *eventLoop) postRequest(f func()) { l.postTo(l.newRequests, f) }
+
+func (l *eventLoop) postTo(queue chan<- postedEvent, f func()) {
 	event := postedEvent{run: f, postedAt: l.clock()}
 	select {
-	case l.events <- event:
+	case queue <- event:
 	case <-l.done:
 	}
 }
@@ -143,22 +158,50 @@
 	defer alarm.Stop()
 	for {
 		l.resetAlarm(alarm, l.endTurn())
-		select {
-		case <-ctx.Done():
+		if !l.takeEvent() && !l.awaitEvent(ctx, alarm) {
 			l.closePools()
 			return
-		case event := <-l.events:
-			l.beginTurn()
-			l.delay.noteEvent(event.postedAt)
-			event.run()
-		case <-alarm.C:
-			l.beginTurn()
 		}
 		l.deliverEvents()
 		l.runDueTimers()
 	}
 }
 
+// takeEvent runs an event that is there, and reports whether one was.
+func (l *eventLoop) takeEvent() bool {
+	select {
+	case event := <-l.events:
+		l.runEvent(event)
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitEvent waits for an event, a request or the alarm, and reports false if the loop ends instead.
+func (l *eventLoop) awaitEvent(ctx context.Context, alarm *time.Timer) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case event := <-l.events:
+		l.runEvent(event)
+	case event := <-l.newRequests:
+		l.beginTurn()
+		l.delay.noteEvent(event.postedAt)
+		l.delayReports.noteRequest(event.postedAt)
+		event.run()
+	case <-alarm.C:
+		l.beginTurn()
+	}
+	return true
+}
+
+func (l *eventLoop) runEvent(event postedEvent) {
+	l.beginTurn()
+	l.delay.noteEvent(event.postedAt)
+	event.run()
+}
+
 // beginTurn reads the clock for the next event. Each turn is a heartbeat: where nothing happens the alarm
 // makes one, so that they cost a busy router nothing.
 func (l *eventLoop) beginTurn() {
@@ -244,6 +287,8 @@
 		}
 	case policy.Watch:
 		l.startWatch()
+	case policy.LimitRequests:
+		l.limiter.set(action)
 	case policy.Log:
 		l.logger.Info(action.Text)
 	}
--- a/internal/router/request_log.go
+++ b/internal/router/request_log.go
@@ -14,15 +14,27 @@
 
 // noteRejected counts and logs a request that the policy does not see.
 func (l *eventLoop) noteRejected(c *clientConn, cmd resp.Command, reason rejectReason) {
-	l.statistics.requests.Add(1)
-	l.statistics.results[requestRejected].Add(1)
-	l.statistics.rejects[reason].Add(1)
+	l.countRejected(reason)
 	if !l.logger.debugs() {
 		return
 	}
 	l.logger.Debug("request rejected", "id", string(cmd.Args[resp.IDArgument]), "client", c, "reason", reason)
 }
 
+// noteRejectedUnparsed counts and logs a request that is rejected before its command is parsed.
+func (l *eventLoop) noteRejectedUnparsed(c *clientConn, reason rejectReason) {
+	l.countRejected(reason)
+	if l.logger.debugs() {
+		l.logger.Debug("request rejected", "client", c, "reason", reason)
+	}
+}
+
+func (l *eventLoop) countRejected(reason rejectReason) {
+	l.statistics.requests.Add(1)
+	l.statistics.results[requestRejected].Add(1)
+	l.statistics.rejects[reason].Add(1)
+}
+
 // noteAccepted counts and logs a request that the policy decides about.
 func (l *eventLoop) noteAccepted(r *request, arrivedAt policy.Time) {
 	l.statistics.requests.Add(1)
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -22,6 +22,10 @@
 // acceptRequest takes a command of a client, which arrived at the given time, and reports it to the
 // engine as a request.
 func (l *eventLoop) acceptRequest(c *clientConn, slot *replySlot, cmd resp.Command, arrivedAt policy.Time) {
+	if c.gone {
+		slot.fill(nil)
+		return
+	}
 	if reason, rejected := l.rejectsUnseen(); rejected {
 		l.noteRejected(c, cmd, reason)
 		slot.fill([]byte(resp.BusyReply)) // the engine does not see it, and it is never forwarded
@@ -112,6 +116,7 @@
 
 // clientGone ends the requests of a client that has disconnected.
 func (l *eventLoop) clientGone(c *clientConn) {
+	c.gone = true
 	for _, r := range c.requests {
 		l.finish(r, requestAbandoned, nil)
 		l.pendingEvents = append(l.pendingEvents, &policy.ClientGone{ID: r.id})
--- a/internal/router/statistics.go
+++ b/internal/router/statistics.go
@@ -55,15 +55,16 @@
 type rejectReason uint8
 
 const (
-	rejectTooMany   rejectReason = iota // as many requests are open as the settings allow
-	rejectDraining                      // the last replies of the drain are due
-	rejectMemory                        // no memory is left for requests
-	rejectPipelined                     // too many commands of the connection await their replies
-	rejectReasons                       // the number of reasons
+	rejectTooMany    rejectReason = iota // as many requests are open as the settings allow
+	rejectDraining                       // the last replies of the drain are due
+	rejectMemory                         // no memory is left for requests
+	rejectPipelined                      // too many commands of the connection await their replies
+	rejectOverloaded                     // the router is behind, and takes no more for the moment
+	rejectReasons                        // the number of reasons
 )
 
 func (r rejectReason) String() string {
-	return [rejectReasons]string{"too_many_open", "draining", "no_memory", "pipelined"}[r]
+	return [rejectReasons]string{"too_many_open", "draining", "no_memory", "pipelined", "overloaded"}[r]
 }
 
 // closeReason is why the connection of a client ended.
--- a/policy/actions.go
+++ b/policy/actions.go
@@ -1,7 +1,7 @@
 package policy
 
 // Action is anything that an Engine asks for: Send, Cancel, Reject, Fail, SetTimer, HealthCheck,
-// CloseIdleConnections, Watch or Log. The caller carries them out in order.
+// CloseIdleConnections, Watch, LimitRequests or Log. The caller carries them out in order.
 type Action interface{ action() }
 
 // Send starts the next attempt of a request, given up at Deadline. An attempt that has to wait for a
@@ -43,6 +43,13 @@
 // Watch asks for the endpoint list and its changes.
 type Watch struct{}
 
+// LimitRequests has the router take so many requests a second at most; 0 is no limit. Those beyond are
+// rejected before any work on them, with the advice to retry after the given time; 0 for none.
+type LimitRequests struct {
+	PerSecond  float64
+	RetryAfter Time
+}
+
 // Log adds a line to the log: a message, followed by its attributes, each as key=value.
 type Log struct{ Text string }
 
@@ -54,4 +61,5 @@
 func (HealthCheck) action()          {}
 func (CloseIdleConnections) action() {}
 func (Watch) action()                {}
+func (LimitRequests) action()        {}
 func (Log) action()                  {}
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -14,11 +14,12 @@
 
 // Engine holds the state of one router's policy. Create it with New; it is not safe for concurrent use.
 type Engine struct {
-	settings         Settings
-	classes          map[string]*Class
-	latencyThreshold Time   // of the class with the shortest
-	salt             uint64 // tells this router's choices from those of others
-	rng              splitmix.Source
+	settings          Settings
+	classes           map[string]*Class
+	latencyThreshold  Time   // of the class with the shortest
+	shortestObjective Time   // latency objective of any class
+	salt              uint64 // tells this router's choices from those of others
+	rng               splitmix.Source
 
 	now     Time     // of the event being handled
 	actions []Action // for the event being handled
@@ -63,6 +64,10 @@
 	shedByCaches     int // requests rejected for lack of capacity of caches, in the current window
 	shedByOrigin     int // ... of the origin
 	shedding         bool
+
+	routerDelay      Time    // with which this router handles what it is given, as last reported, ...
+	routerDelayUntil Time    // ... and until when that counts
+	requestLimit     float64 // requests that it takes in a second; 0 is no limit
 }
 
 // New returns an engine for the settings. Wrong settings give ErrNoClasses or a *SettingsError.
@@ -77,9 +82,11 @@
 	}
 	e.retryBudget = e.retryBurstLimit()
 	e.latencyThreshold = s.Classes[0].latencyThreshold()
+	e.shortestObjective = s.Classes[0].LatencyObjective
 	for _, class := range s.Classes {
 		e.classes[class.Name] = &class
 		e.latencyThreshold = min(e.latencyThreshold, class.latencyThreshold())
+		e.shortestObjective = min(e.shortestObjective, class.LatencyObjective)
 	}
 	e.settings.DrainGrace = s.drainGraceOrDefault()
 	e.settings.OverloadTime = max(s.OverloadTime, 1)
@@ -109,6 +116,8 @@
 		e.timers.Call(ev.Token)
 	case *HealthCheckDone:
 		e.healthCheckDone(ev)
+	case *DelayReport:
+		e.delayReported(ev)
 	}
 	return e.actions
 }
--- a/policy/events.go
+++ b/policy/events.go
@@ -1,7 +1,7 @@
 package policy
 
 // Event is anything that an Engine handles: *EndpointsUpdate, *Request, *ResponseStarted, *AttemptDone,
-// *ClientGone, *TimerFired, *HealthCheckDone or *PeerMessage.
+// *ClientGone, *TimerFired, *HealthCheckDone, *DelayReport or *PeerMessage.
 type Event interface{ event() }
 
 // EndpointState is what the endpoint list says of a cache.
@@ -116,6 +116,14 @@
 	Load    LoadReport
 }
 
+// DelayReport tells how late the router has handled the requests since the last report.
+type DelayReport struct {
+	Span       Time // since the last report
+	LeastDelay Time // of a request from when it was read to when it was handled; 0 if there was none
+	Taken      int  // requests that were handled
+	Rejected   int  // requests beyond the limit of LimitRequests, which were not
+}
+
 // PeerMessage comes from another router. The policy shares nothing and ignores it.
 type PeerMessage struct {
 	From int
@@ -129,4 +137,5 @@
 func (*ClientGone) event()      {}
 func (*TimerFired) event()      {}
 func (*HealthCheckDone) event() {}
+func (*DelayReport) event()     {}
 func (*PeerMessage) event()     {}
--- /dev/null
+++ b/policy/overload.go
@@ -0,0 +1,50 @@
+// Overload of the router itself: how many requests it takes where it has less processor time than they need.
+
+package policy
+
+const (
+	// maxRouterDelay is the least delay of the requests of a report from which on the router is behind.
+	maxRouterDelay Time = 20_000
+	// delayReportSpans is for how many spans of a report its delay is taken to last.
+	delayReportSpans = 2
+
+	requestRateCut    = .7  // factor of the limit for each report of a router that is behind, ...
+	requestRateGrowth = 1.1 // ... and for one that is not, though it rejects requests
+	minRequestRate    = 10  // least limit, in requests a second
+	microsPerSecond   = 1e6
+)
+
+// delayReported adjusts the limit on requests to the delay with which they are handled. Work that comes late
+// is of no use to anyone: a router that takes what it can't do in time serves a small part of what it could.
+func (e *Engine) delayReported(ev *DelayReport) {
+	e.routerDelay, e.routerDelayUntil = ev.LeastDelay, e.now+delayReportSpans*ev.Span
+	switch {
+	case ev.LeastDelay > maxRouterDelay:
+		rate := float64(ev.Taken) / float64(max(ev.Span, 1)) * microsPerSecond
+		if e.requestLimit > 0 {
+			rate = min(rate, e.requestLimit)
+		}
+		e.limitRequests(max(minRequestRate, rate*requestRateCut))
+	case e.requestLimit == 0:
+	case ev.Rejected == 0: // the limit binds no more
+		e.limitRequests(0)
+	default:
+		e.limitRequests(e.requestLimit * requestRateGrowth)
+	}
+}
+
+// limitRequests limits the requests that the router takes in a second; 0 is no limit.
+func (e *Engine) limitRequests(perSecond float64) {
+	if (perSecond > 0) != (e.requestLimit > 0) {
+		e.logf("router overloaded active=%t delay_us=%d limit_per_second=%.0f",
+			perSecond > 0, e.routerDelay, perSecond)
+	}
+	e.requestLimit = perSecond
+	e.emit(LimitRequests{PerSecond: perSecond, RetryAfter: min(e.settings.MaxRetryAfter, e.shortestObjective)})
+}
+
+// canAnswerInTime reports whether the reply to a request that is sent now would be handled before its
+// deadline, as late as this router is.
+func (e *Engine) canAnswerInTime(req *request) bool {
+	return e.now >= e.routerDelayUntil || e.now+e.routerDelay < req.Deadline
+}
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -44,6 +44,10 @@
 	e.retryBudget = min(e.retryBudget+retryRatio, max(1, e.retryBurstLimit()))
 	e.keyCounts.Add(req.Key)
 	e.requestCounts.Add()
+	if !e.canAnswerInTime(req) {
+		e.rejectOrFail(req)
+		return
+	}
 	if e.sparseTraffic() && hashToUnit(req.Key^e.salt) >= e.currentAdmission() {
 		e.shedByCaches++
 		e.rejectOrFail(req)
