Let a probe tell when what arrived before a stall has been read

What callers saw: attempts up to 0.4 s behind the deadline of their request, and caches told up to 0.32 s more than was left. Cause: 20 ms after a stall, whatever arrived then counted as read; a router that is behind takes hundreds of milliseconds to read it, and a router that is late without a stall took the time at which it got to read a request for its arrival.

Change: after a stall, or an event handled 50 ms late, a byte is sent through a pipe; its reader is woken behind those of the connections. Until it returns, bytes that are read count as having arrived since the stall began, unless their connection has been read since. Where there is no pipe, or it does not return in 2 s, the rule of 20 ms stays. A busy router without stalls sends none.

--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -143,6 +143,10 @@
 // run runs the loop until ctx ends, and then closes all upstream connections.
 func (l *eventLoop) run(ctx context.Context) {
 	defer close(l.done)
+	if probe := newBacklogProbe(func() { l.stalls.probeReturned(l.clock()) }); probe != nil {
+		defer probe.close()
+		l.stalls.useProbe(probe.send)
+	}
 	go l.logger.run(l.done)
 	l.ctx = ctx
 	l.beginTurn()
--- a/internal/router/loop_delay.go
+++ b/internal/router/loop_delay.go
@@ -30,6 +30,7 @@
 	if behind {
 		l.statistics.delayedEvents.Add(1)
 		storeMax(&l.statistics.longestDelay, delay)
+		l.stalls.noteLate(dueAt, l.now)
 	}
 	if behind != d.behind {
 		d.behind = behind
