Look for idle and waiting connections among those there are, not in all pools

Cause: with all descriptors in use each dial looked through the pools of all caches for the connection idle for longest, and each end of a connection dispatched all of them. Change: the loop keeps the pools with idle connections and those that wait for a descriptor; their number is bounded by the descriptors. A pool without a connection to close does nothing.

--- a/internal/router/budgets_test.go
+++ b/internal/router/budgets_test.go
@@ -27,8 +27,8 @@
 	req := harness.newRequest(nil)
 	harness.do(func() { harness.loop.perform(policy.Send{ID: req.id, Cache: "c2", Deadline: req.deadline}) })
 	harness.do(func() {
-		if harness.loop.upstreamConns != 1 || !harness.loop.descriptorStarved {
-			t.Errorf("%d connections, starved %v", harness.loop.upstreamConns, harness.loop.descriptorStarved)
+		if harness.loop.upstreamConns != 1 || len(harness.loop.starvedPools) != 1 {
+			t.Errorf("%d connections, starved %v", harness.loop.upstreamConns, harness.loop.starvedPools)
 		}
 	})
 	cmd.conn.Close()
--- a/internal/router/dial.go
+++ b/internal/router/dial.go
@@ -33,7 +33,11 @@
 // soon. A dial for each request of a burst would fill the server's connection table and cost
 // it time.
 func (p *pool) dialMissing() {
-	for p.needsConn() && p.loop.acquireDescriptor() {
+	for p.needsConn() {
+		if !p.loop.acquireDescriptor() {
+			p.loop.starvedPools[p] = struct{}{}
+			return
+		}
 		c := &upstreamConn{pool: p, addr: p.addr}
 		p.conns[c] = struct{}{}
 		p.dialing++
--- a/internal/router/event_loop.go
+++ b/internal/router/event_loop.go
@@ -52,13 +52,14 @@
 	maxTimeout    policy.Time // longest timeout of any request class
 	drainDeadline policy.Time // when the last replies are due; 0 unless the router is draining
 
-	pools             map[string]*pool // by the name of the cache
-	descriptors       *descriptorBudget
-	upstreamConns     int         // connections to all caches, those being dialed included
-	descriptorStarved bool        // an attempt waits for a descriptor
-	settleTime        policy.Time // between a reply on an upstream connection and its next request
-	maxWriteTime      policy.Time // for a command to a cache, once the timeout in it is computed
-	canServe          atomic.Bool // some known cache is in service; any goroutine may read it
+	pools         map[string]*pool // by the name of the cache
+	descriptors   *descriptorBudget
+	upstreamConns int                // connections to all caches, those being dialed included
+	idlePools     map[*pool]struct{} // those with idle connections
+	starvedPools  map[*pool]struct{} // those whose attempts wait for a descriptor
+	settleTime    policy.Time        // between a reply on an upstream connection and its next request
+	maxWriteTime  policy.Time        // for a command to a cache, once the timeout in it is computed
+	canServe      atomic.Bool        // some known cache is in service; any goroutine may read it
 
 	discovery        *discovery.Client
 	endpointsVersion int64 // version of the endpoint list
@@ -96,6 +97,8 @@
 		requests:         map[int64]*request{},
 		maxTimeout:       longestTimeout(cfg.Settings.Classes),
 		pools:            map[string]*pool{},
+		idlePools:        map[*pool]struct{}{},
+		starvedPools:     map[*pool]struct{}{},
 		descriptors:      descriptors,
 		settleTime:       defaultSettleTime,
 		maxWriteTime:     defaultMaxWriteTime,
--- a/internal/router/fault_matrix_test.go
+++ b/internal/router/fault_matrix_test.go
@@ -338,7 +338,10 @@
 	if m.situation != situationTerminate {
 		m.eventually("the end of all requests", func() bool {
 			open := make(chan int, 1)
-			srv.loop.post(func() { open <- srv.loop.openRequests })
+			srv.loop.post(func() {
+				checkIdlePools(m.t, srv.loop)
+				open <- srv.loop.openRequests
+			})
 			return receive(m.t, open, "number of open requests") == 0
 		})
 		m.eventually("the release of the memory", func() bool { return srv.memory.inUse.Load() == 0 })
@@ -358,6 +361,22 @@
 	}
 }
 
+// checkIdlePools checks that the loop knows the pools with idle connections. It runs in the loop.
+func checkIdlePools(t *testing.T, l *eventLoop) {
+	idle := 0
+	for name, p := range l.pools {
+		if _, known := l.idlePools[p]; known != (len(p.idle) > 0) {
+			t.Errorf("%s has %d idle connections, known %t", name, len(p.idle), known)
+		}
+		if len(p.idle) > 0 {
+			idle++
+		}
+	}
+	if len(l.idlePools) != idle {
+		t.Errorf("%d pools with idle connections are known, %d of the pools have any", len(l.idlePools), idle)
+	}
+}
+
 // measureStalls returns a function that tells for how long, in all, the machine has kept the process
 // from running since.
 func measureStalls(t *testing.T) (stalled func() time.Duration) {
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -104,18 +104,28 @@
 		return
 	}
 	c.idleSince = p.loop.now
-	p.idle = append(p.idle, c)
+	p.setIdle(append(p.idle, c))
 	p.dispatch()
 }
 
+// setIdle sets the idle connections.
+func (p *pool) setIdle(conns []*upstreamConn) {
+	p.idle = conns
+	if len(conns) > 0 {
+		p.loop.idlePools[p] = struct{}{}
+	} else {
+		delete(p.loop.idlePools, p)
+	}
+}
+
 // returnUnused takes back a connection to which nothing was written.
 func (p *pool) returnUnused(c *upstreamConn) {
 	later := func(other *upstreamConn) bool { return other.idleSince > c.idleSince }
 	if i := slices.IndexFunc(p.idle, later); i >= 0 {
-		p.idle = slices.Insert(p.idle, i, c)
+		p.setIdle(slices.Insert(p.idle, i, c))
 		return
 	}
-	p.idle = append(p.idle, c)
+	p.setIdle(append(p.idle, c))
 }
 
 // takeSettledConn removes the connection used last from the idle ones that have settled and returns
@@ -125,7 +135,7 @@
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
 		if c.isNew() || c.idleSince+p.settleTime() <= p.loop.now {
-			p.idle = slices.Delete(p.idle, i, i+1)
+			p.setIdle(slices.Delete(p.idle, i, i+1))
 			return c
 		}
 	}
@@ -141,6 +151,9 @@
 
 // closeIdle closes the connections that have been idle since the given time or longer.
 func (p *pool) closeIdle(since policy.Time) {
+	if len(p.idle) == 0 || p.idle[0].idleSince > since {
+		return
+	}
 	remaining := p.idle[:0]
 	for _, c := range p.idle {
 		if c.idleSince <= since {
@@ -150,13 +163,13 @@
 		}
 	}
 	clear(p.idle[len(remaining):])
-	p.idle = remaining
+	p.setIdle(remaining)
 }
 
 // closeConn closes a connection that may be idle.
 func (p *pool) closeConn(c *upstreamConn) {
 	if i := slices.Index(p.idle, c); i >= 0 {
-		p.idle = slices.Delete(p.idle, i, i+1)
+		p.setIdle(slices.Delete(p.idle, i, i+1))
 	}
 	c.close()
 }
--- a/internal/router/pools.go
+++ b/internal/router/pools.go
@@ -12,7 +12,6 @@
 	if l.upstreamConns >= l.descriptors.maxUpstreamConns {
 		p := l.longestIdlePool()
 		if p == nil {
-			l.descriptorStarved = true
 			return false
 		}
 		p.closeConn(p.idle[0])
@@ -25,10 +24,7 @@
 // first one in its pool; nil if no connection is idle.
 func (l *eventLoop) longestIdlePool() *pool {
 	var longest *pool
-	for _, p := range l.pools {
-		if len(p.idle) == 0 {
-			continue
-		}
+	for p := range l.idlePools {
 		if longest == nil || p.idle[0].idleSince < longest.idle[0].idleSince {
 			longest = p
 		}
@@ -40,12 +36,13 @@
 // be waiting for it.
 func (l *eventLoop) releaseDescriptor() {
 	l.upstreamConns--
-	if !l.descriptorStarved {
+	if len(l.starvedPools) == 0 {
 		return
 	}
-	l.descriptorStarved = false
+	starved := l.starvedPools
+	l.starvedPools = map[*pool]struct{}{}
 	l.schedule(l.now, func() {
-		for _, p := range l.pools {
+		for p := range starved {
 			p.dispatch()
 		}
 	})
--- a/internal/soaktest/fleet_test.go
+++ b/internal/soaktest/fleet_test.go
@@ -44,11 +44,11 @@
 	return &fleet{changes: endpoints, changed: make(chan struct{})}
 }
 
-// publish adds a change to the list.
-func (f *fleet) publish(e endpoint) {
+// publish adds changes to the list.
+func (f *fleet) publish(changes ...endpoint) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.changes = append(f.changes, e)
+	f.changes = append(f.changes, changes...)
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
--- a/internal/soaktest/starved_test.go
+++ b/internal/soaktest/starved_test.go
@@ -15,6 +15,8 @@
 	starvedClients    = 8                     // connections that requests are spread over
 	starvedListeners  = 8                     // of the caches, each of which has many names
 	readyTime         = 500 * time.Millisecond
+	releaseInterval   = time.Second
+	releaseParts      = 20   // steps in which all caches are replaced
 	servedAtSize      = 0.85 // least part of what is served before few caches that is served before many
 )
 
@@ -25,6 +27,7 @@
 	allWarm cacheCondition = iota
 	allJustStarted
 	halfRefuse // half of the listed caches refuse connections
+	inRelease  // one in twenty is replaced each second
 )
 
 // TestStarvedRouterBeforeManyCaches checks that a router that gets a tenth of a core answers every request
@@ -41,7 +44,10 @@
 		many  = 3200
 	)
 	program := buildRouter(t)
-	for name, condition := range map[string]cacheCondition{"all just started": allJustStarted, "half refuse": halfRefuse} {
+	conditions := map[string]cacheCondition{
+		"all just started": allJustStarted, "half refuse": halfRefuse, "in a release": inRelease,
+	}
+	for name, condition := range conditions {
 		t.Run(name, func(t *testing.T) {
 			served := map[int]int{}
 			for _, caches := range []int{few, many} {
@@ -96,6 +102,7 @@
 type starvedTest struct {
 	t      *testing.T
 	judge  *judge
+	fleet  *fleet
 	router *routerProcess
 	plays  int
 	done   chan struct{} // closed at the end of the test
@@ -125,12 +132,43 @@
 		}
 		fleet.publish(e)
 	}
+	s.fleet = fleet
 	s.router = startRouter(t, program, "n0", &p, startDiscovery(t, fleet).addr(), fleet)
 	time.Sleep(readyTime)
 	t.Cleanup(func() { close(s.done) })
+	if condition == inRelease {
+		go s.release(caches, addresses)
+	}
 	return s
 }
 
+// release replaces caches until the test is over: the new ones are listed a second before the old ones go.
+func (s *starvedTest) release(caches int, addresses []string) {
+	ticker := time.NewTicker(releaseInterval)
+	defer ticker.Stop()
+	replaced := max(1, caches/releaseParts)
+	for step := 0; ; step++ {
+		select {
+		case <-s.done:
+			return
+		case <-ticker.C:
+		}
+		var changes []endpoint
+		for i := range replaced {
+			old := step*replaced + i
+			address := addresses[old%len(addresses)]
+			changes = append(changes,
+				endpoint{name: fmt.Sprintf("new%04d", old), state: stateInService, address: address, since: time.Now()},
+				endpoint{name: fmt.Sprintf("c%04d", old%caches), state: stateTerminating, address: address})
+			if step > 0 {
+				gone := old - replaced
+				changes = append(changes, endpoint{name: fmt.Sprintf("c%04d", gone%caches), state: stateTerminated, address: address})
+			}
+		}
+		s.fleet.publish(changes...)
+	}
+}
+
 // refusingAddress returns an address at which nothing listens.
 func refusingAddress(t *testing.T) string {
 	t.Helper()
