Bound the health checks that a router sends at once

Cause: a round checked all caches that were due in one event, before thousands of caches thousands of dials, for which a router with few requests had saved up for a minute and more. Change: a round sends as many checks as there were requests in the interval, 200 at least, and goes on with the next interval where it stopped. Result: TestHealthChecksAtOnceAreBounded, 1,000 caches: 1,000 checks at once before, 200 (or 700 with 700 requests) since, and each cache checked in 6 (3) rounds. Up to 200 caches nothing changes; the golden digests hold.

--- a/policy/engine.go
+++ b/policy/engine.go
@@ -38,9 +38,11 @@
 
 	nextPollFailureLine Time // before that, failed polls are not logged
 
-	checkRound        int     // number of the last round of health checks
-	healthCheckBudget float64 // health checks earned by requests and not sent yet
-	skippedIntervals  int     // health check intervals since the last round
+	checkRound         int     // number of the last round of health checks
+	healthCheckBudget  float64 // health checks earned by requests and not sent yet
+	skippedIntervals   int     // health check intervals since the last round
+	requestsInInterval int     // since the last health check interval began
+	lastChecked        string  // cache with which a round had to stop; empty if it did not
 
 	requests       map[int64]*request
 	queue          []*request                 // waiting for capacity, in the order of arrival
--- a/policy/health.go
+++ b/policy/health.go
@@ -15,6 +15,7 @@
 	minHealthCheckCost   = 1e-9 // assumed price of a check, so that the budget stays finite
 	maxSkippedIntervals  = 64   // consecutive, for a router with next to no requests
 	maxFleetChecks       = 96   // of a cache by all routers in an interval of 1.5 s: 3% of 4 cores
+	minChecksAtOnce      = 200  // checks that a router may send at once, however few its requests are
 
 	connectFailureThreshold = 2 // consecutive failed connections that open the circuit of a cache
 	zoneFailureThreshold    = 3 // ... and of a zone
@@ -44,16 +45,37 @@
 func (e *Engine) startHealthCheckRound() {
 	e.schedule(e.now+e.settings.HealthCheckInterval(), e.startHealthCheckRound)
 	e.skippedIntervals++
-	if e.healthCheckBudget < float64(len(e.inService)) && e.skippedIntervals < maxSkippedIntervals {
+	atOnce := max(minChecksAtOnce, e.requestsInInterval)
+	e.requestsInInterval = 0
+	paid := e.healthCheckBudget >= float64(len(e.inService)) || e.skippedIntervals >= maxSkippedIntervals
+	switch {
+	case e.lastChecked != "": // the round goes on where the last one had to stop
+	case paid:
+		e.healthCheckBudget, e.skippedIntervals = 0, 0
+	default:
 		return
 	}
-	e.healthCheckBudget, e.skippedIntervals = 0, 0
+	e.sendHealthChecks(atOnce)
+}
+
+// sendHealthChecks checks the caches that are due, from where the last round stopped, up to a number of them.
+func (e *Engine) sendHealthChecks(atOnce int) {
 	e.checkRound++
 	round := e.checkRound
-	for _, c := range e.inService {
-		if e.healthCheckDue(c) {
-			c.checkRound, c.checkedAt = round, e.now
-			e.emit(HealthCheck{c.ID})
+	first, found := e.findInService(e.lastChecked)
+	if found {
+		first++
+	}
+	e.lastChecked = ""
+	for _, c := range e.inService[first:] {
+		if !e.healthCheckDue(c) {
+			continue
+		}
+		c.checkRound, c.checkedAt = round, e.now
+		e.emit(HealthCheck{c.ID})
+		if atOnce--; atOnce == 0 {
+			e.lastChecked = c.ID
+			break
 		}
 	}
 	e.schedule(e.now+e.settings.HealthCheckTimeout(), func() {
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -44,6 +44,7 @@
 	e.retryBudget = min(e.retryBudget+retryRatio, max(1, e.retryBurstLimit()))
 	e.keyCounts.Add(req.Key)
 	e.requestCounts.Add()
+	e.requestsInInterval++
 	if !e.canAnswerInTime(req) {
 		e.rejectOrFail(req)
 		return
