Let requests wait for part of the latency objective before a router sheds

Cause: 20 ms of delay counted as behind whatever the latency objective, and each report cut the limit to 0.7. Change: an eighth of the shortest objective counts as behind, 20 ms at least, and the cut follows how far behind the router is, between 0.7 and 0.9.

--- a/policy/overload.go
+++ b/policy/overload.go
@@ -3,15 +3,21 @@
 package policy
 
 const (
-	// maxRouterDelay is the least delay of the requests of a report from which on the router is behind.
-	maxRouterDelay Time = 20_000
+	// minOwnDelay is the least delay of the requests of a report from which on the router may be behind.
+	minOwnDelay Time = 20_000
+	// ownDelayDivisor is the part of the shortest latency objective that requests may be delayed by.
+	ownDelayDivisor = 8
 	// delayReportSpans is for how many spans of a report its delay is taken to last.
 	delayReportSpans = 2
 
-	requestRateCut    = .7  // factor of the limit for each report of a router that is behind, ...
-	requestRateGrowth = 1.1 // ... and for one that is not, though it rejects requests
-	minRequestRate    = 10  // least limit, in requests a second
-	microsPerSecond   = 1e6
+	// Factors of the limit: for a report of a router that is just behind, at least for one that is far
+	// behind, and for one that is not behind, though it rejects requests.
+	leastCut          = .9
+	deepestCut        = .7
+	requestRateGrowth = 1.1
+
+	minRequestRate  = 10 // least limit, in requests a second
+	microsPerSecond = 1e6
 )
 
 // delayReported adjusts the limit on requests to the delay with which they are handled. Work that comes late
@@ -19,12 +25,13 @@
 func (e *Engine) delayReported(ev *DelayReport) {
 	e.routerDelay, e.routerDelayUntil = ev.LeastDelay, e.now+delayReportSpans*ev.Span
 	switch {
-	case ev.LeastDelay > maxRouterDelay:
+	case ev.LeastDelay > e.maxOwnDelay():
 		rate := float64(ev.Taken) / float64(max(ev.Span, 1)) * microsPerSecond
 		if e.requestLimit > 0 {
 			rate = min(rate, e.requestLimit)
 		}
-		e.limitRequests(max(minRequestRate, rate*requestRateCut))
+		cut := max(deepestCut, leastCut*float64(e.maxOwnDelay())/float64(ev.LeastDelay))
+		e.limitRequests(max(minRequestRate, rate*cut))
 	case e.requestLimit == 0:
 	case ev.Rejected == 0: // the limit binds no more
 		e.limitRequests(0)
@@ -33,6 +40,9 @@
 	}
 }
 
+// maxOwnDelay is the least delay of requests up to which the router is not behind.
+func (e *Engine) maxOwnDelay() Time { return max(minOwnDelay, e.shortestObjective/ownDelayDivisor) }
+
 // limitRequests limits the requests that the router takes in a second; 0 is no limit.
 func (e *Engine) limitRequests(perSecond float64) {
 	if (perSecond > 0) != (e.requestLimit > 0) {
