Limit requests only when two reports in a row show the router behind

What callers saw: nothing yet, found by reading the change once more. Cause: after a stall of some 0.1 s a report may hold a single request, which was late; that set the limit to its least, 10 requests a second, and a router with 25 a second would have rejected half of them for a second. Change: the limit needs two reports in a row. Result: TestStallDoesNotLimitRequests fails without it (limit 10).

--- a/policy/engine.go
+++ b/policy/engine.go
@@ -69,6 +69,7 @@
 
 	routerDelay      Time    // with which this router handles what it is given, as last reported, ...
 	routerDelayUntil Time    // ... and until when that counts
+	behindReports    int     // reports in a row by which it is behind
 	requestLimit     float64 // requests that it takes in a second; 0 is no limit
 }
 
--- a/policy/overload.go
+++ b/policy/overload.go
@@ -7,6 +7,9 @@
 	minOwnDelay Time = 20_000
 	// ownDelayDivisor is the part of the shortest latency objective that requests may be delayed by.
 	ownDelayDivisor = 8
+	// minBehindReports is how many reports in a row show that a router is behind: after a stall of the process
+	// one does, as all requests are late for a moment.
+	minBehindReports = 2
 	// delayReportSpans is for how many spans of a report its delay is taken to last.
 	delayReportSpans = 2
 
@@ -24,15 +27,15 @@
 // is of no use to anyone: a router that takes what it can't do in time serves a small part of what it could.
 func (e *Engine) delayReported(ev *DelayReport) {
 	e.routerDelay, e.routerDelayUntil = ev.LeastDelay, e.now+delayReportSpans*ev.Span
+	if ev.LeastDelay > e.maxOwnDelay() {
+		e.behindReports++
+	} else {
+		e.behindReports = 0
+	}
 	switch {
-	case ev.LeastDelay > e.maxOwnDelay():
-		rate := float64(ev.Taken) / float64(max(ev.Span, 1)) * microsPerSecond
-		if e.requestLimit > 0 {
-			rate = min(rate, e.requestLimit)
-		}
-		cut := max(deepestCut, leastCut*float64(e.maxOwnDelay())/float64(ev.LeastDelay))
-		e.limitRequests(max(minRequestRate, rate*cut))
-	case e.requestLimit == 0:
+	case e.behindReports >= minBehindReports:
+		e.cutRequestLimit(ev)
+	case e.behindReports > 0 || e.requestLimit == 0:
 	case ev.Rejected == 0: // the limit binds no more
 		e.limitRequests(0)
 	default:
@@ -40,6 +43,16 @@
 	}
 }
 
+// cutRequestLimit lowers the limit to a part of what the router takes, the less the further it is behind.
+func (e *Engine) cutRequestLimit(ev *DelayReport) {
+	rate := float64(ev.Taken) / float64(max(ev.Span, 1)) * microsPerSecond
+	if e.requestLimit > 0 {
+		rate = min(rate, e.requestLimit)
+	}
+	cut := max(deepestCut, leastCut*float64(e.maxOwnDelay())/float64(ev.LeastDelay))
+	e.limitRequests(max(minRequestRate, rate*cut))
+}
+
 // maxOwnDelay is the least delay of requests up to which the router is not behind.
 func (e *Engine) maxOwnDelay() Time { return max(minOwnDelay, e.shortestObjective/ownDelayDivisor) }
 
--- a/policy/overload_test.go
+++ b/policy/overload_test.go
@@ -28,6 +28,7 @@
 	if _, ok := h.report(behind, 100, 0); ok {
 		t.Error("a limit without a delay beyond the bound")
 	}
+	h.report(behind+1, 100, 0)
 	first, ok := h.report(behind+1, 100, 0)
 	if !ok || first.PerSecond >= 1000*leastCut || first.PerSecond < 999*leastCut || first.RetryAfter != 200*ms {
 		t.Errorf("limit %+v, want most of the 1,000 requests a second that were taken", first)
@@ -56,6 +57,19 @@
 	}
 }
 
+// TestStallDoesNotLimitRequests checks that a single report of late requests, as after a stall of the process,
+// sets no limit, however often that happens.
+func TestStallDoesNotLimitRequests(t *testing.T) {
+	h := newTrafficHarness(t, 3, nil)
+	for range 20 {
+		for _, delay := range []Time{150 * ms, 0} {
+			if limit, ok := h.report(delay, 1, 0); ok {
+				t.Fatalf("limit %v though the router has caught up with each stall", limit.PerSecond)
+			}
+		}
+	}
+}
+
 // TestGoodputBeyondCapacity plays a router that gets several times what it can handle: it has to take nearly
 // what it can, and to be without a limit soon after.
 func TestGoodputBeyondCapacity(t *testing.T) {
