--- a/review/lab/cache.go
+++ b/review/lab/cache.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -20,6 +21,9 @@
 	// Serve answers a request in place of the default, if it is set. It is called once the last byte has come.
 	Serve func(nc net.Conn, r Received) bool
 	Runs  atomic.Int64
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
 }
 
 // Received is a request as it came to a cache server.
@@ -51,6 +55,30 @@
 	return c
 }
 
+// End ends the server as the end of its process would: connections are reset, and new ones are refused.
+func (c *Cache) End() {
+	c.Listener.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for nc := range c.conns {
+		nc.(*net.TCPConn).SetLinger(0)
+		nc.Close()
+	}
+}
+
+func (c *Cache) note(nc net.Conn, open bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns == nil {
+		c.conns = map[net.Conn]bool{}
+	}
+	if open {
+		c.conns[nc] = true
+	} else {
+		delete(c.conns, nc)
+	}
+}
+
 // ValueFor is the value or the receipt that is made for a request.
 func ValueFor(id string) string { return "made for " + id }
 
@@ -58,6 +86,8 @@
 func Served(value string) string { return "*3\r\n" + Bulk(value) + Bulk("hit") + "$-1\r\n" }
 
 func (c *Cache) serve(nc net.Conn) {
+	c.note(nc, true)
+	defer c.note(nc, false)
 	defer nc.Close()
 	r := bufio.NewReaderSize(nc, 128<<10)
 	for {
--- a/review/lab/settings.go
+++ b/review/lab/settings.go
@@ -12,6 +12,7 @@
 			{"name": "page-view", "effect": "read_like", "aim": 600000, "hardLimit": 2000000, "worth": 5},
 			{"name": "annotate", "effect": "idempotency_key", "dedupScope": "all", "keyTtl": 8000000,
 				"aim": 1200000, "hardLimit": 4000000, "worth": 10},
+			{"name": "order", "effect": "non_idempotent", "aim": 1200000, "hardLimit": 4000000, "worth": 10},
 		},
 		"limits": map[string]any{"cancel": true, "probes": true, "secondCopies": true, "retryAfter": true,
 			"maxAttempts": 3, "maxRetryAfter": 2000000, "maxOpen": 20000, "dialTimeout": 250000, "keepalive": 60000000},
