--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -232,7 +232,13 @@
 	mu      sync.Mutex
 	index   int
 	caches  []*Cache
+	status  map[string]string // by the name of the cache server, where it differs from Cache.Status
 	changed chan struct{}
+
+	// Answered is called before a list is written to a router. It may be nil.
+	Answered func(list map[string]any)
+	listener net.Listener
+	conns    map[net.Conn]struct{}
 }
 
 // StartAgent starts an agent that has the list of the given cache servers.
@@ -241,13 +247,39 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{Addr: l.Addr().String(), index: index, caches: caches, changed: make(chan struct{})}
+	a := &Agent{Addr: l.Addr().String(), index: index, caches: caches, status: map[string]string{},
+		changed: make(chan struct{}), listener: l, conns: map[net.Conn]struct{}{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/discovery/hosts", a.serve)
-	go http.Serve(l, mux)
+	server := &http.Server{Handler: mux, ConnState: func(c net.Conn, state http.ConnState) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if state == http.StateClosed {
+			delete(a.conns, c)
+		} else {
+			a.conns[c] = struct{}{}
+		}
+	}}
+	go server.Serve(l)
 	return a, nil
 }
 
+// SetStatus makes the agent have been sent another status of a cache server. Call it within Change.
+func (a *Agent) SetStatus(c *Cache, status string) { a.status[c.Name] = status }
+
+// Retire does what an address does that a new configuration no longer names: it takes no new connections and closes
+// the open ones after 1.5 s.
+func (a *Agent) Retire() {
+	a.listener.Close()
+	time.AfterFunc(1500*time.Millisecond, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for c := range a.conns {
+			c.Close()
+		}
+	})
+}
+
 // Change makes a change of the list and tells it to all watches, as the whole list.
 func (a *Agent) Change(f func()) {
 	a.mu.Lock()
@@ -258,11 +290,15 @@
 	a.changed = make(chan struct{})
 }
 
-// List returns the whole list.
+// List returns the whole list, with the status of each cache server as this agent has been sent it.
 func (a *Agent) List() map[string]any {
 	endpoints := []any{}
 	for _, c := range a.caches {
-		endpoints = append(endpoints, c.Endpoint())
+		endpoint := c.Endpoint()
+		if status, ok := a.status[c.Name]; ok {
+			endpoint["status"] = status
+		}
+		endpoints = append(endpoints, endpoint)
 	}
 	return map[string]any{"index": a.index, "snapshot": true, "endpoints": endpoints}
 }
@@ -291,7 +327,11 @@
 		}
 	}
 	defer a.mu.Unlock()
-	json.NewEncoder(w).Encode(a.List())
+	list := a.List()
+	if a.Answered != nil {
+		a.Answered(list)
+	}
+	json.NewEncoder(w).Encode(list)
 }
 
 // Router is a router process.
@@ -300,6 +340,8 @@
 	cmd  *exec.Cmd
 	dir  string
 	done chan struct{}
+
+	config map[string]any
 }
 
 // FreeAddr returns a loopback address with a free port.
@@ -321,16 +363,13 @@
 	}
 	r := &Router{Addr: FreeAddr(), dir: dir, done: make(chan struct{})}
 	agent.mu.Lock()
-	config, err := json.Marshal(map[string]any{"name": "router-1", "listen": r.Addr, "discovery": agent.Addr, "seed": "1",
-		"limits": limits, "known": agent.List(), "settings": settings})
+	r.config = map[string]any{"name": "router-1", "listen": r.Addr, "discovery": agent.Addr, "seed": "1",
+		"limits": limits, "known": agent.List(), "settings": settings}
 	agent.mu.Unlock()
-	if err != nil {
+	if err := r.writeConfig(); err != nil {
 		return nil, err
 	}
 	path := filepath.Join(dir, "config.json")
-	if err := os.WriteFile(path, config, 0o600); err != nil {
-		return nil, err
-	}
 	log, err := os.Create(filepath.Join(dir, "log"))
 	if err != nil {
 		return nil, err
@@ -362,6 +401,28 @@
 	return nil, errors.New("the router is not ready within 30 s")
 }
 
+func (r *Router) writeConfig() error {
+	config, err := json.Marshal(r.config)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(r.dir, "config.json")
+	if err := os.WriteFile(path+".new", config, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// MoveDiscovery replaces the configuration file by one that names another agent, and sends SIGHUP.
+func (r *Router) MoveDiscovery(agent *Agent) error {
+	r.config["discovery"] = agent.Addr
+	if err := r.writeConfig(); err != nil {
+		return err
+	}
+	r.Signal(syscall.SIGHUP)
+	return nil
+}
+
 // Signal sends a signal to the router.
 func (r *Router) Signal(s syscall.Signal) { r.cmd.Process.Signal(s) }
 
