--- a/internal/soaktest/plan_test.go
+++ b/internal/soaktest/plan_test.go
@@ -16,6 +16,7 @@
 	maxClients           = 24                     // number of clients that send requests, over all routers
 	fewDescriptors       = 128
 	manyDescriptors      = 1024
+	defaultMemoryMB      = 192
 	maxFloodShare        = 0.03
 	maxListDelay         = 500 * time.Millisecond // from an event of a cache to the list that shows it
 )
@@ -29,6 +30,8 @@
 	clients             int // of each router
 	idleClients         int // of each router, that connect and send nothing
 	descriptors         int
+	memoryMB            int     // memory limit of each router; 0 for defaultMemoryMB
+	cores               float64 // processor limit of each router; 0 for one core
 	discoveryDown       bool    // until shortly before the first SIGTERM
 	discoveryFaultShare float64 // share of the discovery services' replies that have a fault
 	floodShare          float64 // share of the batches that clients precede by a flood, see floodAndDisconnect
@@ -73,6 +76,22 @@
 	listDelay time.Duration // until the list shows it
 }
 
+// memoryLimitMB returns the memory limit of each router in MB.
+func (p *plan) memoryLimitMB() int {
+	if p.memoryMB == 0 {
+		return defaultMemoryMB
+	}
+	return p.memoryMB
+}
+
+// coreLimit returns the processor limit of each router in cores.
+func (p *plan) coreLimit() float64 {
+	if p.cores == 0 {
+		return 1
+	}
+	return p.cores
+}
+
 func generatePlan(seed uint64) plan {
 	rng := newRand(seed, 0)
 	p := plan{
--- a/internal/soaktest/process_test.go
+++ b/internal/soaktest/process_test.go
@@ -47,6 +47,7 @@
 	cmd    *exec.Cmd
 	path   string         // of its configuration file
 	config map[string]any // content of the configuration file
+	memory *memoryWatch
 
 	logEnded chan struct{} // closed when all of the log has been read
 	mu       sync.Mutex
@@ -62,7 +63,7 @@
 		"listen":    "127.0.0.1:0",
 		"discovery": discovery,
 		"seed":      fmt.Sprintf("%x", p.seed),
-		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": p.descriptors},
+		"limits":    map[string]any{"cores": p.coreLimit(), "memory_mb": p.memoryLimitMB(), "sockets": p.descriptors},
 		"known":     json.RawMessage(listBody(endpoints, version, true)),
 		"settings": json.RawMessage(fmt.Sprintf(settingsFormat, p.routers, p.longestTimeout.Microseconds(),
 			p.warmupTime.Microseconds())),
@@ -72,6 +73,7 @@
 		path:     filepath.Join(t.TempDir(), "config.json"),
 		config:   config,
 		logEnded: make(chan struct{}),
+		memory:   newMemoryWatch(p.memoryLimitMB()),
 	}
 	r.configure(t, discovery)
 	r.cmd.Env = append(r.cmd.Env, "BALANCER_CONFIG="+r.path)
@@ -83,7 +85,10 @@
 	if err := r.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
+	r.memory.start(r.cmd.Process.Pid)
 	t.Cleanup(func() {
+		r.memory.stop()
+		r.memory.wantWithinLimit(t, name)
 		_ = r.cmd.Process.Kill() // fails if the process has exited
 		_ = r.wait()
 	})
