Count deadlines from the arrival of requests that are accepted or polled late

Cause: a new connection counted as accepted at once unless the accept loop had noted that it waited, and the age of the last segment, which raises the bound, was taken for that of all requests on it.

Change: while connections wait in the listener's queue, the next ones count as having waited since the first of them was accepted; the age of the only segment is taken as it is, that of the last of several is an upper bound on the arrival. The backlog probe is sent with the heartbeats as well: while it is out, and if it returns late, bytes count as having arrived since it was sent.

Tests: TestDeadlineCountsWhileAcceptIsDelayed and TestDeadlineOfQueuedConnectionCounts fail before with deadlines 0.30 s too late; TestRoutineProbeShowsLateReaders is for the probe.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -43,7 +43,7 @@
 		if err == nil {
 			failures.reset()
 			s.startClient(nc)
-			s.endAcceptStall()
+			s.noteQueue()
 			continue
 		}
 		s.descriptors.releaseClient()
@@ -150,11 +150,14 @@
 	}
 }
 
-// endAcceptStall ends an accept stall once the listener's queue is empty. New connections are then accepted
-// without a wait.
-func (s *Server) endAcceptStall() {
-	if s.acceptStalledSince != 0 && !socket.HasQueuedConnections(s.system, s.listener) {
+// noteQueue records after an accept whether further connections wait in the listener's queue. They may have waited since
+// the accepted one arrived. Once the queue is empty, new connections are accepted without a wait.
+func (s *Server) noteQueue() {
+	switch {
+	case !socket.HasQueuedConnections(s.system, s.listener):
 		s.acceptStalledSince = 0
+	case s.acceptStalledSince == 0:
+		s.acceptStalledSince = s.loop.stalls.earliestArrival(s.loop.clock())
 	}
 }
 
--- a/internal/router/arrival_test.go
+++ b/internal/router/arrival_test.go
@@ -192,3 +192,55 @@
 		})
 	}
 }
+
+// TestDeadlineCountsWhileAcceptIsDelayed guards against deadlines that count from the accept of a connection. While
+// hundreds of others connected, connections were accepted up to 0.3 s after their first requests had arrived, and
+// caches were told that much more than the clients had left.
+func TestDeadlineCountsWhileAcceptIsDelayed(t *testing.T) {
+	srv, harness := newScriptedServer(t, endpointJSON("c1", "127.0.0.1:1", "in_service"))
+	system := useFaultySystem(srv)
+	delay := fault{reached: make(chan struct{}), resume: make(chan struct{})}
+	system.inject(callAccept, delay)
+	router := startServer(t, srv)
+	receive(t, delay.reached, "delay of the accept")
+	client := dial(t, router.addr)
+	client.send(getCommand("r1"))
+	sentAt := srv.loop.clock()
+	waitUntil(t, "the end of the delay", func() bool { return srv.loop.clock() > sentAt+2*timeoutSlack })
+	close(delay.resume)
+	req := harness.onlyRequest()
+	if late := req.deadline - sentAt - harness.requestTimeout(); late > timeoutSlack {
+		t.Errorf("the deadline is %d us too late", late)
+	}
+}
+
+// TestDeadlineOfQueuedConnectionCounts checks that a connection which waits in the listener's queue behind others counts
+// as having waited, also if its requests came in several segments, whose age the system does not tell.
+func TestDeadlineOfQueuedConnectionCounts(t *testing.T) {
+	srv, harness := newScriptedServer(t, endpointJSON("c1", "127.0.0.1:1", "in_service"))
+	system := useFaultySystem(srv)
+	delays := []fault{
+		{reached: make(chan struct{}), resume: make(chan struct{})},
+		{reached: make(chan struct{}), resume: make(chan struct{})},
+	}
+	system.inject(callAccept, delays...)
+	router := startServer(t, srv)
+	receive(t, delays[0].reached, "delay of the first accept")
+	dial(t, router.addr) // it is accepted while the next one waits in the queue
+	client := dial(t, router.addr)
+	close(delays[0].resume)
+	receive(t, delays[1].reached, "delay of the second accept")
+	client.send(getCommand("r1"))
+	sentAt := srv.loop.clock()
+	waitUntil(t, "the end of the delay", func() bool { return srv.loop.clock() > sentAt+2*timeoutSlack })
+	client.send(getCommand("r2"))
+	close(delays[1].resume)
+	harness.waitForOpenRequests(2)
+	harness.do(func() {
+		for _, req := range srv.loop.requests {
+			if late := req.deadline - sentAt - harness.requestTimeout(); req.externalID() == "r1" && late > timeoutSlack {
+				t.Errorf("the deadline is %d us too late", late)
+			}
+		}
+	})
+}
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -85,10 +85,18 @@
 	if queuedSince != 0 {
 		since = min(since, queuedSince)
 	}
-	if age, err := c.nc.LastDataAge(); err == nil {
-		since = max(since, now-age.Microseconds())
+	age, segments, err := c.nc.LastDataAge()
+	lastSegmentAt := now - age.Microseconds()
+	switch {
+	case err != nil:
+		return since
+	case segments > 1: // earlier ones may hold other requests
+		return min(since, lastSegmentAt)
+	case segments == 1 && now-lastSegmentAt >= minDataAge: // the connection was accepted late
+		return lastSegmentAt
+	default:
+		return max(since, lastSegmentAt)
 	}
-	return since
 }
 
 // closeWhenIdle makes the reader close the connection as soon as no request is in flight on it.
--- a/internal/router/command_arrival.go
+++ b/internal/router/command_arrival.go
@@ -91,7 +91,7 @@
 	// The system reports the age of the last bytes only, so a stall is recorded in any case.
 	r.arrival.noteStall(loop.stalls.earliestArrival(beganAt))
 	askedAt := loop.clock()
-	if age, err := r.conn.nc.LastDataAge(); err == nil {
+	if age, _, err := r.conn.nc.LastDataAge(); err == nil {
 		r.arrival.noteDataAge(askedAt, age.Microseconds())
 	}
 }
--- a/internal/router/faulty_system_test.go
+++ b/internal/router/faulty_system_test.go
@@ -200,9 +200,9 @@
 	return s.Linux.UnreadBytes(fd)
 }
 
-func (s *faultySystem) LastDataAge(fd int) (time.Duration, error) {
+func (s *faultySystem) LastDataAge(fd int) (age time.Duration, segments int, err error) {
 	if f := s.nextFault(callLastDataAge, fd); f.err != nil {
-		return 0, f.err
+		return 0, 0, f.err
 	}
 	return s.Linux.LastDataAge(fd)
 }
--- a/internal/router/stall_monitor.go
+++ b/internal/router/stall_monitor.go
@@ -37,6 +37,8 @@
 	backlogStart      policy.Time // earliest arrival of bytes left unread by the last stall or delay
 	backlogEnd        policy.Time // end of that stall or delay, or of the probe that followed it
 	probeSentAt       policy.Time // when the pending probe was sent; 0 if there is none
+	lastProbeAt       policy.Time // when the last probe was sent
+	routineProbe      bool        // the pending probe was not sent for a stall or delay
 	stalledSinceProbe bool        // another stall or delay has occurred since then
 }
 
@@ -67,12 +69,23 @@
 	previous := m.lastBeat
 	m.lastBeat = max(previous, now)
 	if now-previous < minStall {
+		m.probeRoutinely(now)
 		return 0
 	}
 	m.noteBacklog(previous, now)
 	return now - previous
 }
 
+// probeRoutinely sends a probe if none was sent for a heartbeat interval. It shows delays of the readers that the event
+// loop does not have: the runtime may poll the sockets late while the loop always has something to do.
+func (m *stallMonitor) probeRoutinely(now policy.Time) {
+	due := m.lastProbeAt + heartbeatInterval.Microseconds()
+	if m.probeSentAt > 0 || now < due || now < m.backlogEnd+backlogTime || !m.sendProbe() {
+		return
+	}
+	m.backlogStart, m.probeSentAt, m.lastProbeAt, m.routineProbe = now, now, now, true
+}
+
 // noteLate records that the process, although it was running, handles only now what was due at the given time.
 func (m *stallMonitor) noteLate(due, now policy.Time) {
 	m.mu.Lock()
@@ -85,8 +98,11 @@
 	switch {
 	case m.probeSentAt > 0:
 		m.stalledSinceProbe = true
+		if m.routineProbe {
+			m.backlogStart = min(m.backlogStart, since)
+		}
 	case m.sendProbe():
-		m.backlogStart, m.probeSentAt = since, now
+		m.backlogStart, m.probeSentAt, m.lastProbeAt, m.routineProbe = since, now, now, false
 	case since >= m.backlogEnd+backlogTime:
 		m.backlogStart = since
 	default:
@@ -106,11 +122,16 @@
 	if sentAt == 0 {
 		return // the probe already counts as lost
 	}
-	m.backlogEnd, m.probeSentAt = now, 0
-	if (m.stalledSinceProbe || now-sentAt >= minStall) && m.sendProbe() {
-		m.backlogStart, m.probeSentAt = sentAt, now
-	}
+	m.probeSentAt = 0
+	delayed := m.stalledSinceProbe || now-sentAt >= minStall
 	m.stalledSinceProbe = false
+	if m.routineProbe && !delayed {
+		return // the readers are in time
+	}
+	m.backlogEnd = now
+	if delayed && m.sendProbe() {
+		m.backlogStart, m.probeSentAt, m.lastProbeAt, m.routineProbe = sentAt, now, now, false
+	}
 }
 
 // earliestArrival returns the earliest time at which bytes may have arrived that a waiting reader receives now.
--- a/internal/router/stall_monitor_test.go
+++ b/internal/router/stall_monitor_test.go
@@ -66,3 +66,41 @@
 		})
 	}
 }
+
+// TestRoutineProbeShowsLateReaders checks that bytes count as having arrived since the last routine probe was sent if
+// that returns late, although the event loop has its heartbeats in time, and that a probe which returns in time changes
+// nothing. It guards against timeouts that count from too late a time while the runtime polls the sockets late.
+func TestRoutineProbeShowsLateReaders(t *testing.T) {
+	const (
+		start    policy.Time = 1_000_000
+		interval             = policy.Time(30_000)
+		sentAt               = start + interval
+	)
+	newMonitor := func() *stallMonitor {
+		m := newStallMonitor(start, func(policy.Time) {})
+		m.useProbe(func() bool { return true })
+		m.beat(sentAt)
+		return m
+	}
+	inTime := newMonitor()
+	inTime.probeReturned(sentAt + 100)
+	if got := inTime.earliestArrival(sentAt + 200); got != sentAt+200 {
+		t.Errorf("a probe in time: arrival counts from %d us after it", got-sentAt)
+	}
+	late := newMonitor()
+	for beat := sentAt; beat < sentAt+10*interval; beat += interval {
+		late.beat(beat)
+	}
+	now := sentAt + 10*interval
+	if got := late.earliestArrival(now); got != sentAt {
+		t.Errorf("before a late probe has returned: arrival counts from %d us after it", got-sentAt)
+	}
+	late.probeReturned(now + 100)
+	if got := late.earliestArrival(now + 200); got != sentAt {
+		t.Errorf("behind a late probe: arrival counts from %d us after it", got-sentAt)
+	}
+	late.probeReturned(now + 300) // the second probe covers what arrived since
+	if got := late.earliestArrival(now + 400 + backlogTime); got != now+400+backlogTime {
+		t.Errorf("long after a late probe: arrival counts from %d us after it", got-sentAt)
+	}
+}
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -263,12 +263,13 @@
 	return errors.Join(err, queryErr) != nil || n > 0
 }
 
-// LastDataAge returns how long ago the last bytes were received, whether they have been read or not.
-func (c *Conn) LastDataAge() (age time.Duration, err error) {
+// LastDataAge returns how long ago the last bytes were received, whether they have been read or not, and how many
+// segments with data have been received so far.
+func (c *Conn) LastDataAge() (age time.Duration, segments int, err error) {
 	controlErr := c.raw.Control(func(fd uintptr) {
-		age, err = c.system.LastDataAge(int(fd))
+		age, segments, err = c.system.LastDataAge(int(fd))
 	})
-	return age, errors.Join(controlErr, err)
+	return age, segments, errors.Join(controlErr, err)
 }
 
 // PeerState is the state of the peer as far as the socket shows it.
--- a/internal/socket/system.go
+++ b/internal/socket/system.go
@@ -29,8 +29,8 @@
 	UnacknowledgedBytes(fd int) (int, error)
 	// UnreadBytes returns how many bytes have been received and not yet read.
 	UnreadBytes(fd int) (int, error)
-	// LastDataAge returns how long ago the last bytes were received.
-	LastDataAge(fd int) (time.Duration, error)
+	// LastDataAge returns how long ago the last bytes were received, and how many segments with data so far.
+	LastDataAge(fd int) (age time.Duration, segments int, err error)
 }
 
 // Linux implements System with the system calls of Linux.
@@ -68,10 +68,10 @@
 func (Linux) UnreadBytes(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCINQ) }
 
 // LastDataAge implements System.
-func (Linux) LastDataAge(fd int) (time.Duration, error) {
+func (Linux) LastDataAge(fd int) (age time.Duration, segments int, err error) {
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
+	return time.Duration(info.Last_data_recv) * time.Millisecond, int(info.Data_segs_in), nil
 }
