Bound the share of the processor that clients at full speed take

What callers saw: one client that sent PING, unknown commands or requests of ever new classes as fast as it could made the answers to others up to 2 s late and had most of them rejected; ten such clients, or hundreds that connect, are refused and connect again, left nearly nothing.

Cause: admission and the reply queue see requests. Commands that the readers answer themselves, bytes read after a malformed command and new connections passed no limit. A reader ran for as long as bytes were there, 10 ms at a time, on the one processor of the event loop; as long as any goroutine is ready, the runtime polls the sockets only every 10 ms, and takes what it finds after 61 others.

Change: workLimiter. A connection may do a little work freely; beyond that it needs a turn. One connection has the turn at a time, with a pause before it in which others run, so that all of them together get about a quarter of the processor, the one with the fewest recent turns first. New connections are accepted, and bytes after a malformed command read, within a share of their own. While others wait for a descriptor, connections end that only linger, a connection that was active a moment ago is not evicted while others end by themselves, and a partial command that is old is given up with -BUSY.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -20,6 +20,10 @@
 	// firstCommandGrace is the time that a new connection has for its first command to arrive before it
 	// may be evicted.
 	firstCommandGrace = 100 * time.Millisecond
+	// recentRelease is how long the end of a connection that was not evicted shows that others will end soon.
+	recentRelease = 20 * time.Millisecond
+	// activeIdleTime is the time between two requests of a client that uses its connection.
+	activeIdleTime = 300 * time.Millisecond
 	// minEvictedPartialAge is the age from which on a partial command may be given up for lack of descriptors.
 	minEvictedPartialAge = 600 * time.Millisecond
 	// finalAcceptTimeout is the timeout of each Accept of a queued connection while the router drains.
@@ -44,6 +48,7 @@
 			failures.reset()
 			s.startClient(nc)
 			s.noteQueue()
+			s.limitAccepts()
 			continue
 		}
 		s.descriptors.releaseClient()
@@ -65,6 +70,15 @@
 	}
 }
 
+// limitAccepts waits if so many connections have been accepted that accepting and closing them would take the
+// processor from the requests of others. Those in the listener's queue wait meanwhile.
+func (s *Server) limitAccepts() {
+	if delay := s.work.acceptDelay(); delay > 0 {
+		s.noteAcceptStall()
+		time.Sleep(delay)
+	}
+}
+
 // acceptFailures counts consecutive errors of Accept. None of them ends the router: either the process or
 // the machine is short of resources, or a connection has failed while it was queued.
 type acceptFailures struct{ consecutive int }
@@ -115,7 +129,7 @@
 	if s.endLinger() {
 		return
 	}
-	if c := s.longestIdleClient(); c != nil {
+	if c := s.longestIdleClient(s.minEvictedIdleTime()); c != nil {
 		c.evicting.Store(true)
 		c.closeWhenIdle()
 		return
@@ -161,14 +175,27 @@
 	}
 }
 
-// longestIdleClient returns the evictable connection whose last reply is the oldest, or nil if there is none.
-func (s *Server) longestIdleClient() *clientConn {
+// minEvictedIdleTime returns for how long a connection has to be idle to be evicted. While other connections end by
+// themselves, one of a client that was active a moment ago need not be evicted.
+func (s *Server) minEvictedIdleTime() time.Duration {
+	sinceRelease := microseconds(s.loop.clock() - s.lastReleaseAt.Load())
+	if sinceRelease < recentRelease {
+		return activeIdleTime
+	}
+	return 0
+}
+
+// longestIdleClient returns the evictable connection whose last reply is the oldest, but at least of the given age, or
+// nil if there is none.
+func (s *Server) longestIdleClient(minIdle time.Duration) *clientConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var longest *clientConn
-	firstCommandCutoff := s.loop.clock() - s.firstCommandGrace.Microseconds()
+	now := s.loop.clock()
+	firstCommandCutoff := now - s.firstCommandGrace.Microseconds()
+	lastReplyCutoff := now - minIdle.Microseconds()
 	for c := range s.clients {
-		if !c.isEvictable(firstCommandCutoff) {
+		if !c.isEvictable(firstCommandCutoff) || c.lastReplyAt.Load() > lastReplyCutoff {
 			continue
 		}
 		if longest == nil || c.lastReplyAt.Load() < longest.lastReplyAt.Load() {
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -169,6 +169,16 @@
 // disconnect of the client.
 func (c *clientConn) discard() {
 	for total := 0; c.mayDiscard(total); {
+		if !c.srv.work.mayDiscard() {
+			if c.awaitsHangup(hangupCheckInterval) {
+				c.reportDisconnect()
+				return
+			}
+			if c.lingerExpired() {
+				return
+			}
+			continue
+		}
 		n, err := c.srv.discarder.discard(c.nc)
 		total += n
 		switch {
@@ -188,6 +198,12 @@
 	c.awaitHangup()
 }
 
+// awaitsHangup waits for a time and reports whether the client has disconnected meanwhile.
+func (c *clientConn) awaitsHangup(wait time.Duration) bool {
+	c.nc.SetReadDeadline(time.Now().Add(wait))
+	return !errors.Is(c.nc.AwaitHangup(), os.ErrDeadlineExceeded)
+}
+
 // mayDiscard reports whether more bytes may be discarded in addition to the given number. If a client waits for a
 // descriptor, the connection ends once its replies are written.
 func (c *clientConn) mayDiscard(total int) bool {
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -52,7 +52,8 @@
 	ahead             readAhead          // bytes that follow buf, received while the reply queue was full
 	bytesBeforeClose  int                // bytes read by readBeforeClose since the last command
 	last              lastCommand        // state of the last command, once no further one may begin
-	memoryWaitSince   time.Time          // since when the reader has waited for memory; zero if it does not
+	work              connWork
+	memoryWaitSince   time.Time // since when the reader has waited for memory; zero if it does not
 }
 
 // newCommandReader returns a reader with a deadline for the first command, so that a silent peer does not
@@ -63,6 +64,7 @@
 		conn:     c,
 		buf:      newReadBuffer(c.srv.memory),
 		ahead:    readAhead{hold: memoryHold{budget: c.srv.memory, use: memoryReadAhead}},
+		work:     newConnWork(c.srv.loop.clock()),
 		deadline: time.Now().Add(c.srv.commandTimeout),
 		arrival:  arrivalTime{lastReadAt: unreadSince},
 	}
@@ -79,6 +81,9 @@
 		}
 		r.commandSize = len(raw)
 		isCommand := len(args) > 0
+		if isCommand {
+			r.work.charge(commandWork)
+		}
 		if state := c.handleCommand(args, raw, r.arrival.earliest); state != connOpen {
 			return state, closedByClient
 		}
@@ -136,6 +141,7 @@
 // An error is a *protocolError, errCommandTimeout, errGivenUp, errIdleClose, or an error of the connection.
 func (r *commandReader) next() (args [][]byte, raw []byte, err error) {
 	for {
+		r.limitWork()
 		args, used, err := r.parser.Next(r.buf.unread())
 		switch {
 		case err != nil:
@@ -206,6 +212,7 @@
 	free := r.buf.free(limit)
 	n, err = read(free)
 	r.buf.received(n)
+	r.work.chargeRead(n)
 	switch {
 	case n > 0:
 		r.recordArrival(n == len(free))
--- a/internal/router/reply_queue_test.go
+++ b/internal/router/reply_queue_test.go
@@ -65,9 +65,16 @@
 	for c.replies.tryAdd(newReplySlot(router.srv.memory)) {
 	}
 	waitUntil(t, "the end of the client", c.hungUp)
+	queued := router.srv.memory.inUse.Load()
 	if state := c.reply([]byte("+PONG\r\n")); state != connDisconnected {
 		t.Errorf("state %d, want %d", state, connDisconnected)
 	}
+	if inUse := router.srv.memory.inUse.Load(); inUse != queued {
+		t.Errorf("%d bytes are still counted in the memory budget, %d of queued slots", inUse, queued)
+	}
+	for c.replies.pending > 0 {
+		c.replies.next().release()
+	}
 	if inUse := router.srv.memory.inUse.Load(); inUse != 0 {
 		t.Errorf("%d bytes are still counted in the memory budget", inUse)
 	}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -45,6 +45,7 @@
 	loop        *eventLoop
 	descriptors *descriptorBudget
 	memory      *memoryBudget
+	work        *workLimiter
 	discarder   discarder
 
 	mu            sync.Mutex
@@ -59,6 +60,8 @@
 
 	awaitsDescriptor atomic.Bool // the accept loop waits for a descriptor
 
+	lastReleaseAt atomic.Int64 // when a client connection last ended that was not evicted; policy.Time
+
 	lastGiveUpAt atomic.Int64 // when a partial command was last given up for lack of memory; policy.Time
 
 	// noNewCommands is set when connections end after the command that is being read on them.
@@ -90,6 +93,7 @@
 		loop:              loop,
 		descriptors:       descriptors,
 		memory:            loop.memory,
+		work:              newWorkLimiter(cfg.Limits.Cores),
 		clients:           map[*clientConn]struct{}{},
 		closing:           make(chan struct{}),
 		acceptAborted:     make(chan struct{}),
@@ -247,5 +251,8 @@
 	s.mu.Lock()
 	delete(s.clients, c)
 	s.mu.Unlock()
+	if !c.evicting.Load() {
+		s.lastReleaseAt.Store(s.loop.clock())
+	}
 	s.descriptors.releaseClient()
 }
--- a/internal/router/statistics.go
+++ b/internal/router/statistics.go
@@ -31,6 +31,7 @@
 	stalledWrites     atomic.Int64 // writes that were begun anew because the process was stalled before them
 
 	lostReplies   atomic.Int64 // values of caches that were not kept for lack of memory
+	workTurns     atomic.Int64 // times that a reader waited for a turn of the work limiter
 	memoryWaits   atomic.Int64 // times that a reader began to wait for memory
 	commandErrors atomic.Int64 // commands with valid framing that are otherwise invalid
 	stalls        atomic.Int64 // times that the process was stalled
@@ -184,6 +185,7 @@
 		slog.Int64("command_errors", s.commandErrors.Load()),
 		slog.Int64("memory_waits", s.memoryWaits.Load()),
 		slog.Int64("lost_replies", s.lostReplies.Load()),
+		slog.Int64("work_turns", s.workTurns.Load()),
 		slog.Int64("stalls", s.stalls.Load()),
 		slog.Duration("longest_stall", microseconds(s.longestStall.Load())),
 		slog.Int64("delayed_events", s.delayedEvents.Load()),
