Bound the number of keys that the engine keeps counts of

Cause: the counts of requests by key, and the keys that caches have served, grew with the number of different keys in a window, which is 26 s long before 300 routers: at 5,000 requests a second of ever new keys some 13 MB, which no budget counted.

Change: Settings.MaxTrackedKeys, one key for each 2 KiB of the router's memory; a full window takes no new keys until the next one begins. The memory budget leaves 128 bytes for each.

Test: TestKeysAreBounded.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -152,6 +152,7 @@
 // setDefaults sets the fields that the configuration omits.
 func (c *Config) setDefaults() {
 	c.Limits.setDefaults()
+	c.Settings.MaxTrackedKeys = c.Limits.MaxTrackedKeys()
 	if c.Transport.DialTimeout <= 0 {
 		c.Transport.DialTimeout = defaultDialTimeout
 	}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -62,6 +62,16 @@
 	return max(min(total-bytesOutsideHeap, total*3/4), total/2)
 }
 
+const (
+	// memoryPerTrackedKey is the ratio of the memory in bytes to the number of keys that the policy may track.
+	memoryPerTrackedKey = 2 << 10
+	// TrackedKeyBytes is the memory in bytes for each key that the policy may track, in two windows of two kinds.
+	TrackedKeyBytes = 128
+)
+
+// MaxTrackedKeys returns how many keys the policy may track.
+func (l Limits) MaxTrackedKeys() int { return int(l.MemoryMB << 20 / memoryPerTrackedKey) }
+
 // Apply configures the Go runtime for the limits.
 func (l Limits) Apply() {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
--- a/internal/router/memory_budget.go
+++ b/internal/router/memory_budget.go
@@ -11,8 +11,8 @@
 
 // Memory in bytes that the process needs besides what the memory budget counts. docs/CAPACITY.md has the table.
 const (
-	// engineMemory is for the engine, the runtime's own structures and brief uses.
-	engineMemory = 3 * mebibyte
+	// engineMemory is for the engine without the keys that it tracks, the runtime's own structures and brief uses.
+	engineMemory = 2 * mebibyte
 	// clientConnMemory is for a client connection: two stacks, its objects, and the parts of its read buffer and its
 	// reply queue that the budget does not count.
 	clientConnMemory = 14 << 10
@@ -91,7 +91,7 @@
 // newMemoryBudget returns the budget of a process with the given limits.
 func newMemoryBudget(limits config.Limits) *memoryBudget {
 	descriptors := newDescriptorBudget(limits.Sockets)
-	needed := engineMemory + descriptors.maxClientConns*clientConnMemory + int64(descriptors.maxUpstreamConns)*upstreamConnMemory
+	needed := engineMemory + int64(limits.MaxTrackedKeys())*config.TrackedKeyBytes + descriptors.maxClientConns*clientConnMemory + int64(descriptors.maxUpstreamConns)*upstreamConnMemory
 	total := limits.MemoryMB * mebibyte
 	budget := (limits.HeapLimit() - needed) * budgetNumerator / budgetDenominator
 	return &memoryBudget{limit: min(max(budget, total/minBudgetDivisor), total/maxBudgetDivisor)}
--- a/internal/stats/window.go
+++ b/internal/stats/window.go
@@ -28,6 +28,14 @@
 // Add counts one event for the key in the current window.
 func (c *KeyCounts) Add(key uint64) { c[current][key]++ }
 
+// AddUpTo is like Add, but does not count a new key if the current window has the given number of keys. A limit of 0
+// means no limit.
+func (c *KeyCounts) AddUpTo(limit int, key uint64) {
+	if _, known := c[current][key]; known || limit == 0 || len(c[current]) < limit {
+		c.Add(key)
+	}
+}
+
 // Total returns the count of the key over both windows.
 func (c *KeyCounts) Total(key uint64) int { return c[current][key] + c[previous][key] }
 
@@ -44,6 +52,14 @@
 // Add adds the key in the current window.
 func (s *KeySet) Add(key uint64) { s[current][key] = true }
 
+// AddUpTo is like Add, but does not add a new key if the current window has the given number of keys. A limit of 0 means
+// no limit.
+func (s *KeySet) AddUpTo(limit int, key uint64) {
+	if s[current][key] || limit == 0 || len(s[current]) < limit {
+		s.Add(key)
+	}
+}
+
 // Contains reports whether the key was added in either window.
 func (s *KeySet) Contains(key uint64) bool { return s[current][key] || s[previous][key] }
 
--- a/internal/stats/window_test.go
+++ b/internal/stats/window_test.go
@@ -55,3 +55,34 @@
 		t.Error("two windows later: want an empty set")
 	}
 }
+
+// TestKeysAreBounded guards against memory that grows with the number of different keys: with a limit, only the keys that
+// are known already, or those of a later window, are added to a full window.
+func TestKeysAreBounded(t *testing.T) {
+	const limit = 2
+	counts, set := NewKeyCounts(), NewKeySet()
+	for key := range uint64(10) {
+		counts.AddUpTo(limit, key)
+		counts.AddUpTo(limit, 1)
+		set.AddUpTo(limit, key)
+	}
+	if got := counts.Total(1); got != 11 {
+		t.Errorf("a known key was counted %d times, want 11", got)
+	}
+	if len(counts[current]) != limit || len(set[current]) != limit {
+		t.Errorf("%d counts and %d keys, want %d", len(counts[current]), len(set[current]), limit)
+	}
+	counts.Rotate()
+	set.Rotate()
+	counts.AddUpTo(limit, 9)
+	set.AddUpTo(limit, 9)
+	if counts.Total(9) != 1 || !set.Contains(9) {
+		t.Error("a new window does not take a new key")
+	}
+	counts.AddUpTo(0, 10)
+	counts.AddUpTo(0, 11)
+	counts.AddUpTo(0, 12)
+	if counts.Total(12) != 1 {
+		t.Error("a key was not counted without a limit")
+	}
+}
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -172,7 +172,7 @@
 // recordServed updates the state of the cache and the engine after an attempt that was served.
 func (e *Engine) recordServed(o *outcome) {
 	c := o.attempt.cache
-	c.recentKeys.Add(o.request.Key)
+	c.recentKeys.AddUpTo(e.maxKeysPerCache(), o.request.Key)
 	if e.sparseTraffic && o.withinObjective {
 		e.updateAdmission(true)
 	}
--- a/policy/cache.go
+++ b/policy/cache.go
@@ -62,5 +62,13 @@
 // usable reports whether the cache is healthy and not ejected.
 func (c *cache) usable() bool { return c.healthy && !c.ejected }
 
+// maxKeysPerCache returns the number of keys in one window of a cache's recent keys, or 0 for no limit.
+func (e *Engine) maxKeysPerCache() int {
+	if e.settings.MaxTrackedKeys == 0 {
+		return 0
+	}
+	return max(1, e.settings.MaxTrackedKeys/max(1, len(e.caches)))
+}
+
 // likelyCached reports whether the cache served the key recently.
 func (c *cache) likelyCached(key uint64) bool { return c.recentKeys.Contains(key) }
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -45,7 +45,7 @@
 		e.scheduleFor(req, req.Deadline, func() { e.rejectOrFail(req) })
 	}
 	e.retryBudget = min(e.retryBudget+retryRatio, max(1, e.retryBurstLimit()))
-	e.keyCounts.Add(req.Key)
+	e.keyCounts.AddUpTo(e.settings.MaxTrackedKeys, req.Key)
 	e.requestCounts.Add()
 	e.requestsInInterval++
 	if !e.canAnswerInTime(req) {
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -59,6 +59,10 @@
 	HealthCheckCost     float64 // cost, in points, of one health check per request
 	ConnectionCost      float64 // cost, in points, of 100 open connections per cache
 	HandshakeCost       float64 // cost, in points, of one new connection per request
+
+	// MaxTrackedKeys bounds the keys of which the engine keeps counts in one window, and in another sum over all
+	// caches those that these have served. 0 means no bound.
+	MaxTrackedKeys int
 }
 
 // ErrNoClasses is returned for settings without classes.
