Bound the memory that an answer of discovery can take

Cause: the list was decoded whole before its first endpoint was checked, so that an answer of 0.9 MB of empty objects took 150 MB; its number of endpoints was not bounded, and what the router keeps for each cache was in no budget.

Change: each endpoint is checked as it is decoded, and the first that is not valid ends that; a list has one endpoint for each 8 KiB of memory at the most, 4,096 at the least; a body of known length is read into a buffer of that size. The memory budget is smaller by 4 KiB for each known cache, down to its half.

Test: TestEndpointListDecodingIsBounded fails before with 150,369,576 bytes; TestTooManyEndpointsFailWatch.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -36,8 +36,12 @@
 	// responseMemoryDivisor limits a response's body to this fraction of the
 	// memory, because parsing takes several times the size of the body.
 	responseMemoryDivisor = 16
-	maxHeaderSize         = 64 << 10 // bytes in the header of a response
-	idleConnTimeout       = 90 * time.Second
+	// minMaxEndpoints is the smallest limit on the number of endpoints, and memoryPerEndpoint the ratio of the memory in
+	// bytes to the limit.
+	minMaxEndpoints   = 4096
+	memoryPerEndpoint = 8 << 10
+	maxHeaderSize     = 64 << 10 // bytes in the header of a response
+	idleConnTimeout   = 90 * time.Second
 )
 
 var (
@@ -46,6 +50,9 @@
 	// call would fail each time.
 	ErrOutOfOrder = errors.New("out of order")
 
+	// ErrTooManyEndpoints reports a list with more endpoints than the router has memory for.
+	ErrTooManyEndpoints = errors.New("too many endpoints")
+
 	// ErrResponseTooLong reports a response whose body exceeds the size limit.
 	ErrResponseTooLong = errors.New("response is too long")
 )
@@ -78,10 +85,16 @@
 	return min(maxResponseSize, memoryMB<<20/responseMemoryDivisor)
 }
 
+// MaxEndpoints returns the largest number of endpoints of a list for a machine with the given memory.
+func MaxEndpoints(memoryMB int64) int {
+	return int(max(minMaxEndpoints, memoryMB<<20/memoryPerEndpoint))
+}
+
 // ClientConfig is the configuration of a Client.
 type ClientConfig struct {
 	Address         string        // of the discovery service
 	MaxResponseSize int64         // bytes in the body of a response
+	MaxEndpoints    int           // in a response; 0 for no limit
 	WatchWait       time.Duration // how long the service may hold a call open
 }
 
@@ -90,6 +103,7 @@
 type Client struct {
 	url             string
 	maxResponseSize int64
+	maxEndpoints    int
 	watchWait       time.Duration
 	http            *http.Client
 }
@@ -99,6 +113,7 @@
 	return &Client{
 		url:             "http://" + cfg.Address + hostsPath,
 		maxResponseSize: cfg.MaxResponseSize,
+		maxEndpoints:    cfg.MaxEndpoints,
 		watchWait:       cfg.WatchWait,
 		http: &http.Client{
 			Transport: &http.Transport{
@@ -170,6 +185,9 @@
 	if err != nil {
 		return EndpointList{}, err
 	}
+	if c.maxEndpoints > 0 && len(list.Endpoints) > c.maxEndpoints {
+		return EndpointList{}, ErrTooManyEndpoints
+	}
 	return list, checkOrder(&list, version)
 }
 
@@ -204,14 +222,24 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, &StatusError{Code: resp.StatusCode, Status: resp.Status}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxResponseSize+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > c.maxResponseSize {
+	return c.readBody(resp)
+}
+
+// readBody reads the body of a response. If the service tells its length, it needs no more memory than that.
+func (c *Client) readBody(resp *http.Response) ([]byte, error) {
+	switch length := resp.ContentLength; {
+	case length > c.maxResponseSize:
 		return nil, ErrResponseTooLong
+	case length >= 0:
+		body := make([]byte, length)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxResponseSize+1))
+	if err == nil && int64(len(body)) > c.maxResponseSize {
+		err = ErrResponseTooLong
 	}
-	return body, nil
+	return body, err
 }
 
 // markOutOfOrder wraps the error in ErrOutOfOrder if the service rejected a call for
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -41,6 +41,31 @@
 	}
 }
 
+// TestTooManyEndpointsFailWatch checks that a list with more endpoints than the limit fails the watch.
+func TestTooManyEndpointsFailWatch(t *testing.T) {
+	const limit = 3
+	for n, want := range map[int]error{limit: nil, limit + 1: ErrTooManyEndpoints} {
+		var endpoints []string
+		for i := range n {
+			endpoints = append(endpoints, endpointJSON(fmt.Sprint("c", i), "127.0.0.1:1", "in_service"))
+		}
+		addr, bodies := newFakeService(t)
+		client := NewClient(ClientConfig{Address: addr, MaxResponseSize: MaxResponseSize(32), MaxEndpoints: limit, WatchWait: WatchWait(true)})
+		lists, failed := startWatch(t, client)
+		bodies <- listJSON(9, true, endpoints...)
+		select {
+		case err := <-failed:
+			if !errors.Is(err, want) {
+				t.Errorf("%d endpoints: error %v, want %v", n, err, want)
+			}
+		case <-lists:
+			if want != nil {
+				t.Errorf("%d endpoints were accepted", n)
+			}
+		}
+	}
+}
+
 // TestResponseSizeLimit checks with the smallest memory that a list of 1,024 endpoints with the longest names
 // is accepted, and that a list over the size limit fails the watch.
 func TestResponseSizeLimit(t *testing.T) {
--- a/internal/discovery/endpointlist.go
+++ b/internal/discovery/endpointlist.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -51,9 +52,47 @@
 
 // listDocument is the JSON form of an endpoint list. Unknown keys are ignored.
 type listDocument struct {
-	Version   *int64              `json:"index"`
-	Snapshot  bool                `json:"snapshot"`
-	Endpoints *[]endpointDocument `json:"endpoints"`
+	Version   *int64       `json:"index"`
+	Snapshot  bool         `json:"snapshot"`
+	Endpoints *endpointSet `json:"endpoints"`
+}
+
+// endpointSet is the array of endpoints in a list. Each is validated and converted as it is decoded, so that the memory
+// needed is bounded by that of valid endpoints, however short the elements of an array are.
+type endpointSet struct {
+	endpoints []policy.Endpoint
+	addresses []string
+	listed    map[string]bool
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *endpointSet) UnmarshalJSON(raw []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	if start, err := decoder.Token(); err != nil || start != json.Delim('[') {
+		return &FieldError{Field: "endpoints", Reason: "not an array"}
+	}
+	*s = endpointSet{listed: map[string]bool{}}
+	for i := 0; decoder.More(); i++ {
+		var doc endpointDocument
+		if err := decoder.Decode(&doc); err != nil {
+			return err
+		}
+		if err := s.add(doc); err != nil {
+			return fmt.Errorf("endpoints[%d].%w", i, err)
+		}
+	}
+	return nil
+}
+
+// add validates an endpoint and adds it to the set.
+func (s *endpointSet) add(doc endpointDocument) error {
+	if err := doc.validate(s.listed); err != nil {
+		return err
+	}
+	s.listed[doc.Name] = true
+	s.endpoints = append(s.endpoints, doc.endpoint())
+	s.addresses = append(s.addresses, doc.Address)
+	return nil
 }
 
 // endpointDocument is the JSON form of an endpoint.
@@ -99,17 +138,12 @@
 	if d.Endpoints == nil {
 		return EndpointList{}, &FieldError{Field: "endpoints", Reason: "missing"}
 	}
-	list := EndpointList{Version: *d.Version, Snapshot: d.Snapshot}
-	listed := make(map[string]bool, len(*d.Endpoints))
-	for i, doc := range *d.Endpoints {
-		if err := doc.validate(listed); err != nil {
-			return EndpointList{}, fmt.Errorf("endpoints[%d].%w", i, err)
-		}
-		listed[doc.Name] = true
-		list.Endpoints = append(list.Endpoints, doc.endpoint())
-		list.Addresses = append(list.Addresses, doc.Address)
-	}
-	return list, nil
+	return EndpointList{
+		Version:   *d.Version,
+		Snapshot:  d.Snapshot,
+		Endpoints: d.Endpoints.endpoints,
+		Addresses: d.Endpoints.addresses,
+	}, nil
 }
 
 // validate returns a *FieldError for the first invalid field. listed holds the
--- a/internal/discovery/endpointlist_test.go
+++ b/internal/discovery/endpointlist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -48,3 +49,20 @@
 		}
 	}
 }
+
+// TestEndpointListDecodingIsBounded guards against a service whose short list makes the router use many times its size: a
+// list of hundreds of thousands of empty objects is refused at the first one.
+func TestEndpointListDecodingIsBounded(t *testing.T) {
+	const elements = 300_000
+	raw := []byte(`{"index":1,"snapshot":true,"endpoints":[` + strings.Repeat("{},", elements) + "{}]}")
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := ParseEndpointList(raw)
+	runtime.ReadMemStats(&after)
+	if err == nil {
+		t.Error("a list of empty objects was accepted")
+	}
+	if allocated := after.TotalAlloc - before.TotalAlloc; allocated > uint64(4*len(raw)) {
+		t.Errorf("%d bytes allocated for a list of %d", allocated, len(raw))
+	}
+}
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -191,14 +191,17 @@
 	})
 }
 
-// TestDiscoveryClientConfig checks that the maximum response size follows the memory limit, and that the wait
+// TestDiscoveryClientConfig checks that the maximum sizes of a response follow the memory limit, and that the wait
 // of a watch follows the discovery mode.
 func TestDiscoveryClientConfig(t *testing.T) {
 	for mode, wait := range map[string]time.Duration{"subscribe": 3 * time.Second, "automatic": 2 * time.Second} {
 		cfg := testConfig(t, "127.0.0.1:1", func(in map[string]any) { in["settings"].(map[string]any)["discovery"] = mode })
+		endpoints := map[int64]int{32: 4096, 192: 24 * 1024}
 		for memoryMB, size := range map[int64]int64{32: 2 << 20, 192: 8 << 20} {
 			cfg.Limits.MemoryMB = memoryMB
-			want := discovery.ClientConfig{Address: "127.0.0.1:1", MaxResponseSize: size, WatchWait: wait}
+			want := discovery.ClientConfig{
+				Address: "127.0.0.1:1", MaxResponseSize: size, MaxEndpoints: endpoints[memoryMB], WatchWait: wait,
+			}
 			if got := discoveryClientConfig(cfg); got != want {
 				t.Errorf("%s, %d MB: got %+v, want %+v", mode, memoryMB, got, want)
 			}
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -11,6 +11,7 @@
 	return discovery.ClientConfig{
 		Address:         cfg.Discovery,
 		MaxResponseSize: discovery.MaxResponseSize(cfg.Limits.MemoryMB),
+		MaxEndpoints:    discovery.MaxEndpoints(cfg.Limits.MemoryMB),
 		WatchWait:       discovery.WatchWait(cfg.Settings.WatchRequired),
 	}
 }
@@ -44,6 +45,7 @@
 	l.pendingEvents = append(l.pendingEvents, &policy.EndpointsUpdate{Kind: kind, Endpoints: list.Endpoints})
 	l.updatePools(&list)
 	l.ready.Store(l.hasInServicePool())
+	l.memory.reserve(int64(len(l.pools)) * cacheMemory)
 }
 
 // updatePools updates the pool of each listed endpoint. If the list is a snapshot, it takes the pools of all
--- a/internal/router/memory_budget.go
+++ b/internal/router/memory_budget.go
@@ -13,6 +13,8 @@
 const (
 	// engineMemory is for the engine without the keys that it tracks, the runtime's own structures and brief uses.
 	engineMemory = 2 * mebibyte
+	// cacheMemory is for what the loop and the engine keep for each cache, without connections.
+	cacheMemory = 4 << 10
 	// clientConnMemory is for a client connection: two stacks, its objects, and the parts of its read buffer and its
 	// reply queue that the budget does not count.
 	clientConnMemory = 14 << 10
@@ -42,13 +44,12 @@
 	memoryQueuedReplies                    // reply slots and replies that have not been written
 	memoryUpstreamReplies                  // read buffers of caches, and replies that the event loop has not handled
 	memoryUpstreamWrites                   // commands that are partly written to caches
-	memoryEndpointLists                    // endpoint lists, received and in force
 	memoryUseCount                         // number of purposes
 )
 
 func (u memoryUse) String() string {
 	return [memoryUseCount]string{
-		"partial_commands", "whole_commands", "read_ahead", "requests", "queued_replies", "upstream_replies", "upstream_writes", "endpoint_lists",
+		"partial_commands", "whole_commands", "read_ahead", "requests", "queued_replies", "upstream_replies", "upstream_writes",
 	}[u]
 }
 
@@ -81,7 +82,8 @@
 // connection. Any goroutine may use it.
 type memoryBudget struct {
 	inUse   atomic.Int64
-	limit   int64
+	total   int64        // the limit without caches
+	limit   atomic.Int64 // less the memory of known caches
 	groups  [groupCount]atomic.Int64
 	uses    [memoryUseCount]atomic.Int64
 	peak    atomic.Int64 // largest inUse so far
@@ -94,17 +96,23 @@
 	needed := engineMemory + int64(limits.MaxTrackedKeys())*config.TrackedKeyBytes + descriptors.maxClientConns*clientConnMemory + int64(descriptors.maxUpstreamConns)*upstreamConnMemory
 	total := limits.MemoryMB * mebibyte
 	budget := (limits.HeapLimit() - needed) * budgetNumerator / budgetDenominator
-	return &memoryBudget{limit: min(max(budget, total/minBudgetDivisor), total/maxBudgetDivisor)}
+	b := &memoryBudget{total: min(max(budget, total/minBudgetDivisor), total/maxBudgetDivisor)}
+	b.limit.Store(b.total)
+	return b
 }
 
+// reserve leaves a number of bytes of the budget to the state of the caches in the endpoint list, but half of the budget
+// at the most: a list has to be taken in, whatever clients send.
+func (b *memoryBudget) reserve(bytes int64) { b.limit.Store(b.total - min(bytes, b.total/2)) }
+
 // tryAcquire acquires n bytes, and returns false if that would exceed the limit of the budget or of the group.
 func (b *memoryBudget) tryAcquire(use memoryUse, n int64) bool {
 	group := use.group()
-	if group != groupOther && !tryAdd(&b.groups[group], n, b.limit/groupDivisor) {
+	if group != groupOther && !tryAdd(&b.groups[group], n, b.limit.Load()/groupDivisor) {
 		b.refused.Add(1)
 		return false
 	}
-	if !tryAdd(&b.inUse, n, b.limit) {
+	if !tryAdd(&b.inUse, n, b.limit.Load()) {
 		if group != groupOther {
 			b.groups[group].Add(-n)
 		}
@@ -130,13 +138,13 @@
 func (b *memoryBudget) release(use memoryUse, n int64) { b.acquire(use, -n) }
 
 // isScarce reports whether more than half of the budget is in use.
-func (b *memoryBudget) isScarce() bool { return b.inUse.Load() > b.limit/2 }
+func (b *memoryBudget) isScarce() bool { return b.inUse.Load() > b.limit.Load()/2 }
 
 // LogValue implements slog.LogValuer.
 func (b *memoryBudget) LogValue() slog.Value {
 	uses := []slog.Attr{
 		slog.Int64("in_use", b.inUse.Load()),
-		slog.Int64("limit", b.limit),
+		slog.Int64("limit", b.limit.Load()),
 		slog.Int64("peak", b.peak.Load()),
 		slog.Int64("refused", b.refused.Load()),
 	}
