Give turns by fair queueing, and no charge for accepted requests; draw limits in the soak

Cause: the turn went to the connection with the fewest recent turns, counted when it began to wait, so that a client that pipelines much waited behind a hundred others for as long as they went on.

Change: start-time fair queueing; a new connection comes behind those that wait. The work of an accepted request is given back: the event loop, the memory budget and the engine limit those.

--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -99,6 +99,7 @@
 		c.srv.loop.noteRejected(c, cmd, rejectPipelined)
 		return connOpen
 	}
+	c.reader.work.refundRequest(size)
 	c.srv.loop.postRequest(func() { c.srv.loop.acceptRequest(c, slot, cmd, arrivedAt) })
 	return connOpen
 }
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -64,7 +64,7 @@
 		conn:     c,
 		buf:      newReadBuffer(c.srv.memory),
 		ahead:    readAhead{hold: memoryHold{budget: c.srv.memory, use: memoryReadAhead}},
-		work:     newConnWork(c.srv.loop.clock()),
+		work:     c.srv.work.newConnWork(c.srv.loop.clock()),
 		deadline: time.Now().Add(c.srv.commandTimeout),
 		arrival:  arrivalTime{lastReadAt: unreadSince},
 	}
--- a/internal/router/turn_queue.go
+++ b/internal/router/turn_queue.go
@@ -3,43 +3,49 @@
 import (
 	"container/heap"
 	"sync"
-	"time"
-
-	"marlstage/policy"
 )
 
-// turnHalfLife is the time in microseconds in which the number of recent turns of a connection halves.
-const turnHalfLife policy.Time = 500_000
-
-// turnQueue gives turns to connections, one at a time. The next turn is that of the waiting connection that had the
-// fewest recently, so that one that seldom needs a turn does not wait for hundreds that always do.
+// turnQueue gives turns to connections, one at a time, by start-time fair queueing: connections that always wait for
+// a turn get equally many, and one that has not had a turn for a while comes before those that have had one since. No
+// connection waits for longer than it takes until each other one has had a turn.
 type turnQueue struct {
-	mu      sync.Mutex
-	taken   bool // a connection has the turn
-	waiting turnHeap
-	arrived int64 // number of connections that have waited
+	mu          sync.Mutex
+	taken       bool // a connection has the turn
+	waiting     turnHeap
+	virtualTime int64 // start tag of the turn that was given last
+	arrived     int64 // number of connections that have waited
 }
 
 // turnWaiter is a connection that waits for its turn.
 type turnWaiter struct {
-	recentTurns float64
-	sequence    int64         // orders those with equally many turns by arrival
-	turn        chan struct{} // closed when it has the turn
+	startTag int64
+	sequence int64         // orders those with equal start tags by arrival
+	turn     chan struct{} // closed when it has the turn
 }
 
-// take waits for the turn of a connection that recently had the given number of turns.
-func (q *turnQueue) take(recentTurns float64) {
+// newcomerTag returns the earliest start tag of a new connection. It comes behind those that have been open for some
+// time and wait already.
+func (q *turnQueue) newcomerTag() int64 {
 	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.virtualTime + 1
+}
+
+// take waits for the turn of a connection with the given earliest start tag. It returns that of its next turn.
+func (q *turnQueue) take(earliestTag int64) (nextTag int64) {
+	q.mu.Lock()
+	tag := max(q.virtualTime, earliestTag)
 	if !q.taken {
-		q.taken = true
+		q.taken, q.virtualTime = true, tag
 		q.mu.Unlock()
-		return
+		return tag + 1
 	}
 	q.arrived++
-	w := &turnWaiter{recentTurns: recentTurns, sequence: q.arrived, turn: make(chan struct{})}
+	w := &turnWaiter{startTag: tag, sequence: q.arrived, turn: make(chan struct{})}
 	heap.Push(&q.waiting, w)
 	q.mu.Unlock()
 	<-w.turn
+	return tag + 1
 }
 
 // pass ends a turn, and gives the next one to a waiting connection.
@@ -50,7 +56,9 @@
 		q.taken = false
 		return
 	}
-	close(heap.Pop(&q.waiting).(*turnWaiter).turn)
+	next := heap.Pop(&q.waiting).(*turnWaiter)
+	q.virtualTime = max(q.virtualTime, next.startTag)
+	close(next.turn)
 }
 
 // turnHeap implements heap.Interface. Its first element is the connection whose turn is next.
@@ -59,8 +67,8 @@
 func (h turnHeap) Len() int { return len(h) }
 
 func (h turnHeap) Less(i, j int) bool {
-	if h[i].recentTurns != h[j].recentTurns {
-		return h[i].recentTurns < h[j].recentTurns
+	if h[i].startTag != h[j].startTag {
+		return h[i].startTag < h[j].startTag
 	}
 	return h[i].sequence < h[j].sequence
 }
@@ -78,12 +86,3 @@
 	*h = old[:len(old)-1]
 	return last
 }
-
-// awaitTurn waits for the next turn of a connection. It pauses before the turn, so that others run.
-func (l *workLimiter) awaitTurn(w *connWork, now policy.Time) {
-	w.decayTurns(now)
-	l.turns.take(w.recentTurns)
-	time.Sleep(l.turnPause)
-	l.turns.pass()
-	w.recentTurns++
-}
--- a/internal/router/work_limiter.go
+++ b/internal/router/work_limiter.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"math"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -81,22 +80,21 @@
 
 // connWork is the work that a connection may still do before it needs a turn. It is owned by its reader.
 type connWork struct {
-	left        int
-	refilledAt  policy.Time
-	recentTurns float64 // as of decayedAt
-	decayedAt   policy.Time
+	left       int
+	refilledAt policy.Time
+	nextTag    int64 // earliest start tag of its next turn, see turnQueue
 }
 
-// newConnWork returns the work of a new connection. It counts as having had a turn, so that connections that have been
-// open for some time come first.
-func newConnWork(now policy.Time) connWork {
-	return connWork{left: newWorkBurst, refilledAt: now, recentTurns: 1, decayedAt: now}
+// newConnWork returns the work of a new connection.
+func (l *workLimiter) newConnWork(now policy.Time) connWork {
+	return connWork{left: newWorkBurst, refilledAt: now, nextTag: l.turns.newcomerTag()}
 }
 
-// decayTurns updates the number of recent turns.
-func (w *connWork) decayTurns(now policy.Time) {
-	w.recentTurns *= math.Exp2(-float64(now-w.decayedAt) / float64(turnHalfLife))
-	w.decayedAt = now
+// awaitTurn waits for the next turn of a connection. It pauses before the turn, so that others run.
+func (l *workLimiter) awaitTurn(w *connWork) {
+	w.nextTag = l.turns.take(w.nextTag)
+	time.Sleep(l.turnPause)
+	l.turns.pass()
 }
 
 // charge counts work.
@@ -105,6 +103,12 @@
 // chargeRead counts the work of a read of n bytes.
 func (w *connWork) chargeRead(n int) { w.charge(readWork + n/bytesPerWorkUnit) }
 
+// refundRequest takes back the work of a request of the given size that has been accepted: those are limited by the
+// event loop, the memory budget and the engine.
+func (w *connWork) refundRequest(size int) {
+	w.left = min(workBurst, w.left+commandWork+readWork+size/bytesPerWorkUnit)
+}
+
 // refill adds the work that the connection may do without a turn since the last call.
 func (w *connWork) refill(now policy.Time, freeRate float64) {
 	free := freeRate * microseconds(now-w.refilledAt).Seconds()
@@ -121,7 +125,7 @@
 	r.work.refill(srv.loop.clock(), srv.work.freeRate)
 	for r.work.left <= 0 {
 		srv.loop.statistics.workTurns.Add(1)
-		srv.work.awaitTurn(&r.work, srv.loop.clock())
+		srv.work.awaitTurn(&r.work)
 		r.work.left += workBurst
 	}
 }
--- a/internal/soaktest/plan_test.go
+++ b/internal/soaktest/plan_test.go
@@ -15,6 +15,8 @@
 	connectWindow        = 300 * time.Millisecond // after SIGTERM, in which clients still open connections
 	maxClients           = 24                     // number of clients that send requests, over all routers
 	fewDescriptors       = 128
+	leastDescriptors     = 256 // that the operators' pages name
+	leastMemoryMB        = 32  // likewise
 	manyDescriptors      = 1024
 	defaultMemoryMB      = 192
 	maxFloodShare        = 0.03
@@ -40,6 +42,7 @@
 	maxServiceTime      time.Duration // of a request that a cache serves without a fault
 	warmupTime          time.Duration // of a cache that has started
 	faultShare          float64       // share of the requests to caches that have a fault
+	hostileKind         string        // of the hostile clients of one router, if there are any
 	signals             []plannedSignal
 	events              []cacheEvent
 	duration            time.Duration
@@ -133,9 +136,24 @@
 	for router := range p.routers {
 		p.generateSignals(rng, router, firstTermination+time.Duration(router)*stagger)
 	}
+	p.generateLimits(newRand(seed, 1))
 	return p
 }
 
+// generateLimits generates the limits of the routers' machines, and hostile clients in some runs. It has a generator of
+// its own, so that it does not change the rest of the plan.
+func (p *plan) generateLimits(rng *rand.Rand) {
+	p.memoryMB = []int{leastMemoryMB, leastMemoryMB, 48, 64, defaultMemoryMB}[rng.IntN(5)]
+	if p.descriptors == manyDescriptors {
+		p.descriptors = []int{leastDescriptors, 384, 512, manyDescriptors}[rng.IntN(4)]
+	}
+	p.cores = []float64{1, 1, 0.5, 0.25}[rng.IntN(4)]
+	if rng.IntN(2) == 0 {
+		kinds := soakHostileKinds()
+		p.hostileKind = kinds[rng.IntN(len(kinds))]
+	}
+}
+
 // generateSignals generates the signals of a router that is sent SIGTERM at terminateAt.
 func (p *plan) generateSignals(rng *rand.Rand, router int, terminateAt time.Duration) {
 	add := func(at time.Duration, signal syscall.Signal) {
@@ -162,8 +180,10 @@
 
 func (p *plan) String() string {
 	return fmt.Sprintf("seed %d: timeout %v, %d routers, %d caches %v, %d+%d clients each, floods %.2f, %d descriptors, "+
+		"%d MB, %v cores, hostile clients %q, "+
 		"without TCP_INFO %t, discovery down %t, faults %.2f, faults of caches %.2f",
 		p.seed, p.longestTimeout, p.routers, p.caches, p.events, p.clients, p.idleClients, p.floodShare, p.descriptors,
+		p.memoryLimitMB(), p.coreLimit(), p.hostileKind,
 		p.noTCPInfo, p.discoveryDown, p.discoveryFaultShare, p.faultShare)
 }
 
--- a/internal/soaktest/pressure_test.go
+++ b/internal/soaktest/pressure_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"strings"
 	"sync"
@@ -111,7 +112,7 @@
 // they would delay the proper clients and the caches in this one.
 func (p *pressureTest) run(hostileKind string) {
 	p.t.Helper()
-	stop := startHostileProcess(p.t, hostileKind, p.router.addr)
+	stop := startHostileProcess(p.t, hostileKind, p.router.addr, math.MaxInt)
 	var proper sync.WaitGroup
 	for i := range properClients {
 		c := &client{
--- a/internal/soaktest/soak_test.go
+++ b/internal/soaktest/soak_test.go
@@ -22,6 +22,8 @@
 	loggedLines = 40 // last lines of a router's log that are printed with a failure
 	maxReported = 20 // violations printed for each seed
 
+	hostileShare = 4 // ratio of the descriptors to the most hostile clients
+
 	oldDiscoveryLifetime = 1500 * time.Millisecond // of the old service's connections after a move
 )
 
@@ -137,7 +139,12 @@
 			}
 		})
 	}
+	stopHostile := func() {}
+	if s.plan.hostileKind != "" {
+		stopHostile = startHostileProcess(s.t, s.plan.hostileKind, s.routers[0].addr, s.plan.descriptors/hostileShare)
+	}
 	s.sendSignals()
+	stopHostile()
 	clients.Wait()
 	close(done)
 	events.Wait()
