Share the limit on requests equally among connections

A server that closes accepts its queue without a pause. Two kinds of clients that write slowly are added to TestPeakMemoryWithHostileClients.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -71,8 +71,12 @@
 }
 
 // limitAccepts waits if so many connections have been accepted that accepting and closing them would take the
-// processor from the requests of others. Those in the listener's queue wait meanwhile.
+// processor from the requests of others. Those in the listener's queue wait meanwhile. While the server closes, time is
+// short, and no more connections come than are in the queue.
 func (s *Server) limitAccepts() {
+	if s.isClosing() {
+		return
+	}
 	if delay := s.work.acceptDelay(); delay > 0 {
 		s.noteAcceptStall()
 		time.Sleep(delay)
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -23,6 +23,7 @@
 type requestLimiter struct {
 	limiter  *rate.Limiter
 	limited  atomic.Bool
+	shares   requestShares
 	reply    atomic.Pointer[[]byte] // reply to requests beyond the limit
 	rejected atomic.Int64           // number of requests beyond the limit since the last report
 }
@@ -43,10 +44,12 @@
 	l.limited.Store(limit.PerSecond > 0)
 }
 
-// admitOrReject counts a request against the limit. It returns nil if the request is admitted, or otherwise the
-// reply that rejects it.
-func (l *requestLimiter) admitOrReject() []byte {
-	if !l.limited.Load() || l.limiter.Allow() {
+// admitOrReject counts a request of a connection against the limit. It returns nil if the request is admitted, or
+// otherwise the reply that rejects it. A connection is admitted up to an equal share of the limit, however much others
+// send; what they leave is given in the order of arrival.
+func (l *requestLimiter) admitOrReject(c *connRequests, now policy.Time) []byte {
+	inShare := l.shares.note(c, now, l.limiter.Burst())
+	if !l.limited.Load() || l.limiter.Allow() || inShare {
 		return nil
 	}
 	l.rejected.Add(1)
--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -76,7 +76,7 @@
 
 // handleRequest passes a C.GET or C.SET of the given size to the event loop, or rejects it.
 func (c *clientConn) handleRequest(size int, isArray bool, arrivedAt policy.Time) connState {
-	if reply := c.srv.loop.limiter.admitOrReject(); reply != nil {
+	if reply := c.srv.loop.limiter.admitOrReject(&c.reader.requests, c.srv.loop.clock()); reply != nil {
 		c.srv.loop.noteRejectedUnparsed(c, rejectOverloaded)
 		return c.reply(reply)
 	}
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -53,6 +53,7 @@
 	bytesBeforeClose  int                // bytes read by readBeforeClose since the last command
 	last              lastCommand        // state of the last command, once no further one may begin
 	work              connWork
+	requests          connRequests
 	memoryWaitSince   time.Time // since when the reader has waited for memory; zero if it does not
 }
 
--- a/internal/soaktest/pressure_test.go
+++ b/internal/soaktest/pressure_test.go
@@ -25,6 +25,7 @@
 	properWriteEvery    = 4                    // one in so many requests of a proper client is a write
 	properWriteSize     = 20_000               // bytes of the value of such a write
 	redialPause         = 5 * time.Millisecond // of a hostile client whose connection has ended
+	slowWriteSize       = 1000                 // bytes that a slow client writes at once
 	minProperShare      = 0.9                  // least share of the proper clients' requests that is served
 )
 
@@ -32,10 +33,11 @@
 type hostileClient struct {
 	name     string
 	clients  int
-	prologue string // sent once on each connection
-	repeated string // then sent without end; if empty, the client waits for the end of the connection
-	readsNot bool   // it does not read what the router sends
-	sound    bool   // its requests compete with those of others for the caches
+	prologue string        // sent once on each connection
+	repeated string        // then sent without end; if empty, the client waits for the end of the connection
+	pace     time.Duration // if not zero, the pause after each slowWriteSize bytes
+	readsNot bool          // it does not read what the router sends
+	sound    bool          // its requests compete with those of others for the caches
 }
 
 // valueOfSize returns a value of the given size.
@@ -54,6 +56,8 @@
 	read := string(resp.AppendCommand(nil, resp.VerbGet, "key-1", "hog-00", "c=read,d=800"))
 	return []hostileClient{
 		{name: "partial writes", clients: 600, prologue: large[:len(large)-3000]},
+		{name: "slow writes", clients: 500, sound: true, repeated: large, pace: 20 * time.Millisecond},
+		{name: "slow partial writes", clients: 500, prologue: large[:len(large)-1], pace: 20 * time.Millisecond},
 		{name: "arrays of many short elements", clients: 600, prologue: "*20000\r\n", repeated: "$1\r\na\r\n"},
 		{name: "long lines of words", clients: 1, prologue: words},
 		{name: "many long lines of words", clients: 20, prologue: words},
@@ -203,7 +207,12 @@
 
 // write writes until the connection ends, or until all is written.
 func (h *hostileClient) write(nc *net.TCPConn) {
-	if _, err := io.WriteString(nc, h.prologue); err != nil || h.repeated == "" {
+	if !h.writePaced(nc, h.prologue) || h.repeated == "" {
+		return
+	}
+	if h.pace > 0 {
+		for h.writePaced(nc, h.repeated) {
+		}
 		return
 	}
 	const batchSize = 16 << 10 // bytes of one write
@@ -215,6 +224,19 @@
 	}
 }
 
+// writePaced writes a text, in pieces if the client has a pace, and reports whether the connection is still open.
+func (h *hostileClient) writePaced(nc *net.TCPConn, text string) bool {
+	for h.pace > 0 && len(text) > slowWriteSize {
+		if _, err := io.WriteString(nc, text[:slowWriteSize]); err != nil {
+			return false
+		}
+		text = text[slowWriteSize:]
+		time.Sleep(h.pace)
+	}
+	_, err := io.WriteString(nc, text)
+	return err == nil
+}
+
 // sendSteadily sends requests at random times on one connection at a time, independently of their answers. One in
 // properWriteEvery is a write.
 func (c *client) sendSteadily(rate float64, duration time.Duration) {
