Write floods in tests in large segments

Trace: the router had handled 18,700 commands (292 turns) and held 162 reply slots (82,944 bytes) when it got no more bytes; after 5 s its writer gave up the client, which reads nothing at that point. The test's window for the read-ahead is the 5 s until the writer gives up.

What is checked stays as it is.

--- a/internal/router/read_ahead_test.go
+++ b/internal/router/read_ahead_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -55,13 +56,16 @@
 	router.waitForFreeMemory(t)
 }
 
-// sendPings sends numbered PINGs until the connection takes no more.
+// sendPings sends numbered PINGs until the connection takes no more. It writes many at once: a segment for each would fill
+// the router's receive buffer by its overhead, and the system drops what it then sends again after seconds only.
 func (c *testClient) sendPings(pings int) {
+	writer := bufio.NewWriterSize(c.nc, floodChunkSize)
 	for i := range pings {
-		if _, err := io.WriteString(c.nc, encodeCommand("PING", strconv.Itoa(i))); err != nil {
+		if _, err := io.WriteString(writer, encodeCommand("PING", strconv.Itoa(i))); err != nil {
 			return // the test fails because replies are missing
 		}
 	}
+	_ = writer.Flush() // likewise
 }
 
 // TestCommandsBeyondReadAheadAreRejected checks that the router continues to read when both the reply queue
