Share a limit below ten a second, and drop rejected commands before their replies wait

Change: the share is that of the limit itself; a rejected request is dropped from the read buffer before its reply is queued.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -48,7 +48,8 @@
 // otherwise the reply that rejects it. A connection is admitted up to an equal share of the limit, however much others
 // send; what they leave is given in the order of arrival.
 func (l *requestLimiter) admitOrReject(c *connRequests, now policy.Time) []byte {
-	inShare := l.shares.note(c, now, l.limiter.Burst())
+	inPeriod := float64(l.limiter.Limit()) * microseconds(delayReportInterval).Seconds()
+	inShare := l.shares.note(c, now, inPeriod)
 	if !l.limited.Load() || l.limiter.Allow() || inShare {
 		return nil
 	}
--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -78,11 +78,13 @@
 func (c *clientConn) handleRequest(size int, isArray bool, arrivedAt policy.Time) connState {
 	if reply := c.srv.loop.limiter.admitOrReject(&c.reader.requests, c.srv.loop.clock()); reply != nil {
 		c.srv.loop.noteRejectedUnparsed(c, rejectOverloaded)
+		c.reader.dropCommand()
 		return c.reply(reply)
 	}
 	slot := newReplySlot(c.srv.memory)
 	if !c.acquireRequestMemory(slot, size) {
 		c.srv.loop.noteRejectedUnparsed(c, rejectMemory)
+		c.reader.dropCommand()
 		return c.reply([]byte(resp.BusyReply))
 	}
 	cmd, err := c.takeRequest(slot, isArray)
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -164,6 +164,12 @@
 	return r.buf.take(size, hold)
 }
 
+// dropCommand drops the command that is being handled, so that its memory is not held while its reply waits.
+func (r *commandReader) dropCommand() {
+	r.buf.consume(r.commandSize)
+	r.commandSize = 0
+}
+
 // fill appends the result of one read to the buffer. It may add no bytes and still return no error.
 func (r *commandReader) fill() error {
 	hasRoom := r.makeRoom()
--- a/internal/router/request_shares.go
+++ b/internal/router/request_shares.go
@@ -22,7 +22,7 @@
 
 // note counts a request of a connection. It reports whether the connection has sent no more in the current period than
 // an equal share of the given number of requests.
-func (s *requestShares) note(c *connRequests, now policy.Time, requestsInPeriod int) bool {
+func (s *requestShares) note(c *connRequests, now policy.Time, requestsInPeriod float64) bool {
 	period := now / delayReportInterval
 	if current := s.period.Load(); period > current && s.period.CompareAndSwap(current, period) {
 		s.lastActive.Store(s.active.Swap(0))
@@ -33,5 +33,5 @@
 	}
 	c.count++
 	active := max(1, s.active.Load(), s.lastActive.Load())
-	return c.count*active <= int64(requestsInPeriod)
+	return float64(c.count*active) <= requestsInPeriod
 }
