Hold attempts back while a closed receive window may hide a disconnect

Cause: fewer than 16 KB of unread bytes were taken to mean that the client's host can send its FIN. Linux keeps the receive window closed until the buffer has room for a segment of up to 64 KB, and a partly read segment takes up as much room as before. And between the read that empties the socket and the next bytes nothing is unread, with the rest and the FIN on their way. Both are old; reading in turns lengthens the time in which a flood is read.

Change: the router asks for the receive window (TCP_INFO).

--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -53,6 +53,7 @@
 	partialSince     atomic.Int64 // when the partial command that is being read began; policy.Time, 0 if there is none
 	givenUp          atomic.Bool  // the partial command is to be given up
 	writeBegunAt     atomic.Int64 // when the write of replies that is in progress began; policy.Time, 0 if there is none
+	windowShortAt    atomic.Int64 // when the receive window was last found too small; policy.Time, 0 if never
 	hasCommand       atomic.Bool  // a command has been received
 	lastReplyAt      atomic.Int64 // time of the last reply, or of the accept if there was none; policy.Time
 
--- a/internal/router/client_socket.go
+++ b/internal/router/client_socket.go
@@ -15,12 +15,8 @@
 	return err == nil && hungUp
 }
 
-// minUnreadHidingDisconnect is the number of unread bytes from which on the receive window may be full. A
-// client's FIN is then not sent until the router reads. The receive window is larger than this on any system.
-const minUnreadHidingDisconnect = 16 << 10
-
-// errDisconnectHidden reports that unread bytes, which will be read, may hide a disconnect of the client.
-var errDisconnectHidden = errors.New("unread bytes may hide a disconnect of the client")
+// errDisconnectHidden reports that a disconnect of the client may be hidden until the router has read more.
+var errDisconnectHidden = errors.New("a disconnect of the client may be hidden")
 
 // errDisconnectUndetectable reports that a disconnect of the client can't be detected, because bytes that will
 // not be read are in front of it.
@@ -33,13 +29,14 @@
 	}
 	peer, err := c.nc.PeerState()
 	switch {
-	case err != nil || peer.HungUp || !peer.Readable:
+	case err != nil || peer.HungUp:
 		return peer.HungUp, err
-	case c.readingStopped.Load():
+	case peer.Readable && c.readingStopped.Load():
 		return false, errDisconnectUndetectable
+	case peer.Readable:
+		err = c.checkUnread()
 	}
-	unread, err := c.nc.UnreadBytes()
-	if err == nil && unread >= minUnreadHidingDisconnect {
+	if err == nil && c.windowWasShort() {
 		err = errDisconnectHidden
 	}
 	return false, err
--- a/internal/router/command_arrival.go
+++ b/internal/router/command_arrival.go
@@ -74,7 +74,10 @@
 }
 
 // beginAttempt records that an attempt to read from the socket begins.
-func (r *commandReader) beginAttempt() { r.attempt.beganAt = r.conn.srv.loop.clock() }
+func (r *commandReader) beginAttempt() {
+	r.noteWindowBeforeRead()
+	r.attempt.beganAt = r.conn.srv.loop.clock()
+}
 
 // foundNothing records that the attempt found nothing to read.
 func (r *commandReader) foundNothing() {
--- a/internal/router/faulty_system_test.go
+++ b/internal/router/faulty_system_test.go
@@ -26,6 +26,7 @@
 	callUnacknowledged systemCall = "unacknowledged bytes"
 	callUnreadBytes    systemCall = "unread bytes"
 	callLastDataAge    systemCall = "last data age"
+	callReceiveWindow  systemCall = "receive window"
 )
 
 // fault is what happens to one system call. If err is nil, the call is made.
@@ -207,6 +208,13 @@
 	return s.Linux.LastDataAge(fd)
 }
 
+func (s *faultySystem) ReceiveWindow(fd int) (window, maxSegment int, err error) {
+	if f := s.nextFault(callReceiveWindow, fd); f.err != nil {
+		return 0, 0, f.err
+	}
+	return s.Linux.ReceiveWindow(fd)
+}
+
 // useFaultySystem makes a server that has not been started use a faulty system for its system calls.
 func useFaultySystem(srv *Server) *faultySystem {
 	system := newFaultySystem()
--- a/internal/router/hidden_disconnect_test.go
+++ b/internal/router/hidden_disconnect_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"marlstage/policy"
 )
@@ -37,6 +38,62 @@
 	}
 }
 
+// TestAttemptWaitsWhileReceiveWindowIsClosed guards against attempts for a client that has closed its connection while
+// the router was behind with reading. The system keeps the receive window closed until much of the receive buffer is
+// free, so that the FIN can be hidden behind a few unread bytes.
+func TestAttemptWaitsWhileReceiveWindowIsClosed(t *testing.T) {
+	d := newDisconnectTest(t, 1)
+	client := d.dial()
+	client.send(getCommand("hidden"))
+	req := d.harness.onlyRequest()
+	reading := fault{reached: make(chan struct{}), resume: make(chan struct{})}
+	d.system.inject(callRead, reading)
+	client.send("\r\n")
+	receive(t, reading.reached, "read")
+	client.fillReceiveWindow()
+	client.close()
+	req.client.readUntilFewUnread(t)
+	d.do(func() { d.perform(req, "c1") })
+	d.wantNothingSent()
+	close(reading.resume)
+	waitUntil(t, "the end of the connection", req.client.hungUp)
+	d.wantNothingSent()
+}
+
+// fillReceiveWindow writes empty lines until the router's receive buffer and the send buffer are full.
+func (c *testClient) fillReceiveWindow() {
+	const writeTime = 50 * time.Millisecond
+	lines := []byte(strings.Repeat("\r\n", 32<<10))
+	for {
+		if err := c.nc.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+			c.t.Fatal(err)
+		}
+		if _, err := c.nc.Write(lines); err != nil {
+			return
+		}
+	}
+}
+
+// readUntilFewUnread reads from a client that has disconnected until there are so few unread bytes that they do not
+// hide the disconnect by their number alone.
+func (c *clientConn) readUntilFewUnread(t *testing.T) {
+	t.Helper()
+	buf := make([]byte, minUnreadHidingDisconnect/4)
+	for !c.hungUp() {
+		unread, err := c.nc.UnreadBytes()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if 0 < unread && unread < minUnreadHidingDisconnect {
+			return
+		}
+		if _, err := c.nc.ReadAvailable(buf); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Fatal("there were never few unread bytes before the disconnect was detected")
+}
+
 // TestAttemptIsNotSentWithUnreadBytes checks that no attempt starts for a client that keeps sending after
 // the router has stopped reading from it, so that its disconnect can't be detected.
 func TestAttemptIsNotSentWithUnreadBytes(t *testing.T) {
--- a/internal/router/read_ahead.go
+++ b/internal/router/read_ahead.go
@@ -34,6 +34,7 @@
 			return false
 		}
 		free := r.ahead.bytes[len(r.ahead.bytes):cap(r.ahead.bytes)]
+		_ = r.conn.noteWindow() // the check before an attempt returns the error, if it lasts
 		n, err := r.conn.nc.ReadAvailable(free)
 		r.ahead.bytes = r.ahead.bytes[:len(r.ahead.bytes)+n]
 		if n == 0 || err != nil {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -272,6 +272,17 @@
 	return age, segments, errors.Join(controlErr, err)
 }
 
+// WindowFitsSegment reports whether the receive window that the peer was told last has room for each segment that the
+// peer sends. It returns false if the system does not report the window.
+func (c *Conn) WindowFitsSegment() (fits bool, err error) {
+	controlErr := c.raw.Control(func(fd uintptr) {
+		var window, maxSegment int
+		window, maxSegment, err = c.system.ReceiveWindow(int(fd))
+		fits = window >= maxSegment && window > 0
+	})
+	return fits, errors.Join(controlErr, err)
+}
+
 // PeerState is the state of the peer as far as the socket shows it.
 type PeerState struct {
 	HungUp   bool // the peer has closed its side of the connection or reset it
--- a/internal/socket/system.go
+++ b/internal/socket/system.go
@@ -31,6 +31,9 @@
 	UnreadBytes(fd int) (int, error)
 	// LastDataAge returns how long ago the last bytes were received, and how many segments with data so far.
 	LastDataAge(fd int) (age time.Duration, segments int, err error)
+	// ReceiveWindow returns the receive window that the peer was told last, and the size of the largest segment
+	// that the peer sends, in bytes. The window is 0 if the system does not report it.
+	ReceiveWindow(fd int) (window, maxSegment int, err error)
 }
 
 // Linux implements System with the system calls of Linux.
@@ -75,3 +78,14 @@
 	}
 	return time.Duration(info.Last_data_recv) * time.Millisecond, int(info.Data_segs_in), nil
 }
+
+// ReceiveWindow implements System.
+func (Linux) ReceiveWindow(fd int) (window, maxSegment int, err error) {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, 0, err
+	}
+	// Linux sends no segments of more than half of the largest window that it was told.
+	half := max(info.Rcv_mss, info.Rcv_ssthresh/2)
+	return int(info.Rcv_wnd), int(min(info.Advmss, half)), nil
+}
