Drop each answered command before its reply waits for space

A client that reads nothing makes the replies of the router itself wait for space in its reply queue. Since a rejected request was dropped from the read buffer before; an unknown command, or a PING with a short text and a large argument behind it, still held up to 64 KB of the memory for the commands of others meanwhile.

Change: reply drops the command, whatever the reply is. A PING whose text is echoed in over 256 bytes keeps its buffer, as the reply is made from it.

--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -64,9 +64,12 @@
 
 // replyToEcho replies with the given text, or with an error if there is no memory for the reply.
 func (c *clientConn) replyToEcho(text []byte) connState {
+	size := len(text) + echoOverhead
+	if size <= smallReply {
+		return c.reply(redcon.AppendBulk(make([]byte, 0, size), text))
+	}
 	return c.replyWith(func(slot *replySlot) {
-		size := len(text) + echoOverhead
-		if size > smallReply && !slot.hold.tryGrow(int64(size)) {
+		if !slot.hold.tryGrow(int64(size)) {
 			slot.reply <- []byte(resp.FailedReply)
 			return
 		}
@@ -78,13 +81,11 @@
 func (c *clientConn) handleRequest(size int, isArray bool, arrivedAt policy.Time) connState {
 	if reply := c.srv.loop.limiter.admitOrReject(&c.reader.requests, c.srv.loop.clock()); reply != nil {
 		c.srv.loop.noteRejectedUnparsed(c, rejectOverloaded)
-		c.reader.dropCommand()
 		return c.reply(reply)
 	}
 	slot := newReplySlot(c.srv.memory)
 	if !c.acquireRequestMemory(slot, size) {
 		c.srv.loop.noteRejectedUnparsed(c, rejectMemory)
-		c.reader.dropCommand()
 		return c.reply([]byte(resp.BusyReply))
 	}
 	cmd, err := c.takeRequest(slot, isArray)
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -277,8 +277,10 @@
 	}
 }
 
-// reply queues a reply that the router itself gives, and leaves the connection open.
+// reply queues a reply that the router itself gives to the command that is being handled, and leaves the connection
+// open. It drops the command first, as the client may make the reply wait.
 func (c *clientConn) reply(reply []byte) connState {
+	c.reader.dropCommand()
 	return c.replyWith(func(slot *replySlot) { slot.fill(reply) })
 }
 
--- a/internal/router/loop_harness_test.go
+++ b/internal/router/loop_harness_test.go
@@ -187,6 +187,17 @@
 	waitUntil(h.t, "a full reply queue", func() bool { return h.openRequests() > maxPipelined })
 }
 
+// onlyClientConn returns the connection of the requests that are open, which all have the same one.
+func (h *loopHarness) onlyClientConn() (conn *clientConn) {
+	h.t.Helper()
+	h.do(func() {
+		for _, req := range h.loop.requests {
+			conn = req.client
+		}
+	})
+	return conn
+}
+
 // onlyRequest waits until exactly one request is open and returns it.
 func (h *loopHarness) onlyRequest() (req *request) {
 	h.t.Helper()
--- a/internal/router/memory_budget_test.go
+++ b/internal/router/memory_budget_test.go
@@ -111,6 +111,29 @@
 	}
 }
 
+// TestAnsweredCommandIsNotKept guards against commands in the memory budget whose replies wait for those before them: with
+// large arguments they would take the memory for the commands of others.
+func TestAnsweredCommandIsNotKept(t *testing.T) {
+	argument := strings.Repeat("x", 60_000)
+	for name, wire := range map[string]string{
+		"unknown command":        encodeCommand("SUBSCRIBE", argument),
+		"PING with a short text": encodeCommand("PING", "text", argument),
+	} {
+		t.Run(name, func(t *testing.T) {
+			router, harness := startScriptedRouter(t)
+			client := dial(t, router.addr)
+			client.send(strings.Repeat(getCommand("r"), maxPipelined+1))
+			harness.waitForFullReplyQueue()
+			client.send(wire)
+			conn := harness.onlyClientConn()
+			waitUntil(t, "a reply without space", conn.awaitsQueueSpace.Load)
+			if held := conn.reader.buf.hold.bytes.Load() + conn.reader.buf.wholeHold.bytes.Load(); held != 0 {
+				t.Errorf("%d bytes of commands are held", held)
+			}
+		})
+	}
+}
+
 // TestAnsweredRequestIsNotKept guards against requests that timers keep in memory until their time is up: after the reply,
 // neither the loop nor its timers hold anything of the request.
 func TestAnsweredRequestIsNotKept(t *testing.T) {
