Bound arrival times on a new connection by when it was established

Callers would see: while clients connect without a pause, requests that come in several segments on a new connection are rejected though they have time left.

Cause: such requests counted as having arrived since the listener's queue was last empty, which may be long before their connection.

Change: no earlier than the connection was established, as the system tells it (the time since data was last sent, on a connection without any), less a tick.

--- a/internal/router/arrival_test.go
+++ b/internal/router/arrival_test.go
@@ -244,3 +244,33 @@
 		}
 	})
 }
+
+// TestDeadlineOfNewConnectionBehindOldQueue guards against requests that count as having arrived before their connection
+// was established. While clients connected without a pause, the listener's queue was never empty, and requests that
+// came in several segments on a new connection counted from when it was last so: they were told as too late.
+func TestDeadlineOfNewConnectionBehindOldQueue(t *testing.T) {
+	srv, harness := newScriptedServer(t, endpointJSON("c1", "127.0.0.1:1", "in_service"))
+	system := useFaultySystem(srv)
+	delay := fault{reached: make(chan struct{}), resume: make(chan struct{})}
+	system.inject(callAccept, delay)
+	router := startServer(t, srv)
+	receive(t, delay.reached, "delay of the accept")
+	const queueAge = 50 * maxSystemTick
+	srv.acceptStalledSince = srv.loop.clock()
+	dial(t, router.addr)
+	waitUntil(t, "an old queue", func() bool { return srv.loop.clock() > srv.acceptStalledSince+queueAge })
+	connectedAt := srv.loop.clock()
+	client := dial(t, router.addr)
+	for range 2 {
+		client.send(getCommand("r"))
+	}
+	close(delay.resume)
+	harness.waitForOpenRequests(2)
+	harness.do(func() {
+		for _, req := range srv.loop.requests {
+			if early := connectedAt + harness.requestTimeout() - req.deadline; early > 2*maxSystemTick {
+				t.Errorf("a deadline is %d us too early", early)
+			}
+		}
+	})
+}
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -84,7 +84,7 @@
 func (c *clientConn) earliestUnreadArrival(queuedSince, now policy.Time) policy.Time {
 	since := c.srv.loop.stalls.earliestArrival(now)
 	if queuedSince != 0 {
-		since = min(since, queuedSince)
+		since = max(min(since, queuedSince), c.earliestEstablishment(now))
 	}
 	age, segments, err := c.nc.LastDataAge()
 	lastSegmentAt := now - age.Microseconds()
@@ -100,6 +100,16 @@
 	}
 }
 
+// earliestEstablishment returns the earliest time at which a new connection may have been established, or 0 if it is not
+// known. A connection is usually established long after the listener's queue was last empty, if many clients connect.
+func (c *clientConn) earliestEstablishment(now policy.Time) policy.Time {
+	age, err := c.nc.Age()
+	if err != nil {
+		return 0
+	}
+	return now - age.Microseconds() - maxSystemTick
+}
+
 // closeWhenIdle makes the reader close the connection as soon as no request is in flight on it.
 func (c *clientConn) closeWhenIdle() {
 	if !c.draining.Swap(true) {
--- a/internal/router/command_arrival.go
+++ b/internal/router/command_arrival.go
@@ -6,8 +6,11 @@
 // possibly having arrived at any time since the last read.
 const maxReadGap = 20_000
 
+// maxSystemTick is the longest time in microseconds between the ticks of the clock with which the system measures ages.
+const maxSystemTick = 10_000
+
 // minDataAge is the minimum age in microseconds, as reported by the system, at which bytes count as having
-// arrived before their read. The system measures the age with a clock that ticks every 1 to 10 ms.
+// arrived before their read.
 const minDataAge = 20_000
 
 // arrivalTime estimates when the bytes that were read last arrived. A client counts the timeout of a request
--- a/internal/router/faulty_system_test.go
+++ b/internal/router/faulty_system_test.go
@@ -26,6 +26,7 @@
 	callUnacknowledged systemCall = "unacknowledged bytes"
 	callUnreadBytes    systemCall = "unread bytes"
 	callLastDataAge    systemCall = "last data age"
+	callConnectionAge  systemCall = "connection age"
 	callReceiveWindow  systemCall = "receive window"
 )
 
@@ -208,6 +209,13 @@
 	return s.Linux.LastDataAge(fd)
 }
 
+func (s *faultySystem) ConnectionAge(fd int) (time.Duration, error) {
+	if f := s.nextFault(callConnectionAge, fd); f.err != nil {
+		return 0, f.err
+	}
+	return s.Linux.ConnectionAge(fd)
+}
+
 func (s *faultySystem) ReceiveWindow(fd int) (window, maxSegment int, err error) {
 	if f := s.nextFault(callReceiveWindow, fd); f.err != nil {
 		return 0, 0, f.err
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -272,6 +272,12 @@
 	return age, segments, errors.Join(controlErr, err)
 }
 
+// Age returns how long ago the connection was established, if nothing has been sent on it.
+func (c *Conn) Age() (age time.Duration, err error) {
+	controlErr := c.raw.Control(func(fd uintptr) { age, err = c.system.ConnectionAge(int(fd)) })
+	return age, errors.Join(controlErr, err)
+}
+
 // WindowFitsSegment reports whether the receive window that the peer was told last has room for each segment that the
 // peer sends. It returns false if the system does not report the window.
 func (c *Conn) WindowFitsSegment() (fits bool, err error) {
--- a/internal/socket/system.go
+++ b/internal/socket/system.go
@@ -31,6 +31,8 @@
 	UnreadBytes(fd int) (int, error)
 	// LastDataAge returns how long ago the last bytes were received, and how many segments with data so far.
 	LastDataAge(fd int) (age time.Duration, segments int, err error)
+	// ConnectionAge returns how long ago a connection on which nothing has been sent was established.
+	ConnectionAge(fd int) (time.Duration, error)
 	// ReceiveWindow returns the receive window that the peer was told last, and the size of the largest segment
 	// that the peer sends, in bytes. The window is 0 if the system does not report it.
 	ReceiveWindow(fd int) (window, maxSegment int, err error)
@@ -79,6 +81,15 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond, int(info.Data_segs_in), nil
 }
 
+// ConnectionAge implements System. Linux counts the time since data was last sent from the start of the connection.
+func (Linux) ConnectionAge(fd int) (time.Duration, error) {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, err
+	}
+	return time.Duration(info.Last_data_sent) * time.Millisecond, nil
+}
+
 // ReceiveWindow implements System.
 func (Linux) ReceiveWindow(fd int) (window, maxSegment int, err error) {
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
