Hold requests back from the engine while their client may be gone

Callers saw: beside 40 clients that flood the router with requests, leave and come again, others were told -BUSY while the caches were idle.

Cause: the attempts of such a client cannot start, as its disconnect may be hidden behind what the router has not read. The engine did not know, and gave them the places at the caches for up to 250 ms each.

Change: while the receive window of a client was too small a moment ago, its requests are held back; they are reported in order once it is known to be connected, end with it, and are rejected at their deadline.

--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -41,6 +41,7 @@
 	srv              *Server
 	nc               *socket.Conn
 	requests         map[int64]*request // without a final reply; owned by the event loop
+	held             []*request         // not reported to the engine yet, in order; owned by the event loop
 	disconnected     bool               // the client has disconnected; owned by the event loop
 	reader           *commandReader     // owned by the reader's goroutine
 	replies          *replyQueue
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -7,8 +7,8 @@
 	"marlstage/policy"
 )
 
-// request is a client's command that has been reported to the policy engine, which decides on its attempts and
-// its reply.
+// request is a client's command that has been reported to the policy engine, or will be, which decides on its attempts
+// and its reply.
 type request struct {
 	id              int64
 	command         resp.Command
@@ -16,6 +16,7 @@
 	client          *clientConn
 	slot            *replySlot
 	replyHold       *memoryHold // memory of the final reply, if a cache sent it; nil otherwise
+	reported        bool        // the engine has been told of it
 	done            bool        // the final reply has been given, or the client has disconnected
 	pendingAttempts int         // attempts without an outcome
 	attempts        []*attempt  // those that have started
@@ -31,8 +32,8 @@
 	return nil
 }
 
-// acceptRequest creates a request for a client's command, which arrived at the given time, and reports it to
-// the engine. A command that cannot be accepted is rejected without consulting the engine.
+// acceptRequest creates a request for a client's command, which arrived at the given time, for the engine. A command that
+// cannot be accepted is rejected without consulting the engine.
 func (l *eventLoop) acceptRequest(c *clientConn, slot *replySlot, cmd resp.Command, arrivedAt policy.Time) {
 	if c.disconnected {
 		slot.fill(nil)
@@ -57,16 +58,7 @@
 	c.requests[r.id] = r
 	c.openRequests.Add(1)
 	l.noteAccepted(r, arrivedAt)
-	l.pendingEvents = append(l.pendingEvents, &policy.Request{
-		ID:       r.id,
-		Class:    cmd.Class,
-		Tenant:   cmd.Tenant,
-		Key:      cmd.KeyHash,
-		HasKey:   true,
-		Deadline: r.deadline,
-		Cost:     cmd.Cost,
-		Write:    cmd.Write,
-	})
+	l.reportOrHold(r)
 }
 
 // checkAdmission reports whether a new request is to be rejected without consulting the engine, and why.
@@ -112,7 +104,7 @@
 // each outcome.
 func (l *eventLoop) endRequests(requests map[int64]*request, result requestResult, reply []byte) {
 	for id, r := range requests {
-		if !r.done {
+		if !r.done && r.reported {
 			l.pendingEvents = append(l.pendingEvents, &policy.ClientGone{ID: id})
 		}
 	}
