Close connections that were reset before they were accepted

Cause: the router read and rejected the commands of such connections, though nothing that it writes reaches their clients.

Change: a connection that is found reset when it is accepted is closed at once.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -46,7 +46,7 @@
 		nc, err := socket.Accept(s.system, s.listener)
 		if err == nil {
 			failures.reset()
-			s.startClient(nc)
+			s.startOrClose(nc)
 			s.noteQueue()
 			s.limitAccepts()
 			continue
@@ -70,6 +70,17 @@
 	}
 }
 
+// startOrClose starts an accepted connection. It closes one that its client has reset in the meantime, as clients do that
+// give up waiting: its commands need no reply, and reading them would delay those of others.
+func (s *Server) startOrClose(nc *socket.Conn) {
+	if nc.IsBroken() {
+		nc.Close()
+		s.descriptors.releaseClient()
+		return
+	}
+	s.startClient(nc)
+}
+
 // limitAccepts waits if so many connections have been accepted that accepting and closing them would take the
 // processor from the requests of others. Those in the listener's queue wait meanwhile. While the server closes, time is
 // short, and no more connections come than are in the queue.
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -278,6 +278,13 @@
 	return age, errors.Join(controlErr, err)
 }
 
+// IsBroken reports whether the connection has been reset, so that nothing that is written reaches the peer. It returns
+// false if the query failed.
+func (c *Conn) IsBroken() bool {
+	peer, err := c.PeerState()
+	return err == nil && peer.Broken
+}
+
 // WindowFitsSegment reports whether the receive window that the peer was told last has room for each segment that the
 // peer sends. It returns false if the system does not report the window.
 func (c *Conn) WindowFitsSegment() (fits bool, err error) {
@@ -292,6 +299,7 @@
 // PeerState is the state of the peer as far as the socket shows it.
 type PeerState struct {
 	HungUp   bool // the peer has closed its side of the connection or reset it
+	Broken   bool // the connection has been reset, or was closed on this side
 	Readable bool // there is something to read; the end of the stream may follow unread bytes
 }
 
@@ -300,7 +308,7 @@
 func (c *Conn) PeerState() (peer PeerState, err error) {
 	controlErr := c.raw.Control(func(fd uintptr) { peer, err = c.pollPeer(int(fd)) })
 	if controlErr != nil {
-		return PeerState{HungUp: true}, nil
+		return PeerState{HungUp: true, Broken: true}, nil
 	}
 	return peer, err
 }
@@ -323,7 +331,11 @@
 		return PeerState{}, err
 	}
 	events := fds[0].Revents
-	return PeerState{HungUp: events&hangupEvents != 0, Readable: events&unix.POLLIN != 0}, nil
+	return PeerState{
+		HungUp:   events&hangupEvents != 0,
+		Broken:   events&(unix.POLLHUP|unix.POLLERR) != 0,
+		Readable: events&unix.POLLIN != 0,
+	}, nil
 }
 
 // UnreadBytes returns how many bytes have been received and not yet read.
