Play clients that leave and come again beside proper ones

The kinds of hostile clients so far stayed until the router closed their connections. Four more reset their connections behind a PING, a partial write or 50 requests, or send requests for 0.3 s without reading and close.

--- a/internal/soaktest/pressure_test.go
+++ b/internal/soaktest/pressure_test.go
@@ -37,6 +37,8 @@
 	repeated string        // then sent without end; if empty, the client waits for the end of the connection
 	pace     time.Duration // if not zero, the pause after each slowWriteSize bytes
 	readsNot bool          // it does not read what the router sends
+	leaves   bool          // it resets each connection once it has sent the prologue
+	floods   time.Duration // if not zero, it closes each connection after this time
 	sound    bool          // its requests compete with those of others for the caches
 }
 
@@ -48,7 +50,7 @@
 	return string(resp.AppendCommand(nil, resp.VerbSet, "key-1", id, fmt.Sprintf("c=put,d=800,k=%s", id), valueOfSize(size)))
 }
 
-// memoryHogs are clients that make a router hold memory for what they send or do not read.
+// memoryHogs are clients that make a router hold memory for what they send or do not read, or that come again and again.
 func memoryHogs() []hostileClient {
 	large := writeCommand("partial", resp.MaxValueSize)
 	words := strings.Repeat("a ", 33_000) + "\r\n"
@@ -68,6 +70,10 @@
 		{name: "unread errors", clients: 500, repeated: "X\r\n", readsNot: true},
 		{name: "large writes", sound: true, clients: 300, repeated: writeCommand("large", resp.MaxValueSize), readsNot: true},
 		{name: "idle", clients: 600, prologue: ping},
+		{name: "reconnects", clients: 300, prologue: ping, leaves: true},
+		{name: "reconnects behind partial writes", clients: 300, prologue: large[:len(large)-3000], leaves: true},
+		{name: "reconnects behind requests", sound: true, clients: 50, prologue: strings.Repeat(read, 50), leaves: true},
+		{name: "floods and leaves", sound: true, clients: 40, repeated: read, readsNot: true, floods: 300 * time.Millisecond},
 	}
 }
 
@@ -201,7 +207,14 @@
 		_ = nc.SetLinger(0) // fails only on a closed connection
 		_ = nc.Close()      // interrupts a blocked write
 	}()
+	if h.floods > 0 {
+		time.AfterFunc(h.floods, func() { _ = nc.Close() })
+	}
 	h.write(nc)
+	if h.leaves {
+		_ = nc.SetLinger(0) // fails only on a closed connection
+		_ = nc.Close()
+	}
 	<-ended
 }
 
