--- a/internal/router/disconnect_test.go
+++ b/internal/router/disconnect_test.go
@@ -417,6 +417,7 @@
 		d.harness.loop.engine = d.engine
 		for i := range clients {
 			client := d.dial()
+			waitUntil(d.t, "an accepted connection", func() bool { return d.clientCount() == i+1 })
 			client.send(getCommand(fmt.Sprint("r", i)))
 			d.waitForQueuedEvents(i + 1)
 			method(client)
