--- a/internal/router/arrival_test.go
+++ b/internal/router/arrival_test.go
@@ -193,21 +193,28 @@
 	}
 }
 
+// startWithDelayedAccept starts a router that accepts no connection until endDelay is called.
+func startWithDelayedAccept(t *testing.T) (router *runningRouter, harness *loopHarness, endDelay func()) {
+	t.Helper()
+	srv, harness := newScriptedServer(t, endpointJSON("c1", "127.0.0.1:1", "in_service"))
+	delay := fault{reached: make(chan struct{}), resume: make(chan struct{})}
+	useFaultySystem(srv).inject(callAccept, delay)
+	router = startServer(t, srv)
+	receive(t, delay.reached, "delay of the accept")
+	return router, harness, func() { close(delay.resume) }
+}
+
 // TestDeadlineCountsWhileAcceptIsDelayed guards against deadlines that count from the accept of a connection. While
 // hundreds of others connected, connections were accepted up to 0.3 s after their first requests had arrived, and
 // caches were told that much more than the clients had left.
 func TestDeadlineCountsWhileAcceptIsDelayed(t *testing.T) {
-	srv, harness := newScriptedServer(t, endpointJSON("c1", "127.0.0.1:1", "in_service"))
-	system := useFaultySystem(srv)
-	delay := fault{reached: make(chan struct{}), resume: make(chan struct{})}
-	system.inject(callAccept, delay)
-	router := startServer(t, srv)
-	receive(t, delay.reached, "delay of the accept")
+	router, harness, endDelay := startWithDelayedAccept(t)
+	srv := router.srv
 	client := dial(t, router.addr)
 	client.send(getCommand("r1"))
 	sentAt := srv.loop.clock()
 	waitUntil(t, "the end of the delay", func() bool { return srv.loop.clock() > sentAt+2*timeoutSlack })
-	close(delay.resume)
+	endDelay()
 	req := harness.onlyRequest()
 	if late := req.deadline - sentAt - harness.requestTimeout(); late > timeoutSlack {
 		t.Errorf("the deadline is %d us too late", late)
@@ -249,12 +256,8 @@
 // was established. While clients connected without a pause, the listener's queue was never empty, and requests that
 // came in several segments on a new connection counted from when it was last so: they were told as too late.
 func TestDeadlineOfNewConnectionBehindOldQueue(t *testing.T) {
-	srv, harness := newScriptedServer(t, endpointJSON("c1", "127.0.0.1:1", "in_service"))
-	system := useFaultySystem(srv)
-	delay := fault{reached: make(chan struct{}), resume: make(chan struct{})}
-	system.inject(callAccept, delay)
-	router := startServer(t, srv)
-	receive(t, delay.reached, "delay of the accept")
+	router, harness, endDelay := startWithDelayedAccept(t)
+	srv := router.srv
 	const queueAge = 50 * maxSystemTick
 	srv.acceptStalledSince = srv.loop.clock()
 	dial(t, router.addr)
@@ -264,7 +267,7 @@
 	for range 2 {
 		client.send(getCommand("r"))
 	}
-	close(delay.resume)
+	endDelay()
 	harness.waitForOpenRequests(2)
 	harness.do(func() {
 		for _, req := range srv.loop.requests {
