Reject requests of clients that closed before the accept in their readers

Cause: such requests went to the event loop, and were refunded as work of the connection, though no attempt may begin for a client that has closed.

Change: the reader tells -BUSY, and reads no more of such a client than a new connection may without a turn.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -70,15 +70,16 @@
 	}
 }
 
-// startOrClose starts an accepted connection. It closes one that its client has reset in the meantime, as clients do that
-// give up waiting: its commands need no reply, and reading them would delay those of others.
+// startOrClose starts an accepted connection. Clients may have given up waiting in the meantime. A connection that has
+// been reset is closed: its commands need no reply, and reading them would delay those of others.
 func (s *Server) startOrClose(nc *socket.Conn) {
-	if nc.IsBroken() {
+	peer, err := nc.PeerState()
+	if err == nil && peer.Broken {
 		nc.Close()
 		s.descriptors.releaseClient()
 		return
 	}
-	s.startClient(nc)
+	s.startClient(nc, err == nil && peer.HungUp)
 }
 
 // limitAccepts waits if so many connections have been accepted that accepting and closing them would take the
--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -77,8 +77,13 @@
 	})
 }
 
-// handleRequest passes a C.GET or C.SET of the given size to the event loop, or rejects it.
+// handleRequest passes a C.GET or C.SET of the given size to the event loop, or rejects it. No attempt may begin for a
+// client that had closed its side before the connection was accepted.
 func (c *clientConn) handleRequest(size int, isArray bool, arrivedAt policy.Time) connState {
+	if c.closedEarly {
+		c.srv.loop.noteRejectedUnparsed(c, rejectDisconnected)
+		return c.reply([]byte(resp.BusyReply))
+	}
 	if reply := c.srv.loop.limiter.admitOrReject(&c.reader.requests, c.srv.loop.clock()); reply != nil {
 		c.srv.loop.noteRejectedUnparsed(c, rejectOverloaded)
 		return c.reply(reply)
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -56,6 +56,7 @@
 	writeBegunAt     atomic.Int64 // when the write of replies that is in progress began; policy.Time, 0 if there is none
 	windowShortAt    atomic.Int64 // when the receive window was last found too small; policy.Time, 0 if never
 	hasCommand       atomic.Bool  // a command has been received
+	closedEarly      bool         // the client had closed its side before the connection was accepted
 	lastReplyAt      atomic.Int64 // time of the last reply, or of the accept if there was none; policy.Time
 
 	lingering   atomic.Bool   // all replies are written, and the client is given time to read them
--- a/internal/router/command_reader.go
+++ b/internal/router/command_reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 	"time"
 
@@ -138,10 +139,14 @@
 	}
 }
 
-// next returns the arguments and the bytes of the next command. Both are valid until the bytes are consumed.
+// next returns the arguments and the bytes of the next command. Both are valid until the bytes are consumed. Of a client
+// that had closed its side before the connection was accepted, it reads only what needs no turn.
 // An error is a *protocolError, errCommandTimeout, errGivenUp, errIdleClose, or an error of the connection.
 func (r *commandReader) next() (args [][]byte, raw []byte, err error) {
 	for {
+		if r.conn.closedEarly && r.work.left <= 0 {
+			return nil, nil, io.EOF
+		}
 		r.limitWork()
 		args, used, err := r.parser.Next(r.buf.unread())
 		switch {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -236,9 +236,11 @@
 	}
 }
 
-// startClient starts the goroutines of an accepted connection, whose descriptor has been acquired.
-func (s *Server) startClient(nc *socket.Conn) {
+// startClient starts the goroutines of an accepted connection, whose descriptor has been acquired. closed tells whether
+// the client has closed its side already.
+func (s *Server) startClient(nc *socket.Conn, closed bool) {
 	c := newClientConn(s, nc, s.acceptStalledSince)
+	c.closedEarly = closed
 	s.mu.Lock()
 	s.clients[c] = struct{}{}
 	s.mu.Unlock()
--- a/internal/router/statistics.go
+++ b/internal/router/statistics.go
@@ -61,16 +61,17 @@
 type rejectReason uint8
 
 const (
-	rejectTooManyOpen rejectReason = iota // the number of open requests has reached the limit of the settings
-	rejectDraining                        // the drain deadline has passed
-	rejectMemory                          // the memory budget is exhausted
-	rejectPipelined                       // too many commands on the connection await their replies
-	rejectOverloaded                      // the router is overloaded and the request is beyond the engine's limit
-	rejectReasonCount                     // number of reasons
+	rejectTooManyOpen  rejectReason = iota // the number of open requests has reached the limit of the settings
+	rejectDraining                         // the drain deadline has passed
+	rejectMemory                           // the memory budget is exhausted
+	rejectPipelined                        // too many commands on the connection await their replies
+	rejectOverloaded                       // the router is overloaded and the request is beyond the engine's limit
+	rejectDisconnected                     // the client had closed its side before the connection was accepted
+	rejectReasonCount                      // number of reasons
 )
 
 func (r rejectReason) String() string {
-	return [rejectReasonCount]string{"too_many_open", "draining", "no_memory", "pipelined", "overloaded"}[r]
+	return [rejectReasonCount]string{"too_many_open", "draining", "no_memory", "pipelined", "overloaded", "disconnected"}[r]
 }
 
 // closeReason is the reason why nothing more is read from a client connection.
--- a/internal/soaktest/pressure_test.go
+++ b/internal/soaktest/pressure_test.go
@@ -37,7 +37,8 @@
 	repeated string        // then sent without end; if empty, the client waits for the end of the connection
 	pace     time.Duration // if not zero, the pause after each slowWriteSize bytes
 	readsNot bool          // it does not read what the router sends
-	leaves   bool          // it resets each connection once it has sent the prologue
+	leaves   bool          // it closes each connection once it has sent the prologue
+	resets   bool          // it closes it with a reset then
 	floods   time.Duration // if not zero, it closes each connection after this time
 	sound    bool          // its requests compete with those of others for the caches
 }
@@ -70,9 +71,10 @@
 		{name: "unread errors", clients: 500, repeated: "X\r\n", readsNot: true},
 		{name: "large writes", sound: true, clients: 300, repeated: writeCommand("large", resp.MaxValueSize), readsNot: true},
 		{name: "idle", clients: 600, prologue: ping},
-		{name: "reconnects", clients: 300, prologue: ping, leaves: true},
-		{name: "reconnects behind partial writes", clients: 300, prologue: large[:len(large)-3000], leaves: true},
-		{name: "reconnects behind requests", sound: true, clients: 50, prologue: strings.Repeat(read, 50), leaves: true},
+		{name: "reconnects", clients: 300, prologue: ping, leaves: true, resets: true},
+		{name: "reconnects behind partial writes", clients: 300, prologue: large[:len(large)-3000], leaves: true, resets: true},
+		{name: "reconnects behind requests", sound: true, clients: 50, prologue: strings.Repeat(read, 50), leaves: true, resets: true},
+		{name: "closes behind requests", sound: true, clients: 50, prologue: strings.Repeat(read, 50), leaves: true},
 		{name: "floods and leaves", sound: true, clients: 40, repeated: read, readsNot: true, floods: 300 * time.Millisecond},
 	}
 }
@@ -211,8 +213,10 @@
 		time.AfterFunc(h.floods, func() { _ = nc.Close() })
 	}
 	h.write(nc)
-	if h.leaves {
+	if h.resets {
 		_ = nc.SetLinger(0) // fails only on a closed connection
+	}
+	if h.leaves {
 		_ = nc.Close()
 	}
 	<-ended
