Count held requests and connections that were reset before the accept

The statistics tell operators how often requests are held back as their client may be gone (held_requests), and how many connections had been reset before they were accepted (reset_early). Conn.IsBroken, which nothing used, is gone.

Measured: the tests of both count them; they pass with the race detector.

--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -75,6 +75,7 @@
 func (s *Server) startOrClose(nc *socket.Conn) {
 	peer, err := nc.PeerState()
 	if err == nil && peer.Broken {
+		s.loop.statistics.resetEarly.Add(1)
 		nc.Close()
 		s.descriptors.releaseClient()
 		return
--- a/internal/router/early_close_test.go
+++ b/internal/router/early_close_test.go
@@ -34,6 +34,9 @@
 	if made := d.system.callCount(callRead) - reads; made > 0 || d.clientCount() > 0 {
 		t.Errorf("%d reads, %d connections", made, d.clientCount())
 	}
+	if counted := d.harness.loop.statistics.resetEarly.Load(); counted != 1 {
+		t.Errorf("%d connections are counted", counted)
+	}
 	d.dial().send(encodeCommand("PING")) // its descriptor can be used again
 	waitUntil(t, "a new connection", func() bool { return d.clientCount() == 1 })
 	d.wantNothingSent()
--- a/internal/router/held_requests.go
+++ b/internal/router/held_requests.go
@@ -16,14 +16,15 @@
 // reportOrHold reports a new request to the engine, or holds it until its client is known to be connected.
 func (l *eventLoop) reportOrHold(r *request) {
 	c := r.client
-	switch {
-	case len(c.held) > 0:
-		c.held = append(c.held, r) // behind earlier ones, whose check is scheduled
-	case l.now < r.deadline && c.windowWasShort():
-		c.held = append(c.held, r)
-		l.scheduleHeldRequestsCheck(c)
-	default:
+	isFirst := len(c.held) == 0
+	if isFirst && (l.now >= r.deadline || !c.windowWasShort()) {
 		l.report(r)
+		return
+	}
+	l.statistics.heldRequests.Add(1)
+	c.held = append(c.held, r)
+	if isFirst {
+		l.scheduleHeldRequestsCheck(c)
 	}
 }
 
--- a/internal/router/held_requests_test.go
+++ b/internal/router/held_requests_test.go
@@ -79,6 +79,9 @@
 			t.Errorf("%d requests are still held", len(h.conn.held))
 		}
 	})
+	if counted := h.harness.loop.statistics.heldRequests.Load(); counted != count {
+		t.Errorf("%d requests are counted", counted)
+	}
 }
 
 // TestHeldRequestsEndWithTheirClient checks that held requests are not reported once the client has disconnected.
--- a/internal/router/statistics.go
+++ b/internal/router/statistics.go
@@ -27,6 +27,8 @@
 	unsolicited       atomic.Int64 // upstream connections closed because of unsolicited bytes
 	abandonedWhenDue  atomic.Int64 // requests whose client disconnected at about their deadline or later
 	uncertainReplies  atomic.Int64 // upstream connections closed because bytes arrived while a write was stalled
+	heldRequests      atomic.Int64 // requests held back from the engine as their client may be gone
+	resetEarly        atomic.Int64 // connections that their client had reset before they were accepted
 	postponedAttempts atomic.Int64 // times that an attempt was postponed because the check of its client failed
 	stalledWrites     atomic.Int64 // writes that were begun anew because the process was stalled before them
 
@@ -174,6 +176,8 @@
 		slog.Attr{Key: "rejects", Value: nonZeroCounts(s.rejects[:], func(i int) string { return rejectReason(i).String() })},
 		slog.Int64("late", s.lateReplies.Load()),
 		slog.Int64("abandoned_when_due", s.abandonedWhenDue.Load()),
+		slog.Int64("held_requests", s.heldRequests.Load()),
+		slog.Int64("reset_early", s.resetEarly.Load()),
 		slog.Int64("postponed_attempts", s.postponedAttempts.Load()),
 		slog.Int64("stalled_writes", s.stalledWrites.Load()),
 		slog.Int64("attempts", s.attempts.Load()),
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -278,13 +278,6 @@
 	return age, errors.Join(controlErr, err)
 }
 
-// IsBroken reports whether the connection has been reset, so that nothing that is written reaches the peer. It returns
-// false if the query failed.
-func (c *Conn) IsBroken() bool {
-	peer, err := c.PeerState()
-	return err == nil && peer.Broken
-}
-
 // WindowFitsSegment reports whether the receive window that the peer was told last has room for each segment that the
 // peer sends. It returns false if the system does not report the window.
 func (c *Conn) WindowFitsSegment() (fits bool, err error) {
