Count bytes without memory to read them ahead from when they arrived

Cause: while a reader waits for space for a reply it reads ahead, and notes when it last did. It noted so too when there was no memory and the bytes stayed unread, so that they counted from then. Nor was it regarded that the read before may have filled its buffer, with more bytes behind.

Change: only a fill that has read everything counts; bytes behind a full buffer count from the arrival of those in it. With it: a PING whose text is longer than an argument may be (1 KB) gets an error. The protocol has no such PING; its echo held up to 64 KB of the memory for the commands of others until it was read.

--- a/internal/router/arrival_test.go
+++ b/internal/router/arrival_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"io"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -8,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"marlstage/internal/resp"
+	"marlstage/internal/socket"
 	"marlstage/policy"
 )
 
@@ -116,6 +118,37 @@
 	}
 }
 
+// TestArrivalOfBytesWithoutMemory guards against commands that count as having arrived when there was memory to read them
+// ahead. Beside clients that took the memory, caches were told up to 0.4 s more than clients had left.
+func TestArrivalOfBytesWithoutMemory(t *testing.T) {
+	router, _ := startScriptedRouter(t, endpointJSON("c1", "127.0.0.1:1", "in_service"))
+	addr, conns := nonReadingCache(t)
+	nc, err := socket.Dial(socket.Linux{}, addr, testTimeout)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(nc.Close)
+	reader := newClientConn(router.srv, nc, 0).reader
+	hold := memoryHold{budget: router.srv.memory, use: memoryReadAhead}
+	for hold.tryGrow(minReadAhead) {
+	}
+	clock := router.srv.loop.clock
+	if _, err := io.WriteString(receive(t, conns, "connection"), getCommand("r")); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, "unread bytes", nc.MayHaveUnread)
+	sentAt := clock()
+	waitUntil(t, "a late attempt", func() bool { return !reader.fillReadAhead() && clock() > sentAt+maxReadGap })
+	hold.release()
+	defer reader.dropReadAhead()
+	if !reader.fillReadAhead() {
+		t.Fatal("nothing was read ahead")
+	}
+	if late := reader.ahead.notBefore - sentAt; late > 0 {
+		t.Errorf("bytes count from %d us after they had arrived", late)
+	}
+}
+
 // TestDeadlineCountsWhileReaderIsDelayed guards against deadlines that count from too late a time: a reader that had
 // read a command, and was delayed before it read the clock, took all that arrived meanwhile for having arrived later.
 // Under a stopped or overloaded process caches were told up to 0.28 s more than clients had left.
--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -12,7 +12,6 @@
 
 const (
 	maxVerbSize     = 32      // bytes of a command's name that are compared
-	echoOverhead    = 16      // bytes that a bulk string has in addition to its text
 	requestOverhead = 3 << 10 // memory in bytes of a request and a short reply, in addition to that of its command
 )
 
@@ -62,19 +61,13 @@
 	}
 }
 
-// replyToEcho replies with the given text, or with an error if there is no memory for the reply.
+// replyToEcho replies with the given text, or with an error if it is longer than an argument may be.
 func (c *clientConn) replyToEcho(text []byte) connState {
-	size := len(text) + echoOverhead
-	if size <= smallReply {
-		return c.reply(redcon.AppendBulk(make([]byte, 0, size), text))
-	}
-	return c.replyWith(func(slot *replySlot) {
-		if !slot.hold.tryGrow(int64(size)) {
-			slot.reply <- []byte(resp.FailedReply)
-			return
-		}
-		slot.reply <- redcon.AppendBulk(make([]byte, 0, size), text)
-	})
+	if len(text) > resp.MaxArgumentSize {
+		c.srv.loop.statistics.commandErrors.Add(1)
+		return c.reply(resp.AppendError(nil, resp.ErrArgumentSize.Error()))
+	}
+	return c.reply(redcon.AppendBulk(nil, text))
 }
 
 // handleRequest passes a C.GET or C.SET of the given size to the event loop, or rejects it. No attempt may begin for a
--- a/internal/router/client_conn.go
+++ b/internal/router/client_conn.go
@@ -293,18 +293,12 @@
 // open. It drops the command first, as the client may make the reply wait.
 func (c *clientConn) reply(reply []byte) connState {
 	c.reader.dropCommand()
-	return c.replyWith(func(slot *replySlot) { slot.fill(reply) })
-}
-
-// replyWith is like reply for a reply that is provided by a function once its slot has been queued: the client may make
-// the router wait for that.
-func (c *clientConn) replyWith(fill func(slot *replySlot)) connState {
 	slot := newReplySlot(c.srv.memory)
 	switch c.enqueue(slot) {
 	case enqueueDisconnected:
 		return connDisconnected
 	case enqueued:
-		fill(slot) // only once queued: it acquires memory that the writer releases
+		slot.fill(reply) // only once queued: it acquires memory that the writer releases
 	}
 	return connOpen
 }
--- a/internal/router/command_arrival.go
+++ b/internal/router/command_arrival.go
@@ -32,6 +32,14 @@
 // noneUnreadAt returns the last time at which nothing was unread, unless the last read filled its buffer.
 func (t *arrivalTime) noneUnreadAt() policy.Time { return max(t.lastReadAt, t.waitedUntil) }
 
+// earliestUnread returns the earliest time at which bytes may have arrived that the last read did not return.
+func (t *arrivalTime) earliestUnread() policy.Time {
+	if t.bufferFilled {
+		return t.earliest
+	}
+	return t.lastReadAt
+}
+
 // noteRead records a read that began at the given time. waited reports whether bytes were unread before the read
 // that may have arrived some time ago; bufferFilled reports whether the read filled its buffer.
 func (t *arrivalTime) noteRead(beganAt policy.Time, waited, bufferFilled bool) {
--- a/internal/router/read_ahead.go
+++ b/internal/router/read_ahead.go
@@ -17,7 +17,7 @@
 	bytes        []byte
 	hold         memoryHold  // the capacity of bytes
 	notBefore    policy.Time // earliest time at which the first of them may have arrived
-	lastFilledAt policy.Time // when fillReadAhead last read
+	lastFilledAt policy.Time // when fillReadAhead last began to read all that had arrived
 }
 
 // fillReadAhead reads what has arrived while the reply queue is full. Left unread, the bytes would fill the
@@ -25,10 +25,9 @@
 // if bytes stay unread because no more may be read ahead.
 func (r *commandReader) fillReadAhead() bool {
 	if len(r.ahead.bytes) == 0 {
-		// Bytes that had arrived by the last read were returned by it.
-		r.ahead.notBefore = max(r.arrival.lastReadAt, r.ahead.lastFilledAt)
+		r.ahead.notBefore = max(r.arrival.earliestUnread(), r.ahead.lastFilledAt)
 	}
-	r.ahead.lastFilledAt = r.conn.srv.loop.clock()
+	beganAt := r.conn.srv.loop.clock()
 	for r.conn.nc.MayHaveUnread() {
 		if !r.ahead.makeRoom() {
 			return false
@@ -38,9 +37,10 @@
 		n, err := r.conn.nc.ReadAvailable(free)
 		r.ahead.bytes = r.ahead.bytes[:len(r.ahead.bytes)+n]
 		if n == 0 || err != nil {
-			return true // hungUp detects the end of the connection, and the next read returns its error
+			break // hungUp detects the end of the connection, and the next read returns its error
 		}
 	}
+	r.ahead.lastFilledAt = beganAt
 	return true
 }
 
