--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -12,6 +12,7 @@
 
 const (
 	maxVerbSize     = 32      // bytes of a command's name that are compared
+	maxEchoSize     = 240     // bytes of the text of a PING; its reply counts as part of the reply slot
 	requestOverhead = 3 << 10 // memory in bytes of a request and a short reply, in addition to that of its command
 )
 
@@ -61,9 +62,9 @@
 	}
 }
 
-// replyToEcho replies with the given text, or with an error if it is longer than an argument may be.
+// replyToEcho replies with the given text, or with an error if it is too long.
 func (c *clientConn) replyToEcho(text []byte) connState {
-	if len(text) > resp.MaxArgumentSize {
+	if len(text) > maxEchoSize {
 		c.srv.loop.statistics.commandErrors.Add(1)
 		return c.reply(resp.AppendError(nil, resp.ErrArgumentSize.Error()))
 	}
