Echo long texts again unless several replies are pending

Such a text is echoed as before, unless several replies are pending; then a text of over 240 bytes gets an error, as its echo would be held for as long as the client reads nothing.

--- a/internal/router/client_commands.go
+++ b/internal/router/client_commands.go
@@ -12,7 +12,7 @@
 
 const (
 	maxVerbSize     = 32      // bytes of a command's name that are compared
-	maxEchoSize     = 240     // bytes of the text of a PING; its reply counts as part of the reply slot
+	maxQueuedEcho   = 240     // bytes of the text of a PING behind several replies; its echo is part of the reply slot
 	requestOverhead = 3 << 10 // memory in bytes of a request and a short reply, in addition to that of its command
 )
 
@@ -62,11 +62,11 @@
 	}
 }
 
-// replyToEcho replies with the given text, or with an error if it is too long.
+// replyToEcho replies with the given text, or with an error if it is long and several earlier replies are pending: it
+// would hold memory for as long as the client reads nothing. One that has just been written may still count as pending.
 func (c *clientConn) replyToEcho(text []byte) connState {
-	if len(text) > maxEchoSize {
-		c.srv.loop.statistics.commandErrors.Add(1)
-		return c.reply(resp.AppendError(nil, resp.ErrArgumentSize.Error()))
+	if len(text) > maxQueuedEcho && c.pendingReplies.Load() > 1 {
+		return c.reply([]byte(resp.FailedReply))
 	}
 	return c.reply(redcon.AppendBulk(nil, text))
 }
